Add the design page, the build and the shared types

The repository was empty. The design page states guarantees, modules and messages; the protocol headers fix events, effects and peer messages, so that modules can be written side by side. scripts/test builds and lints; it passes with no unit test yet.

--- /dev/null
+++ b/src/base/finding.cpp
@@ -0,0 +1,14 @@
+// Text form of a finding.
+
+#include "base/finding.h"
+
+namespace rosemaryhinge {
+
+std::string Finding::str() const {
+  std::string out = File;
+  if (Line > 0)
+    out += ":" + std::to_string(Line) + ":" + std::to_string(Column);
+  return out + ": " + Message;
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/base/finding.h
@@ -0,0 +1,21 @@
+// Findings: what is wrong with an input, with the place, collected and reported together.
+
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace rosemaryhinge {
+
+struct Finding {
+  std::string File;
+  int Line = 0;   ///< From 1; 0 if the place is not known.
+  int Column = 0; ///< From 1; 0 if the place is not known.
+  std::string Message;
+
+  [[nodiscard]] std::string str() const;
+};
+
+using Findings = std::vector<Finding>;
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/drain/drainmodule.cpp
@@ -0,0 +1,38 @@
+// Phases of a graceful shutdown.
+
+#include "drain/drainmodule.h"
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// How long a finished proxy goes on to hand over its journal and slots when the store does not answer.
+constexpr Duration HandOverPatience = 5s;
+constexpr Duration CheckInterval = 50ms;
+
+} // namespace
+
+void DrainModule::start(Context &ctx) {
+  if (StartedAt)
+    return;
+  StartedAt = ctx.Now;
+  Next = ctx.Now;
+  ctx.emit(Log{LogLevel::Info, "graceful shutdown started", {}});
+}
+
+void DrainModule::check(Context &ctx, std::size_t inFlight, bool slotsGivenUp, bool journalFlushed) {
+  if (!StartedAt || Complete)
+    return;
+  Next = ctx.Now + CheckInterval;
+  if (inFlight > 0 && ctx.Rules.GracefulShutdown)
+    return;
+  bool handedOver = slotsGivenUp && journalFlushed;
+  if (!handedOver && ctx.Now < *StartedAt + HandOverPatience)
+    return;
+  Complete = true;
+  Next.reset();
+  ctx.emit(Log{LogLevel::Info, "graceful shutdown complete", {}});
+  ctx.emit(ShutdownComplete{});
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/failover/failovermodule.h
@@ -0,0 +1,48 @@
+// Changes of primary: watching groups, suspecting a primary, ordering and carrying out a promotion.
+
+#pragma once
+
+#include "groups/grouptable.h"
+#include "membership/imembers.h"
+#include "protocol/context.h"
+#include "protocol/event.h"
+#include "settings/ipolicies.h"
+#include "slots/islots.h"
+
+#include <memory>
+#include <optional>
+
+namespace rosemaryhinge {
+
+namespace detail {
+struct FailoverState;
+}
+
+/// The other modules, as the failover module uses them.
+struct FailoverServices {
+  const IPolicies &Policies;
+  const IMembers &Members;
+  const ISlots &Slots;
+  GroupTable &Groups;
+};
+
+class FailoverModule {
+public:
+  FailoverModule();
+  ~FailoverModule();
+  FailoverModule(FailoverModule &&) noexcept;
+  FailoverModule &operator=(FailoverModule &&) noexcept;
+
+  /// Reads groups and target lists and polls the servers of which this proxy holds slots.
+  void onTimer(Context &ctx, FailoverServices &services);
+  void onPlatformAnswer(Context &ctx, FailoverServices &services, const PlatformAnswer &event);
+  void onControlAnswer(Context &ctx, FailoverServices &services, const ControlAnswer &event);
+  void onPeer(Context &ctx, FailoverServices &services, const NodeId &from, const PeerMessage &message);
+
+  [[nodiscard]] std::optional<TimePoint> nextTimer() const;
+
+private:
+  std::unique_ptr<detail::FailoverState> State;
+};
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/protocol/effect.h
@@ -0,0 +1,86 @@
+// What the reducer wants done. Adapters carry effects out and report back with events.
+
+#pragma once
+
+#include "protocol/peer.h"
+#include "protocol/platform.h"
+#include "protocol/request.h"
+#include "protocol/target.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace rosemaryhinge {
+
+struct Respond {
+  RequestId Id;
+  rosemaryhinge::Answer Answer;
+};
+
+struct SendToPeer {
+  NodeId To;
+  PeerMessage Message;
+};
+/// Tells the peer adapter where a node listens.
+struct PeerAddress {
+  NodeId Node;
+  std::string Address;
+};
+/// Tells the target adapter where a server listens.
+struct TargetAddress {
+  TargetId Target;
+  DatabaseId Database;
+  std::string Address;
+};
+
+struct AdminReply {
+  std::uint64_t Id = 0;
+  int HttpStatus = 200;
+  std::string Body; ///< JSON.
+};
+
+enum class LogLevel : std::uint8_t { Debug, Info, Warn, Error };
+struct LogField {
+  std::string Key;
+  std::string Value;
+};
+struct Log {
+  LogLevel Level = LogLevel::Info;
+  std::string Message;
+  std::vector<LogField> Fields;
+};
+
+/// A record for the morning report. Routed by the reducer to the journal module.
+struct CountRefusal {
+  RefusalReason Reason;
+};
+struct CountRetry {
+  RetryReason Reason;
+};
+struct Count {
+  std::string Name; ///< Metric name without prefix, such as "promotions_total".
+  double Value = 1;
+};
+/// A measured duration, for a histogram metric.
+struct Observe {
+  std::string Name;
+  Duration Value{};
+};
+
+/// An invariant does not hold. The request is refused; the daemon logs the event trail.
+struct InvariantBroken {
+  std::string Invariant;
+  std::string Detail;
+};
+
+/// The last request was answered and all slots are given up: the process may end.
+struct ShutdownComplete {};
+
+using Effect = std::variant<Respond, SendToPeer, PeerAddress, TargetAddress, OpenConnection, CloseConnection,
+                            Execute, ControlCall, PlatformCall, AdminReply, Log, CountRefusal, CountRetry,
+                            Count, Observe, InvariantBroken, ShutdownComplete>;
+using Effects = std::vector<Effect>;
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/protocol/event.h
@@ -0,0 +1,54 @@
+// Everything that can happen to a proxy. The reducer sees nothing else.
+
+#pragma once
+
+#include "protocol/peer.h"
+#include "protocol/platform.h"
+#include "protocol/request.h"
+#include "protocol/target.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace rosemaryhinge {
+
+/// First event of a proxy. Seed feeds its random choices; Incarnation differs for each start of a node.
+struct Started {
+  std::uint64_t Seed = 0;
+  std::uint64_t Incarnation = 0;
+};
+struct TimerFired {};
+/// The process was asked to stop gracefully.
+struct ShutdownRequested {};
+
+struct RequestArrived {
+  CallerRequest Request;
+};
+/// The caller closed its connection before the answer.
+struct CallerGone {
+  RequestId Id;
+};
+
+struct PeerReceived {
+  NodeId From;
+  PeerMessage Message;
+};
+/// The connection to a peer failed; messages on their way may be lost.
+struct PeerLost {
+  NodeId Node;
+};
+
+/// A request on the admin port that needs the decision logic. Answered with AdminReply.
+struct AdminRequest {
+  std::uint64_t Id = 0;
+  std::string Command; ///< For instance "settings.set".
+  std::string Body;    ///< JSON.
+};
+
+using Event = std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerGone, PeerReceived,
+                           PeerLost, ConnectionOpened, ConnectionClosed, ExecutionFinished, ControlAnswer,
+                           PlatformAnswer, AdminRequest>;
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/reducer/state.h
@@ -0,0 +1,37 @@
+// The whole state of a proxy's decision logic.
+
+#pragma once
+
+#include "drain/drainmodule.h"
+#include "failover/failovermodule.h"
+#include "groups/grouptable.h"
+#include "journal/journalmodule.h"
+#include "membership/membershipmodule.h"
+#include "protocol/rules.h"
+#include "request/requestmodule.h"
+#include "settings/settingsmodule.h"
+#include "slots/slotsmodule.h"
+
+#include <cstdint>
+#include <random>
+
+namespace rosemaryhinge {
+
+struct State {
+  NodeConfig Self;
+  rosemaryhinge::Rules Rules;
+  std::uint64_t Incarnation = 0;
+  std::mt19937_64 Random;
+  std::uint64_t NextNumber = 0;
+
+  GroupTable Groups;
+  SettingsModule Settings;
+  MembershipModule Membership;
+  SlotsModule Slots;
+  FailoverModule Failover;
+  RequestModule Requests;
+  DrainModule Drain;
+  JournalModule Journal;
+};
+
+} // namespace rosemaryhinge
