--- a/src/protocol/context.h
+++ b/src/protocol/context.h
@@ -8,6 +8,7 @@
 #include "protocol/rules.h"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -24,6 +25,13 @@
   std::uint64_t Revision = 0;
 };
 
+/// A reading of the wall clock, supplied by the daemon. Used for records only, never for decisions.
+struct WallReading {
+  TimePoint At; ///< Boot clock at the reading.
+  std::int64_t MicrosSinceEpoch = 0;
+  Duration Uncertainty{}; ///< The true time lies within the reading plus or minus this.
+};
+
 /// Handed to every decision function for the length of one event.
 struct Context {
   TimePoint Now;
@@ -34,6 +42,8 @@
   rosemaryhinge::Effects &Effects;
   std::vector<JournalEntry> &Journal;
   std::uint64_t &NextNumber; ///< Source of call, connection and execution numbers; never zero.
+  std::optional<WallReading>
+      Wall{}; ///< Latest reading; none in tests and simulations that need no wall time.
 
   template <typename T> void emit(T effect) { Effects.emplace_back(std::move(effect)); }
   void record(JournalEntry entry) { Journal.push_back(std::move(entry)); }
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -35,7 +35,8 @@
   enum class Kind : std::uint8_t { Alive, Suspect, Dead, Leaving };
 
   NodeId Node;
-  std::uint64_t Incarnation = 0;
+  std::uint64_t Incarnation = 0; ///< Of the process; higher after a restart.
+  std::uint32_t Refutation = 0;  ///< Raised by the node itself to refute a suspicion of this incarnation.
   Kind State = Kind::Alive;
   std::string Address; ///< IP and port of the peer listener.
   rosemaryhinge::AvailabilityZone AvailabilityZone;
@@ -64,23 +65,50 @@
   std::vector<MemberUpdate> Members;
 };
 
-/// A settings revision on its way down the tree of members.
+/// A settings revision on its way down the tree of members. With a base, Tree is the part of the text that
+/// differs: the receiver keeps KeepFront bytes from the front and KeepBack bytes from the back of revision
+/// Base.
 struct SettingsPush {
-  std::uint64_t Round = 0; ///< Matches acknowledgements to this push.
+  std::uint64_t Round = 0; ///< Matches acknowledgements to this push. 0: answers a SettingsRequest.
   std::uint64_t Revision = 0;
-  std::string Tree;                ///< Whole tree as YAML.
+  std::uint64_t Base = 0; ///< 0: Tree is the whole text.
+  std::uint32_t KeepFront = 0;
+  std::uint32_t KeepBack = 0;
+  std::uint64_t Checksum = 0;      ///< XXH64 of the whole text.
+  std::string Tree;                ///< YAML.
   ObjectVersion Version = 0;       ///< Version of the platform object it was read from.
   std::vector<NodeId> Descendants; ///< Members that the receiver passes it on to.
 };
+/// Sent at once for the receiver itself, and again with Final when its part of the tree is settled.
 struct SettingsAck {
   std::uint64_t Round = 0;
   std::uint64_t Revision = 0;
   std::uint32_t InForce = 0;
   std::vector<NodeId> Missing;
+  bool Final = false;
 };
 struct SettingsRequest {
   std::uint64_t Have = 0;
 };
+/// Asks members which revision they have in force; travels the same tree as a push.
+struct SettingsQuery {
+  std::uint64_t Round = 0;
+  std::vector<NodeId> Descendants;
+};
+/// One member's answer to a query.
+struct SettingsInForce {
+  NodeId Node;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Revision = 0;
+  Duration Since{}; ///< How long the revision has been in force without a break.
+};
+/// Sent at once for the receiver itself, and again with Final for its whole part of the tree.
+struct SettingsReport {
+  std::uint64_t Round = 0;
+  std::vector<SettingsInForce> Members;
+  std::vector<NodeId> Missing;
+  bool Final = false;
+};
 
 /// State of servers as slot holders see it. Age is the time since the status was requested.
 struct TargetReport {
@@ -120,10 +148,21 @@
 struct JournalAck {
   std::uint64_t Batch = 0;
 };
+/// Records of one process, by sequence number.
+struct JournalMark {
+  NodeId Node;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t First = 0;
+  std::uint64_t Last = 0;
+};
+/// Tells the second owner which records are in the store.
+struct JournalWritten {
+  std::vector<JournalMark> Marks;
+};
 
-using PeerMessage =
-    std::variant<ForwardRequest, ForwardAnswer, Probe, ProbeAck, IndirectProbe, MembersRequest, MembersReply,
-                 SettingsPush, SettingsAck, SettingsRequest, TargetReports, PrimaryContactRequest,
-                 PrimaryContactReply, ObjectChanged, JournalRecords, JournalAck>;
+using PeerMessage = std::variant<ForwardRequest, ForwardAnswer, Probe, ProbeAck, IndirectProbe,
+                                 MembersRequest, MembersReply, SettingsPush, SettingsAck, SettingsRequest,
+                                 TargetReports, PrimaryContactRequest, PrimaryContactReply, ObjectChanged,
+                                 JournalRecords, JournalAck, SettingsQuery, SettingsReport, JournalWritten>;
 
 } // namespace rosemaryhinge
