--- /dev/null
+++ b/src/failover/failovermodule.cpp
@@ -0,0 +1,295 @@
+// Watching groups and starting changes of primary.
+
+#include "failover/failovermodule.h"
+
+#include "failover/internal/coordinator.h"
+#include "failover/internal/failoverstate.h"
+#include "failover/internal/suspicion.h"
+#include "slots/candidates.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+using detail::DatabaseFailover;
+using detail::FailoverState;
+using detail::StatusPoll;
+
+namespace {
+
+constexpr Duration TickInterval = 20ms;
+constexpr Duration ReadTimeout = 1s;
+constexpr Duration ReadInterval = 2s;
+/// Readings on suspicion or after a failure follow each other no faster than this.
+constexpr Duration MinReadGap = 200ms;
+constexpr Duration ListInterval = 1s;
+/// Readings of the VM list by the whole fleet stay below this.
+constexpr std::int64_t MaxFleetListsPerSecond = 500;
+constexpr std::int64_t MaxFleetReadsPerSecond = 200;
+/// Status queries of one proxy; more databases are polled less often each.
+constexpr std::int64_t MaxPollsPerSecond = 200;
+constexpr Duration PollTimeout = 250ms;
+constexpr Duration VoteInterval = 200ms;
+/// The n-th proxy in the order of a database waits n times this before it orders, so that contenders are
+/// rare.
+constexpr Duration OrderStagger = 150ms;
+/// A timer that was this late tells that the process was paused: silence measured across it proves nothing.
+constexpr Duration PauseThreshold = 300ms;
+
+void sendRead(Context &ctx, FailoverState &state, DatabaseFailover &db, const DatabaseId &database) {
+  auto call = ctx.call(Module::Failover);
+  db.Read = call;
+  db.LastRead = ctx.Now;
+  state.Calls[call] = database;
+  ctx.emit(PlatformCall{call, ReadTimeout, GetObject{detail::groupKey(database)}});
+}
+
+void readGroup(Context &ctx, FailoverState &state, DatabaseFailover &db, const DatabaseId &database,
+               std::size_t databases) {
+  if (db.Read || ctx.Now < db.NextRead ||
+      (db.LastRead > TimePoint::min() && ctx.Now < db.LastRead + MinReadGap))
+    return;
+  auto fleetReads = static_cast<std::int64_t>(databases * DatabaseCandidates);
+  db.NextRead =
+      ctx.Now + std::max<Duration>(ReadInterval, std::chrono::seconds(fleetReads / MaxFleetReadsPerSecond));
+  sendRead(ctx, state, db, database);
+}
+
+void readList(Context &ctx, FailoverState &state, std::size_t members) {
+  if (state.ListCall || ctx.Now < state.NextList)
+    return;
+  auto interval = std::max<Duration>(
+      ListInterval, std::chrono::seconds(static_cast<std::int64_t>(members) / MaxFleetListsPerSecond));
+  state.NextList = ctx.Now + interval;
+  state.ListCall = ctx.call(Module::Failover);
+  ctx.emit(PlatformCall{*state.ListCall, ReadTimeout, ListVms{}});
+}
+
+void pollServers(Context &ctx, FailoverState &state, DatabaseFailover &db, const GroupView &view,
+                 Duration interval) {
+  for (const auto &server : view.Group.Servers) {
+    auto &poll = db.Polls[server.Target];
+    if (poll.Call || ctx.Now < poll.NextAt)
+      continue;
+    auto call = ctx.call(Module::Failover);
+    poll.Call = call;
+    poll.SentAt = ctx.Now;
+    poll.NextAt = ctx.Now + interval;
+    state.Calls[call] = view.Group.Database;
+    ctx.emit(ControlCall{call, server.Target, PollTimeout, QueryStatus{}});
+  }
+}
+
+void askHolders(Context &ctx, const FailoverServices &services, DatabaseFailover &db, const GroupView &view) {
+  const auto &policy = services.Policies.databasePolicy(view.Group.Database);
+  if (detail::silence(db, view.Group.Primary, ctx.Now) < policy.SuspectAfter / 2 ||
+      ctx.Now < db.NextVoteRequest)
+    return;
+  db.NextVoteRequest = ctx.Now + VoteInterval;
+  for (const auto &it : detail::groupHolders(services, view.Group))
+    ctx.emit(SendToPeer{it, PrimaryContactRequest{view.Group.Database, view.Group.Term}});
+}
+
+void considerPromotion(Context &ctx, FailoverServices &services, FailoverState &state, DatabaseFailover &db,
+                       const GroupView &view, std::size_t rank) {
+  auto why = detail::reasonToOrder(ctx, services, view, db);
+  if (!why) {
+    db.EligibleSince.reset();
+    return;
+  }
+  if (!db.EligibleSince)
+    db.EligibleSince = ctx.Now;
+  // An update needs the store's version, which a state told by a peer or a server does not carry.
+  if (ctx.Now < *db.EligibleSince + OrderStagger * rank || view.Group.Version == 0)
+    return;
+  db.EligibleSince = ctx.Now;
+  detail::startPromotion(ctx, services, state, db, view, *why);
+}
+
+/// Forgets silence that was measured across a pause of this process.
+void forgetSilence(Context &ctx, FailoverState &state) {
+  for (auto &[database, db] : state.Databases) {
+    db.Votes.clear();
+    db.EligibleSince.reset();
+    for (auto &[target, poll] : db.Polls)
+      if (poll.SilentSince)
+        poll.SilentSince = ctx.Now;
+  }
+}
+
+/// A server that reports itself primary of a higher term proves that its promotion was ordered and done.
+void learnFromPrimary(Context &ctx, FailoverServices &services, const GroupView &view, const TargetId &target,
+                      const TargetStatus &status) {
+  bool newer = status.RaisedTerm > view.Group.Term ||
+               (status.RaisedTerm == view.Group.Term && view.Group.State == Group::Phase::Ordered);
+  if (status.Role != TargetRole::Primary || !newer || status.Log.Term != status.RaisedTerm)
+    return;
+  auto group = view.Group;
+  group.Term = status.RaisedTerm;
+  group.State = Group::Phase::Done;
+  group.Primary = target;
+  group.History = status.History;
+  services.Groups.update(ctx, std::move(group));
+}
+
+void onPoll(Context &ctx, FailoverServices &services, DatabaseFailover &db, const GroupView &view,
+            const ControlAnswer &event) {
+  auto it = db.Polls.find(event.Target);
+  if (it == db.Polls.end() || it->second.Call != event.Call)
+    return;
+  auto &poll = it->second;
+  poll.Call.reset();
+  const auto *status = std::get_if<TargetStatus>(&event.Result);
+  if (status == nullptr) {
+    if (!poll.SilentSince)
+      poll.SilentSince = poll.SentAt;
+    return;
+  }
+  poll.SilentSince.reset();
+  services.Groups.observe(event.Target, *status, poll.SentAt, ctx.Now, true);
+  if (status->RaisedTerm > view.Group.Term)
+    db.NextRead = std::min(db.NextRead, ctx.Now);
+  learnFromPrimary(ctx, services, view, event.Target, *status);
+}
+
+void onRead(Context &ctx, FailoverServices &services, FailoverState &state, DatabaseFailover &db,
+            const DatabaseId &database, const PlatformAnswer &event) {
+  db.Read.reset();
+  const auto *value = std::get_if<ObjectValue>(&event.Result);
+  if (value == nullptr || value->Version == 0) {
+    if (db.Promotion)
+      db.NextRead = ctx.Now + MinReadGap;
+    return;
+  }
+  auto group = parseGroup(value->Value);
+  if (!group || group->Database != database) {
+    ctx.emit(Log{LogLevel::Error, "platform object does not parse", {{"key", value->Key}}});
+    ctx.emit(Count{"platform_objects_invalid_total"});
+    return;
+  }
+  group->Version = value->Version;
+  services.Groups.update(ctx, *group);
+  detail::onGroupRead(ctx, services, state, db, *group);
+}
+
+void onList(FailoverServices &services, const VmList &list) {
+  for (const auto &it : list.Vms)
+    services.Groups.setListedLeaving(TargetId(it.Vm.str()), it.Leaving);
+}
+
+void onContactRequest(Context &ctx, const FailoverServices &services, const FailoverState &state,
+                      const NodeId &from, const PrimaryContactRequest &message) {
+  PrimaryContactReply reply{message.Database, message.Term, false, Duration::zero()};
+  const auto *view = services.Groups.find(message.Database);
+  auto db = state.Databases.find(message.Database);
+  if (view != nullptr && db != state.Databases.end() && view->Group.Term == message.Term) {
+    reply.HoldsSlot = std::any_of(view->Group.Servers.begin(), view->Group.Servers.end(),
+                                  [&](const auto &it) { return services.Slots.holds(it.Target); });
+    reply.SinceContact = detail::silence(db->second, view->Group.Primary, ctx.Now);
+  }
+  ctx.emit(SendToPeer{from, reply});
+}
+
+void onObjectChanged(Context &ctx, FailoverServices &services, const ObjectChanged &message) {
+  if (!message.Key.starts_with("groups/"))
+    return;
+  if (auto group = parseGroup(message.Value)) {
+    group->Version = message.Version;
+    services.Groups.update(ctx, std::move(*group));
+  }
+}
+
+} // namespace
+
+FailoverModule::FailoverModule() : State(std::make_unique<FailoverState>()) {}
+FailoverModule::~FailoverModule() = default;
+FailoverModule::FailoverModule(FailoverModule &&) noexcept = default;
+FailoverModule &FailoverModule::operator=(FailoverModule &&) noexcept = default;
+
+void FailoverModule::onTimer(Context &ctx, FailoverServices &services) {
+  if (State->Next && ctx.Now < *State->Next)
+    return;
+  if (State->LastTimer > TimePoint::min() && ctx.Now > State->LastTimer + PauseThreshold)
+    forgetSilence(ctx, *State);
+  State->LastTimer = ctx.Now;
+  State->Next = ctx.Now + TickInterval;
+  auto live = services.Members.live();
+  const auto &databases = services.Policies.databases();
+  readList(ctx, *State, live.size());
+  std::size_t polled = 0;
+  for (const auto &[database, db] : State->Databases)
+    polled += db.Polls.size();
+  auto budget = std::chrono::microseconds(1s) * static_cast<std::int64_t>(polled) / MaxPollsPerSecond;
+  for (const auto &database : databases) {
+    auto order = databaseOrder(database, live);
+    auto rank =
+        static_cast<std::size_t>(std::find(order.begin(), order.end(), ctx.Self.Node) - order.begin());
+    auto &db = State->Databases[database];
+    const auto *view = services.Groups.find(database);
+    if (rank >= DatabaseCandidates && view != nullptr && !db.Promotion)
+      continue;
+    readGroup(ctx, *State, db, database, databases.size());
+    if (view == nullptr)
+      continue;
+    const auto &policy = services.Policies.databasePolicy(database);
+    pollServers(ctx, *State, db, *view, std::max<Duration>(policy.StatusInterval, budget));
+    if (db.Promotion) {
+      detail::drivePromotion(ctx, services, *State, db);
+      continue;
+    }
+    askHolders(ctx, services, db, *view);
+    considerPromotion(ctx, services, *State, db, *view, rank);
+  }
+}
+
+void FailoverModule::onPlatformAnswer(Context &ctx, FailoverServices &services, const PlatformAnswer &event) {
+  if (State->ListCall == event.Call) {
+    State->ListCall.reset();
+    if (const auto *list = std::get_if<VmList>(&event.Result))
+      onList(services, *list);
+    return;
+  }
+  auto it = State->Calls.find(event.Call);
+  if (it == State->Calls.end())
+    return;
+  auto database = it->second;
+  State->Calls.erase(it);
+  auto &db = State->Databases[database];
+  if (db.Read == event.Call)
+    onRead(ctx, services, *State, db, database, event);
+  else
+    detail::onPromotionPut(ctx, services, *State, db, event);
+}
+
+void FailoverModule::onControlAnswer(Context &ctx, FailoverServices &services, const ControlAnswer &event) {
+  auto it = State->Calls.find(event.Call);
+  if (it == State->Calls.end())
+    return;
+  auto database = it->second;
+  State->Calls.erase(it);
+  auto &db = State->Databases[database];
+  if (detail::onPromotionControl(ctx, services, *State, db, event))
+    return;
+  if (const auto *view = services.Groups.find(database))
+    onPoll(ctx, services, db, *view, event);
+}
+
+void FailoverModule::onPeer(Context &ctx, FailoverServices &services, const NodeId &from,
+                            const PeerMessage &message) {
+  if (const auto *request = std::get_if<PrimaryContactRequest>(&message)) {
+    onContactRequest(ctx, services, *State, from, *request);
+  } else if (const auto *reply = std::get_if<PrimaryContactReply>(&message)) {
+    const auto *view = services.Groups.find(reply->Database);
+    if (view != nullptr && view->Group.Term == reply->Term)
+      State->Databases[reply->Database].Votes[from] = {reply->SinceContact, ctx.Now};
+  } else if (const auto *changed = std::get_if<ObjectChanged>(&message)) {
+    onObjectChanged(ctx, services, *changed);
+  } else if (const auto *reports = std::get_if<TargetReports>(&message)) {
+    for (const auto &it : reports->Reports)
+      services.Groups.observe(it.Target, it.Status, ctx.Now - it.Age, ctx.Now, false);
+  }
+}
+
+std::optional<TimePoint> FailoverModule::nextTimer() const { return State->Next; }
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/failover/internal/failoverstate.h
@@ -0,0 +1,48 @@
+// State of the failover module.
+
+#pragma once
+
+#include "failover/internal/promotion.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace rosemaryhinge::detail {
+
+/// Status queries to one server.
+struct StatusPoll {
+  TimePoint NextAt;
+  std::optional<CallId> Call;
+  TimePoint SentAt;
+  /// When the first query of the present run of unanswered ones was sent. None while the server answers.
+  std::optional<TimePoint> SilentSince;
+};
+
+/// A peer's word about how long it has had no contact with the primary.
+struct ContactVote {
+  Duration SinceContact{};
+  TimePoint At;
+};
+
+struct DatabaseFailover {
+  std::optional<CallId> Read;
+  TimePoint NextRead;
+  TimePoint LastRead = TimePoint::min();
+  std::map<TargetId, StatusPoll> Polls;
+  std::map<NodeId, ContactVote> Votes;
+  TimePoint NextVoteRequest;
+  std::optional<TimePoint> EligibleSince; ///< Since when the conditions for a change hold here.
+  std::optional<detail::Promotion> Promotion;
+};
+
+struct FailoverState {
+  std::map<DatabaseId, DatabaseFailover> Databases;
+  std::map<CallId, DatabaseId> Calls; ///< Calls on their way, to find their database.
+  std::optional<CallId> ListCall;
+  TimePoint NextList;
+  TimePoint LastTimer = TimePoint::min();
+  std::optional<TimePoint> Next;
+};
+
+} // namespace rosemaryhinge::detail
--- a/src/protocol/policy.h
+++ b/src/protocol/policy.h
@@ -30,7 +30,7 @@
   Duration StatusInterval = 100ms;
   Duration SuspectAfter = 800ms;
   Duration TakeoverAfter = 3s;
-  Duration MinChangeInterval = 30s;
+  Duration MinChangeInterval = 5s;
   Duration LongAfter = 200ms;
   double LongShare = 0.4;
   std::uint32_t QueueLimit = 2000;
--- /dev/null
+++ b/src/reducer/internal/adminviews.h
@@ -0,0 +1,14 @@
+// Views of the state for the operators' tool.
+
+#pragma once
+
+#include "protocol/effect.h"
+#include "protocol/event.h"
+#include "reducer/state.h"
+
+namespace rosemaryhinge::detail {
+
+/// Answers the commands status, targets and sessions; any other with HTTP status 404.
+[[nodiscard]] AdminReply adminView(const State &state, const AdminRequest &request, TimePoint now);
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/reducer/reducer.cpp
@@ -0,0 +1,256 @@
+// Hands each event to the modules that own the state it concerns.
+
+#include "reducer/reducer.h"
+
+#include "base/overloaded.h"
+#include "reducer/internal/adminviews.h"
+
+#include <algorithm>
+#include <array>
+
+namespace rosemaryhinge {
+
+namespace {
+
+class Dispatcher {
+public:
+  Dispatcher(State &state, Context &ctx) : S(state), Ctx(ctx) {}
+
+  void operator()(const Started &event);
+  void operator()(const TimerFired &);
+  void operator()(const ShutdownRequested &);
+  void operator()(const RequestArrived &event);
+  void operator()(const CallerGone &event);
+  void operator()(const PeerReceived &event);
+  void operator()(const PeerLost &event);
+  void operator()(const ConnectionOpened &event);
+  void operator()(const ConnectionClosed &event);
+  void operator()(const ExecutionFinished &event);
+  void operator()(const ControlAnswer &event);
+  void operator()(const PlatformAnswer &event);
+  void operator()(const AdminRequest &event);
+
+private:
+  [[nodiscard]] Services services() {
+    return {S.Settings,       S.Membership, S.Slots, S.Groups, S.Settings.ready() && S.Membership.joined(),
+            S.Drain.leaving()};
+  }
+  [[nodiscard]] FailoverServices failoverServices() { return {S.Settings, S.Membership, S.Slots, S.Groups}; }
+  void membershipMessage(const NodeId &from, const PeerMessage &message);
+  void resumeWaiting();
+  void checkDrain();
+
+  State &S;
+  Context &Ctx;
+};
+
+void Dispatcher::operator()(const Started &event) {
+  S.Incarnation = event.Incarnation;
+  Ctx.Incarnation = event.Incarnation;
+  S.Random.seed(event.Seed);
+  S.Membership.onStarted(Ctx);
+  S.Settings.onStarted(Ctx);
+  S.Journal.onStarted(Ctx);
+  (*this)(TimerFired{});
+}
+
+template <typename T> bool due(const T &module, TimePoint now) {
+  auto next = module.nextTimer();
+  return !next || *next <= now;
+}
+
+void Dispatcher::operator()(const TimerFired &) {
+  if (due(S.Membership, Ctx.Now))
+    S.Membership.onTimer(Ctx, S.Settings.revision());
+  if (due(S.Settings, Ctx.Now))
+    S.Settings.onTimer(Ctx, S.Membership);
+  if (due(S.Failover, Ctx.Now)) {
+    auto services = failoverServices();
+    S.Failover.onTimer(Ctx, services);
+  }
+  if (due(S.Slots, Ctx.Now))
+    S.Slots.onTimer(Ctx, S.Settings, S.Groups, S.Membership);
+  if (due(S.Requests, Ctx.Now)) {
+    auto services = this->services();
+    S.Requests.onTimer(Ctx, services);
+  }
+  if (due(S.Journal, Ctx.Now))
+    S.Journal.onTimer(Ctx, S.Membership);
+  resumeWaiting();
+  checkDrain();
+}
+
+void Dispatcher::operator()(const ShutdownRequested &) {
+  if (S.Drain.leaving())
+    return;
+  S.Drain.start(Ctx);
+  S.Membership.announceLeaving(Ctx);
+  S.Slots.startLeaving(Ctx);
+  auto services = this->services();
+  S.Requests.onShutdown(Ctx, services);
+  Ctx.record({"drain", DatabaseId(), "graceful shutdown started", "requested", 0, 0});
+  (*this)(TimerFired{});
+}
+
+void Dispatcher::operator()(const RequestArrived &event) {
+  auto services = this->services();
+  S.Requests.onRequest(Ctx, services, event.Request);
+}
+
+void Dispatcher::operator()(const CallerGone &event) {
+  auto services = this->services();
+  S.Requests.onCallerGone(Ctx, services, event.Id);
+  resumeWaiting();
+}
+
+void Dispatcher::membershipMessage(const NodeId &from, const PeerMessage &message) {
+  S.Membership.onPeer(Ctx, from, message, S.Settings.revision());
+}
+
+void Dispatcher::operator()(const PeerReceived &event) {
+  const auto &message = event.Message;
+  std::visit(Overloaded{
+                 [&](const ForwardRequest &it) {
+                   auto services = this->services();
+                   S.Requests.onForwardRequest(Ctx, services, event.From, it);
+                 },
+                 [&](const ForwardAnswer &it) {
+                   auto services = this->services();
+                   S.Requests.onForwardAnswer(Ctx, services, event.From, it);
+                 },
+                 [&](const Probe &it) {
+                   membershipMessage(event.From, message);
+                   S.Settings.onPeerRevision(Ctx, S.Membership, event.From, it.SettingsRevision);
+                 },
+                 [&](const ProbeAck &it) {
+                   membershipMessage(event.From, message);
+                   S.Settings.onPeerRevision(Ctx, S.Membership, event.From, it.SettingsRevision);
+                 },
+                 [&](const IndirectProbe &) { membershipMessage(event.From, message); },
+                 [&](const MembersRequest &) { membershipMessage(event.From, message); },
+                 [&](const MembersReply &) { membershipMessage(event.From, message); },
+                 [&](const ObjectChanged &it) {
+                   auto services = failoverServices();
+                   S.Failover.onPeer(Ctx, services, event.From, message);
+                   S.Slots.onObjectChanged(Ctx, it);
+                   resumeWaiting();
+                 },
+                 [&](const JournalRecords &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
+                 [&](const JournalAck &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
+                 [&](const auto &) {
+                   auto services = failoverServices();
+                   S.Failover.onPeer(Ctx, services, event.From, message);
+                   S.Settings.onPeer(Ctx, S.Membership, event.From, message);
+                 },
+             },
+             message);
+}
+
+void Dispatcher::operator()(const PeerLost &event) {
+  auto services = this->services();
+  S.Requests.onPeerLost(Ctx, services, event.Node);
+}
+
+void Dispatcher::operator()(const ConnectionOpened &event) {
+  S.Slots.onConnectionOpened(Ctx, event);
+  resumeWaiting();
+}
+
+void Dispatcher::operator()(const ConnectionClosed &event) {
+  S.Slots.onConnectionClosed(Ctx, event);
+  auto services = this->services();
+  S.Requests.onConnectionClosed(Ctx, services, event);
+  resumeWaiting();
+}
+
+void Dispatcher::operator()(const ExecutionFinished &event) {
+  auto services = this->services();
+  S.Requests.onExecutionFinished(Ctx, services, event);
+  resumeWaiting();
+}
+
+void Dispatcher::operator()(const ControlAnswer &event) {
+  if (event.Call.Owner == Module::Slots) {
+    S.Slots.onControlAnswer(Ctx, S.Settings, event);
+  } else if (event.Call.Owner == Module::Failover) {
+    auto services = failoverServices();
+    S.Failover.onControlAnswer(Ctx, services, event);
+  } else {
+    auto services = this->services();
+    S.Requests.onControlAnswer(Ctx, services, event);
+  }
+  resumeWaiting();
+}
+
+void Dispatcher::operator()(const PlatformAnswer &event) {
+  if (const auto *list = std::get_if<VmList>(&event.Result))
+    S.Membership.onPlatformList(Ctx, *list);
+  switch (event.Call.Owner) {
+  case Module::Settings:
+    S.Settings.onPlatformAnswer(Ctx, S.Membership, event);
+    break;
+  case Module::Slots:
+    S.Slots.onPlatformAnswer(Ctx, S.Settings, S.Groups, S.Membership, event);
+    break;
+  case Module::Failover: {
+    auto services = failoverServices();
+    S.Failover.onPlatformAnswer(Ctx, services, event);
+    break;
+  }
+  case Module::Journal:
+    S.Journal.onPlatformAnswer(Ctx, S.Membership, event);
+    break;
+  default:
+    break;
+  }
+  resumeWaiting();
+}
+
+void Dispatcher::operator()(const AdminRequest &event) {
+  if (event.Command.starts_with("settings."))
+    S.Settings.onAdmin(Ctx, S.Membership, event);
+  else if (event.Command.starts_with("report"))
+    S.Journal.onAdmin(Ctx, S.Membership, event);
+  else
+    Ctx.emit(detail::adminView(S, event, Ctx.Now));
+}
+
+void Dispatcher::resumeWaiting() {
+  auto services = this->services();
+  S.Requests.onCapacity(Ctx, services);
+}
+
+void Dispatcher::checkDrain() {
+  S.Drain.check(Ctx, S.Requests.inFlight(), S.Slots.gaveUpAll(), S.Journal.flushed());
+}
+
+} // namespace
+
+Effects reduce(State &state, const Event &event, TimePoint now) {
+  Effects effects;
+  std::vector<JournalEntry> journal;
+  Context ctx{now,          state.Self, state.Incarnation, state.Rules,
+              state.Random, effects,    journal,           state.NextNumber};
+  std::visit(Dispatcher(state, ctx), event);
+  if (!journal.empty())
+    state.Journal.append(ctx, journal);
+  return effects;
+}
+
+std::optional<TimePoint> nextTimer(const State &state) {
+  std::array<std::optional<TimePoint>, 7> times = {state.Settings.nextTimer(), state.Membership.nextTimer(),
+                                                   state.Slots.nextTimer(),    state.Failover.nextTimer(),
+                                                   state.Requests.nextTimer(), state.Drain.nextTimer(),
+                                                   state.Journal.nextTimer()};
+  std::optional<TimePoint> out;
+  for (const auto &it : times)
+    if (it && (!out || *it < *out))
+      out = it;
+  return out;
+}
+
+bool isReady(const State &state) {
+  return state.Settings.ready() && state.Membership.joined() && !state.Drain.leaving();
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/slots/candidates.h
@@ -0,0 +1,25 @@
+// Order in which proxies take the slots of a server: rendezvous hashing, near proxies first.
+
+#pragma once
+
+#include "groups/group.h"
+#include "membership/imembers.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace rosemaryhinge {
+
+/// Members that are not leaving, in the order in which they take slots of the server: first those of its
+/// availability zone, then those of its region, then the others.
+[[nodiscard]] std::vector<NodeId> slotOrder(const GroupServer &server, std::span<const Member> members);
+
+/// Members in the order in which they look after a database: read its objects, poll its servers and order
+/// its changes of primary.
+[[nodiscard]] std::vector<NodeId> databaseOrder(const DatabaseId &database, std::span<const Member> members);
+
+/// Proxies that look after a database. Its slot holders are among them.
+inline constexpr std::size_t DatabaseCandidates = 12;
+
+} // namespace rosemaryhinge
