--- a/src/failover/failovermodule.cpp
+++ b/src/failover/failovermodule.cpp
@@ -13,7 +13,6 @@
 
 using detail::DatabaseFailover;
 using detail::FailoverState;
-using detail::StatusPoll;
 
 namespace {
 
--- a/src/slots/slotsmodule.cpp
+++ b/src/slots/slotsmodule.cpp
@@ -11,7 +11,6 @@
 
 using detail::DatabaseSlots;
 using detail::HeldSlot;
-using detail::PooledConnection;
 using detail::SlotRecord;
 using detail::SlotsState;
 using detail::SlotTable;
