--- a/src/membership/internal/prober.cpp
+++ b/src/membership/internal/prober.cpp
@@ -47,7 +47,10 @@
   update.State = kind;
   bool dead = kind == MemberUpdate::Kind::Dead;
   ctx.record({dead ? "member_dead" : "member_suspect", {}, update.Node.str(), std::move(why), 0, 0});
-  ctx.emit(Count{dead ? "members_dead_total" : "members_suspected_total"});
+  if (dead)
+    ctx.emit(Count{"members_dead_total"});
+  else
+    ctx.emit(Count{"members_suspected_total"});
   state.Table.apply(update, ctx.Now);
   state.Gossip.add(update);
   state.CacheValid = false;
--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -6,6 +6,7 @@
 #include "protocol/platform.h"
 #include "protocol/request.h"
 #include "protocol/target.h"
+#include "protocol/wallreading.h"
 
 #include <cstdint>
 #include <string>
@@ -20,6 +21,10 @@
   std::uint64_t Incarnation = 0;
 };
 struct TimerFired {};
+/// Sent by the daemon at the start and once a minute, so that records can tell wall time.
+struct WallClockRead {
+  WallReading Reading;
+};
 /// The process was asked to stop gracefully.
 struct ShutdownRequested {};
 
@@ -49,6 +54,6 @@
 
 using Event = std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerGone, PeerReceived,
                            PeerLost, ConnectionOpened, ConnectionClosed, ExecutionFinished, ControlAnswer,
-                           PlatformAnswer, AdminRequest>;
+                           PlatformAnswer, AdminRequest, WallClockRead>;
 
 } // namespace rosemaryhinge
--- /dev/null
+++ b/src/protocol/wallreading.h
@@ -0,0 +1,17 @@
+// A reading of the wall clock, for the times in records. Decisions never use it.
+
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+
+namespace rosemaryhinge {
+
+struct WallReading {
+  TimePoint At; ///< Boot clock at the reading.
+  std::int64_t MicrosSinceEpoch = 0;
+  Duration Uncertainty{}; ///< The true time lies within the reading plus or minus this.
+};
+
+} // namespace rosemaryhinge
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -197,6 +197,19 @@
       spec.Field);
 }
 
+std::string schemaRow(const SettingSpec &spec) {
+  bool bounded = spec.Max > 0;
+  auto range =
+      bounded ? formatBound(spec, spec.Min) + " to " + formatBound(spec, spec.Max) : std::string("-");
+  std::string nodes = "root";
+  for (auto kind : {NodeKind::Group, NodeKind::Service, NodeKind::Class})
+    if (kind <= spec.Deepest)
+      nodes += ", " + std::string(toString(kind));
+  return "| `" + std::string(spec.Key) + "` | " + std::string(spec.Meaning) + " | " +
+         std::string(unitName(spec)) + " | " + range + " | " + formatValue(spec, EffectiveSettings{}) +
+         " | " + nodes + " |";
+}
+
 std::string setValue(const SettingSpec &spec, std::string_view text, EffectiveSettings &out) {
   return std::visit(
       [&](auto field) { return store(spec, text, part<decltype(structOf(field))>(out).*field); }, spec.Field);
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -49,6 +49,9 @@
 /// "duration", "share", "count", "flag" or the allowed words.
 [[nodiscard]] std::string_view unitName(const SettingSpec &spec);
 
+/// Row of the table in docs/settings.md; a test keeps the page and the schema alike.
+[[nodiscard]] std::string schemaRow(const SettingSpec &spec);
+
 /// Sets the field. Returns what is wrong with the text, or an empty text.
 [[nodiscard]] std::string setValue(const SettingSpec &spec, std::string_view text, EffectiveSettings &out);
 /// Text of the field in the form that setValue reads.
