--- a/src/protocol/context.h
+++ b/src/protocol/context.h
@@ -6,6 +6,7 @@
 #include "protocol/effect.h"
 #include "protocol/nodeconfig.h"
 #include "protocol/rules.h"
+#include "protocol/wallreading.h"
 
 #include <cstdint>
 #include <optional>
@@ -25,13 +26,6 @@
   std::uint64_t Revision = 0;
 };
 
-/// A reading of the wall clock, supplied by the daemon. Used for records only, never for decisions.
-struct WallReading {
-  TimePoint At; ///< Boot clock at the reading.
-  std::int64_t MicrosSinceEpoch = 0;
-  Duration Uncertainty{}; ///< The true time lies within the reading plus or minus this.
-};
-
 /// Handed to every decision function for the length of one event.
 struct Context {
   TimePoint Now;
--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -6,6 +6,7 @@
 #include "protocol/platform.h"
 #include "protocol/request.h"
 #include "protocol/target.h"
+#include "protocol/wallreading.h"
 
 #include <cstdint>
 #include <string>
@@ -47,8 +48,13 @@
   std::string Body;    ///< JSON.
 };
 
+/// The wall clock was read, about once a minute. Used in journal records only.
+struct WallClockRead {
+  WallReading Reading;
+};
+
 using Event = std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerGone, PeerReceived,
                            PeerLost, ConnectionOpened, ConnectionClosed, ExecutionFinished, ControlAnswer,
-                           PlatformAnswer, AdminRequest>;
+                           PlatformAnswer, AdminRequest, WallClockRead>;
 
 } // namespace rosemaryhinge
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -29,6 +29,7 @@
   void operator()(const ControlAnswer &event);
   void operator()(const PlatformAnswer &event);
   void operator()(const AdminRequest &event);
+  void operator()(const WallClockRead &event) { S.Wall = event.Reading; }
 
 private:
   [[nodiscard]] Services services() {
@@ -137,6 +138,7 @@
                  },
                  [&](const JournalRecords &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
                  [&](const JournalAck &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
+                 [&](const JournalWritten &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
                  [&](const auto &) {
                    auto services = failoverServices();
                    S.Failover.onPeer(Ctx, services, event.From, message);
@@ -229,8 +231,8 @@
 Effects reduce(State &state, const Event &event, TimePoint now) {
   Effects effects;
   std::vector<JournalEntry> journal;
-  Context ctx{now,          state.Self, state.Incarnation, state.Rules,
-              state.Random, effects,    journal,           state.NextNumber};
+  Context ctx{now,     state.Self, state.Incarnation, state.Rules, state.Random,
+              effects, journal,    state.NextNumber,  state.Wall};
   std::visit(Dispatcher(state, ctx), event);
   if (!journal.empty())
     state.Journal.append(ctx, journal);
--- a/src/reducer/state.h
+++ b/src/reducer/state.h
@@ -13,6 +13,7 @@
 #include "slots/slotsmodule.h"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 
 namespace rosemaryhinge {
@@ -23,6 +24,7 @@
   std::uint64_t Incarnation = 0;
   std::mt19937_64 Random;
   std::uint64_t NextNumber = 0;
+  std::optional<WallReading> Wall;
 
   GroupTable Groups;
   SettingsModule Settings;
