--- a/src/protocol/wallreading.h
+++ b/src/protocol/wallreading.h
@@ -1,4 +1,4 @@
-// A reading of the wall clock, for the times in records. Decisions never use it.
+// Wall clock readings.
 
 #pragma once
 
@@ -8,6 +8,7 @@
 
 namespace rosemaryhinge {
 
+/// A reading of the wall clock, supplied by the daemon. Used for records only, never for decisions.
 struct WallReading {
   TimePoint At; ///< Boot clock at the reading.
   std::int64_t MicrosSinceEpoch = 0;
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -137,8 +137,8 @@
                    resumeWaiting();
                  },
                  [&](const JournalRecords &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
-                 [&](const JournalWritten &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
                  [&](const JournalAck &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
+                 [&](const JournalWritten &) { S.Journal.onPeer(Ctx, S.Membership, event.From, message); },
                  [&](const auto &) {
                    auto services = failoverServices();
                    S.Failover.onPeer(Ctx, services, event.From, message);
