--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -3,7 +3,7 @@
 #include "settings/schema.h"
 
 #include "base/overloaded.h"
-#include "settings/internal/valuetext.h"
+#include "settings/valuetext.h"
 
 #include <algorithm>
 #include <array>
@@ -116,7 +116,7 @@
 }
 
 std::string store(const SettingSpec &spec, std::string_view text, Duration &out) {
-  auto value = detail::parseDuration(text);
+  auto value = parseDuration(text);
   if (!value)
     return unitError(spec, text, "a duration with a unit, such as 30ms or 5s");
   out = *value;
@@ -124,7 +124,7 @@
 }
 
 std::string store(const SettingSpec &spec, std::string_view text, double &out) {
-  auto value = detail::parseNumber(text);
+  auto value = parseNumber(text);
   if (!value)
     return unitError(spec, text, "a number without a unit, such as 0.4");
   out = *value;
@@ -132,7 +132,7 @@
 }
 
 std::string store(const SettingSpec &spec, std::string_view text, std::uint32_t &out) {
-  auto value = detail::parseCount(text);
+  auto value = parseCount(text);
   if (!value)
     return unitError(spec, text, "a whole number without a unit, such as 20");
   out = *value;
@@ -142,8 +142,8 @@
 std::string show(AckStrength value) { return value == AckStrength::Replica ? "replica" : "primary"; }
 std::string show(Lane value) { return value == Lane::Short ? "short" : "long"; }
 std::string show(bool value) { return value ? "true" : "false"; }
-std::string show(Duration value) { return detail::formatDuration(value); }
-std::string show(double value) { return detail::formatNumber(value); }
+std::string show(Duration value) { return formatDuration(value); }
+std::string show(double value) { return formatNumber(value); }
 std::string show(std::uint32_t value) { return std::to_string(value); }
 
 } // namespace
@@ -223,8 +223,8 @@
 
 std::string formatBound(const SettingSpec &spec, double bound) {
   if (unitName(spec) == "duration")
-    return detail::formatDuration(Duration(static_cast<Duration::rep>(bound)));
-  return detail::formatNumber(bound);
+    return formatDuration(Duration(static_cast<Duration::rep>(bound)));
+  return formatNumber(bound);
 }
 
 } // namespace rosemaryhinge
--- a/src/settings/internal/valuetext.cpp
+++ b/src/settings/valuetext.cpp
@@ -1,13 +1,13 @@
 // Text forms of durations and numbers in settings.
 
-#include "settings/internal/valuetext.h"
+#include "settings/valuetext.h"
 
 #include <array>
 #include <charconv>
 #include <cmath>
 #include <limits>
 
-namespace rosemaryhinge::detail {
+namespace rosemaryhinge {
 
 namespace {
 
@@ -64,4 +64,4 @@
   return ec == std::errc{} ? std::string(buf.data(), end) : std::string("0");
 }
 
-} // namespace rosemaryhinge::detail
+} // namespace rosemaryhinge
--- a/src/settings/internal/valuetext.h
+++ b/src/settings/valuetext.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace rosemaryhinge::detail {
+namespace rosemaryhinge {
 
 /// Reads a whole number with the unit us, ms, s, min or h.
 [[nodiscard]] std::optional<Duration> parseDuration(std::string_view text);
@@ -19,4 +19,4 @@
 [[nodiscard]] std::optional<std::uint32_t> parseCount(std::string_view text);
 [[nodiscard]] std::string formatNumber(double value);
 
-} // namespace rosemaryhinge::detail
+} // namespace rosemaryhinge
