Add the peer schema and codec

Proxies exchange every message of protocol/peer.h as a size-prefixed FlatBuffers envelope. Frames are verified, limited to 2 MB and decoded within a budget of the frame's own size, because verification alone allows shared references that expand a small frame to gigabytes.

--- /dev/null
+++ b/src/peers/internal/peerdecode.cpp
@@ -0,0 +1,300 @@
+// FlatBuffers frames to peer messages.
+
+#include "peers/generated/peer_generated.h"
+#include "peers/peercodec.h"
+
+#include <cstring>
+#include <vector>
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr flatbuffers::uoffset_t MaxDepth = 16;
+/// A table takes at least 8 bytes of the frame.
+constexpr flatbuffers::uoffset_t MaxTables = MaxPeerFrame / 8;
+/// Least size in the frame of an element of a vector of strings or tables.
+constexpr std::size_t ElementBytes = 4;
+
+/// Reads a verified frame. Verification allows several references to one string or table, so a small frame
+/// could decode to gigabytes; the budget ends that: what is read may not exceed the size of the frame.
+class Decoder {
+public:
+  explicit Decoder(std::size_t frameSize) : Budget(frameSize) {}
+
+  [[nodiscard]] bool ok() const { return Ok; }
+
+  std::string text(const flatbuffers::String *value) {
+    if (!value || !spend(value->size()))
+      return {};
+    return value->str();
+  }
+  template <typename Id> Id id(const flatbuffers::String *value) { return Id(text(value)); }
+
+  /// Applies `read` to each element of a vector of strings or tables.
+  template <typename T, typename V, typename F> std::vector<T> list(const V *values, F read) {
+    std::vector<T> out;
+    if (!values || !spend(values->size() * ElementBytes))
+      return out;
+    out.reserve(values->size());
+    for (const auto *it : *values) {
+      if (!Ok)
+        break;
+      out.push_back(read(it));
+    }
+    return out;
+  }
+
+  template <typename E> E value(std::uint8_t raw, E last) {
+    if (raw > static_cast<std::uint8_t>(last)) {
+      Ok = false;
+      return E{};
+    }
+    return static_cast<E>(raw);
+  }
+
+  std::vector<std::string> texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *it) {
+    return list<std::string>(it, [this](const auto *one) { return text(one); });
+  }
+  std::vector<NodeId> nodes(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *it) {
+    return list<NodeId>(it, [this](const auto *one) { return id<NodeId>(one); });
+  }
+
+  static std::optional<Position> position(const wire::Position *it) {
+    return it ? std::optional(Position{it->term(), it->lsn()}) : std::nullopt;
+  }
+  static std::optional<Duration> micros(flatbuffers::Optional<std::int64_t> it) {
+    return it ? std::optional(Duration(*it)) : std::nullopt;
+  }
+
+  CallerRequest request(const wire::CallerRequest *it) {
+    CallerRequest out;
+    if (!need(it))
+      return out;
+    out.Id = RequestId{it->id()};
+    out.Caller = id<CallerId>(it->caller());
+    out.Database = id<DatabaseId>(it->database());
+    out.Class = id<ClassName>(it->class_name());
+    out.Statements = texts(it->statements());
+    out.ReadOnly = it->read_only();
+    out.Session = position(it->session());
+    out.MaxStaleness = micros(it->max_staleness_us());
+    out.IdempotencyKey = text(it->idempotency_key());
+    out.Step = value(it->step(), TransactionStep::Rollback);
+    out.Transaction = id<TransactionId>(it->transaction());
+    return out;
+  }
+
+  std::vector<std::optional<std::string>> row(const wire::Row *it) {
+    std::vector<std::optional<std::string>> out;
+    const auto *absent = it->absent();
+    const std::size_t width = it->cells() ? it->cells()->size() : 0;
+    if (absent && absent->size() != width)
+      Ok = false;
+    if (width == 0 || !Ok || !spend(width * ElementBytes))
+      return out;
+    out.reserve(width);
+    for (flatbuffers::uoffset_t n = 0; n < width && Ok; ++n) {
+      if (absent && absent->Get(n))
+        out.emplace_back();
+      else
+        out.emplace_back(text(it->cells()->Get(n)));
+    }
+    return out;
+  }
+
+  StatementResult result(const wire::StatementResult *it) {
+    StatementResult out;
+    out.Columns = texts(it->columns());
+    out.Rows = list<std::vector<std::optional<std::string>>>(it->rows(),
+                                                             [this](const auto *one) { return row(one); });
+    out.Affected = it->affected();
+    return out;
+  }
+
+  Answer answer(const wire::ForwardAnswer *it) {
+    if (const auto *success = it->answer_as_Success()) {
+      Success out;
+      out.Results =
+          list<StatementResult>(success->results(), [this](const auto *one) { return result(one); });
+      out.Session = position(success->session());
+      out.ServedBy = id<TargetId>(success->served_by());
+      out.ServedByReplica = success->served_by_replica();
+      out.Replayed = success->replayed();
+      out.Transaction = id<TransactionId>(success->transaction());
+      return out;
+    }
+    Refusal out;
+    const auto *refusal = it->answer_as_Refusal();
+    if (!need(refusal))
+      return out;
+    out.Reason = value(refusal->reason(), RefusalReason::InvariantBroken);
+    out.Ran = value(refusal->ran(), Ran::Unknown);
+    out.RetryAfter = micros(refusal->retry_after_us());
+    out.Message = text(refusal->message());
+    return out;
+  }
+
+  std::vector<MemberUpdate>
+  updates(const flatbuffers::Vector<flatbuffers::Offset<wire::MemberUpdate>> *members) {
+    return list<MemberUpdate>(members, [this](const wire::MemberUpdate *it) {
+      MemberUpdate out;
+      out.Node = id<NodeId>(it->node());
+      out.Incarnation = it->incarnation();
+      out.State = value(it->state(), MemberUpdate::Kind::Leaving);
+      out.Address = text(it->address());
+      out.AvailabilityZone = id<AvailabilityZone>(it->availability_zone());
+      out.Region = id<Region>(it->region());
+      out.Release = text(it->release());
+      return out;
+    });
+  }
+
+  TargetReport report(const wire::TargetReport *it) {
+    TargetReport out;
+    const auto *status = it->status();
+    if (!need(status))
+      return out;
+    out.Target = id<TargetId>(it->target());
+    out.Database = id<DatabaseId>(it->database());
+    out.Age = Duration(it->age_us());
+    out.Status.Role = value(status->role(), TargetRole::Replica);
+    out.Status.RaisedTerm = status->raised_term();
+    out.Status.Log = position(status->log()).value_or(Position{});
+    out.Status.SincePrimary = Duration(status->since_primary_us());
+    out.Status.Leaving = status->leaving();
+    if (const auto *starts = status->history(); starts && spend(starts->size() * sizeof(TermStart)))
+      for (const auto *one : *starts)
+        out.Status.History.push_back({one->term(), one->start()});
+    return out;
+  }
+
+  std::optional<PeerMessage> message(const wire::Envelope &envelope) {
+    switch (envelope.message_type()) {
+    case wire::Message::ForwardRequest: {
+      const auto *it = envelope.message_as_ForwardRequest();
+      return ForwardRequest{RequestId{it->id()}, Duration(it->budget_us()), it->hops(),
+                            request(it->request())};
+    }
+    case wire::Message::ForwardAnswer: {
+      const auto *it = envelope.message_as_ForwardAnswer();
+      return ForwardAnswer{RequestId{it->id()}, answer(it)};
+    }
+    case wire::Message::Probe: {
+      const auto *it = envelope.message_as_Probe();
+      return Probe{it->sequence(), it->settings_revision(), updates(it->updates())};
+    }
+    case wire::Message::ProbeAck: {
+      const auto *it = envelope.message_as_ProbeAck();
+      return ProbeAck{it->sequence(), it->settings_revision(), updates(it->updates())};
+    }
+    case wire::Message::IndirectProbe: {
+      const auto *it = envelope.message_as_IndirectProbe();
+      return IndirectProbe{it->sequence(), id<NodeId>(it->subject())};
+    }
+    case wire::Message::MembersRequest:
+      return MembersRequest{};
+    case wire::Message::MembersReply:
+      return MembersReply{updates(envelope.message_as_MembersReply()->members())};
+    case wire::Message::SettingsPush: {
+      const auto *it = envelope.message_as_SettingsPush();
+      return SettingsPush{it->round(), it->revision(), text(it->tree()), it->version(),
+                          nodes(it->descendants())};
+    }
+    case wire::Message::SettingsAck: {
+      const auto *it = envelope.message_as_SettingsAck();
+      return SettingsAck{it->round(), it->revision(), it->in_force(), nodes(it->missing())};
+    }
+    case wire::Message::SettingsRequest:
+      return SettingsRequest{envelope.message_as_SettingsRequest()->have()};
+    case wire::Message::TargetReports:
+      return TargetReports{list<TargetReport>(envelope.message_as_TargetReports()->reports(),
+                                              [this](const auto *one) { return report(one); })};
+    case wire::Message::PrimaryContactRequest: {
+      const auto *it = envelope.message_as_PrimaryContactRequest();
+      return PrimaryContactRequest{id<DatabaseId>(it->database()), it->term()};
+    }
+    case wire::Message::PrimaryContactReply: {
+      const auto *it = envelope.message_as_PrimaryContactReply();
+      return PrimaryContactReply{id<DatabaseId>(it->database()), it->term(), it->holds_slot(),
+                                 Duration(it->since_contact_us())};
+    }
+    case wire::Message::ObjectChanged: {
+      const auto *it = envelope.message_as_ObjectChanged();
+      return ObjectChanged{text(it->key()), it->version(), text(it->value())};
+    }
+    case wire::Message::JournalRecords: {
+      const auto *it = envelope.message_as_JournalRecords();
+      return JournalRecords{it->batch(), texts(it->records())};
+    }
+    case wire::Message::JournalAck:
+      return JournalAck{envelope.message_as_JournalAck()->batch()};
+    case wire::Message::NONE:
+      break;
+    }
+    return std::nullopt;
+  }
+
+private:
+  bool spend(std::size_t bytes) {
+    if (bytes > Budget)
+      Ok = false;
+    else
+      Budget -= bytes;
+    return Ok;
+  }
+  bool need(const void *part) {
+    Ok = Ok && part != nullptr;
+    return Ok;
+  }
+
+  std::size_t Budget;
+  bool Ok = true;
+};
+
+} // namespace
+
+std::string_view toString(PeerDecodeError error) {
+  switch (error) {
+  case PeerDecodeError::TooLarge:
+    return "too_large";
+  case PeerDecodeError::Malformed:
+    return "malformed";
+  case PeerDecodeError::UnknownProtocol:
+    return "unknown_protocol";
+  case PeerDecodeError::UnknownMessage:
+    break;
+  }
+  return "unknown_message";
+}
+
+std::variant<PeerEnvelope, PeerDecodeError> decodePeer(std::string_view frame) {
+  if (frame.size() > MaxPeerFrame)
+    return PeerDecodeError::TooLarge;
+  // Offsets in a frame count from its length field on, and its 8-byte values are aligned to that.
+  std::vector<std::uint64_t> aligned((frame.size() + PeerLengthBytes) / sizeof(std::uint64_t) + 1);
+  auto *bytes = reinterpret_cast<std::uint8_t *>(aligned.data());
+  const auto length = static_cast<std::uint32_t>(frame.size());
+  std::memcpy(bytes, &length, PeerLengthBytes);
+  std::memcpy(bytes + PeerLengthBytes, frame.data(), frame.size());
+
+  flatbuffers::Verifier verifier(bytes, frame.size() + PeerLengthBytes, MaxDepth, MaxTables);
+  if (!wire::VerifySizePrefixedEnvelopeBuffer(verifier))
+    return PeerDecodeError::Malformed;
+  const auto &envelope = *wire::GetSizePrefixedEnvelope(bytes);
+  if (envelope.protocol() != PeerProtocol)
+    return PeerDecodeError::UnknownProtocol;
+  if (envelope.message_type() > wire::Message::MAX)
+    return PeerDecodeError::UnknownMessage;
+  if (envelope.message_type() == wire::Message::NONE || !envelope.message())
+    return PeerDecodeError::Malformed;
+  Decoder decoder(frame.size());
+  PeerEnvelope out{decoder.id<NodeId>(envelope.from()), decoder.id<NodeId>(envelope.to()), {}};
+  auto message = decoder.message(envelope);
+  if (!message || !decoder.ok() || out.From.empty() || out.To.empty())
+    return PeerDecodeError::Malformed;
+  out.Message = std::move(*message);
+  return out;
+}
+
+} // namespace rosemaryhinge
