--- a/src/peers/internal/peerdecode.cpp
+++ b/src/peers/internal/peerdecode.cpp
@@ -1,9 +1,9 @@
 // FlatBuffers frames to peer messages.
 
-#include "peers/generated/peer_generated.h"
 #include "peers/peercodec.h"
 
 #include <cstring>
+#include <peer_generated.h>
 #include <vector>
 
 namespace rosemaryhinge {
--- a/src/peers/internal/peerencode.cpp
+++ b/src/peers/internal/peerencode.cpp
@@ -1,9 +1,10 @@
 // Peer messages to FlatBuffers.
 
 #include "base/overloaded.h"
-#include "peers/generated/peer_generated.h"
 #include "peers/peercodec.h"
 
+#include <peer_generated.h>
+
 namespace rosemaryhinge {
 
 namespace {
