--- a/src/callers/internal/statementcheck.cpp
+++ b/src/callers/internal/statementcheck.cpp
@@ -58,26 +58,37 @@
 
   void step() {
     const char it = Sql[At];
-    if (it == '\0')
-      fail(At, "a NUL byte is not allowed");
-    else if (follows("--"))
+    if (std::isspace(static_cast<unsigned char>(it))) {
+      ++At;
+      return;
+    }
+    if (follows("--")) {
       At = std::min(Sql.find('\n', At), Sql.size());
-    else if (follows("/*"))
+      return;
+    }
+    if (follows("/*"))
       comment();
-    else if (it == ';' || std::isspace(static_cast<unsigned char>(it)))
-      Ended = Ended || it == ';', ++At;
+    else if (it == ';')
+      Ended = true, ++At;
     else if (Ended)
       fail(At, "more than one statement");
-    else if (it == '\'')
+    else
+      token(it);
+  }
+
+  void token(char it) {
+    if (it == '\0') {
+      fail(At, "a NUL byte is not allowed");
+    } else if (it == '\'') {
       quoted('\'', false);
-    else if (it == '"')
+    } else if (it == '"') {
       name();
-    else if (it == '$' && dollar())
-      return;
-    else if (isWord(it))
+    } else if (isWord(it)) {
       word();
-    else
-      ++At, start("?");
+    } else if (it != '$' || !dollar()) {
+      ++At;
+      start("?");
+    }
   }
 
   void start(std::string_view token) {
--- a/src/peers/internal/peerdecode.cpp
+++ b/src/peers/internal/peerdecode.cpp
@@ -289,7 +289,10 @@
   if (envelope.message_type() == wire::Message::NONE || !envelope.message())
     return PeerDecodeError::Malformed;
   Decoder decoder(frame.size());
-  PeerEnvelope out{decoder.id<NodeId>(envelope.from()), decoder.id<NodeId>(envelope.to()), {}};
+  PeerEnvelope out{decoder.id<NodeId>(envelope.from()),
+                   decoder.id<NodeId>(envelope.to()),
+                   {},
+                   decoder.text(envelope.from_address())};
   auto message = decoder.message(envelope);
   if (!message || !decoder.ok() || out.From.empty() || out.To.empty())
     return PeerDecodeError::Malformed;
--- a/src/peers/internal/peerencode.cpp
+++ b/src/peers/internal/peerencode.cpp
@@ -21,9 +21,10 @@
   std::string encode(const PeerEnvelope &envelope) {
     const auto from = text(envelope.From);
     const auto to = text(envelope.To);
+    const auto address = text(envelope.FromAddress);
     wire::Message type = wire::Message::NONE;
     const Offset<void> message = std::visit([&](const auto &it) { return put(it, type); }, envelope.Message);
-    B.FinishSizePrefixed(wire::CreateEnvelope(B, PeerProtocol, from, to, type, message));
+    B.FinishSizePrefixed(wire::CreateEnvelope(B, PeerProtocol, from, to, type, message, address));
     if (B.GetSize() > MaxPeerFrame + PeerLengthBytes)
       return {};
     return {reinterpret_cast<const char *>(B.GetBufferPointer()), B.GetSize()};
--- a/src/peers/peercodec.h
+++ b/src/peers/peercodec.h
@@ -24,6 +24,7 @@
   NodeId From;
   NodeId To;
   PeerMessage Message;
+  std::string FromAddress; ///< Where the sender's listener can be reached; may be empty.
 };
 
 enum class PeerDecodeError : std::uint8_t {
