--- a/src/callers/internal/statementcheck.cpp
+++ b/src/callers/internal/statementcheck.cpp
@@ -127,9 +127,9 @@
       const char it = Sql[At++];
       if (it == '\0')
         fail(At - 1, "a NUL byte is not allowed");
-      if (it == '\\' && backslash && At < Sql.size())
-        ++At;
-      else if (it == quote && At < Sql.size() && Sql[At] == quote)
+      const bool escapes = it == '\\' && backslash;
+      const bool doubled = it == quote && At < Sql.size() && Sql[At] == quote;
+      if (escapes || doubled)
         ++At;
       else if (it == quote)
         return;
