--- a/src/callers/internal/callercodec.cpp
+++ b/src/callers/internal/callercodec.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t MaxBodyToken = 2048;
 
 std::string encodePart(std::string_view text) {
-  constexpr std::string_view digits = "0123456789ABCDEF";
+  constexpr std::string_view Digits = "0123456789ABCDEF";
   std::string out;
   for (const char it : text) {
     const auto byte = static_cast<unsigned char>(it);
@@ -33,8 +33,8 @@
       out += it;
     } else {
       out += '%';
-      out += digits[byte / 16];
-      out += digits[byte % 16];
+      out += Digits[byte / 16];
+      out += Digits[byte % 16];
     }
   }
   return out;
@@ -88,10 +88,10 @@
 
 std::variant<Route, CallerError> parsePath(std::string_view path) {
   using Entry = std::pair<std::string_view, Operation>;
-  constexpr std::array<Entry, 3> databaseOps = {Entry{"query", Operation::Query},
+  constexpr std::array<Entry, 3> DatabaseOps = {Entry{"query", Operation::Query},
                                                 Entry{"transaction", Operation::Transaction},
                                                 Entry{"begin", Operation::Begin}};
-  constexpr std::array<Entry, 3> transactionOps = {Entry{"query", Operation::Statement},
+  constexpr std::array<Entry, 3> TransactionOps = {Entry{"query", Operation::Statement},
                                                    Entry{"commit", Operation::Commit},
                                                    Entry{"rollback", Operation::Rollback}};
   const auto parts = split(path, '/');
@@ -99,7 +99,7 @@
   if (!shape || (parts[2] != "db" && parts[2] != "transactions"))
     return refuse(404, "no such path");
   const bool onDatabase = parts[2] == "db";
-  const auto &table = onDatabase ? databaseOps : transactionOps;
+  const auto &table = onDatabase ? DatabaseOps : TransactionOps;
   const auto *op =
       std::find_if(table.begin(), table.end(), [&](const Entry &it) { return it.first == parts[4]; });
   if (op == table.end())
--- /dev/null
+++ b/src/daemon/internal/daemon.cpp
@@ -0,0 +1,107 @@
+// Wires the daemon up.
+
+#include "daemon/daemon.h"
+
+#include "admin/admin.h"
+#include "callers/callers.h"
+#include "daemon/loop.h"
+#include "http/httpserver.h"
+#include "peers/peers.h"
+#include "platform/platform.h"
+#include "targets/targets.h"
+
+#include <asio/signal_set.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <random>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Longest time that an operator's command may take: `settings set --wait` waits for the fleet.
+constexpr std::chrono::milliseconds AdminTimeout{120'000};
+constexpr std::size_t AdminConnections = 256;
+
+HttpOptions httpOptions(const SocketAddress &address, const char *name) {
+  HttpOptions out;
+  out.Ip = address.Ip;
+  out.Port = address.Port;
+  out.Name = name;
+  return out;
+}
+
+std::uint64_t randomSeed() {
+  std::random_device source;
+  return (static_cast<std::uint64_t>(source()) << 32) | source();
+}
+
+void waitForSignals(asio::signal_set &signals, Loop &loop, ILogger &logger, bool again) {
+  signals.async_wait([&, again](std::error_code ec, int number) {
+    if (ec)
+      return;
+    logger.log({LogLevel::Info,
+                again ? "ending at once" : "shutdown requested",
+                {{"signal", std::to_string(number)}}});
+    if (again) {
+      loop.stop();
+      return;
+    }
+    loop.post(ShutdownRequested{});
+    waitForSignals(signals, loop, logger, true);
+  });
+}
+
+} // namespace
+
+int runDaemon(const LocalSettings &settings, IReducer &reducer, ILogger &logger,
+              const std::function<void(const DaemonPorts &)> &onListening) {
+  std::signal(SIGPIPE, SIG_IGN);
+  asio::io_context io(1);
+  Metrics metrics;
+  Loop loop(io, reducer, metrics, logger);
+  const auto sink = [&loop](Event event) { loop.post(std::move(event)); };
+
+  const auto callers = makeCallers(makeHttpServer(io, metrics, httpOptions(settings.Callers, "callers")),
+                                   sink, metrics, randomSeed());
+  PeerOptions peerOptions;
+  peerOptions.Self = settings.Self.Node;
+  peerOptions.Listen = settings.Peers;
+  peerOptions.Advertised = settings.Self.PeerAddress;
+  const auto peers = makePeers(io, peerOptions, sink, metrics);
+  TargetOptions targetOptions;
+  targetOptions.Self = settings.Self.Node;
+  const auto targets = makeTargets(io, targetOptions, sink, metrics);
+  PlatformOptions platformOptions;
+  platformOptions.Url = settings.PlatformUrl;
+  const auto platform = makePlatform(io, platformOptions, metrics);
+  auto adminOptions = httpOptions(settings.Admin, "admin");
+  adminOptions.HandleTimeout = AdminTimeout;
+  adminOptions.MaxConnections = AdminConnections;
+  const auto admin = makeAdmin(makeHttpServer(io, metrics, adminOptions), sink, metrics,
+                               [&] { return reducer.ready() && callers->hasKeys(); });
+  loop.setAdapters({callers.get(), peers.get(), targets.get(), platform.get(), admin.get()});
+
+  callers->start();
+  admin->start();
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  waitForSignals(signals, loop, logger, false);
+  const DaemonPorts ports{callers->port(), peers->port(), admin->port()};
+  logger.log({LogLevel::Info,
+              "listening",
+              {{"release", settings.Self.Release},
+               {"callers", std::to_string(ports.Callers)},
+               {"peers", std::to_string(ports.Peers)},
+               {"admin", std::to_string(ports.Admin)}}});
+  if (onListening)
+    onListening(ports);
+  // The incarnation has to grow from one start of a node to the next.
+  const auto incarnation =
+      std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now()).time_since_epoch();
+  loop.run({randomSeed(), static_cast<std::uint64_t>(incarnation.count())});
+  logger.log({LogLevel::Info, "ended", {}});
+  return 0;
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/daemon/internal/localsettings.cpp
@@ -0,0 +1,246 @@
+// Reads the local settings file.
+
+#include "daemon/localsettings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr std::size_t MaxFileBytes = std::size_t{256} << 10;
+constexpr std::size_t MaxSeeds = 1'000;
+constexpr std::size_t MaxName = 64;
+
+constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn", "error"};
+constexpr std::array<std::string_view, 2> FormatNames = {"key_value", "json"};
+
+class Reader {
+public:
+  explicit Reader(std::string file) : File(std::move(file)) {}
+
+  Findings Found;
+
+  void report(const YAML::Mark &mark, std::string message) {
+    const bool known = !mark.is_null();
+    Found.push_back({File, known ? mark.line + 1 : 0, known ? mark.column + 1 : 0, std::move(message)});
+  }
+
+  /// Checks that a node is a map with no other keys than these, each once.
+  bool checkMap(const YAML::Node &node, const std::string &path,
+                std::initializer_list<std::string_view> keys) {
+    if (!node.IsMap()) {
+      report(node.Mark(), (path.empty() ? "the file" : path) + ": expected a map");
+      return false;
+    }
+    std::set<std::string> seen;
+    for (const auto &it : node) {
+      if (!it.first.IsScalar()) {
+        report(it.first.Mark(), "a key must be a name");
+        continue;
+      }
+      const auto &key = it.first.Scalar();
+      if (std::find(keys.begin(), keys.end(), key) == keys.end())
+        report(it.first.Mark(), join(path, key) + ": unknown key");
+      else if (!seen.insert(key).second)
+        report(it.first.Mark(), join(path, key) + ": given twice");
+    }
+    return true;
+  }
+
+  /// Value of a key; a finding if it is required and absent, or not a scalar.
+  std::string text(const YAML::Node &parent, const std::string &path, const char *key, bool required,
+                   YAML::Mark *mark = nullptr) {
+    const auto node = parent[key];
+    if (mark)
+      *mark = node ? node.Mark() : parent.Mark();
+    if (!node || node.IsNull()) {
+      if (required)
+        report(parent.Mark(), join(path, key) + ": missing");
+      return {};
+    }
+    if (!node.IsScalar()) {
+      report(node.Mark(), join(path, key) + ": expected a text");
+      return {};
+    }
+    return node.Scalar();
+  }
+
+  std::string name(const YAML::Node &parent, const std::string &path, const char *key) {
+    YAML::Mark mark;
+    auto out = text(parent, path, key, true, &mark);
+    const bool valid = out.size() <= MaxName && std::all_of(out.begin(), out.end(), [](unsigned char it) {
+                         return std::isalnum(it) || it == '-' || it == '_' || it == '.';
+                       });
+    if (!valid)
+      report(mark, join(path, key) + ": expected at most " + std::to_string(MaxName) +
+                       " letters, digits, '-', '_' or '.'");
+    return out;
+  }
+
+  SocketAddress address(const YAML::Node &parent, const std::string &path, const char *key, bool required,
+                        std::string *whole = nullptr) {
+    YAML::Mark mark;
+    const auto out = text(parent, path, key, required, &mark);
+    if (whole)
+      *whole = out;
+    if (out.empty())
+      return {};
+    const auto parsed = parseAddress(out);
+    if (!parsed)
+      report(mark, join(path, key) + ": expected an IP address and a port, such as 10.0.0.1:8080");
+    return parsed.value_or(SocketAddress{});
+  }
+
+  template <std::size_t N>
+  std::size_t choice(const YAML::Node &parent, const std::string &path, const char *key,
+                     const std::array<std::string_view, N> &names, std::size_t otherwise) {
+    YAML::Mark mark;
+    const auto out = text(parent, path, key, false, &mark);
+    if (out.empty())
+      return otherwise;
+    const auto it = std::find(names.begin(), names.end(), out);
+    if (it != names.end())
+      return static_cast<std::size_t>(it - names.begin());
+    std::string list;
+    for (const auto &one : names)
+      list.append(list.empty() ? "" : ", ").append(one);
+    report(mark, join(path, key) + ": expected one of " + list);
+    return otherwise;
+  }
+
+  static std::string join(const std::string &path, const std::string &key) {
+    return path.empty() ? key : path + "." + key;
+  }
+
+private:
+  std::string File;
+};
+
+void readSeeds(Reader &in, const YAML::Node &list, NodeConfig &self) {
+  if (!list || list.IsNull())
+    return;
+  if (!list.IsSequence() || list.size() > MaxSeeds) {
+    in.report(list.Mark(), "seeds: expected a list of at most " + std::to_string(MaxSeeds) + " entries");
+    return;
+  }
+  for (std::size_t n = 0; n < list.size(); ++n) {
+    const auto path = "seeds[" + std::to_string(n) + "]";
+    if (!in.checkMap(list[n], path, {"node", "address"}))
+      continue;
+    SeedPeer seed;
+    seed.Node = NodeId(in.name(list[n], path, "node"));
+    in.address(list[n], path, "address", true, &seed.Address);
+    // One file may serve the whole fleet: a proxy is no seed of itself.
+    if (seed.Node != self.Node)
+      self.Seeds.push_back(std::move(seed));
+  }
+}
+
+void readPlatform(Reader &in, const YAML::Node &root, LocalSettings &out) {
+  YAML::Mark mark;
+  out.PlatformUrl = in.text(root, "", "platform", true, &mark);
+  while (out.PlatformUrl.ends_with('/'))
+    out.PlatformUrl.pop_back();
+  const std::string_view url = out.PlatformUrl;
+  const auto scheme = url.starts_with("http://") ? 7U : url.starts_with("https://") ? 8U : 0U;
+  const bool valid = scheme != 0 && url.size() > scheme &&
+                     url.find_first_of("/?#@ \t\r\n", scheme) == std::string_view::npos;
+  if (!url.empty() && !valid)
+    in.report(mark, "platform: expected a URL without a path, such as http://10.0.0.1:7000");
+}
+
+void readRoot(Reader &in, const YAML::Node &root, LocalSettings &out) {
+  if (!in.checkMap(root, "",
+                   {"node", "region", "availability_zone", "addresses", "platform", "seeds", "log"}))
+    return;
+  out.Self.Node = NodeId(in.name(root, "", "node"));
+  out.Self.Region = Region(in.name(root, "", "region"));
+  out.Self.AvailabilityZone = AvailabilityZone(in.name(root, "", "availability_zone"));
+  readPlatform(in, root, out);
+  if (const auto addresses = root["addresses"]; !addresses) {
+    in.report(root.Mark(), "addresses: missing");
+  } else if (in.checkMap(addresses, "addresses", {"callers", "peers", "admin", "advertised"})) {
+    std::string listen;
+    out.Callers = in.address(addresses, "addresses", "callers", true);
+    out.Peers = in.address(addresses, "addresses", "peers", true, &listen);
+    out.Admin = in.address(addresses, "addresses", "admin", true);
+    in.address(addresses, "addresses", "advertised", false, &out.Self.PeerAddress);
+    if (out.Self.PeerAddress.empty())
+      out.Self.PeerAddress = listen;
+  }
+  readSeeds(in, root["seeds"], out.Self);
+  if (const auto log = root["log"]; log && !log.IsNull() && in.checkMap(log, "log", {"format", "level"})) {
+    out.LogFormat = static_cast<LogFormat>(in.choice(log, "log", "format", FormatNames, 0));
+    out.LogLevel = static_cast<LogLevel>(in.choice(log, "log", "level", LevelNames, 1));
+  }
+}
+
+std::string formatAddress(const SocketAddress &it) {
+  const bool v6 = it.Ip.find(':') != std::string::npos;
+  return (v6 ? "[" + it.Ip + "]" : it.Ip) + ":" + std::to_string(it.Port);
+}
+
+} // namespace
+
+std::variant<LocalSettings, Findings> parseLocalSettings(std::string_view yaml, const std::string &file) {
+  LocalSettings out;
+  Reader in(file);
+  try {
+    readRoot(in, YAML::Load(std::string(yaml)), out);
+  } catch (const YAML::Exception &e) {
+    in.report(e.mark, e.msg);
+  }
+  if (in.Found.empty())
+    return out;
+  return std::move(in.Found);
+}
+
+std::variant<LocalSettings, Findings> loadLocalSettings(const std::string &file) {
+  std::ifstream in(file, std::ios::binary);
+  std::ostringstream text;
+  if (!in || !(text << in.rdbuf()))
+    return Findings{{file, 0, 0, "the file cannot be read"}};
+  if (text.view().size() > MaxFileBytes)
+    return Findings{{file, 0, 0, "the file exceeds " + std::to_string(MaxFileBytes) + " bytes"}};
+  return parseLocalSettings(text.view(), file);
+}
+
+std::string formatLocalSettings(const LocalSettings &settings) {
+  YAML::Emitter out;
+  out << YAML::BeginMap;
+  const auto pair = [&out](const char *key, std::string_view value) {
+    out << YAML::Key << key << YAML::Value << std::string(value);
+  };
+  pair("node", settings.Self.Node.str());
+  pair("region", settings.Self.Region.str());
+  pair("availability_zone", settings.Self.AvailabilityZone.str());
+  out << YAML::Key << "addresses" << YAML::Value << YAML::BeginMap;
+  pair("callers", formatAddress(settings.Callers));
+  pair("peers", formatAddress(settings.Peers));
+  pair("admin", formatAddress(settings.Admin));
+  pair("advertised", settings.Self.PeerAddress);
+  out << YAML::EndMap;
+  pair("platform", settings.PlatformUrl);
+  out << YAML::Key << "seeds" << YAML::Value << YAML::BeginSeq;
+  for (const auto &it : settings.Self.Seeds) {
+    out << YAML::BeginMap;
+    pair("node", it.Node.str());
+    pair("address", it.Address);
+    out << YAML::EndMap;
+  }
+  out << YAML::EndSeq;
+  out << YAML::Key << "log" << YAML::Value << YAML::BeginMap;
+  pair("format", FormatNames.at(static_cast<std::size_t>(settings.LogFormat)));
+  pair("level", LevelNames.at(static_cast<std::size_t>(settings.LogLevel)));
+  out << YAML::EndMap << YAML::EndMap;
+  return std::string(out.c_str()) + "\n";
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/daemon/internal/loop.cpp
@@ -0,0 +1,182 @@
+// The event loop of the daemon.
+
+#include "daemon/loop.h"
+
+#include "base/overloaded.h"
+#include "callers/sessiontoken.h"
+#include "net/bootclock.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Events handled before sockets get their turn.
+constexpr std::size_t EventsPerTurn = 256;
+/// Least time between two timer events, should the decision logic ask for times that have passed.
+constexpr Duration MinTimerPause = 500us;
+constexpr const char *KeysObject = "keys/session";
+constexpr Duration KeysTimeout = 2s;
+constexpr std::chrono::seconds KeysInterval{60};
+constexpr std::chrono::seconds KeysRetry{1};
+/// Time for the last answers to be written after the decision logic has finished.
+constexpr std::chrono::seconds FlushTime{2};
+constexpr std::chrono::milliseconds FlushCheck{10};
+constexpr Duration OverloadedRetryAfter = 1s;
+
+} // namespace
+
+Loop::Loop(asio::io_context &io, IReducer &reducer, Metrics &metrics, ILogger &logger)
+    : Io(io), Reducer(reducer), Counters(metrics), Logger(logger), Timer(io), KeysTimer(io),
+      ShutdownTimer(io) {}
+
+void Loop::post(Event event) {
+  if (Queue.size() >= MaxQueued) {
+    if (const auto *request = std::get_if<RequestArrived>(&event)) {
+      Counters.countRefusal(RefusalReason::Overloaded);
+      Out.Callers->respond(request->Request.Id, Refusal{RefusalReason::Overloaded, Ran::NotRun,
+                                                        OverloadedRetryAfter, "the event queue is full"});
+      return;
+    }
+  }
+  Queue.push_back(std::move(event));
+  if (Scheduled)
+    return;
+  Scheduled = true;
+  asio::post(Io, [this] { drain(); });
+}
+
+void Loop::run(const Started &started) {
+  post(started);
+  readKeys();
+  Io.run();
+}
+
+void Loop::stop() { Io.stop(); }
+
+void Loop::drain() {
+  Scheduled = false;
+  for (std::size_t n = 0; n < EventsPerTurn && !Queue.empty(); ++n) {
+    const auto event = std::move(Queue.front());
+    Queue.pop_front();
+    step(event);
+  }
+  if (!Queue.empty() && !Scheduled) {
+    Scheduled = true;
+    asio::post(Io, [this] { drain(); });
+  }
+  armTimer();
+}
+
+void Loop::step(const Event &event) {
+  Last = std::max(Last, bootNow());
+  Trail.add(event, Last);
+  for (const auto &it : Reducer.apply(event, Last))
+    apply(it);
+}
+
+void Loop::apply(const Effect &effect) {
+  std::visit(Overloaded{
+                 [&](const Respond &it) { Out.Callers->respond(it.Id, it.Answer); },
+                 [&](const SendToPeer &it) { Out.Peers->send(it); },
+                 [&](const PeerAddress &it) { Out.Peers->setAddress(it); },
+                 [&](const TargetAddress &it) { Out.Targets->setAddress(it); },
+                 [&](const OpenConnection &it) { Out.Targets->open(it); },
+                 [&](const CloseConnection &it) { Out.Targets->close(it); },
+                 [&](const Execute &it) { Out.Targets->execute(it); },
+                 [&](const ControlCall &it) { Out.Targets->control(it); },
+                 [&](const PlatformCall &it) {
+                   Out.Platform->call(it, [this](PlatformAnswer answer) { post(std::move(answer)); });
+                 },
+                 [&](const AdminReply &it) { Out.Admin->reply(it); },
+                 [&](const Log &it) { Logger.log(it); },
+                 [&](const CountRefusal &it) { Counters.countRefusal(it.Reason); },
+                 [&](const CountRetry &it) { Counters.countRetry(it.Reason); },
+                 [&](const Count &it) { Counters.count(it.Name, it.Value); },
+                 [&](const Observe &it) { Counters.observe(it.Name, it.Value); },
+                 [&](const InvariantBroken &it) { invariantBroken(it); },
+                 [&](const ShutdownComplete &) { finishShutdown(); },
+             },
+             effect);
+}
+
+void Loop::invariantBroken(const InvariantBroken &effect) {
+  Counters.count("invariant_broken_total{invariant=\"" + effect.Invariant + "\"}");
+  Log entry{
+      LogLevel::Error, "invariant broken", {{"invariant", effect.Invariant}, {"detail", effect.Detail}}};
+  const auto lines = Trail.lines();
+  for (std::size_t n = 0; n < lines.size(); ++n)
+    entry.Fields.push_back({"event_" + std::to_string(n), lines[n]});
+  Logger.log(entry);
+}
+
+void Loop::armTimer() {
+  auto next = Reducer.nextTimer();
+  if (next)
+    next = std::max(*next, TimerFiredAt + MinTimerPause);
+  if (next == ArmedFor)
+    return;
+  ArmedFor = next;
+  if (!next) {
+    Timer.cancel();
+    return;
+  }
+  Timer.set(*next, [this] {
+    ArmedFor.reset();
+    TimerFiredAt = bootNow();
+    post(TimerFired{});
+  });
+}
+
+void Loop::readKeys() {
+  Out.Platform->call({{}, KeysTimeout, GetObject{KeysObject}},
+                     [this](const PlatformAnswer &answer) { takeKeys(answer); });
+}
+
+void Loop::takeKeys(const PlatformAnswer &answer) {
+  std::string problem;
+  if (const auto *object = std::get_if<ObjectValue>(&answer.Result); object && object->Version > 0) {
+    auto keys = parseSessionKeys(object->Value);
+    if (auto *it = std::get_if<SessionKeys>(&keys))
+      Out.Callers->setKeys(std::move(*it));
+    else
+      problem = std::get<std::string>(keys);
+  } else if (const auto *failure = std::get_if<PlatformFailure>(&answer.Result)) {
+    problem = failure->Message;
+  } else {
+    problem = "keys/session does not exist";
+  }
+  // Keys that were read before stay in use.
+  if (!problem.empty()) {
+    Counters.count("session_keys_failures_total");
+    Logger.log({LogLevel::Warn, "session keys not read", {{"why", problem}}});
+  }
+  KeysTimer.expires_after(problem.empty() && Out.Callers->hasKeys() ? KeysInterval : KeysRetry);
+  KeysTimer.async_wait([this](std::error_code ec) {
+    if (!ec)
+      readKeys();
+  });
+}
+
+void Loop::finishShutdown() {
+  if (!ShuttingDown) {
+    ShuttingDown = true;
+    ShutdownDeadline = std::chrono::steady_clock::now() + FlushTime;
+    Out.Callers->stop();
+  }
+  const bool flushed = Out.Callers->pending() == 0 && Out.Peers->pending() == 0 && Out.Admin->pending() == 0;
+  if (flushed || std::chrono::steady_clock::now() >= ShutdownDeadline) {
+    Io.stop();
+    return;
+  }
+  ShutdownTimer.expires_after(FlushCheck);
+  ShutdownTimer.async_wait([this](std::error_code ec) {
+    if (!ec)
+      finishShutdown();
+  });
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/daemon/loop.h
@@ -0,0 +1,77 @@
+// Feeds events to the decision logic, one at a time, and hands its effects to the adapters.
+
+#pragma once
+
+#include "admin/iadmin.h"
+#include "callers/icallers.h"
+#include "daemon/ilogger.h"
+#include "daemon/internal/trail.h"
+#include "daemon/ireducer.h"
+#include "metrics/metrics.h"
+#include "net/boottimer.h"
+#include "peers/ipeers.h"
+#include "platform/iplatform.h"
+#include "targets/itargets.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstddef>
+#include <deque>
+
+namespace rosemaryhinge {
+
+struct Adapters {
+  ICallers *Callers = nullptr;
+  IPeers *Peers = nullptr;
+  ITargets *Targets = nullptr;
+  IPlatform *Platform = nullptr;
+  IAdmin *Admin = nullptr;
+};
+
+class Loop {
+public:
+  /// All must outlive the loop.
+  Loop(asio::io_context &io, IReducer &reducer, Metrics &metrics, ILogger &logger);
+
+  /// Adapters take post() as their sink, so they are set after the loop was made and before run().
+  void setAdapters(Adapters adapters) { Out = adapters; }
+
+  /// Queues an event. Requests of callers are refused while the queue is over its bound; other events are
+  /// bounded by the adapters that give them.
+  void post(Event event);
+
+  /// Starts with Started and runs until ShutdownComplete has been carried out or stop() is called.
+  void run(const Started &started);
+  void stop();
+
+  static constexpr std::size_t MaxQueued = 100'000;
+
+private:
+  void drain();
+  void step(const Event &event);
+  void apply(const Effect &effect);
+  void invariantBroken(const InvariantBroken &effect);
+  void armTimer();
+  void readKeys();
+  void takeKeys(const PlatformAnswer &answer);
+  void finishShutdown();
+
+  asio::io_context &Io;
+  IReducer &Reducer;
+  Metrics &Counters;
+  ILogger &Logger;
+  Adapters Out;
+  std::deque<Event> Queue;
+  bool Scheduled = false; ///< A drain() is posted.
+  TimePoint Last;         ///< Time of the last event; the decision logic's time never goes back.
+  BootTimer Timer;
+  std::optional<TimePoint> ArmedFor;
+  TimePoint TimerFiredAt;
+  asio::steady_timer KeysTimer;
+  asio::steady_timer ShutdownTimer;
+  bool ShuttingDown = false;
+  std::chrono::steady_clock::time_point ShutdownDeadline;
+  detail::Trail Trail;
+};
+
+} // namespace rosemaryhinge
--- a/src/peers/internal/peerdecode.cpp
+++ b/src/peers/internal/peerdecode.cpp
@@ -146,6 +146,7 @@
       out.AvailabilityZone = id<AvailabilityZone>(it->availability_zone());
       out.Region = id<Region>(it->region());
       out.Release = text(it->release());
+      out.Refutation = it->refutation();
       return out;
     });
   }
@@ -169,6 +170,18 @@
     return out;
   }
 
+  SettingsReport settingsReport(const wire::SettingsReport *it) {
+    SettingsReport out;
+    out.Round = it->round();
+    out.Members = list<SettingsInForce>(it->members(), [this](const auto *one) {
+      return SettingsInForce{id<NodeId>(one->node()), one->incarnation(), one->revision(),
+                             Duration(one->since_us())};
+    });
+    out.Missing = nodes(it->missing());
+    out.Final = it->final();
+    return out;
+  }
+
   std::optional<PeerMessage> message(const wire::Envelope &envelope) {
     switch (envelope.message_type()) {
     case wire::Message::ForwardRequest: {
@@ -198,12 +211,15 @@
       return MembersReply{updates(envelope.message_as_MembersReply()->members())};
     case wire::Message::SettingsPush: {
       const auto *it = envelope.message_as_SettingsPush();
-      return SettingsPush{it->round(), it->revision(), text(it->tree()), it->version(),
-                          nodes(it->descendants())};
+      SettingsPush out{it->round(),      it->revision(),  it->base(),
+                       it->keep_front(), it->keep_back(), it->checksum(),
+                       text(it->tree()), it->version(),   {}};
+      out.Descendants = nodes(it->descendants());
+      return out;
     }
     case wire::Message::SettingsAck: {
       const auto *it = envelope.message_as_SettingsAck();
-      return SettingsAck{it->round(), it->revision(), it->in_force(), nodes(it->missing())};
+      return SettingsAck{it->round(), it->revision(), it->in_force(), nodes(it->missing()), it->final()};
     }
     case wire::Message::SettingsRequest:
       return SettingsRequest{envelope.message_as_SettingsRequest()->have()};
@@ -229,6 +245,17 @@
     }
     case wire::Message::JournalAck:
       return JournalAck{envelope.message_as_JournalAck()->batch()};
+    case wire::Message::SettingsQuery: {
+      const auto *it = envelope.message_as_SettingsQuery();
+      return SettingsQuery{it->round(), nodes(it->descendants())};
+    }
+    case wire::Message::SettingsReport:
+      return settingsReport(envelope.message_as_SettingsReport());
+    case wire::Message::JournalWritten:
+      return JournalWritten{
+          list<JournalMark>(envelope.message_as_JournalWritten()->marks(), [this](const auto *one) {
+            return JournalMark{id<NodeId>(one->node()), one->incarnation(), one->first(), one->last()};
+          })};
     case wire::Message::NONE:
       break;
     }
--- a/src/peers/internal/peerencode.cpp
+++ b/src/peers/internal/peerencode.cpp
@@ -113,7 +113,7 @@
       const auto region = text(it.Region);
       const auto release = text(it.Release);
       out.push_back(wire::CreateMemberUpdate(B, node, it.Incarnation, static_cast<std::uint8_t>(it.State),
-                                             address, az, region, release));
+                                             address, az, region, release, it.Refutation));
     }
     return B.CreateVector(out);
   }
@@ -169,12 +169,13 @@
   Offset<void> put(const SettingsPush &it, wire::Message &type) {
     type = wire::Message::SettingsPush;
     const auto tree = text(it.Tree);
-    return wire::CreateSettingsPush(B, it.Round, it.Revision, tree, it.Version, nodes(it.Descendants))
+    return wire::CreateSettingsPush(B, it.Round, it.Revision, it.Base, it.KeepFront, it.KeepBack, it.Checksum,
+                                    tree, it.Version, nodes(it.Descendants))
         .Union();
   }
   Offset<void> put(const SettingsAck &it, wire::Message &type) {
     type = wire::Message::SettingsAck;
-    return wire::CreateSettingsAck(B, it.Round, it.Revision, it.InForce, nodes(it.Missing)).Union();
+    return wire::CreateSettingsAck(B, it.Round, it.Revision, it.InForce, nodes(it.Missing), it.Final).Union();
   }
   Offset<void> put(const SettingsRequest &it, wire::Message &type) {
     type = wire::Message::SettingsRequest;
@@ -212,6 +213,29 @@
     return wire::CreateJournalAck(B, it.Batch).Union();
   }
 
+  Offset<void> put(const SettingsQuery &it, wire::Message &type) {
+    type = wire::Message::SettingsQuery;
+    return wire::CreateSettingsQuery(B, it.Round, nodes(it.Descendants)).Union();
+  }
+  Offset<void> put(const SettingsReport &it, wire::Message &type) {
+    type = wire::Message::SettingsReport;
+    std::vector<Offset<wire::SettingsInForce>> out;
+    out.reserve(it.Members.size());
+    for (const auto &one : it.Members)
+      out.push_back(
+          wire::CreateSettingsInForce(B, text(one.Node), one.Incarnation, one.Revision, one.Since.count()));
+    const auto members = B.CreateVector(out);
+    return wire::CreateSettingsReport(B, it.Round, members, nodes(it.Missing), it.Final).Union();
+  }
+  Offset<void> put(const JournalWritten &it, wire::Message &type) {
+    type = wire::Message::JournalWritten;
+    std::vector<Offset<wire::JournalMark>> out;
+    out.reserve(it.Marks.size());
+    for (const auto &one : it.Marks)
+      out.push_back(wire::CreateJournalMark(B, text(one.Node), one.Incarnation, one.First, one.Last));
+    return wire::CreateJournalWritten(B, B.CreateVector(out)).Union();
+  }
+
   FlatBufferBuilder B{FirstAllocation};
 };
 
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/platform/internal/platformcodec.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t MaxVms = 100'000;
 
 std::string objectPath(std::string_view key) {
-  constexpr std::string_view digits = "0123456789ABCDEF";
+  constexpr std::string_view Digits = "0123456789ABCDEF";
   std::string out = "/objects/";
   for (const char it : key) {
     const auto byte = static_cast<unsigned char>(it);
@@ -26,8 +26,8 @@
       out += it;
     } else {
       out += '%';
-      out += digits[byte / 16];
-      out += digits[byte % 16];
+      out += Digits[byte / 16];
+      out += Digits[byte % 16];
     }
   }
   return out;
--- a/src/targets/internal/pgconnection.cpp
+++ b/src/targets/internal/pgconnection.cpp
@@ -263,10 +263,9 @@
     return;
   const auto self = shared_from_this();
   const auto closed = std::move(Closed);
-  const auto reason = why;
   close();
   if (closed)
-    closed(reason);
+    closed(why);
 }
 
 } // namespace rosemaryhinge::detail
