Add coverage of session tokens, the replica rule and the acknowledgement rules

A read needs a proof before a replica serves it, and a write needs one before it is acknowledged.

ForwardRequest gains the attempt of the marker: without it a holder that still has an old request queued could run it after the entry proxy had written the abort and said not_run.

Groups of five need two covering replicas, because primary and one replica can miss a majority of three.

--- /dev/null
+++ b/src/acknowledge/acknowledgement.cpp
@@ -0,0 +1,50 @@
+// Rules of acknowledgement.
+
+#include "acknowledge/acknowledgement.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+bool covered(const UnconfirmedWrite &write, const Group &group, const Rules &rules) {
+  if (!rules.NoLostWrite || write.Strength == AckStrength::Primary)
+    return true;
+  return write.CoveredBy.size() >= coveringReplicas(group);
+}
+
+bool withinWindow(const UnconfirmedWrite &write, const Group &group, const TermConfirmations &confirmations,
+                  Duration window, TimePoint now, const Rules &rules) {
+  if (!rules.NoStalePrimaryAck)
+    return true;
+  auto at = confirmations.majorityAt(group, write.At.Term);
+  return at && now - *at < window;
+}
+
+} // namespace
+
+std::size_t coveringReplicas(const Group &group) {
+  return std::max<std::size_t>(1, group.Servers.size() - group.majority());
+}
+
+void noteStatus(UnconfirmedWrite &write, const TargetId &target, const TargetStatus &status) {
+  if (target == write.Executor || status.RaisedTerm != write.At.Term || status.Log.Term != write.At.Term)
+    return;
+  if (status.Log.Lsn >= write.At.Lsn)
+    write.CoveredBy.insert(target);
+}
+
+AckVerdict mayAcknowledge(const UnconfirmedWrite &write, const Group &group,
+                          const TermConfirmations &confirmations, Duration window, TimePoint now,
+                          const Rules &rules) {
+  const bool moved = group.Term > write.At.Term || confirmations.highest(group) > write.At.Term;
+  if (moved && rules.NoStalePrimaryAck)
+    return AckVerdict::Superseded;
+  if (!covered(write, group, rules))
+    return AckVerdict::AwaitCoverage;
+  return withinWindow(write, group, confirmations, window, now, rules) ? AckVerdict::Acknowledge
+                                                                       : AckVerdict::AwaitWindow;
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/outcome/outcome.cpp
@@ -0,0 +1,23 @@
+// Outcomes of lost answers.
+
+#include "outcome/outcome.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+Outcome readMarker(const MarkerRecord &record, std::uint64_t attempt) {
+  if (!record.Done)
+    return Outcome::DidNotRun;
+  return record.Attempt == attempt ? Outcome::Took : Outcome::TookOther;
+}
+
+Ran ranWithoutProof(bool sent, bool hasEffects) { return sent && hasEffects ? Ran::Unknown : Ran::NotRun; }
+
+bool mayAssumeNotRun(const Rules &rules) { return !rules.TrueNotRun; }
+
+std::uint64_t nextAttempt(const MarkerRecord &record, std::uint64_t attempt) {
+  return std::max(record.Attempt, attempt) + 1;
+}
+
+} // namespace rosemaryhinge
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -22,6 +22,9 @@
   RequestId Id;      ///< Of the sender; the answer carries it back.
   Duration Budget{}; ///< Time left until the deadline. Clocks of VMs are not compared.
   std::uint32_t Hops = 0;
+  /// Attempt of the marker to run. Only the proxy that took the request in raises it, so an abort that it
+  /// wrote also holds at a holder that still has the request queued.
+  std::uint64_t Attempt = 1;
   CallerRequest Request;
 };
 
--- a/src/request/requestmodule.h
+++ b/src/request/requestmodule.h
@@ -4,6 +4,7 @@
 
 #include "protocol/context.h"
 #include "protocol/event.h"
+#include "request/requestoptions.h"
 #include "request/services.h"
 
 #include <cstddef>
@@ -18,7 +19,7 @@
 
 class RequestModule {
 public:
-  RequestModule();
+  explicit RequestModule(RequestOptions options = {});
   ~RequestModule();
   RequestModule(RequestModule &&) noexcept;
   RequestModule &operator=(RequestModule &&) noexcept;
--- /dev/null
+++ b/src/routing/choosetarget.cpp
@@ -0,0 +1,127 @@
+// Routing of requests.
+
+#include "routing/choosetarget.h"
+
+#include "session/coverage.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rosemaryhinge {
+
+namespace {
+
+struct Candidate {
+  TargetId Target;
+  ReplicaVerdict Verdict = ReplicaVerdict::No;
+  int Distance = 0; ///< 0: own availability zone, 1: own region, 2: elsewhere.
+  double Load = 0;  ///< Share of this proxy's connections to it that are given out.
+};
+
+int distanceTo(const NodeConfig &self, const AvailabilityZone &zone, const Region &region) {
+  if (zone == self.AvailabilityZone)
+    return 0;
+  return region == self.Region ? 1 : 2;
+}
+
+double loadOf(const ISlots &slots, const TargetId &target) {
+  const auto capacity = slots.capacity(target);
+  return capacity == 0 ? 1.0 : static_cast<double>(slots.busy(target)) / capacity;
+}
+
+/// Near servers first, but a server whose connections are all given out comes after one with room.
+bool before(const Candidate &left, const Candidate &right) {
+  return std::tuple(left.Load >= 1, left.Distance, left.Load, left.Target) <
+         std::tuple(right.Load >= 1, right.Distance, right.Load, right.Target);
+}
+
+std::vector<Candidate> replicasFor(Context &ctx, const RouteServices &services, LagTable &lags,
+                                   const RouteQuery &query) {
+  std::vector<Candidate> out;
+  const auto &view = query.View;
+  for (const auto &server : view.Group.Servers) {
+    auto it = view.Targets.find(server.Target);
+    const bool primary = server.Target == view.Group.Primary && view.Group.State == Group::Phase::Done;
+    if (it == view.Targets.end() || primary || !takesNewWork(view, server.Target, ctx.Rules))
+      continue;
+    lags.note(services.Groups, view, server.Target, it->second);
+    auto verdict = mayReadFromReplica(services.Groups, view, it->second, query.Need, lags.find(server.Target),
+                                      ctx.Now, ctx.Rules, query.Policy);
+    if (verdict != ReplicaVerdict::No)
+      out.push_back({server.Target, verdict, distanceTo(ctx.Self, server.AvailabilityZone, server.Region),
+                     loadOf(services.Slots, server.Target)});
+  }
+  std::sort(out.begin(), out.end(), before);
+  return out;
+}
+
+std::optional<Route> routeToReplica(Context &ctx, const RouteServices &services, const RouteQuery &query,
+                                    const std::vector<Candidate> &candidates, ReplicaVerdict verdict) {
+  for (const auto &it : candidates)
+    if (it.Verdict == verdict && services.Slots.holds(it.Target)) {
+      if (verdict == ReplicaVerdict::Yes)
+        return RunHere{it.Target};
+      if (auto token = translate(*query.Need.Token, query.View.Group.History))
+        return WaitHere{it.Target, *token};
+    }
+  if (query.Hops >= MaxHops)
+    return std::nullopt;
+  for (const auto &it : candidates)
+    if (it.Verdict == verdict)
+      if (auto holders = holdersOf(ctx, services, query.View.Group.Database, it.Target, query.Excluded);
+          !holders.empty())
+        return Forward{holders.front()};
+  return std::nullopt;
+}
+
+Route routeToPrimary(Context &ctx, const RouteServices &services, const RouteQuery &query) {
+  const auto &group = query.View.Group;
+  if (group.State != Group::Phase::Done || !takesNewWork(query.View, group.Primary, ctx.Rules))
+    return AwaitPrimary{};
+  if (services.Slots.holds(group.Primary))
+    return RunHere{group.Primary};
+  if (query.Hops >= MaxHops)
+    return NoHolder{};
+  auto holders = holdersOf(ctx, services, group.Database, group.Primary, query.Excluded);
+  return holders.empty() ? Route(NoHolder{}) : Route(Forward{holders.front()});
+}
+
+} // namespace
+
+bool takesNewWork(const GroupView &view, const TargetId &target, const Rules &rules) {
+  auto it = view.Targets.find(target);
+  return it != view.Targets.end() && !(it->second.leaving() && rules.LeavingTargetIdle);
+}
+
+std::vector<NodeId> holdersOf(Context &ctx, const RouteServices &services, const DatabaseId &database,
+                              const TargetId &target, std::span<const NodeId> excluded) {
+  std::vector<std::tuple<int, std::uint64_t, NodeId>> found;
+  const auto members = services.Members.live();
+  for (const auto &node : services.Slots.otherHolders(database, target)) {
+    auto it = std::find_if(members.begin(), members.end(), [&](const Member &m) { return m.Node == node; });
+    if (it == members.end() || services.Members.isLeaving(node) || node == ctx.Self.Node)
+      continue;
+    if (std::find(excluded.begin(), excluded.end(), node) != excluded.end())
+      continue;
+    // Equally near holders share the load at random.
+    found.emplace_back(distanceTo(ctx.Self, it->AvailabilityZone, it->Region), ctx.Random(), node);
+  }
+  std::sort(found.begin(), found.end());
+  std::vector<NodeId> out;
+  out.reserve(found.size());
+  for (auto &it : found)
+    out.push_back(std::move(std::get<NodeId>(it)));
+  return out;
+}
+
+Route chooseTarget(Context &ctx, const RouteServices &services, LagTable &lags, const RouteQuery &query) {
+  if (query.ReadOnly && !query.PrimaryOnly) {
+    const auto candidates = replicasFor(ctx, services, lags, query);
+    for (auto verdict : {ReplicaVerdict::Yes, ReplicaVerdict::Soon})
+      if (auto route = routeToReplica(ctx, services, query, candidates, verdict))
+        return *route;
+  }
+  return routeToPrimary(ctx, services, query);
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/routing/choosetarget.h
@@ -0,0 +1,67 @@
+// Which server and which proxy serve a request.
+
+#pragma once
+
+#include "groups/grouptable.h"
+#include "membership/imembers.h"
+#include "protocol/context.h"
+#include "routing/lagtable.h"
+#include "routing/replicarule.h"
+#include "slots/islots.h"
+
+#include <cstdint>
+#include <span>
+#include <variant>
+
+namespace rosemaryhinge {
+
+/// A request is passed on at most this often, so that stale records of holders cannot send it in circles.
+constexpr std::uint32_t MaxHops = 2;
+
+struct RouteQuery {
+  const GroupView &View;
+  bool ReadOnly = false;
+  bool PrimaryOnly = false; ///< A replica's answer was too old, or the request is interactive.
+  ReadNeed Need;
+  std::uint32_t Hops = 0;
+  std::span<const NodeId> Excluded; ///< Proxies that failed this request.
+  ReadPolicy Policy = ReadPolicy::Token;
+};
+
+struct RouteServices {
+  const GroupTable &Groups;
+  const IMembers &Members;
+  const ISlots &Slots;
+};
+
+/// This proxy holds a slot of the server.
+struct RunHere {
+  TargetId Target;
+};
+/// This proxy holds a slot of a replica that is expected to hold the token in time.
+struct WaitHere {
+  TargetId Target;
+  Position For;
+};
+struct Forward {
+  NodeId Node;
+};
+/// The group has no primary that may take new work at present.
+struct AwaitPrimary {};
+/// No proxy is known that may give work to a suitable server.
+struct NoHolder {};
+
+using Route = std::variant<RunHere, WaitHere, Forward, AwaitPrimary, NoHolder>;
+
+[[nodiscard]] Route chooseTarget(Context &ctx, const RouteServices &services, LagTable &lags,
+                                 const RouteQuery &query);
+
+/// Whether a server may get new work.
+[[nodiscard]] bool takesNewWork(const GroupView &view, const TargetId &target, const Rules &rules);
+
+/// Proxies that may get a request for this server passed on, own availability zone first.
+[[nodiscard]] std::vector<NodeId> holdersOf(Context &ctx, const RouteServices &services,
+                                            const DatabaseId &database, const TargetId &target,
+                                            std::span<const NodeId> excluded);
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/routing/replicarule.cpp
@@ -0,0 +1,57 @@
+// The rule by which reads go to replicas.
+
+#include "routing/replicarule.h"
+
+#include "session/coverage.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Time at which the replica is expected to hold the token: when the primary first showed it, plus the lag.
+std::optional<TimePoint> expectedAt(const GroupView &view, Position token, std::optional<Duration> lag,
+                                    TimePoint now) {
+  if (!lag)
+    return std::nullopt;
+  auto it = std::find_if(view.Samples.begin(), view.Samples.end(), [&](const PrimarySample &sample) {
+    return covers(sample.End, token, view.Group.History);
+  });
+  return (it == view.Samples.end() ? now : it->At) + *lag;
+}
+
+} // namespace
+
+bool satisfies(const GroupTable &groups, const GroupView &view, Position at, const ReadNeed &need,
+               TimePoint asked, const Rules &rules) {
+  if (!rules.ReadYourWrites)
+    return true;
+  // A server that has not yet undone what a change of primary discarded shows data that nobody else will see.
+  if (!survives(at, view.Group.History))
+    return false;
+  if (need.Token && covers(at, *need.Token, view.Group.History))
+    return true;
+  if (need.MaxAge) {
+    auto current = groups.currentAt(view, at);
+    return current && asked - *current < *need.MaxAge;
+  }
+  return !need.Token;
+}
+
+ReplicaVerdict mayReadFromReplica(const GroupTable &groups, const GroupView &view, const TargetView &replica,
+                                  const ReadNeed &need, std::optional<Duration> lag, TimePoint now,
+                                  const Rules &rules, ReadPolicy policy) {
+  if (policy == ReadPolicy::StickyPrimary && need.Token)
+    return ReplicaVerdict::No;
+  if (!replica.SampledAt)
+    return ReplicaVerdict::No;
+  if (satisfies(groups, view, replica.Status.Log, need, now, rules))
+    return ReplicaVerdict::Yes;
+  if (!need.Token || !survives(replica.Status.Log, view.Group.History))
+    return ReplicaVerdict::No;
+  auto expected = expectedAt(view, *need.Token, lag, now);
+  return expected && *expected <= now + need.Wait ? ReplicaVerdict::Soon : ReplicaVerdict::No;
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/routing/replicarule.h
@@ -0,0 +1,37 @@
+// The rule: may this read go to a replica?
+
+#pragma once
+
+#include "groups/grouptable.h"
+#include "protocol/rules.h"
+#include "request/requestoptions.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace rosemaryhinge {
+
+/// What a read asks of the server that runs it.
+struct ReadNeed {
+  std::optional<Position> Token;  ///< What the session wrote.
+  std::optional<Duration> MaxAge; ///< Age of the data that the caller accepts, instead of the token.
+  Duration Wait{};                ///< How long the read may wait for a replica.
+};
+
+enum class ReplicaVerdict : std::uint8_t {
+  Yes,
+  Soon, ///< Expected to hold the token within the read's wait.
+  No,
+};
+
+/// True if data at this position satisfies the read, by the proofs known at the time asked.
+[[nodiscard]] bool satisfies(const GroupTable &groups, const GroupView &view, Position at,
+                             const ReadNeed &need, TimePoint asked, const Rules &rules);
+
+/// The rule itself. Lag is the estimated delay of this replica behind the primary, if there is one.
+[[nodiscard]] ReplicaVerdict mayReadFromReplica(const GroupTable &groups, const GroupView &view,
+                                                const TargetView &replica, const ReadNeed &need,
+                                                std::optional<Duration> lag, TimePoint now,
+                                                const Rules &rules, ReadPolicy policy);
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/routing/tests/replicarule.cpp
@@ -0,0 +1,63 @@
+// The rule by which reads go to replicas: what a session must not miss.
+
+#include "routing/replicarule.h"
+
+#include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+
+namespace {
+
+const TimePoint Now{100s};
+
+struct Fixture {
+  GroupTable Groups;
+  GroupView View;
+  TargetView Replica;
+
+  Fixture() {
+    View.Group.Term = 2;
+    View.Group.History = {{1, 0}, {2, 1000}};
+    Replica.SampledAt = Now;
+  }
+  ReplicaVerdict ask(const ReadNeed &need, Position at, std::optional<Duration> lag = std::nullopt,
+                     ReadPolicy policy = ReadPolicy::Token) {
+    Replica.Status.Log = at;
+    return mayReadFromReplica(Groups, View, Replica, need, lag, Now, Rules{}, policy);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "a replica below the token must not serve the session") {
+  CHECK(ask({Position{2, 1200}, {}, 0ms}, {2, 1199}) == ReplicaVerdict::No);
+  CHECK(ask({Position{2, 1200}, {}, 0ms}, {2, 1200}) == ReplicaVerdict::Yes);
+  CHECK(ask({Position{1, 1000}, {}, 0ms}, {2, 1100}) == ReplicaVerdict::Yes);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a server with discarded log serves nobody, not even without a token") {
+  CHECK(ask({}, {1, 1001}) == ReplicaVerdict::No);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a stated age needs a proof from the primary's own samples") {
+  const ReadNeed need{std::nullopt, 200ms, 0ms};
+  CHECK(ask(need, {2, 1500}) == ReplicaVerdict::No); // Recently heard of, but nothing proves its age.
+  View.Samples.push_back({Now - 300ms, {2, 1400}});
+  CHECK(ask(need, {2, 1500}) == ReplicaVerdict::No);
+  View.Samples.push_back({Now - 150ms, {2, 1500}});
+  CHECK(ask(need, {2, 1500}) == ReplicaVerdict::Yes);
+  CHECK(ask(need, {2, 1499}) == ReplicaVerdict::No);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a read waits only for a replica that is expected in time") {
+  View.Samples.push_back({Now - 90ms, {2, 1200}});
+  const ReadNeed need{Position{2, 1200}, {}, 30ms};
+  CHECK(ask(need, {2, 1100}, 100ms) == ReplicaVerdict::Soon);
+  CHECK(ask(need, {2, 1100}, 121ms) == ReplicaVerdict::No);
+  CHECK(ask(need, {2, 1100}) == ReplicaVerdict::No);
+}
+
+TEST_CASE_FIXTURE(Fixture, "the baseline keeps sessions that have written on the primary") {
+  CHECK(ask({Position{2, 1}, {}, 0ms}, {2, 1200}, {}, ReadPolicy::StickyPrimary) == ReplicaVerdict::No);
+  CHECK(ask({}, {2, 1200}, {}, ReadPolicy::StickyPrimary) == ReplicaVerdict::Yes);
+}
--- /dev/null
+++ b/src/session/coverage.cpp
@@ -0,0 +1,41 @@
+// Coverage of session tokens.
+
+#include "session/coverage.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+bool survives(Position position, std::span<const TermStart> history) {
+  // All later terms count, not only the next one: a term that replicated nothing can be followed by one that
+  // began lower.
+  return std::none_of(history.begin(), history.end(), [&](const TermStart &it) {
+    return it.Term > position.Term && position.Lsn > it.Start;
+  });
+}
+
+std::optional<Position> translate(Position token, std::span<const TermStart> history) {
+  if (!survives(token, history))
+    return std::nullopt;
+  for (const auto &it : history)
+    token.Term = std::max(token.Term, it.Term);
+  return token;
+}
+
+bool covers(Position position, Position token, std::span<const TermStart> history) {
+  if (position.Term == token.Term)
+    return position.Lsn >= token.Lsn;
+  if (position.Term < token.Term)
+    return false;
+  bool known = false;
+  for (const auto &it : history) {
+    if (it.Term <= token.Term || it.Term > position.Term)
+      continue;
+    if (token.Lsn > it.Start)
+      return false;
+    known = known || it.Term == position.Term;
+  }
+  return known && position.Lsn >= token.Lsn;
+}
+
+} // namespace rosemaryhinge
