Add the life cycle of requests

Reads and writes on held slots, forwarding to holders, acknowledgement by coverage and window, outcomes by the marker table, interactive transactions, and admission. One engine object per event works on the module's state; each part of the life cycle has its own file.

Only the entry proxy raises the attempt of a marker. A holder that finds its attempt aborted answers not_run to the entry proxy instead, because the caller may have been told not_run already.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -44,7 +44,8 @@
   }
   ++queued;
   Places[work.Id] = {target, work.Lane, work.Caller, work.Database};
-  state.Queues[index(work.Lane)].push(std::move(work));
+  auto &queue = state.Queues[index(work.Lane)];
+  queue.push(std::move(work));
   return std::nullopt;
 }
 
@@ -82,7 +83,7 @@
   return std::nullopt;
 }
 
-void Admission::finished(TimePoint now, std::uint64_t id, std::uint32_t capacity, bool measured) {
+void Admission::finished(TimePoint now, std::uint64_t id, std::uint32_t capacity, Measure measure) {
   auto it = InService.find(id);
   if (it == InService.end())
     return;
@@ -90,13 +91,13 @@
   auto &state = Targets[running.Target];
   state.Started.erase(id);
   const auto took = now - running.StartedAt;
-  if (measured) {
+  if (measure != Measure::Nothing) {
     auto &own = meter(running.Item);
     if (!running.Noted)
       own.note(took);
     auto &mean = state.Service[index(running.Item.Lane)];
     mean += (took - mean) / MeanDivisor;
-    if (auto usual = own.usual())
+    if (auto usual = own.usual(); usual && measure == Measure::Run)
       state.Limit.finished(took, *usual, capacity);
   }
   InService.erase(it);
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -18,6 +18,13 @@
 
 namespace rosemaryhinge {
 
+/// What the time on a connection says.
+enum class Measure : std::uint8_t {
+  Nothing, ///< Cut short.
+  Hold,    ///< How long a transaction kept the connection, its caller's pauses included.
+  Run,     ///< How long the server took.
+};
+
 class Admission {
 public:
   explicit Admission(QueuePolicy policy) : Policy(policy) {}
@@ -31,8 +38,8 @@
   /// Takes out the request to start next. Work that can no longer meet its deadline goes to late.
   std::optional<Work> start(TimePoint now, const DatabasePolicy &policy, const TargetId &target,
                             std::uint32_t capacity, std::vector<Work> &late);
-  /// The request left its connection. Measured: it ran to its end, so its duration counts.
-  void finished(TimePoint now, std::uint64_t id, std::uint32_t capacity, bool measured);
+  /// The request left its connection.
+  void finished(TimePoint now, std::uint64_t id, std::uint32_t capacity, Measure measure);
   /// Takes a request out of its queue.
   void remove(std::uint64_t id);
   /// Takes out everything that waits for the target.
--- a/src/admission/tests/admission.cpp
+++ b/src/admission/tests/admission.cpp
@@ -40,7 +40,7 @@
       auto works = startAll();
       Now += took;
       for (const auto &work : works)
-        Queue.finished(Now, work.Id, Connections, true);
+        Queue.finished(Now, work.Id, Connections, Measure::Run);
     }
   }
 };
--- /dev/null
+++ b/src/request/internal/arrive.cpp
@@ -0,0 +1,152 @@
+// Arrival of requests.
+
+#include "request/internal/engine.h"
+#include "request/internal/transactionid.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge::detail {
+
+namespace {
+
+constexpr Duration NotReadyRetryAfter = 500ms;
+/// Requests of a database in flight, in whatever phase, per place in a queue.
+constexpr std::size_t MaxFlightsPerQueue = 4;
+
+/// Keys of callers and keys made here have different prefixes: no caller can name another request's key.
+std::string callerKey(const CallerRequest &request) {
+  return "c:" + request.Database.str() + ":" + request.IdempotencyKey;
+}
+
+std::string ownKey(const Context &ctx, const CallerRequest &request, std::uint64_t number) {
+  // A second commit of one transaction is looked up under the same key.
+  if (request.Step == TransactionStep::Commit)
+    return "t:" + request.Transaction.str();
+  return "p:" + request.Database.str() + ":" + ctx.Self.Node.str() + ":" + std::to_string(ctx.Incarnation) +
+         ":" + std::to_string(number);
+}
+
+} // namespace
+
+Flight &Engine::addFlight(CallerRequest request) {
+  const auto id = Ctx.number();
+  auto &flight = St.Flights[id];
+  flight.Id = id;
+  flight.ArrivedAt = Ctx.Now;
+  flight.Request = std::move(request);
+  // Transaction URLs name no database; the id does.
+  if (flight.inTransaction())
+    if (auto place = placeOf(flight.Request.Transaction))
+      flight.Request.Database = place->Database;
+  if (flight.Request.Deadline == TimePoint{})
+    flight.Request.Deadline = Ctx.Now + classOf(flight).DefaultDeadline;
+  flight.WakeAt = flight.Request.Deadline;
+  St.Timers.emplace(flight.WakeAt, id);
+  use(flight.Request.Database);
+  return flight;
+}
+
+void Engine::arrive(const CallerRequest &request) {
+  if (St.Own.contains(request.Id)) {
+    Ctx.emit(
+        InvariantBroken{"answer_matching", "request id " + std::to_string(request.Id.Value) + " in use"});
+    return;
+  }
+  auto &flight = addFlight(request);
+  St.Own[request.Id] = flight.Id;
+  if (auto fault = findFault(flight.Request)) {
+    finish(flight, std::move(*fault));
+    return;
+  }
+  if (flight.hasEffects()) {
+    auto &key = flight.Request.IdempotencyKey;
+    key = key.empty() ? ownKey(Ctx, flight.Request, flight.Id) : callerKey(flight.Request);
+  }
+  St.Queue.earnRetry(flight.Request.Database, policyOf(flight).RetryBudget);
+  begin(flight);
+}
+
+std::optional<Refusal> Engine::findFault(const CallerRequest &request) const {
+  auto fault = [](RefusalReason reason, std::string message, std::optional<Duration> after = std::nullopt) {
+    return Refusal{reason, Ran::NotRun, after, std::move(message)};
+  };
+  const bool opened = request.Step != TransactionStep::None && request.Step != TransactionStep::Begin;
+  if (!Svc.Ready)
+    return fault(RefusalReason::NotReady, "this proxy has no settings in force yet", NotReadyRetryAfter);
+  if (Svc.Leaving && !opened)
+    return fault(RefusalReason::ShuttingDown, "this proxy is shutting down", Duration{});
+  if (opened && !placeOf(request.Transaction))
+    return fault(RefusalReason::UnknownTransaction, "malformed transaction id");
+  if (Svc.Groups.find(request.Database) == nullptr) {
+    const auto &names = Svc.Policies.databases();
+    if (std::find(names.begin(), names.end(), request.Database) == names.end())
+      return fault(RefusalReason::UnknownDatabase, "no database " + request.Database.str());
+    return fault(RefusalReason::NotReady, "the group of " + request.Database.str() + " is not known yet",
+                 NotReadyRetryAfter);
+  }
+  const bool needsStatement =
+      request.Step == TransactionStep::None || request.Step == TransactionStep::Statement;
+  if (needsStatement && request.Statements.empty())
+    return fault(RefusalReason::BadRequest, "no statement");
+  if (request.Deadline <= Ctx.Now)
+    return fault(RefusalReason::DeadlineExceeded, "the deadline had passed on arrival");
+  return std::nullopt;
+}
+
+void Engine::arriveForwarded(const NodeId &from, const ForwardRequest &message) {
+  const auto known = std::pair(from, message.Id);
+  if (St.FromPeers.contains(known)) {
+    Ctx.emit(Count{"duplicate_messages_total"});
+    return;
+  }
+  auto request = message.Request;
+  request.Deadline = Ctx.Now + std::max(message.Budget, Duration(1));
+  auto &flight = addFlight(std::move(request));
+  flight.From = from;
+  flight.FromId = message.Id;
+  flight.Hops = message.Hops;
+  flight.Attempt = message.Attempt;
+  // Its key is in flight there: the sender would refuse it as a duplicate.
+  flight.Excluded.push_back(from);
+  St.FromPeers[known] = flight.Id;
+  if (!Svc.Ready || Svc.Groups.find(flight.Request.Database) == nullptr) {
+    refuse(flight, RefusalReason::NotReady, "the proxy asked is not ready", NotReadyRetryAfter);
+    return;
+  }
+  begin(flight);
+}
+
+void Engine::begin(Flight &flight) {
+  const bool bounded = St.Options.Queue != QueuePolicy::UnboundedRetry;
+  const auto limit = MaxFlightsPerQueue * policyOf(flight).QueueLimit;
+  if (bounded && !flight.inTransaction() && St.InUse[flight.Request.Database].Count > limit) {
+    refuse(flight, RefusalReason::Overloaded, "too many requests in flight", NotReadyRetryAfter);
+    return;
+  }
+  if (flight.hasEffects()) {
+    auto [it, added] = St.Keys.try_emplace(flight.Request.IdempotencyKey, flight.Id);
+    if (!added) {
+      // The first request with this key may run, so not_run would not be true of the key.
+      refuseAs(flight, RefusalReason::DuplicateInProgress, Ran::Unknown,
+               "a request with the same idempotency key is in progress");
+      return;
+    }
+  }
+  if (flight.inTransaction())
+    stepInTransaction(flight);
+  else
+    dispatch(flight);
+}
+
+void Engine::callerGone(RequestId id) {
+  auto it = St.Own.find(id);
+  if (it == St.Own.end())
+    return;
+  auto &flight = St.Flights.at(it->second);
+  const bool waits = flight.Phase == Phase::Queued || flight.Phase == Phase::Parked ||
+                     flight.Phase == Phase::Paced || flight.Phase == Phase::Awaiting;
+  if (waits && !flight.Sent)
+    refuse(flight, RefusalReason::DeadlineExceeded, "the caller closed its connection");
+}
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/request/internal/dispatch.cpp
@@ -0,0 +1,238 @@
+// Routing, queues and changes of groups.
+
+#include "request/internal/engine.h"
+#include "session/coverage.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge::detail {
+
+namespace {
+
+constexpr Duration NoTargetRetryAfter = 500ms;
+constexpr Duration NoPrimaryRetryAfter = 1s;
+/// Allowance for the answer of a status query beyond the time that the server waits.
+constexpr Duration AnswerAllowance = 10ms;
+
+} // namespace
+
+ReadNeed Engine::needOf(const Flight &flight) const {
+  const auto &policy = classOf(flight);
+  ReadNeed out{flight.Request.Session, flight.Request.MaxStaleness, flight.Waited ? 0ms : policy.ReadWait};
+  if (!out.MaxAge)
+    out.MaxAge = policy.MaxStaleness;
+  if (*out.MaxAge <= Duration{})
+    out.MaxAge.reset();
+  return out;
+}
+
+void Engine::dispatch(Flight &flight) {
+  const auto &view = viewOf(flight);
+  const auto &token = flight.Request.Session;
+  if (token && !survives(*token, view.Group.History)) {
+    refuse(flight, RefusalReason::SessionWriteLost,
+           "a write of this session was lost with the primary of term " + std::to_string(token->Term));
+    return;
+  }
+  const RouteQuery query{view,
+                         flight.Request.ReadOnly,
+                         flight.PrimaryOnly || flight.interactive(),
+                         needOf(flight),
+                         flight.Hops,
+                         flight.Excluded,
+                         St.Options.Reads};
+  const auto route = chooseTarget(Ctx, routes(), St.Lags, query);
+  std::visit(Overloaded{[&](const RunHere &it) { enqueue(flight, it.Target); },
+                        [&](const WaitHere &it) { awaitReplica(flight, it); },
+                        [&](const Forward &it) { forward(flight, it.Node); },
+                        [&](const AwaitPrimary &) { park(flight); },
+                        [&](const NoHolder &) {
+                          refuse(flight, RefusalReason::NoTarget, "no proxy is known that may serve this",
+                                 NoTargetRetryAfter);
+                        }},
+             route);
+}
+
+void Engine::enqueue(Flight &flight, const TargetId &target) {
+  const auto &view = viewOf(flight);
+  if (target == view.Group.Primary && view.Group.Term < flight.MinTerm) {
+    park(flight);
+    return;
+  }
+  flight.Phase = Phase::Queued;
+  flight.Target = target;
+  wakeAt(flight, flight.Request.Deadline);
+  Work work{flight.Id,
+            flight.Request.Caller,
+            flight.Request.Database,
+            flight.Request.Class,
+            Lane::Short,
+            flight.Request.Deadline,
+            Ctx.Now,
+            {},
+            {}};
+  if (flight.hasEffects())
+    if (auto it = St.CoverTime.find(flight.Request.Database); it != St.CoverTime.end())
+      work.After = it->second;
+  St.Queue.assess(policyOf(flight), classOf(flight), work);
+  const auto capacity = Svc.Slots.capacity(target);
+  if (auto after = St.Queue.enqueue(Ctx.Now, policyOf(flight), target, capacity, std::move(work))) {
+    refuse(flight, RefusalReason::Overloaded, "the queue of " + target.str() + " is too long", after);
+    return;
+  }
+  pump(target);
+}
+
+void Engine::park(Flight &flight) {
+  auto &parked = St.InUse[flight.Request.Database].Parked;
+  if (parked >= policyOf(flight).QueueLimit && St.Options.Queue != QueuePolicy::UnboundedRetry) {
+    refuse(flight, RefusalReason::NoPrimary, "too many requests wait for a primary", NoPrimaryRetryAfter);
+    return;
+  }
+  ++parked;
+  flight.Phase = Phase::Parked;
+  wakeAt(flight, flight.Request.Deadline);
+}
+
+void Engine::awaitReplica(Flight &flight, const WaitHere &route) {
+  flight.Phase = Phase::Awaiting;
+  flight.Waited = true;
+  flight.Target = route.Target;
+  const auto wait = std::clamp<Duration>(flight.Request.Deadline - Ctx.Now, 1ms,
+                                         std::max<Duration>(1ms, classOf(flight).ReadWait));
+  Ctx.emit(
+      ControlCall{call(Module::Routing, flight, route.Target), route.Target, wait, QueryStatus{route.For}});
+  wakeAt(flight, Ctx.Now + wait + AnswerAllowance);
+}
+
+void Engine::replicaWaitOver(Flight &flight) {
+  if (flight.Phase == Phase::Awaiting)
+    dispatch(flight);
+}
+
+void Engine::pump(const TargetId &target) {
+  const auto *view = Svc.Groups.findByTarget(target);
+  if (view == nullptr)
+    return;
+  if (!Svc.Slots.holds(target) || !takesNewWork(*view, target, Ctx.Rules)) {
+    for (const auto &work : St.Queue.drain(target))
+      if (auto *flight = find(work.Id))
+        dispatch(*flight);
+    return;
+  }
+  const auto &policy = Svc.Policies.databasePolicy(view->Group.Database);
+  const auto capacity = Svc.Slots.capacity(target);
+  while (St.Queue.wants(Ctx.Now, policy, target, capacity)) {
+    const auto connection = Svc.Slots.acquire(Ctx, target);
+    if (!connection)
+      return;
+    std::vector<Work> late;
+    const auto work = St.Queue.start(Ctx.Now, policy, target, capacity, late);
+    for (const auto &it : late)
+      if (auto *flight = find(it.Id))
+        refuse(*flight, RefusalReason::Overloaded, "the wait left too little time before the deadline",
+               Duration{});
+    auto *flight = work ? find(work->Id) : nullptr;
+    if (flight == nullptr) {
+      Svc.Slots.release(Ctx, *connection, false);
+      return;
+    }
+    Ctx.emit(Observe{"queue_wait", Ctx.Now - work->QueuedAt});
+    execute(*flight, *connection);
+  }
+}
+
+void Engine::pumpAll() {
+  for (const auto &target : St.Queue.waitingTargets())
+    pump(target);
+}
+
+GroupMark Engine::markOf(const GroupView &view) const {
+  const auto &group = view.Group;
+  return {group.Term, group.State, group.Primary, takesNewWork(view, group.Primary, Ctx.Rules)};
+}
+
+void Engine::checkGroups() {
+  std::vector<DatabaseId> changed;
+  for (const auto &[database, used] : St.InUse)
+    if (const auto *view = Svc.Groups.find(database); view != nullptr && used.Mark != markOf(*view))
+      changed.push_back(database);
+  for (const auto &database : changed) {
+    const auto &view = *Svc.Groups.find(database);
+    auto it = St.InUse.find(database);
+    if (it == St.InUse.end())
+      continue;
+    const auto old = std::exchange(it->second.Mark, markOf(view));
+    groupChanged(view, old);
+  }
+}
+
+void Engine::groupChanged(const GroupView &view, const GroupMark &old) {
+  const auto &group = view.Group;
+  const bool replaced =
+      group.State == Group::Phase::Done && group.Term != old.Term && group.Primary != old.Primary;
+  std::vector<std::uint64_t> queued;
+  for (const auto &server : group.Servers)
+    for (const auto &work : St.Queue.drain(server.Target))
+      queued.push_back(work.Id);
+  if (replaced) {
+    std::vector<TransactionId> lost;
+    for (const auto &[id, transaction] : St.Transactions)
+      if (transaction.Target == old.Primary)
+        lost.push_back(id);
+    for (const auto &id : lost)
+      loseTransaction(id, "the primary was replaced");
+  }
+  for (const auto id : flightsOf(group.Database)) {
+    auto *flight = find(id);
+    if (flight == nullptr)
+      continue;
+    if (flight->Phase == Phase::Running && replaced && flight->Target == old.Primary) {
+      leaveConnection(*flight, true, false);
+      lostAnswer(*flight, RetryReason::TermChanged);
+    } else if (flight->Phase == Phase::Confirming) {
+      checkConfirmed(*flight);
+    } else if (flight->Phase == Phase::Resolving) {
+      askMarker(*flight);
+    }
+  }
+  for (const auto id : queued)
+    if (auto *flight = find(id))
+      dispatch(*flight);
+  if (group.State == Group::Phase::Done && takesNewWork(view, group.Primary, Ctx.Rules))
+    release(view);
+}
+
+void Engine::release(const GroupView &view) {
+  const auto &group = view.Group;
+  auto ids = flightsOf(group.Database);
+  std::erase_if(ids, [&](std::uint64_t id) {
+    const auto &flight = St.Flights.at(id);
+    return flight.Phase != Phase::Parked || flight.MinTerm > group.Term;
+  });
+  if (ids.empty())
+    return;
+  const auto *server = group.find(group.Primary);
+  const auto slots = server == nullptr ? 1 : server->Slots;
+  const auto &policy = Svc.Policies.databasePolicy(group.Database);
+  const auto senders = Svc.Slots.otherHolders(group.Database, group.Primary).size() + 1;
+  auto &pacer = St.Queue.pacer(group.Database);
+  pacer.begin(
+      Ctx.Now,
+      releaseInterval(St.Queue.service(group.Primary, Lane::Short), slots * policy.SlotConnections, senders),
+      ids.size());
+  for (const auto id : ids) {
+    auto *flight = find(id);
+    if (flight == nullptr)
+      continue;
+    flight->Phase = Phase::Paced;
+    --St.InUse[group.Database].Parked;
+    const auto at = pacer.next(Ctx.Now, St.Options.Release, Ctx.Random);
+    if (at <= Ctx.Now)
+      dispatch(*flight);
+    else
+      wakeAt(*flight, at);
+  }
+}
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/request/internal/finish.cpp
@@ -0,0 +1,120 @@
+// The one answer to each request, and lookups.
+
+#include "outcome/outcome.h"
+#include "request/internal/engine.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge::detail {
+
+namespace {
+const char *const AnswerInvariant = "answer_matching";
+}
+
+void Engine::finish(Flight &flight, Answer answer) {
+  const auto id = flight.Id;
+  const auto *refusal = std::get_if<Refusal>(&answer);
+  if (!flight.Connection.empty() && !flight.inTransaction()) {
+    Ctx.emit(InvariantBroken{"transaction_isolation", "request answered while on a connection"});
+    leaveConnection(flight, true, false);
+  }
+  St.Queue.remove(id);
+  St.Timers.erase({flight.WakeAt, id});
+  if (!flight.ForwardId.empty())
+    St.ToPeers.erase(flight.ForwardId);
+  if (auto it = St.Keys.find(flight.Request.IdempotencyKey); it != St.Keys.end() && it->second == id)
+    St.Keys.erase(it);
+  if (flight.From) {
+    if (St.FromPeers.erase({*flight.From, flight.FromId}) == 1)
+      Ctx.emit(SendToPeer{*flight.From, ForwardAnswer{flight.FromId, std::move(answer)}});
+    else
+      Ctx.emit(InvariantBroken{AnswerInvariant, "second answer to a forwarded request"});
+  } else if (St.Own.erase(flight.Request.Id) == 1) {
+    if (refusal != nullptr)
+      Ctx.emit(CountRefusal{refusal->Reason});
+    Ctx.emit(Observe{"request", Ctx.Now - flight.ArrivedAt});
+    Ctx.emit(Respond{flight.Request.Id, std::move(answer)});
+  } else {
+    Ctx.emit(InvariantBroken{AnswerInvariant, "second answer to a request"});
+  }
+  const auto database = flight.Request.Database;
+  if (flight.Phase == Phase::Parked)
+    --St.InUse[database].Parked;
+  St.Flights.erase(id);
+  unuse(database);
+}
+
+void Engine::refuse(Flight &flight, RefusalReason reason, std::string message,
+                    std::optional<Duration> retryAfter) {
+  refuseAs(flight, reason, ranWithoutProof(flight.Sent, flight.hasEffects()), std::move(message), retryAfter);
+}
+
+void Engine::refuseAs(Flight &flight, RefusalReason reason, Ran ran, std::string message,
+                      std::optional<Duration> retryAfter) {
+  finish(flight, Refusal{reason, ran, retryAfter, std::move(message)});
+}
+
+void Engine::broken(Flight &flight, const char *invariant, std::string detail) {
+  Ctx.emit(InvariantBroken{invariant, detail});
+  refuse(flight, RefusalReason::InvariantBroken, std::move(detail));
+}
+
+bool Engine::takeRetry(Flight &flight, RetryReason reason) {
+  if (!St.Queue.takeRetry(flight.Request.Database)) {
+    Ctx.emit(Count{"retry_budget_spent_total"});
+    return false;
+  }
+  Ctx.emit(CountRetry{reason});
+  return true;
+}
+
+void Engine::unmatched() { Ctx.emit(Count{"unmatched_answers_total"}); }
+
+void Engine::use(const DatabaseId &database) {
+  auto [it, added] = St.InUse.try_emplace(database);
+  ++it->second.Count;
+  if (!added)
+    return;
+  if (const auto *view = Svc.Groups.find(database))
+    it->second.Mark = markOf(*view);
+}
+
+void Engine::unuse(const DatabaseId &database) {
+  auto it = St.InUse.find(database);
+  if (it != St.InUse.end() && --it->second.Count == 0)
+    St.InUse.erase(it);
+}
+
+const GroupView &Engine::viewOf(const Flight &flight) const {
+  return *Svc.Groups.find(flight.Request.Database);
+}
+
+const DatabasePolicy &Engine::policyOf(const Flight &flight) const {
+  return Svc.Policies.databasePolicy(flight.Request.Database);
+}
+
+const ClassPolicy &Engine::classOf(const Flight &flight) const {
+  return Svc.Policies.classPolicy(flight.Request.Database, flight.Request.Class);
+}
+
+Flight *Engine::find(std::uint64_t id) {
+  auto it = St.Flights.find(id);
+  return it == St.Flights.end() ? nullptr : &it->second;
+}
+
+std::vector<std::uint64_t> Engine::flightsOf(const DatabaseId &database) const {
+  std::vector<std::uint64_t> out;
+  for (const auto &[id, flight] : St.Flights)
+    if (flight.Request.Database == database)
+      out.push_back(id);
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+CallId Engine::call(Module owner, const Flight &flight, const TargetId &target) {
+  const auto out = Ctx.call(owner);
+  St.Calls[out.Number] = {flight.Id, target, Ctx.Now};
+  return out;
+}
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/request/internal/timers.cpp
@@ -0,0 +1,97 @@
+// Deadlines and waits.
+
+#include "outcome/outcome.h"
+#include "request/internal/engine.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge::detail {
+
+namespace {
+constexpr Duration NoPrimaryRetryAfter = 1s;
+} // namespace
+
+void Engine::wakeAt(Flight &flight, TimePoint at) {
+  at = std::min(at, flight.Request.Deadline);
+  if (at == flight.WakeAt)
+    return;
+  St.Timers.erase({flight.WakeAt, flight.Id});
+  flight.WakeAt = at;
+  St.Timers.emplace(at, flight.Id);
+}
+
+void Engine::timers() {
+  std::vector<std::uint64_t> due;
+  for (auto it = St.Timers.begin(); it != St.Timers.end() && it->first <= Ctx.Now; ++it)
+    due.push_back(it->second);
+  for (const auto id : due)
+    if (auto *flight = find(id); flight != nullptr && flight->WakeAt <= Ctx.Now)
+      wake(*flight);
+  std::vector<TransactionId> over;
+  for (auto it = St.TransactionDeadlines.begin(); it != St.TransactionDeadlines.end() && it->first <= Ctx.Now;
+       ++it)
+    over.push_back(it->second);
+  for (const auto &id : over) {
+    auto &transaction = St.Transactions.at(id);
+    const auto *flight = find(transaction.Busy);
+    if (flight == nullptr) {
+      endTransaction(id, true);
+      continue;
+    }
+    // A shutdown brought the end forward: the running statement still has its own time.
+    St.TransactionDeadlines.erase({transaction.Deadline, id});
+    transaction.Deadline = std::max(flight->Request.Deadline, Ctx.Now + 1ms);
+    St.TransactionDeadlines.emplace(transaction.Deadline, id);
+  }
+}
+
+void Engine::wake(Flight &flight) {
+  if (Ctx.Now >= flight.Request.Deadline) {
+    expire(flight);
+    return;
+  }
+  // Later than any other wake of this flight in the same instant.
+  wakeAt(flight, flight.Request.Deadline);
+  switch (flight.Phase) {
+  case Phase::Paced:
+    dispatch(flight);
+    return;
+  case Phase::Awaiting:
+    replicaWaitOver(flight);
+    return;
+  case Phase::Confirming:
+    askReplicas(flight);
+    return;
+  case Phase::Resolving:
+    askMarker(flight);
+    return;
+  case Phase::Queued:
+  case Phase::Parked:
+  case Phase::Running:
+  case Phase::Forwarded:
+    return;
+  }
+}
+
+void Engine::expire(Flight &flight) {
+  if (flight.Phase == Phase::Running) {
+    if (flight.inTransaction())
+      endTransaction(flight.Request.Transaction, true);
+    leaveConnection(flight, true, false);
+  }
+  const bool forwardedStep = flight.Phase == Phase::Forwarded && flight.inTransaction() &&
+                             flight.Request.Step == TransactionStep::Statement;
+  const auto ran = forwardedStep ? Ran::Unknown : ranWithoutProof(flight.Sent, flight.hasEffects());
+  if (ran == Ran::Unknown)
+    refuseAs(flight, RefusalReason::OutcomeUnknown, ran, "no proof of the outcome before the deadline");
+  else if (flight.Phase == Phase::Parked)
+    refuse(flight, RefusalReason::NoPrimary, "no primary before the deadline", NoPrimaryRetryAfter);
+  else if (flight.Ahead)
+    refuse(flight, RefusalReason::SessionAhead, "no server holds what this session wrote", Duration{});
+  else if (flight.Phase == Phase::Queued)
+    refuse(flight, RefusalReason::Overloaded, "no connection before the deadline", Duration{});
+  else
+    refuse(flight, RefusalReason::DeadlineExceeded, "no answer before the deadline");
+}
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/request/requestmodule.cpp
@@ -0,0 +1,94 @@
+// Face of the request module to the reducer.
+
+#include "request/requestmodule.h"
+
+#include "request/internal/engine.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+using detail::Engine;
+
+RequestModule::RequestModule(RequestOptions options)
+    : State(std::make_unique<detail::RequestState>(options)) {}
+RequestModule::~RequestModule() = default;
+RequestModule::RequestModule(RequestModule &&) noexcept = default;
+RequestModule &RequestModule::operator=(RequestModule &&) noexcept = default;
+
+void RequestModule::onRequest(Context &ctx, Services &services, const CallerRequest &request) {
+  Engine(ctx, services, *State).arrive(request);
+}
+
+void RequestModule::onCallerGone(Context &ctx, Services &services, RequestId id) {
+  Engine(ctx, services, *State).callerGone(id);
+}
+
+void RequestModule::onForwardRequest(Context &ctx, Services &services, const NodeId &from,
+                                     const ForwardRequest &message) {
+  Engine(ctx, services, *State).arriveForwarded(from, message);
+}
+
+void RequestModule::onForwardAnswer(Context &ctx, Services &services, const NodeId &from,
+                                    const ForwardAnswer &message) {
+  Engine(ctx, services, *State).forwardAnswered(from, message);
+}
+
+void RequestModule::onPeerLost(Context &ctx, Services &services, const NodeId &node) {
+  Engine(ctx, services, *State).peerLost(node);
+}
+
+void RequestModule::onExecutionFinished(Context &ctx, Services &services, const ExecutionFinished &event) {
+  Engine(ctx, services, *State).executionFinished(event);
+}
+
+void RequestModule::onConnectionClosed(Context &ctx, Services &services, const ConnectionClosed &event) {
+  Engine(ctx, services, *State).connectionClosed(event);
+}
+
+void RequestModule::onControlAnswer(Context &ctx, Services &services, const ControlAnswer &event) {
+  Engine(ctx, services, *State).controlAnswered(event);
+}
+
+void RequestModule::onCapacity(Context &ctx, Services &services) {
+  Engine engine(ctx, services, *State);
+  engine.checkGroups();
+  engine.pumpAll();
+}
+
+void RequestModule::onTimer(Context &ctx, Services &services) {
+  Engine engine(ctx, services, *State);
+  engine.checkGroups();
+  engine.timers();
+  engine.pumpAll();
+}
+
+void RequestModule::onShutdown(Context &ctx, Services &services) {
+  Engine(ctx, services, *State).endLongTransactions();
+}
+
+std::size_t RequestModule::inFlight() const { return State->Flights.size() + State->Transactions.size(); }
+
+std::size_t RequestModule::inFlight(const TargetId &target) const {
+  const auto flights = std::count_if(State->Flights.begin(), State->Flights.end(), [&](const auto &it) {
+    const auto &flight = it.second;
+    return flight.Target == target && !flight.inTransaction() &&
+           (flight.Phase == detail::Phase::Running || flight.Phase == detail::Phase::Queued);
+  });
+  const auto transactions = std::count_if(State->Transactions.begin(), State->Transactions.end(),
+                                          [&](const auto &it) { return it.second.Target == target; });
+  return static_cast<std::size_t>(flights + transactions);
+}
+
+std::optional<TimePoint> RequestModule::nextTimer() const {
+  std::optional<TimePoint> out;
+  auto take = [&](const auto &timers) {
+    if (!timers.empty() && (!out || timers.begin()->first < *out))
+      out = timers.begin()->first;
+  };
+  take(State->Timers);
+  take(State->TransactionDeadlines);
+  return out;
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/request/tests/forwarding.cpp
@@ -0,0 +1,127 @@
+// Requests that run at another proxy.
+
+#include "request/tests/world.h"
+
+#include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+using namespace rosemaryhinge::test;
+
+namespace {
+
+/// An entry proxy that holds no slot.
+struct Entry : World {
+  Entry() { Slots.Held.clear(); }
+
+  std::pair<NodeId, ForwardRequest> forwardWrite() {
+    ask(request(1, false));
+    auto out = takeForward();
+    REQUIRE(out);
+    return *out;
+  }
+};
+
+void arrive(World &w, const ForwardRequest &message) {
+  w.with([&](auto &ctx, auto &services) { w.Module.onForwardRequest(ctx, services, NodeId("n1"), message); });
+}
+
+std::vector<Answer> answersToPeer(World &w) {
+  std::vector<Answer> out;
+  for (const auto &it : w.take<SendToPeer>())
+    if (const auto *message = std::get_if<ForwardAnswer>(&it.Message))
+      out.push_back(message->Answer);
+  return out;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(Entry, "only the proxy that was asked can answer, and only once") {
+  const auto [node, message] = forwardWrite();
+  CHECK(message.Budget < 2s);
+  CHECK_FALSE(message.Request.IdempotencyKey.empty());
+  forwarded(node == NodeId("n1") ? "n2" : "n1", Success{}, message.Id);
+  CHECK(take<Respond>().empty());
+  forwarded(node.str().c_str(), Success{}, message.Id);
+  forwarded(node.str().c_str(), Success{}, message.Id);
+  CHECK(take<Respond>().size() == 1);
+  CHECK(take<Count>().size() == 2);
+}
+
+TEST_CASE_FIXTURE(Entry,
+                  "a write at a lost proxy runs elsewhere only after its attempt is aborted for good") {
+  const auto [node, message] = forwardWrite();
+  with([&, lost = node](auto &ctx, auto &services) { Module.onPeerLost(ctx, services, lost); });
+  CHECK_FALSE(takeForward());
+  const auto abort = takeAbort();
+  REQUIRE(abort);
+  CHECK(std::get<AbortMarker>(abort->Request).Marker == Marker{message.Request.IdempotencyKey, 1});
+  reply(*abort, MarkerRecord{false, 1, std::nullopt, {1, 1100}});
+  CHECK_FALSE(takeForward());
+  replyStatus({1, 1100});
+  const auto again = takeForward();
+  REQUIRE(again);
+  CHECK(again->first != node);
+  CHECK(again->second.Attempt == 2);
+  CHECK(again->second.Request.IdempotencyKey == message.Request.IdempotencyKey);
+  CHECK(again->second.Id != message.Id);
+}
+
+TEST_CASE_FIXTURE(Entry, "a read at a lost proxy goes to another holder") {
+  ask(request(1, true));
+  const auto first = takeForward();
+  REQUIRE(first);
+  with([&](auto &ctx, auto &services) { Module.onPeerLost(ctx, services, first->first); });
+  const auto second = takeForward();
+  REQUIRE(second);
+  CHECK(second->first != first->first);
+}
+
+TEST_CASE_FIXTURE(Entry, "a forwarded write without an answer is unknown at its deadline") {
+  forwardWrite();
+  advance(3s);
+  const auto answers = take<Respond>();
+  REQUIRE(answers.size() == 1);
+  CHECK((std::get<Refusal>(answers[0].Answer).Ran == Ran::Unknown));
+}
+
+TEST_CASE("a holder never raises the attempt by itself: the entry proxy may have said not_run") {
+  World w;
+  auto request = w.request(5, false);
+  request.IdempotencyKey = "p:key";
+  arrive(w, ForwardRequest{RequestId{9}, 1s, 1, 1, request});
+  const auto run = w.take<Execute>().at(0);
+  w.finish(run, MarkerConflict{MarkerRecord{false, 1, std::nullopt, {1, 1100}}});
+  w.replyStatus({1, 1100});
+  CHECK(w.take<Execute>().empty());
+  const auto answers = answersToPeer(w);
+  REQUIRE(answers.size() == 1);
+  CHECK((std::get<Refusal>(answers[0]).Ran == Ran::NotRun));
+}
+
+TEST_CASE("a duplicated message does not run twice, and the budget ends the request here") {
+  World w;
+  auto request = w.request(5, false);
+  request.IdempotencyKey = "p:key";
+  request.Deadline = TimePoint{1s}; // On the clock of another VM.
+  const ForwardRequest message{RequestId{9}, 1s, 1, 1, request};
+  arrive(w, message);
+  arrive(w, message);
+  CHECK(w.take<Execute>().size() == 1);
+  w.advance(1s);
+  const auto answers = answersToPeer(w);
+  REQUIRE(answers.size() == 1);
+  CHECK((std::get<Refusal>(answers[0]).Ran == Ran::Unknown));
+}
+
+TEST_CASE("a request is not passed on for ever, nor back to where it came from") {
+  World w;
+  w.Slots.Held.clear();
+  w.Slots.Holders[World::server(0)] = {NodeId("n1")};
+  auto request = w.request(5, false);
+  request.IdempotencyKey = "p:key";
+  arrive(w, ForwardRequest{RequestId{8}, 1s, 1, 1, request});
+  CHECK_FALSE(w.takeForward());
+  w.Slots.Holders[World::server(0)] = {NodeId("n2")};
+  arrive(w, ForwardRequest{RequestId{9}, 1s, 2, 1, request});
+  CHECK_FALSE(w.takeForward());
+}
--- a/src/routing/replicarule.cpp
+++ b/src/routing/replicarule.cpp
@@ -5,6 +5,8 @@
 #include "session/coverage.h"
 
 #include <algorithm>
+#include <functional>
+#include <vector>
 
 namespace rosemaryhinge {
 
@@ -21,6 +23,20 @@
   return (it == view.Samples.end() ? now : it->At) + *lag;
 }
 
+/// Latest time at which a majority of the servers is known not to have gone on to a later term. A primary
+/// that was cut off still calls itself current, so its samples prove nothing after this time.
+std::optional<TimePoint> termConfirmedAt(const GroupView &view) {
+  std::vector<TimePoint> times;
+  for (const auto &[target, server] : view.Targets)
+    if (server.SampledAt && server.Status.RaisedTerm == view.Group.Term)
+      times.push_back(*server.SampledAt);
+  const auto need = view.Group.majority();
+  if (times.size() < need)
+    return std::nullopt;
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[need - 1];
+}
+
 } // namespace
 
 bool satisfies(const GroupTable &groups, const GroupView &view, Position at, const ReadNeed &need,
@@ -33,8 +49,9 @@
   if (need.Token && covers(at, *need.Token, view.Group.History))
     return true;
   if (need.MaxAge) {
-    auto current = groups.currentAt(view, at);
-    return current && asked - *current < *need.MaxAge;
+    const auto current = groups.currentAt(view, at);
+    const auto confirmed = termConfirmedAt(view);
+    return current && confirmed && asked - std::min(*current, *confirmed) < *need.MaxAge;
   }
   return !need.Token;
 }
@@ -48,7 +65,7 @@
     return ReplicaVerdict::No;
   if (satisfies(groups, view, replica.Status.Log, need, now, rules))
     return ReplicaVerdict::Yes;
-  if (!need.Token || !survives(replica.Status.Log, view.Group.History))
+  if (!need.Token || need.Wait <= Duration{} || !survives(replica.Status.Log, view.Group.History))
     return ReplicaVerdict::No;
   auto expected = expectedAt(view, *need.Token, lag, now);
   return expected && *expected <= now + need.Wait ? ReplicaVerdict::Soon : ReplicaVerdict::No;
--- a/src/routing/replicarule.h
+++ b/src/routing/replicarule.h
@@ -15,7 +15,7 @@
 struct ReadNeed {
   std::optional<Position> Token;  ///< What the session wrote.
   std::optional<Duration> MaxAge; ///< Age of the data that the caller accepts, instead of the token.
-  Duration Wait{};                ///< How long the read may wait for a replica.
+  Duration Wait{};                ///< How long the read may wait for a replica; 0: not at all.
 };
 
 enum class ReplicaVerdict : std::uint8_t {
--- a/src/routing/tests/replicarule.cpp
+++ b/src/routing/tests/replicarule.cpp
@@ -17,9 +17,18 @@
 
   Fixture() {
     View.Group.Term = 2;
+    for (const char *it : {"s0", "s1", "s2"})
+      View.Group.Servers.push_back({TargetId(it), "", {}, {}, 3});
+    confirmTerm(2);
     View.Group.History = {{1, 0}, {2, 1000}};
     Replica.SampledAt = Now;
   }
+  void confirmTerm(Term raised) {
+    for (const char *it : {"s1", "s2"}) {
+      View.Targets[TargetId(it)].SampledAt = Now;
+      View.Targets[TargetId(it)].Status.RaisedTerm = raised;
+    }
+  }
   ReplicaVerdict ask(const ReadNeed &need, Position at, std::optional<Duration> lag = std::nullopt,
                      ReadPolicy policy = ReadPolicy::Token) {
     Replica.Status.Log = at;
@@ -49,6 +58,12 @@
   CHECK(ask(need, {2, 1499}) == ReplicaVerdict::No);
 }
 
+TEST_CASE_FIXTURE(Fixture, "samples of a primary that was cut off prove no age") {
+  View.Samples.push_back({Now, {2, 1500}});
+  confirmTerm(3);
+  CHECK(ask({std::nullopt, 200ms, 0ms}, {2, 1500}) == ReplicaVerdict::No);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a read waits only for a replica that is expected in time") {
   View.Samples.push_back({Now - 90ms, {2, 1200}});
   const ReadNeed need{Position{2, 1200}, {}, 30ms};
