--- a/src/fakes/layout.cpp
+++ b/src/fakes/layout.cpp
@@ -13,11 +13,30 @@
 }
 
 std::string Layout::settingsTree() const {
-  std::string out = "revision: 1\nchange_id: initial\nauthor: setup\nhistory: []\ntree:\n  services:\n    " +
-                    Service + ":\n      databases: [";
-  for (std::size_t n = 0; n < Groups.size(); ++n)
-    out += (n == 0 ? "" : ", ") + Groups[n].Database.str();
-  return out + "]\n";
+  std::string databases;
+  for (const auto &it : Groups)
+    databases += (databases.empty() ? "" : ", ") + it.Database.str();
+  return "groups:\n"
+         "  " +
+         Deployment +
+         ":\n"
+         "    settings:\n"
+         "      slots.connections: " +
+         std::to_string(SlotConnections) +
+         "\n"
+         "    services:\n"
+         "      " +
+         Service +
+         ":\n"
+         "        databases: [" +
+         databases +
+         "]\n"
+         "        classes:\n"
+         "          default: {}\n"
+         "          fast:\n"
+         "            settings: {acknowledge.strength: primary}\n"
+         "          repeatable:\n"
+         "            settings: {repeatable: true}\n";
 }
 
 Layout makeLayout(const std::string &deployment, std::size_t nodes, std::size_t databases,
