--- a/src/fakes/network.cpp
+++ b/src/fakes/network.cpp
@@ -11,7 +11,7 @@
   return static_cast<Endpoint>(Machines.size() - 1);
 }
 
-std::uint32_t FakeNetwork::cut(std::vector<Endpoint> a, std::vector<Endpoint> b, bool oneWay) {
+std::uint32_t FakeNetwork::cut(const std::vector<Endpoint> &a, const std::vector<Endpoint> &b, bool oneWay) {
   Cut cut{NextCut++, std::vector<bool>(Machines.size()), std::vector<bool>(Machines.size()), oneWay};
   for (auto it : a)
     cut.A[it] = true;
--- a/src/fakes/network.h
+++ b/src/fakes/network.h
@@ -29,7 +29,7 @@
   [[nodiscard]] std::size_t size() const { return Machines.size(); }
 
   /// Cuts every link between the two sides. OneWay loses only what goes from A to B. Returns the cut's id.
-  std::uint32_t cut(std::vector<Endpoint> a, std::vector<Endpoint> b, bool oneWay = false);
+  std::uint32_t cut(const std::vector<Endpoint> &a, const std::vector<Endpoint> &b, bool oneWay = false);
   void heal(std::uint32_t cut);
   void healAll();
   [[nodiscard]] bool reaches(Endpoint from, Endpoint to) const;
--- a/src/fakes/proxy.cpp
+++ b/src/fakes/proxy.cpp
@@ -268,7 +268,7 @@
     World.Queue.after(World.Random.between(low, high),
                       [this, incarnation, to] { receiveFor(incarnation, PeerLost{to}); });
   };
-  auto deliver = [this, peer, from = Config.Node, message = std::move(effect.Message), notice] {
+  auto deliver = [peer, from = Config.Node, message = std::move(effect.Message), notice] {
     if (peer->running())
       peer->receive(PeerReceived{from, message});
     else
--- a/src/soak/answermatching.cpp
+++ b/src/soak/answermatching.cpp
@@ -23,7 +23,7 @@
   const auto &tag = submission.What->Tag;
   for (const auto &it : success->Results)
     if (auto other = fakes::resultTag(it); other != tag)
-      fail("operation " + tag + " got a result of '" + other + "'");
+      fail(std::string("operation ").append(tag).append(" got a result of '").append(other).append("'"));
   bool counted = submission.Step == TransactionStep::None || submission.Step == TransactionStep::Statement;
   if (counted && success->Results.size() != submission.Statements)
     fail("operation " + tag + " got " + std::to_string(success->Results.size()) + " results for " +
--- a/src/soak/nolostwrite.cpp
+++ b/src/soak/nolostwrite.cpp
@@ -41,7 +41,12 @@
                         const std::string &when) {
   for (const auto &[tag, op] : Acknowledged)
     if (op->Database == database && !server.contains(tag))
-      fail("acknowledged write " + tag + " is not in the log of " + server.name().str() + " " + when);
+      fail(std::string("acknowledged write ")
+               .append(tag)
+               .append(" is not in the log of ")
+               .append(server.name().str())
+               .append(" ")
+               .append(when));
 }
 
 void NoLostWrite::atEnd() {
--- a/src/soak/run.cpp
+++ b/src/soak/run.cpp
@@ -188,6 +188,7 @@
 
 std::vector<std::string> breakableInvariants() {
   std::vector<std::string> out;
+  out.reserve(Switches.size());
   for (const auto &[name, rule] : Switches)
     out.emplace_back(name);
   return out;
