--- a/src/soak/run.cpp
+++ b/src/soak/run.cpp
@@ -5,6 +5,7 @@
 #include "fakes/fleet.h"
 #include "soak/checkers.h"
 #include "soak/faults.h"
+#include "soak/liveness.h"
 #include "soak/tally.h"
 #include "soak/tracer.h"
 
@@ -19,9 +20,6 @@
 
 constexpr Duration StartUp = 4s;
 constexpr Duration Settling = 10s;
-constexpr Duration LivenessBound = 6s;
-/// Each check of liveness may take several tries within its bound, as a caller would.
-constexpr Duration LivenessDeadline = 2s;
 
 constexpr std::array<std::pair<std::string_view, bool Rules::*>, 11> Switches = {{
     {"read_your_writes", &Rules::ReadYourWrites},
@@ -61,7 +59,7 @@
     for (const auto &it : World.Callers)
       it->stop();
     World.runFor(4s);
-    checkLiveness();
+    Result.Violations = checkLiveness(World);
     for (auto *it : Checks.all())
       it->atEnd();
     collect();
@@ -101,39 +99,6 @@
     }
   }
 
-  bool eventually(fakes::FakeCaller &caller, bool write) {
-    auto until = World.Queue.now() + LivenessBound;
-    while (World.Queue.now() < until) {
-      caller.runOnce(write);
-      while (!caller.idle() && World.Queue.now() < until)
-        World.runFor(20ms);
-      if (caller.Last && std::holds_alternative<Success>(*caller.Last))
-        return true;
-      World.runFor(100ms);
-    }
-    return false;
-  }
-
-  void checkLiveness() {
-    for (const auto &group : World.Plan.Groups) {
-      fakes::CallerProfile profile;
-      profile.Database = group.Database;
-      profile.Deadline = LivenessDeadline;
-      auto &caller = World.addCaller(profile);
-      caller.stop();
-      for (bool write : {true, false})
-        if (!eventually(caller, write)) {
-          std::string detail = std::string("no ") + (write ? "write" : "read") + " succeeds on " +
-                               group.Database.str() + " after all faults are healed";
-          if (caller.Last)
-            if (const auto *it = std::get_if<Refusal>(&*caller.Last))
-              detail += ": " + std::string(toString(it->Reason));
-          World.trace("VIOLATION liveness: " + detail);
-          Result.Violations.push_back({"liveness", detail, World.Queue.now()});
-        }
-    }
-  }
-
   void collect() {
     auto found = Checks.violations();
     Result.Violations.insert(Result.Violations.end(), found.begin(), found.end());
