--- a/src/soak/faults.cpp
+++ b/src/soak/faults.cpp
@@ -262,7 +262,7 @@
 
 void Faults::editSettings(FakeProxy &proxy, std::uint64_t base, const std::string &changeId) {
   nlohmann::json body = {
-      {"base_revision", base}, {"change_id", changeId},
+      {"revision", base}, {"change_id", changeId},
       {"author", "operator"},  {"time", "2026-12-04T00:00:00Z"},
       {"why", "soak"},         {"path", "/" + World.Plan.Deployment + "/" + World.Plan.Service},
       {"key", "read.wait"},    {"value", std::to_string(20 + World.Random.below(30)) + "ms"}};
