--- a/src/request/internal/execute.cpp
+++ b/src/request/internal/execute.cpp
@@ -187,7 +187,7 @@
   if (!again) {
     Ctx.emit(CountRetry{reason});
     if (mayAssumeNotRun(Ctx.Rules))
-      refuse(flight, RefusalReason::LostAnswer, "the answer was lost");
+      refuseAs(flight, RefusalReason::LostAnswer, Ran::NotRun, "the answer was lost");
     else
       resolve(flight, viewOf(flight).Group.Term);
     return;
--- a/src/request/tests/forwarding.cpp
+++ b/src/request/tests/forwarding.cpp
@@ -66,6 +66,16 @@
   CHECK(again->second.Id != message.Id);
 }
 
+TEST_CASE_FIXTURE(Entry,
+                  "a proxy that knows nothing of the replicas asks one of their holders, not the primary's") {
+  Slots.Holders = {{server(0), {NodeId("n1")}}, {server(1), {NodeId("n2")}}};
+  Now += 10s; // All samples are old.
+  auto read = request(1, true);
+  read.Session = Position{1, 5000};
+  ask(read);
+  CHECK(takeForward()->first == NodeId("n2"));
+}
+
 TEST_CASE_FIXTURE(Entry, "a read at a lost proxy goes to another holder") {
   ask(request(1, true));
   const auto first = takeForward();
--- a/src/routing/choosetarget.cpp
+++ b/src/routing/choosetarget.cpp
@@ -61,6 +61,8 @@
     if (it.Verdict == verdict && services.Slots.holds(it.Target)) {
       if (verdict == ReplicaVerdict::Yes)
         return RunHere{it.Target};
+      if (verdict == ReplicaVerdict::Unknown)
+        continue;
       if (auto token = translate(*query.Need.Token, query.View.Group.History))
         return WaitHere{it.Target, *token};
     }
@@ -120,6 +122,10 @@
     for (auto verdict : {ReplicaVerdict::Yes, ReplicaVerdict::Soon})
       if (auto route = routeToReplica(ctx, services, query, candidates, verdict))
         return *route;
+    // Its holder decides again with samples of its own, and may pass the read on to the primary.
+    if (query.Hops == 0)
+      if (auto route = routeToReplica(ctx, services, query, candidates, ReplicaVerdict::Unknown))
+        return *route;
   }
   return routeToPrimary(ctx, services, query);
 }
--- a/src/routing/replicarule.cpp
+++ b/src/routing/replicarule.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Holders query their servers several times in this time; an older sample says little.
+constexpr Duration RecentSample = 1s;
+
 /// Time at which the replica is expected to hold the token: when the primary first showed it, plus the lag.
 std::optional<TimePoint> expectedAt(const GroupView &view, Position token, std::optional<Duration> lag,
                                     TimePoint now) {
@@ -62,9 +65,11 @@
   if (policy == ReadPolicy::StickyPrimary && need.Token)
     return ReplicaVerdict::No;
   if (!replica.SampledAt)
-    return ReplicaVerdict::No;
+    return ReplicaVerdict::Unknown;
   if (satisfies(groups, view, replica.Status.Log, need, now, rules))
     return ReplicaVerdict::Yes;
+  if (now - *replica.SampledAt > RecentSample)
+    return ReplicaVerdict::Unknown;
   if (!need.Token || need.Wait <= Duration{} || !survives(replica.Status.Log, view.Group.History))
     return ReplicaVerdict::No;
   auto expected = expectedAt(view, *need.Token, lag, now);
--- a/src/routing/replicarule.h
+++ b/src/routing/replicarule.h
@@ -22,6 +22,7 @@
   Yes,
   Soon, ///< Expected to hold the token within the read's wait.
   No,
+  Unknown, ///< This proxy has no recent sample of the replica; a holder of its slots has.
 };
 
 /// True if data at this position satisfies the read, by the proofs known at the time asked.
