--- a/src/request/internal/finish.cpp
+++ b/src/request/internal/finish.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 const char *const AnswerInvariant = "answer_matching";
+/// Calls are forgotten after this time, far above each timeout, should an answer never come.
+constexpr Duration CallLifetime = 10s;
 }
 
 void Engine::finish(Flight &flight, Answer answer) {
@@ -113,6 +115,8 @@
 
 CallId Engine::call(Module owner, const Flight &flight, const TargetId &target) {
   const auto out = Ctx.call(owner);
+  while (!St.Calls.empty() && St.Calls.begin()->second.SentAt + CallLifetime < Ctx.Now)
+    St.Calls.erase(St.Calls.begin());
   St.Calls[out.Number] = {flight.Id, target, Ctx.Now};
   return out;
 }
--- a/src/request/internal/state.h
+++ b/src/request/internal/state.h
@@ -60,7 +60,7 @@
   std::unordered_map<ExecutionId, std::uint64_t> Executions;       ///< Exactly the flights that run.
   std::unordered_map<ConnectionId, ConnectionUse> Connections;     ///< Those given out to this module.
   std::unordered_map<std::string, std::uint64_t> Keys;             ///< Marker keys in flight here.
-  std::unordered_map<std::uint64_t, PendingCall> Calls;            ///< By call number.
+  std::map<std::uint64_t, PendingCall> Calls;                      ///< By call number, which grows with time.
   std::map<TransactionId, Transaction> Transactions;
   std::set<std::pair<TimePoint, std::uint64_t>> Timers;               ///< One entry per flight, at WakeAt.
   std::set<std::pair<TimePoint, TransactionId>> TransactionDeadlines; ///< One entry per transaction.
