--- a/src/journal/internal/writer.cpp
+++ b/src/journal/internal/writer.cpp
@@ -36,19 +36,40 @@
   ctx.emit(PlatformCall{*tail.Call, CallTimeout, PutObject{std::move(key), expected, std::move(value)}});
 }
 
-/// Records that a lost update had written after all.
-void eraseCopies(JournalState &state) {
+void tellOtherOwner(JournalState &state, Context &ctx, const IMembers &members) {
+  JournalWritten out;
+  for (const auto &id : state.Tail.Writing) {
+    // Only records without a gap share a mark: the other owner may hold one that was dropped here.
+    bool follows = !out.Marks.empty() && out.Marks.back().Node == id.Node &&
+                   out.Marks.back().Incarnation == id.Incarnation && out.Marks.back().Last + 1 == id.Sequence;
+    if (!follows)
+      out.Marks.push_back({id.Node, id.Incarnation, id.Sequence, id.Sequence});
+    out.Marks.back().Last = id.Sequence;
+  }
+  for (const auto &it : owners(members))
+    if (it != ctx.Self.Node)
+      ctx.emit(SendToPeer{it, out});
+}
+
+/// Removes held records that are in the store already: by an update whose answer was lost, or by the other
+/// owner.
+void eraseCopies(JournalState &state, Context &ctx, const IMembers &members) {
+  state.Tail.Writing.clear();
   std::istringstream in(state.Tail.Text);
   for (std::string line; std::getline(in, line);)
-    if (auto record = parseRecord(line))
+    if (auto record = parseRecord(line); record && state.Held.contains(record->Id)) {
+      state.Tail.Writing.push_back(record->Id);
       eraseHeld(state, record->Id);
+    }
+  if (!state.Tail.Writing.empty())
+    tellOtherOwner(state, ctx, members);
   state.Tail.CheckCopies = false;
 }
 
-void write(JournalState &state, Context &ctx) {
+void write(JournalState &state, Context &ctx, const IMembers &members) {
   auto &tail = state.Tail;
   if (tail.CheckCopies)
-    eraseCopies(state);
+    eraseCopies(state, ctx, members);
   std::string text;
   tail.Writing.clear();
   for (const auto &[id, held] : state.Held) {
@@ -70,19 +91,6 @@
   put(ctx, tail, Step::Writing, journalKey(tail.Number), tail.Version, tail.NextText);
 }
 
-void tellOtherOwner(JournalState &state, Context &ctx, const IMembers &members) {
-  JournalWritten out;
-  for (const auto &id : state.Tail.Writing) {
-    if (out.Marks.empty() || out.Marks.back().Node != id.Node ||
-        out.Marks.back().Incarnation != id.Incarnation)
-      out.Marks.push_back({id.Node, id.Incarnation, id.Sequence, id.Sequence});
-    out.Marks.back().Last = id.Sequence;
-  }
-  for (const auto &it : owners(members))
-    if (it != ctx.Self.Node)
-      ctx.emit(SendToPeer{it, out});
-}
-
 void onDone(JournalState &state, Context &ctx, const IMembers &members, ObjectVersion version) {
   auto &tail = state.Tail;
   if (tail.Now == Step::WritingHead) {
@@ -93,9 +101,9 @@
   }
   tail.Version = version;
   tail.Text = std::move(tail.NextText);
-  tellOtherOwner(state, ctx, members);
   for (const auto &id : tail.Writing)
     eraseHeld(state, id);
+  tellOtherOwner(state, ctx, members);
   ctx.emit(Count{"journal_written_total", static_cast<double>(tail.Writing.size())});
   tail.Writing.clear();
   tail.Now = Step::Idle;
@@ -104,7 +112,7 @@
         nlohmann::json{{"last", tail.Number}}.dump());
 }
 
-void onValue(JournalState &state, Context &ctx, const ObjectValue &value) {
+void onValue(JournalState &state, Context &ctx, const IMembers &members, const ObjectValue &value) {
   auto &tail = state.Tail;
   if (tail.Now == Step::ReadingHead) {
     tail.HeadVersion = value.Version;
@@ -116,7 +124,7 @@
   tail.Version = value.Version;
   tail.Text = value.Version == 0 ? std::string() : value.Value;
   tail.Known = true;
-  write(state, ctx);
+  write(state, ctx, members);
 }
 
 void onConflict(JournalState &state, Context &ctx) {
@@ -153,8 +161,12 @@
   if (!first && !orphans)
     return;
   state.NextWrite = ctx.Now + WriteInterval;
+  if (!first) { // The first owner may have written these since; what this proxy knows of the tail is old.
+    tail.Known = false;
+    tail.CheckCopies = true;
+  }
   if (tail.Known)
-    write(state, ctx);
+    write(state, ctx, members);
   else
     get(ctx, tail, Step::ReadingHead, std::string(JournalHeadKey));
 }
@@ -165,7 +177,7 @@
     return false;
   tail.Call.reset();
   if (const auto *value = std::get_if<ObjectValue>(&event.Result)) {
-    onValue(state, ctx, *value);
+    onValue(state, ctx, members, *value);
   } else if (const auto *done = std::get_if<PutDone>(&event.Result)) {
     onDone(state, ctx, members, done->Version);
   } else if (std::holds_alternative<PutConflict>(event.Result)) {
