--- a/src/fakes/fleet.cpp
+++ b/src/fakes/fleet.cpp
@@ -5,6 +5,7 @@
 #include "groups/group.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace rosemaryhinge::fakes {
 
@@ -47,8 +48,10 @@
 }
 
 void Fleet::start() {
-  Store->write(
-      {"settings/tree", 0, Options.SettingsTree.empty() ? Plan.settingsTree() : Options.SettingsTree});
+  auto tree = Options.SettingsTree.empty() ? Plan.settingsTree() : Options.SettingsTree;
+  nlohmann::json settings = {{"revision", 1}, {"change_id", "initial"}, {"author", "setup"}, {"tree", tree}};
+  settings["history"] = nlohmann::json::array();
+  Store->write({"settings/tree", 0, settings.dump()});
   for (const auto &it : Plan.Groups)
     Store->write({"groups/" + it.Database.str(), 0, formatGroup(it)});
   for (const auto &it : Groups) {
