Hold reads of a stated age to the age also on a primary that was cut off

Cause: an answer of a server that called itself primary of the term known here dropped the stated age, so an old primary on the wrong side of a cut served data of any age. Change: the answer of a primary counts as current when it was asked, and the term must still be confirmed by a majority within the age, as for replicas.

--- a/src/request/internal/execute.cpp
+++ b/src/request/internal/execute.cpp
@@ -107,8 +107,10 @@
     endTransaction(flight.Request.Transaction, false);
   leaveConnection(flight, false, true);
   auto need = needOf(flight);
-  if (result.Role == TargetRole::Primary && result.At.Term == viewOf(flight).Group.Term && need.MaxAge)
-    need = {}; // The primary itself has the newest data that there is.
+  // A primary that was cut off still calls itself one: how fresh its data is depends on when a majority last
+  // had its term.
+  if (result.Role == TargetRole::Primary && result.At.Term == viewOf(flight).Group.Term)
+    need.FromPrimaryAt = flight.SentAt;
   if (flight.inTransaction() ||
       satisfies(Svc.Groups, viewOf(flight), result.At, need, flight.SentAt, Ctx.Rules)) {
     finish(flight, std::move(flight.Pending));
--- a/src/routing/replicarule.cpp
+++ b/src/routing/replicarule.cpp
@@ -52,7 +52,7 @@
   if (need.Token && covers(at, *need.Token, view.Group.History))
     return true;
   if (need.MaxAge) {
-    const auto current = groups.currentAt(view, at);
+    const auto current = need.FromPrimaryAt ? need.FromPrimaryAt : groups.currentAt(view, at);
     const auto confirmed = termConfirmedAt(view);
     return current && confirmed && asked - std::min(*current, *confirmed) < *need.MaxAge;
   }
