--- a/src/soak/tracer.cpp
+++ b/src/soak/tracer.cpp
@@ -131,8 +131,10 @@
 } // namespace
 
 void Tracer::onSubmitted(const fakes::Submission &it) {
-  World.trace("caller sends " + it.What->Tag + "/" + std::to_string(it.Try) + " " + text(it.Step) +
-              (it.What->Write ? " write" : " read") + " session " + (it.Session ? text(*it.Session) : "-"));
+  World.trace(
+      "caller sends " + it.What->Tag + "/" + std::to_string(it.Try) + " " + text(it.Step) +
+      (it.What->Write ? " write" : " read") + " session " + (it.Session ? text(*it.Session) : "-") +
+      (it.What->MaxStaleness ? " age " + std::to_string(it.What->MaxStaleness->count() / 1000) + "ms" : ""));
 }
 
 void Tracer::onAnswered(const fakes::Submission &it, const Answer &answer) {
