--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -21,6 +21,10 @@
   std::uint64_t Incarnation = 0;
 };
 struct TimerFired {};
+/// Sent by the daemon at the start and once a minute, so that records can tell wall time.
+struct WallClockRead {
+  WallReading Reading;
+};
 /// The process was asked to stop gracefully.
 struct ShutdownRequested {};
 
@@ -48,11 +52,6 @@
   std::string Body;    ///< JSON.
 };
 
-/// The wall clock was read, about once a minute. Used in journal records only.
-struct WallClockRead {
-  WallReading Reading;
-};
-
 using Event = std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerGone, PeerReceived,
                            PeerLost, ConnectionOpened, ConnectionClosed, ExecutionFinished, ControlAnswer,
                            PlatformAnswer, AdminRequest, WallClockRead>;
