Do not resume a promotion whose server may have been promoted

Cause: a promotion whose answer was lost was given up so that the term would not be promoted twice, but the next reading of the group found the own order still open and resumed it under the same term with another server: two primaries of term 2. Change: the highest term under which a promotion was sent is remembered; an order of it is not resumed.

--- a/src/failover/internal/coordinator.cpp
+++ b/src/failover/internal/coordinator.cpp
@@ -74,7 +74,9 @@
   logStep(ctx, promotion, "majority raised");
 }
 
-void sendPromote(Context &ctx, FailoverState &state, Promotion &promotion, const GroupView &view) {
+void sendPromote(Context &ctx, FailoverState &state, DatabaseFailover &db, const GroupView &view) {
+  auto &promotion = *db.Promotion;
+  db.PromoteSent = promotion.Next.Term;
   promotion.State = Promotion::Phase::Promote;
   promotion.Chosen = chooseTarget(view.Group, promotion.Raised, view.Targets);
   auto call = ctx.call(Module::Failover);
@@ -181,7 +183,7 @@
   case Promotion::Phase::Wait:
     sendRaise(ctx, state, promotion, *view);
     if (promotion.State == Promotion::Phase::Wait && ctx.Now >= promotion.WaitUntil)
-      sendPromote(ctx, state, promotion, *view);
+      sendPromote(ctx, state, db, *view);
     break;
   case Promotion::Phase::Promote:
     break;
@@ -203,6 +205,7 @@
     auto own = ctx.Self.Node.str() + ":" + std::to_string(ctx.Incarnation) + ":";
     if (group.State == Group::Phase::Ordered && group.Term == view->Group.Term &&
         view->Group.State == Group::Phase::Ordered && group.ChangeId.starts_with(own) &&
+        group.Term > db.PromoteSent &&
         ctx.Now - view->ChangedAt < services.Policies.databasePolicy(group.Database).TakeoverAfter)
       resumePromotion(ctx, services, state, db, *view);
     return;
--- a/src/failover/internal/failoverstate.h
+++ b/src/failover/internal/failoverstate.h
@@ -34,6 +34,8 @@
   TimePoint NextVoteRequest;
   std::optional<TimePoint> EligibleSince; ///< Since when the conditions for a change hold here.
   std::optional<detail::Promotion> Promotion;
+  /// Highest term under which this proxy has sent a promotion. No other server may be promoted under it.
+  Term PromoteSent = 0;
 };
 
 struct FailoverState {
