--- a/src/slots/slotsmodule.cpp
+++ b/src/slots/slotsmodule.cpp
@@ -211,7 +211,8 @@
     state.ConnectionsPerSlot[slot.Target] = policy.SlotConnections;
     if (held.GivingUp)
       continue;
-    if (!held.Claimed && ctx.Rules.SlotLimit)
+    held.Claimed = held.Claimed || !ctx.Rules.SlotLimit;
+    if (!held.Claimed)
       claimAtServer(ctx, state, slot, held);
     else
       keepWarm(ctx, state, slot, held, policy.WarmConnections);
@@ -425,7 +426,7 @@
   for (auto it = State->Held.lower_bound({target, 0}); it != State->Held.end() && it->first.Target == target;
        ++it) {
     const auto &[slot, held] = *it;
-    if (held.GivingUp || (!held.Claimed && ctx.Rules.SlotLimit))
+    if (held.GivingUp || !held.Claimed)
       continue;
     if (auto connection = State->Pool.take(slot))
       return connection;
