--- a/src/fakes/caller.cpp
+++ b/src/fakes/caller.cpp
@@ -62,7 +62,7 @@
   op.Statements = 1 + Random.below(2);
   op.Fails = Random.chance(Profile.FailingShare);
   if (Random.chance(Profile.LongShare))
-    op.Sleep = Random.between(100ms, 600ms);
+    op.Sleep = Random.between(100ms, 1500ms);
   if (op.Write) {
     op.StrengthPrimary = Random.chance(Profile.PrimaryShare);
     op.Class = ClassName(op.StrengthPrimary ? "fast" : Random.chance(0.3) ? "repeatable" : "default");
--- a/src/fakes/fleet.cpp
+++ b/src/fakes/fleet.cpp
@@ -14,9 +14,7 @@
 } // namespace
 
 Fleet::Fleet(FleetOptions options)
-    : Options(std::move(options)),
-      Plan(makeLayout(Options.Deployment, Options.Nodes, Options.Databases, Options.Servers)),
-      Random(Options.Seed), Network(Queue, Random, Plan) {
+    : Options(std::move(options)), Plan(plan(Options)), Random(Options.Seed), Network(Queue, Random, Plan) {
   // The run does not begin at time zero, so that "long ago" is a valid time.
   Queue.runUntil(TimePoint(1h));
   for (std::size_t n = 0; n < Plan.Nodes.size(); ++n) {
@@ -47,6 +45,13 @@
   Store = std::make_unique<FakeStore>(Queue, Random, Network.add("store", Plan.Places.front()));
 }
 
+Layout Fleet::plan(const FleetOptions &options) {
+  auto out = makeLayout(options.Deployment, options.Nodes, options.Databases, options.Servers);
+  if (options.SlotConnections != 0)
+    out.SlotConnections = options.SlotConnections;
+  return out;
+}
+
 void Fleet::start() {
   auto tree = Options.SettingsTree.empty() ? Plan.settingsTree() : Options.SettingsTree;
   nlohmann::json settings = {{"revision", 1}, {"change_id", "initial"}, {"author", "setup"}, {"tree", tree}};
--- a/src/fakes/fleet.h
+++ b/src/fakes/fleet.h
@@ -31,6 +31,7 @@
   std::string SettingsTree; ///< Empty: that of the layout.
   bool SkewClocks = true;
   std::uint32_t ServerCores = 1000;
+  std::uint32_t SlotConnections = 0; ///< 0: that of the deployment.
 };
 
 /// Misbehaviour of answers and messages, changed by faults during a run.
@@ -76,6 +77,7 @@
   std::uint64_t DuplicatedMessages = 0;
 
 private:
+  [[nodiscard]] static Layout plan(const FleetOptions &options);
   void sendFromServer(FakeServer &server, const ConnectionKey &key, const Event &event);
 
   std::deque<Operation> Operations;
--- a/src/fakes/proxy.cpp
+++ b/src/fakes/proxy.cpp
@@ -17,7 +17,8 @@
 constexpr Duration TimerStep = 100us;
 constexpr Duration NoticeLow = 100ms;
 constexpr Duration NoticeHigh = 1500ms;
-constexpr Duration ServerNoticeHigh = 4s;
+/// A server notices a connection that was cut by its keep-alive, much later than the proxy.
+constexpr Duration ServerNoticeHigh = 15s;
 
 } // namespace
 
@@ -107,12 +108,19 @@
     return;
   World.trace(Config.Node.str() + " pauses for " + std::to_string(time.count() / 1000) + " ms");
   PausedUntil = std::max(PausedUntil, World.Queue.now() + time);
-  World.Queue.at(PausedUntil, [this, incarnation = Incarnation] {
-    if (running() && Incarnation == incarnation && !paused())
+  World.Queue.at(PausedUntil, [this, incarnation = Incarnation, until = PausedUntil] {
+    if (running() && Incarnation == incarnation && PausedUntil == until)
       resume();
   });
 }
 
+void FakeProxy::wake() {
+  if (!running() || !paused())
+    return;
+  PausedUntil = World.Queue.now();
+  resume();
+}
+
 void FakeProxy::resume() {
   auto held = std::move(Held);
   Held.clear();
--- a/src/fakes/proxy.h
+++ b/src/fakes/proxy.h
@@ -42,6 +42,8 @@
   void kill();
   /// No event is handled for the time; then all of them at once. The clock goes on.
   void pause(Duration time);
+  /// Ends a pause early.
+  void wake();
   void shutdown();
 
   /// A caller's request has arrived. Lost runs if the process ends before it answers.
--- a/src/soak/faults.cpp
+++ b/src/soak/faults.cpp
@@ -27,6 +27,8 @@
                                                             "drain_target",    "primary_down",
                                                             "replica_down"};
 
+constexpr int EditsInARow = 4;
+constexpr Duration EditGap = 120ms;
 constexpr Duration RestartLow = 200ms;
 constexpr Duration RestartHigh = 4s;
 
@@ -61,10 +63,13 @@
   case Fault::StoreAnswerLost:
     return disturbStore(fault, time);
   case Fault::SettingsEdit:
-    return settingsSet(0);
+    // An operator's script makes several changes in a row.
+    for (int n = 0; n < EditsInARow; ++n)
+      later(EditGap * n, [this] { settingsSet(); });
+    return;
   case Fault::SettingsRivals:
-    settingsSet(0);
-    settingsSet(0);
+    settingsSet();
+    settingsSet();
     return rivalEdit();
   case Fault::RivalPromotion:
     return rivalPromotion();
@@ -253,19 +258,19 @@
   }
 }
 
-void Faults::settingsSet(int attempt) {
+void Faults::settingsSet() {
   auto *proxy = anyProxy(true);
-  if (proxy == nullptr || attempt > 2)
+  if (proxy == nullptr)
     return;
   editSettings(*proxy, proxy->revision(), "edit-" + std::to_string(++NextChange));
 }
 
 void Faults::editSettings(FakeProxy &proxy, std::uint64_t base, const std::string &changeId) {
   nlohmann::json body = {
-      {"revision", base}, {"change_id", changeId},
-      {"author", "operator"},  {"time", "2026-12-04T00:00:00Z"},
-      {"why", "soak"},         {"path", "/" + World.Plan.Deployment + "/" + World.Plan.Service},
-      {"key", "read.wait"},    {"value", std::to_string(20 + World.Random.below(30)) + "ms"}};
+      {"revision", base},     {"change_id", changeId},
+      {"author", "operator"}, {"time", "2026-12-04T00:00:00Z"},
+      {"why", "soak"},        {"path", "/" + World.Plan.Deployment + "/" + World.Plan.Service},
+      {"key", "read.wait"},   {"value", std::to_string(20 + World.Random.below(30)) + "ms"}};
   auto *by = &proxy;
   proxy.admin(
       "settings.set", body.dump(),
@@ -336,6 +341,7 @@
       World.listLeaving(server.name(), false);
     }
   for (const auto &it : World.Proxies) {
+    it->wake();
     if (it->leaving())
       it->kill();
     it->start();
--- a/src/soak/faults.h
+++ b/src/soak/faults.h
@@ -70,7 +70,7 @@
   void disturbTarget(Fault fault, Duration time);
   void rivalEdit();
   void rivalPromotion();
-  void settingsSet(int attempt);
+  void settingsSet();
 
   fakes::Fleet &World;
   SettingsInForce &Settings;
--- a/src/soak/run.cpp
+++ b/src/soak/run.cpp
@@ -83,6 +83,7 @@
       fakes::CallerProfile profile;
       profile.Database = World.Plan.Groups[n % World.Plan.Groups.size()].Database;
       profile.Think = Random.between(40ms, 200ms);
+      profile.LongShare = Random.chance(0.5) ? 0.03 : 0.15;
       profile.PrimaryShare = Random.chance(0.3) ? 0.3 : 0.0;
       World.addCaller(profile).start();
     }
@@ -92,10 +93,14 @@
     Faulty = Random.between(6s, 14s);
     auto faults = 1 + Random.below(6);
     for (std::size_t n = 0; n < faults; ++n) {
-      auto fault = static_cast<Fault>(Random.below(FaultCount));
-      auto length = Random.between(300ms, 6s);
-      World.Queue.after(Random.between(0us, Faulty - 1s),
-                        [this, fault, length] { Injector.inject(fault, length); });
+      auto fault = Random.chance(0.1) ? Fault::DrainProxy : static_cast<Fault>(Random.below(FaultCount));
+      // Some last longer than any window, timeout and suspicion of the fleet.
+      auto length = Random.chance(0.2) ? Random.between(6s, 14s) : Random.between(300ms, 6s);
+      auto at = Random.between(0us, Faulty - 1s);
+      World.Queue.after(at, [this, fault, length] { Injector.inject(fault, length); });
+      // Revisions that overtake each other are what could take a proxy back.
+      if (fault == Fault::SettingsEdit && Random.chance(0.5))
+        World.Queue.after(at, [this, length] { Injector.inject(Fault::LateMessages, length); });
     }
   }
 
