--- a/src/soak/faults.cpp
+++ b/src/soak/faults.cpp
@@ -233,7 +233,7 @@
       restart();
     });
   } else {
-    proxy->kill();
+    proxy->kill(World.Random.chance(0.5));
     restart();
   }
 }
--- a/src/soak/run.cpp
+++ b/src/soak/run.cpp
@@ -74,6 +74,9 @@
     out.Deployment = random.chance(0.5) ? "paalisoft" : "openraad";
     out.Nodes = 3 + random.below(2);
     out.Databases = random.chance(0.3) ? 2 : 1;
+    // Slots so small that leftover connections of an earlier holder would breach their limit.
+    if (random.chance(0.5))
+      out.SlotConnections = 3;
     return out;
   }
 
@@ -94,9 +97,14 @@
     auto faults = 1 + Random.below(6);
     for (std::size_t n = 0; n < faults; ++n) {
       auto fault = Random.chance(0.1) ? Fault::DrainProxy : static_cast<Fault>(Random.below(FaultCount));
+      auto at = Random.between(0us, 8s);
+      auto length = Random.between(300ms, 6s);
       // Some last longer than any window, timeout and suspicion of the fleet.
-      auto length = Random.chance(0.2) ? Random.between(6s, 14s) : Random.between(300ms, 6s);
-      auto at = Random.between(0us, Faulty - 1s);
+      if (Random.chance(0.15)) {
+        at = Random.between(0us, 2s);
+        length = Random.between(8s, 14s);
+        Faulty = std::max(Faulty, at + length);
+      }
       World.Queue.after(at, [this, fault, length] { Injector.inject(fault, length); });
       // Revisions that overtake each other are what could take a proxy back.
       if (fault == Fault::SettingsEdit && Random.chance(0.5))
