Follow the changed protocol types and send the wall clock to the decision logic

Forwarded requests carry their attempt. The encoder takes messages apart with structured bindings, so a field added to protocol/peer.h that the schema lacks does not compile.

--- a/src/daemon/internal/loop.cpp
+++ b/src/daemon/internal/loop.cpp
@@ -9,6 +9,7 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <sys/timex.h>
 
 namespace rosemaryhinge {
 
@@ -18,6 +19,9 @@
 constexpr std::size_t EventsPerTurn = 256;
 /// Least time between two timer events, should the decision logic ask for times that have passed.
 constexpr Duration MinTimerPause = 500us;
+constexpr std::chrono::seconds WallInterval{60};
+/// Assumed while the system's clock is not synchronised.
+constexpr Duration UnsynchronisedError = 1s;
 constexpr const char *KeysObject = "keys/session";
 constexpr Duration KeysTimeout = 2s;
 constexpr std::chrono::seconds KeysInterval{60};
@@ -27,10 +31,17 @@
 constexpr std::chrono::milliseconds FlushCheck{10};
 constexpr Duration OverloadedRetryAfter = 1s;
 
+/// Bound that the system gives for the error of its wall clock.
+Duration wallClockError() {
+  timex state{};
+  const bool synchronised = adjtimex(&state) >= 0 && (state.status & STA_UNSYNC) == 0;
+  return synchronised ? Duration(state.maxerror) : UnsynchronisedError;
+}
+
 } // namespace
 
 Loop::Loop(asio::io_context &io, IReducer &reducer, Metrics &metrics, ILogger &logger)
-    : Io(io), Reducer(reducer), Counters(metrics), Logger(logger), Timer(io), KeysTimer(io),
+    : Io(io), Reducer(reducer), Counters(metrics), Logger(logger), Timer(io), WallTimer(io), KeysTimer(io),
       ShutdownTimer(io) {}
 
 void Loop::post(Event event) {
@@ -51,6 +62,7 @@
 
 void Loop::run(const Started &started) {
   post(started);
+  readWallClock();
   readKeys();
   Io.run();
 }
@@ -131,6 +143,16 @@
   });
 }
 
+void Loop::readWallClock() {
+  const auto wall = std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+  post(WallClockRead{{bootNow(), wall.count(), wallClockError()}});
+  WallTimer.expires_after(WallInterval);
+  WallTimer.async_wait([this](std::error_code ec) {
+    if (!ec)
+      readWallClock();
+  });
+}
+
 void Loop::readKeys() {
   Out.Platform->call({{}, KeysTimeout, GetObject{KeysObject}},
                      [this](const PlatformAnswer &answer) { takeKeys(answer); });
--- a/src/daemon/internal/trail.cpp
+++ b/src/daemon/internal/trail.cpp
@@ -80,6 +80,9 @@
                          object ? object->Key : std::string(),
                          PlatformNames.at(it.Result.index())};
           },
+          [](const WallClockRead &) {
+            return Entry{{}, "wall_clock", 0, {}, ""};
+          },
           [](const AdminRequest &it) {
             return Entry{{}, "admin", it.Id, it.Command, ""};
           },
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -52,6 +52,7 @@
   void apply(const Effect &effect);
   void invariantBroken(const InvariantBroken &effect);
   void armTimer();
+  void readWallClock();
   void readKeys();
   void takeKeys(const PlatformAnswer &answer);
   void finishShutdown();
@@ -67,6 +68,7 @@
   BootTimer Timer;
   std::optional<TimePoint> ArmedFor;
   TimePoint TimerFiredAt;
+  asio::steady_timer WallTimer;
   asio::steady_timer KeysTimer;
   asio::steady_timer ShutdownTimer;
   bool ShuttingDown = false;
--- a/src/peers/internal/peerdecode.cpp
+++ b/src/peers/internal/peerdecode.cpp
@@ -186,7 +186,7 @@
     switch (envelope.message_type()) {
     case wire::Message::ForwardRequest: {
       const auto *it = envelope.message_as_ForwardRequest();
-      return ForwardRequest{RequestId{it->id()}, Duration(it->budget_us()), it->hops(),
+      return ForwardRequest{RequestId{it->id()}, Duration(it->budget_us()), it->hops(), it->attempt(),
                             request(it->request())};
     }
     case wire::Message::ForwardAnswer: {
--- a/src/peers/internal/peerencode.cpp
+++ b/src/peers/internal/peerencode.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t FirstAllocation = 1024;
 
+/// Messages are taken apart with structured bindings, so that a field which the schema lacks does not
+/// compile.
 class Encoder {
 public:
   std::string encode(const PeerEnvelope &envelope) {
@@ -49,16 +51,19 @@
   }
 
   Offset<wire::CallerRequest> request(const CallerRequest &it) {
-    const auto caller = text(it.Caller);
-    const auto database = text(it.Database);
-    const auto name = text(it.Class);
-    const auto statements = texts(it.Statements);
-    const auto key = text(it.IdempotencyKey);
-    const auto transaction = text(it.Transaction);
-    const auto session = position(it.Session.value_or(Position{}));
-    return wire::CreateCallerRequest(B, it.Id.Value, caller, database, name, statements, it.ReadOnly,
-                                     it.Session ? &session : nullptr, micros(it.MaxStaleness), key,
-                                     static_cast<std::uint8_t>(it.Step), transaction);
+    // The deadline is a time of this node's clock.
+    const auto &[id, caller, database, name, statements, readOnly, session, staleness, key, ignoredDeadline,
+                 step, transaction] = it;
+    const auto callerText = text(caller);
+    const auto databaseText = text(database);
+    const auto nameText = text(name);
+    const auto list = texts(statements);
+    const auto keyText = text(key);
+    const auto transactionText = text(transaction);
+    const auto at = position(session.value_or(Position{}));
+    return wire::CreateCallerRequest(B, id.Value, callerText, databaseText, nameText, list, readOnly,
+                                     session ? &at : nullptr, micros(staleness), keyText,
+                                     static_cast<std::uint8_t>(step), transactionText);
   }
 
   Offset<wire::Row> row(const std::vector<std::optional<std::string>> &cells) {
@@ -77,65 +82,69 @@
   }
 
   Offset<wire::StatementResult> result(const StatementResult &it) {
-    std::vector<Offset<wire::Row>> rows;
-    rows.reserve(it.Rows.size());
-    for (const auto &cells : it.Rows)
-      rows.push_back(row(cells));
-    const auto columns = texts(it.Columns);
-    return wire::CreateStatementResult(B, columns, B.CreateVector(rows), it.Affected);
+    const auto &[columns, rows, affected] = it;
+    std::vector<Offset<wire::Row>> list;
+    list.reserve(rows.size());
+    for (const auto &cells : rows)
+      list.push_back(row(cells));
+    const auto names = texts(columns);
+    return wire::CreateStatementResult(B, names, B.CreateVector(list), affected);
   }
 
   Offset<wire::Success> success(const Success &it) {
-    std::vector<Offset<wire::StatementResult>> results;
-    results.reserve(it.Results.size());
-    for (const auto &one : it.Results)
-      results.push_back(result(one));
-    const auto list = B.CreateVector(results);
-    const auto server = text(it.ServedBy);
-    const auto transaction = text(it.Transaction);
-    const auto session = position(it.Session.value_or(Position{}));
-    return wire::CreateSuccess(B, list, it.Session ? &session : nullptr, server, it.ServedByReplica,
-                               it.Replayed, transaction);
+    const auto &[results, session, servedBy, byReplica, replayed, transaction] = it;
+    std::vector<Offset<wire::StatementResult>> list;
+    list.reserve(results.size());
+    for (const auto &one : results)
+      list.push_back(result(one));
+    const auto resultList = B.CreateVector(list);
+    const auto server = text(servedBy);
+    const auto transactionText = text(transaction);
+    const auto at = position(session.value_or(Position{}));
+    return wire::CreateSuccess(B, resultList, session ? &at : nullptr, server, byReplica, replayed,
+                               transactionText);
   }
 
   Offset<wire::Refusal> refusal(const Refusal &it) {
-    return wire::CreateRefusal(B, static_cast<std::uint8_t>(it.Reason), static_cast<std::uint8_t>(it.Ran),
-                               micros(it.RetryAfter), text(it.Message));
+    const auto &[reason, ran, retryAfter, message] = it;
+    return wire::CreateRefusal(B, static_cast<std::uint8_t>(reason), static_cast<std::uint8_t>(ran),
+                               micros(retryAfter), text(message));
   }
 
   Offset<Vector<Offset<wire::MemberUpdate>>> updates(const std::vector<MemberUpdate> &members) {
     std::vector<Offset<wire::MemberUpdate>> out;
     out.reserve(members.size());
-    for (const auto &it : members) {
-      const auto node = text(it.Node);
-      const auto address = text(it.Address);
-      const auto az = text(it.AvailabilityZone);
-      const auto region = text(it.Region);
-      const auto release = text(it.Release);
-      out.push_back(wire::CreateMemberUpdate(B, node, it.Incarnation, static_cast<std::uint8_t>(it.State),
-                                             address, az, region, release, it.Refutation));
+    for (const auto &[node, incarnation, refutation, state, address, az, region, release] : members) {
+      const auto nodeText = text(node);
+      const auto addressText = text(address);
+      const auto azText = text(az);
+      const auto regionText = text(region);
+      const auto releaseText = text(release);
+      out.push_back(wire::CreateMemberUpdate(B, nodeText, incarnation, static_cast<std::uint8_t>(state),
+                                             addressText, azText, regionText, releaseText, refutation));
     }
     return B.CreateVector(out);
   }
 
   Offset<wire::TargetReport> report(const TargetReport &it) {
+    const auto &[target, database, status, age] = it;
+    const auto &[role, raised, log, since, leaving, history] = status;
     std::vector<wire::TermStart> starts;
-    starts.reserve(it.Status.History.size());
-    for (const auto &one : it.Status.History)
+    starts.reserve(history.size());
+    for (const auto &one : history)
       starts.emplace_back(one.Term, one.Start);
-    const auto history = B.CreateVectorOfStructs(starts);
-    const auto log = position(it.Status.Log);
-    const auto status =
-        wire::CreateTargetStatus(B, static_cast<std::uint8_t>(it.Status.Role), it.Status.RaisedTerm, &log,
-                                 it.Status.SincePrimary.count(), it.Status.Leaving, history);
-    const auto target = text(it.Target);
-    return wire::CreateTargetReport(B, target, text(it.Database), status, it.Age.count());
+    const auto list = B.CreateVectorOfStructs(starts);
+    const auto at = position(log);
+    const auto state = wire::CreateTargetStatus(B, static_cast<std::uint8_t>(role), raised, &at,
+                                                since.count(), leaving, list);
+    const auto targetText = text(target);
+    return wire::CreateTargetReport(B, targetText, text(database), state, age.count());
   }
 
   Offset<void> put(const ForwardRequest &it, wire::Message &type) {
     type = wire::Message::ForwardRequest;
-    return wire::CreateForwardRequest(B, it.Id.Value, it.Budget.count(), it.Hops, request(it.Request))
-        .Union();
+    const auto &[id, budget, hops, attempt, inner] = it;
+    return wire::CreateForwardRequest(B, id.Value, budget.count(), hops, attempt, request(inner)).Union();
   }
   Offset<void> put(const ForwardAnswer &it, wire::Message &type) {
     type = wire::Message::ForwardAnswer;
@@ -148,11 +157,13 @@
   }
   Offset<void> put(const Probe &it, wire::Message &type) {
     type = wire::Message::Probe;
-    return wire::CreateProbe(B, it.Sequence, it.SettingsRevision, updates(it.Updates)).Union();
+    const auto &[sequence, revision, members] = it;
+    return wire::CreateProbe(B, sequence, revision, updates(members)).Union();
   }
   Offset<void> put(const ProbeAck &it, wire::Message &type) {
     type = wire::Message::ProbeAck;
-    return wire::CreateProbeAck(B, it.Sequence, it.SettingsRevision, updates(it.Updates)).Union();
+    const auto &[sequence, revision, members] = it;
+    return wire::CreateProbeAck(B, sequence, revision, updates(members)).Union();
   }
   Offset<void> put(const IndirectProbe &it, wire::Message &type) {
     type = wire::Message::IndirectProbe;
@@ -168,14 +179,16 @@
   }
   Offset<void> put(const SettingsPush &it, wire::Message &type) {
     type = wire::Message::SettingsPush;
-    const auto tree = text(it.Tree);
-    return wire::CreateSettingsPush(B, it.Round, it.Revision, it.Base, it.KeepFront, it.KeepBack, it.Checksum,
-                                    tree, it.Version, nodes(it.Descendants))
+    const auto &[round, revision, base, front, back, checksum, tree, version, descendants] = it;
+    const auto treeText = text(tree);
+    return wire::CreateSettingsPush(B, round, revision, base, front, back, checksum, treeText, version,
+                                    nodes(descendants))
         .Union();
   }
   Offset<void> put(const SettingsAck &it, wire::Message &type) {
     type = wire::Message::SettingsAck;
-    return wire::CreateSettingsAck(B, it.Round, it.Revision, it.InForce, nodes(it.Missing), it.Final).Union();
+    const auto &[round, revision, inForce, missing, last] = it;
+    return wire::CreateSettingsAck(B, round, revision, inForce, nodes(missing), last).Union();
   }
   Offset<void> put(const SettingsRequest &it, wire::Message &type) {
     type = wire::Message::SettingsRequest;
@@ -195,9 +208,8 @@
   }
   Offset<void> put(const PrimaryContactReply &it, wire::Message &type) {
     type = wire::Message::PrimaryContactReply;
-    return wire::CreatePrimaryContactReply(B, text(it.Database), it.Term, it.HoldsSlot,
-                                           it.SinceContact.count())
-        .Union();
+    const auto &[database, term, holdsSlot, since] = it;
+    return wire::CreatePrimaryContactReply(B, text(database), term, holdsSlot, since.count()).Union();
   }
   Offset<void> put(const ObjectChanged &it, wire::Message &type) {
     type = wire::Message::ObjectChanged;
--- a/src/targets/internal/rows.cpp
+++ b/src/targets/internal/rows.cpp
@@ -39,7 +39,7 @@
   }
 
   std::uint64_t number(std::string_view column) {
-    const auto out = parseNumber(text(column));
+    const auto out = parseDecimal(text(column));
     Ok = Ok && out;
     return out.value_or(0);
   }
@@ -64,8 +64,8 @@
     const auto colon = entry.find(':');
     if (colon == std::string_view::npos || out.size() >= MaxHistory)
       return std::nullopt;
-    const auto term = parseNumber(entry.substr(0, colon));
-    const auto start = parseNumber(entry.substr(colon + 1));
+    const auto term = parseDecimal(entry.substr(0, colon));
+    const auto start = parseDecimal(entry.substr(colon + 1));
     if (!term || !start)
       return std::nullopt;
     out.push_back({*term, *start});
@@ -84,7 +84,7 @@
 
 } // namespace
 
-std::optional<std::uint64_t> parseNumber(std::string_view text) {
+std::optional<std::uint64_t> parseDecimal(std::string_view text) {
   std::uint64_t out = 0;
   const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
   if (text.empty() || ec != std::errc() || end != text.data() + text.size())
--- a/src/targets/internal/slotconnection.cpp
+++ b/src/targets/internal/slotconnection.cpp
@@ -94,7 +94,7 @@
   if (error.SqlState == StateMarkerConflict && Mark) {
     conflict();
   } else if (error.SqlState == StateNotPrimary) {
-    report(NotPrimary{parseNumber(error.Detail).value_or(0)});
+    report(NotPrimary{parseDecimal(error.Detail).value_or(0)});
   } else {
     report(ExecutionFailed{error.SqlState, error.Message});
   }
