--- a/src/standin/tests/server_test.cpp
+++ b/src/standin/tests/server_test.cpp
@@ -2,8 +2,14 @@
 
 #include "fixture.h"
 
+#include <asio/connect.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <chrono>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <tuple>
 
 using namespace rosemaryhinge::standin;
 using namespace rosemaryhinge::standin::tests;
@@ -31,6 +37,22 @@
   return client.query("SELECT * FROM rosemaryhinge_status(" + row[2] + "," + row[3] + ",2000)");
 }
 
+/// One HTTP exchange over a socket. Empty if the connection was closed without an answer.
+std::string http(RunningWorld &world, const std::string &method, const std::string &path,
+                 const std::string &headers = "", const std::string &body = "") {
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  auto port = world.call([](World &it) { return it.port(); });
+  socket.connect({asio::ip::address_v4::loopback(), port});
+  auto text = method + " " + path + " HTTP/1.1\r\nConnection: close\r\n" + headers +
+              "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  std::string out;
+  std::error_code ec;
+  asio::write(socket, asio::buffer(text), ec);
+  asio::read(socket, asio::dynamic_buffer(out), ec);
+  return out;
+}
+
 } // namespace
 
 TEST_CASE("a write is replicated and a replica refuses writes") {
@@ -204,3 +226,43 @@
   CHECK(PgClient(port, "rh/control").query("SELECT id FROM t").LastRows.size() == 1);
   CHECK(world.fault("cut", R"({"server":"nowhere"})") == "no such server or database");
 }
+
+TEST_CASE("the platform, the faults and the counters are served by HTTP") {
+  RunningWorld world;
+  CHECK(http(world, "PUT", "/objects/a/b", "If-Version: 0\r\n", "one").starts_with("HTTP/1.1 200"));
+  auto read = http(world, "GET", "/objects/a/b");
+  CHECK(read.find("X-Version: 1\r\n") != std::string::npos);
+  CHECK(read.ends_with("\r\n\r\none"));
+  CHECK(http(world, "PUT", "/objects/c", "If-Version: 0\r\n", std::string(1'000'001, 'x'))
+            .starts_with("HTTP/1.1 413"));
+  CHECK(http(world, "POST", "/faults/store_down", "", "{}").starts_with("HTTP/1.1 200"));
+  CHECK(http(world, "GET", "/objects/a/b").empty());
+  CHECK(http(world, "POST", "/faults/store_down", "", R"({"on":false})").starts_with("HTTP/1.1 200"));
+  CHECK(http(world, "POST", "/faults/lag", "", R"({"ms":-1})").starts_with("HTTP/1.1 400"));
+  CHECK(http(world, "POST", "/faults/unknown").starts_with("HTTP/1.1 400"));
+  auto stats = http(world, "GET", "/stats");
+  auto json = nlohmann::json::parse(stats.substr(stats.find("\r\n\r\n") + 4));
+  CHECK(json["platform"]["gets"] == 1);
+  CHECK(json["servers"]["merchant-db-2-s2"]["role"] == "primary");
+  CHECK(json["servers"].size() == 9);
+}
+
+TEST_CASE("the set-up and its timed faults are read from YAML") {
+  const std::string file = "standin-test-deployment.yaml";
+  std::ofstream(file) << "deployment: openraad\nreplication_lag_ms: 5\nvms: [n1]\n"
+                         "initial_sql: ['CREATE TABLE t (id INTEGER)']\n"
+                         "script:\n  - {at_ms: 1, fault: lag, with: {server: portaal-kern-1-s2, ms: 77}}\n";
+  auto setup = loadDeployment(file);
+  std::remove(file.c_str());
+  CHECK(setup.SlotConnections == 40);
+  CHECK(setup.Lag.count() == 5);
+  RunningWorld world(setup);
+  auto lag = [&] {
+    return world.call([](World &it) { return it.find("portaal-kern-1-s2")->Database->Lag.count(); });
+  };
+  for (int i = 0; i < 200 && lag() != 77; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  CHECK(lag() == 77);
+  CHECK_THROWS_AS(std::ignore = loadDeployment("no-such-file.yaml"), std::runtime_error);
+  CHECK_THROWS_AS(std::ignore = namedDeployment("other"), std::runtime_error);
+}
