--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -54,7 +54,10 @@
   [[nodiscard]] Duration service(const TargetId &target, Lane lane) const;
 
   [[nodiscard]] std::vector<TargetId> waitingTargets() const;
-  [[nodiscard]] std::size_t queued(const TargetId &target) const;
+  /// Requests of the lane that wait for the target.
+  [[nodiscard]] std::size_t queued(const TargetId &target, Lane lane) const;
+  /// Lane of a class, declared or measured.
+  [[nodiscard]] Lane laneFor(const DatabasePolicy &policy, const ClassPolicy &classPolicy, const Work &work);
 
 private:
   struct Running {
@@ -64,9 +67,11 @@
     bool Noted = false; ///< Its class already counts it as longer than the limit.
   };
   struct TargetState {
-    std::array<FairQueue, 2> Queues; ///< By lane.
+    std::array<FairQueue, 3> Queues; ///< Short, long, and short work that waits for its class to be measured.
     std::array<Duration, 2> Service = {5ms, 500ms};
     ConcurrencyLimit Limit;
+    std::uint32_t ShortRunning = 0;
+    double ShortDemand = 0;                     ///< Mean number of connections that short work uses.
     std::map<std::uint64_t, TimePoint> Started; ///< Requests on connections, with their starts.
   };
 
@@ -74,24 +79,29 @@
   [[nodiscard]] std::uint32_t limitOf(const TargetState &state, std::uint32_t capacity) const;
   /// Connections taken by long work, declared or not.
   [[nodiscard]] std::uint32_t longRunning(TimePoint now, const TargetState &state, Duration longAfter);
+  /// Connections that long work may use at present.
+  [[nodiscard]] static std::uint32_t longLimit(const DatabasePolicy &policy, const TargetState &state,
+                                               std::uint32_t capacity);
   [[nodiscard]] std::optional<Lane> laneToServe(TimePoint now, const DatabasePolicy &policy,
                                                 TargetState &state, std::uint32_t capacity);
   [[nodiscard]] Duration estimatedWait(const DatabasePolicy &policy, const TargetState &state,
                                        std::uint32_t capacity, const Work &work) const;
   [[nodiscard]] bool tooLate(TimePoint now, const Work &work) const;
-  /// True if the class has run too little to be trusted with more connections of the short lane.
+  /// True if the class was never measured and has its share of the short lane already.
   [[nodiscard]] bool unproven(const TargetState &state, const Work &work, std::uint32_t capacity);
-  ClassMeter &meter(const Work &work) { return Meters[{work.Database, work.Class}]; }
+  ClassMeter &meter(const Work &work);
+  void place(const TargetId &target, TargetState &state, std::size_t queue, Work work);
+  Work takeFrom(TargetState &state, std::size_t queue);
 
   QueuePolicy Policy;
   std::map<TargetId, TargetState> Targets;
-  std::map<std::pair<DatabaseId, ClassName>, ClassMeter> Meters;
+  std::map<std::pair<DatabaseId, ClassName>, ClassMeter> Meters; ///< Bounded: callers choose the names.
   std::map<DatabaseId, RetryBudget> Budgets;
   std::map<DatabaseId, ReleasePacer> Pacers;
   std::map<std::pair<DatabaseId, Lane>, std::size_t> Queued; ///< Bounded by QueueLimit.
   struct Place {
     TargetId Target;
-    rosemaryhinge::Lane Lane;
+    std::size_t Queue = 0;
     CallerId Caller;
     DatabaseId Database;
   };
--- a/src/admission/tests/admission.cpp
+++ b/src/admission/tests/admission.cpp
@@ -57,6 +57,9 @@
   for (int it = 0; it < 30; ++it)
     offer("a", "settlement", Lane::Long, 600s);
   CHECK(startAll().size() == 4);
+  // Routing compares servers by this: a backlog of long work must not send short work to a busier one.
+  CHECK(Queue.queued(Server, Lane::Short) == 0);
+  CHECK(Queue.queued(Server, Lane::Long) == 26);
   offer("b", "quick");
   CHECK(countOf(startAll(), "quick") == 1);
 }
--- a/src/request/internal/dispatch.cpp
+++ b/src/request/internal/dispatch.cpp
@@ -41,7 +41,7 @@
                          flight.Hops,
                          flight.Excluded,
                          St.Options.Reads};
-  const auto route = chooseTarget(Ctx, routes(), St.Lags, query);
+  const auto route = chooseTarget(Ctx, routesFor(flight), St.Lags, query);
   std::visit(Overloaded{[&](const RunHere &it) { enqueue(flight, it.Target); },
                         [&](const WaitHere &it) { awaitReplica(flight, it); },
                         [&](const Forward &it) { forward(flight, it.Node); },
@@ -53,6 +53,18 @@
              route);
 }
 
+Work Engine::workOf(const Flight &flight) {
+  const auto &request = flight.Request;
+  return {flight.Id,        request.Caller, request.Database, request.Class, Lane::Short,
+          request.Deadline, Ctx.Now,        Duration{},       Duration{}};
+}
+
+RouteServices Engine::routesFor(const Flight &flight) {
+  const auto lane = St.Queue.laneFor(policyOf(flight), classOf(flight), workOf(flight));
+  return {Svc.Groups, Svc.Members, Svc.Slots,
+          [this, lane](const TargetId &it) { return St.Queue.queued(it, lane); }};
+}
+
 void Engine::enqueue(Flight &flight, const TargetId &target) {
   const auto &view = viewOf(flight);
   if (target == view.Group.Primary && view.Group.Term < flight.MinTerm) {
@@ -62,15 +74,7 @@
   flight.Phase = Phase::Queued;
   flight.Target = target;
   wakeAt(flight, flight.Request.Deadline);
-  Work work{flight.Id,
-            flight.Request.Caller,
-            flight.Request.Database,
-            flight.Request.Class,
-            Lane::Short,
-            flight.Request.Deadline,
-            Ctx.Now,
-            {},
-            {}};
+  auto work = workOf(flight);
   if (flight.hasEffects())
     if (auto it = St.CoverTime.find(flight.Request.Database); it != St.CoverTime.end())
       work.After = it->second;
--- a/src/request/internal/engine.h
+++ b/src/request/internal/engine.h
@@ -121,7 +121,8 @@
   [[nodiscard]] std::vector<std::uint64_t> flightsOf(const DatabaseId &database) const;
   [[nodiscard]] GroupMark markOf(const GroupView &view) const;
   [[nodiscard]] CallId call(Module owner, const Flight &flight, const TargetId &target);
-  [[nodiscard]] RouteServices routes() const { return {Svc.Groups, Svc.Members, Svc.Slots}; }
+  [[nodiscard]] RouteServices routesFor(const Flight &flight);
+  [[nodiscard]] Work workOf(const Flight &flight);
 
   Context &Ctx;
   Services &Svc;
--- a/src/request/internal/finish.cpp
+++ b/src/request/internal/finish.cpp
@@ -11,7 +11,7 @@
 const char *const AnswerInvariant = "answer_matching";
 /// Calls are forgotten after this time, far above each timeout, should an answer never come.
 constexpr Duration CallLifetime = 10s;
-}
+} // namespace
 
 void Engine::finish(Flight &flight, Answer answer) {
   const auto id = flight.Id;
--- a/src/routing/choosetarget.cpp
+++ b/src/routing/choosetarget.cpp
@@ -15,7 +15,7 @@
   TargetId Target;
   ReplicaVerdict Verdict = ReplicaVerdict::No;
   int Distance = 0; ///< 0: own availability zone, 1: own region, 2: elsewhere.
-  double Load = 0;  ///< Share of this proxy's connections to it that are given out.
+  double Load = 0;  ///< Requests on and waiting for this proxy's connections to it, per connection.
 };
 
 int distanceTo(const NodeConfig &self, const AvailabilityZone &zone, const Region &region) {
@@ -24,15 +24,22 @@
   return region == self.Region ? 1 : 2;
 }
 
-double loadOf(const ISlots &slots, const TargetId &target) {
-  const auto capacity = slots.capacity(target);
-  return capacity == 0 ? 1.0 : static_cast<double>(slots.busy(target)) / capacity;
+double loadOf(const RouteServices &services, const TargetId &target) {
+  const auto capacity = services.Slots.capacity(target);
+  const auto queued = services.Queued ? services.Queued(target) : 0;
+  return capacity == 0 ? 1.0 : static_cast<double>(services.Slots.busy(target) + queued) / capacity;
 }
 
 /// Near servers first, but a server whose connections are all given out comes after one with room.
 bool before(const Candidate &left, const Candidate &right) {
-  return std::tuple(left.Load >= 1, left.Distance, left.Load, left.Target) <
-         std::tuple(right.Load >= 1, right.Distance, right.Load, right.Target);
+  const bool leftFull = left.Load >= 1;
+  const bool rightFull = right.Load >= 1;
+  if (leftFull != rightFull)
+    return rightFull;
+  if (leftFull)
+    return std::tie(left.Load, left.Distance, left.Target) <
+           std::tie(right.Load, right.Distance, right.Target);
+  return std::tie(left.Distance, left.Load, left.Target) < std::tie(right.Distance, right.Load, right.Target);
 }
 
 std::vector<Candidate> replicasFor(Context &ctx, const RouteServices &services, LagTable &lags,
@@ -49,7 +56,7 @@
                                       ctx.Now, ctx.Rules, query.Policy);
     if (verdict != ReplicaVerdict::No)
       out.push_back({server.Target, verdict, distanceTo(ctx.Self, server.AvailabilityZone, server.Region),
-                     loadOf(services.Slots, server.Target)});
+                     loadOf(services, server.Target)});
   }
   std::sort(out.begin(), out.end(), before);
   return out;
--- a/src/routing/choosetarget.h
+++ b/src/routing/choosetarget.h
@@ -10,6 +10,7 @@
 #include "slots/islots.h"
 
 #include <cstdint>
+#include <functional>
 #include <span>
 #include <variant>
 
@@ -32,6 +33,8 @@
   const GroupTable &Groups;
   const IMembers &Members;
   const ISlots &Slots;
+  /// Requests of the same lane that wait here for a connection to the server; may be empty.
+  std::function<std::size_t(const TargetId &)> Queued;
 };
 
 /// This proxy holds a slot of the server.
