--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -154,7 +154,9 @@
 
 void Runner::finish(const std::shared_ptr<Work> &work, const Reply &reply) {
   auto type = work->Request.Class->Type;
-  if (!work->Repeat) {
+  if (work->Repeat) {
+    Counts.repeated(reply);
+  } else {
     std::chrono::duration<double, std::milli> latency = Clock::now() - work->Intended;
     Counts.answered(work->Request.Class->Name, reply, type != Kind::Write, latency.count());
     if (type == Kind::Write && reply.Ok && std::uniform_real_distribution<>(0, 1)(Random) < RepeatShare) {
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -46,6 +46,7 @@
 nlohmann::json Tally::json() const {
   nlohmann::json out = {{"answered", Answered}, {"ok", Ok},
                         {"not_sent", NotSent},  {"replayed", Replayed},
+                        {"repeats", Repeats},   {"repeats_replayed", RepeatsReplayed},
                         {"refusals", Refusals}, {"diversions", Diversions},
                         {"retries", Retries},   {"replica_reads", ReplicaReads},
                         {"reads", Reads}};
--- a/src/load/tally.h
+++ b/src/load/tally.h
@@ -18,6 +18,11 @@
   void answered(const std::string &workClass, const Reply &reply, bool read, double ms);
   void diverted(const Reply &reply) { ++Diversions[reply.Reason]; }
   void retried(const Reply &reply) { ++Retries[reply.Reason]; }
+  /// Notes the answer to a write that was sent again after its acknowledgement.
+  void repeated(const Reply &reply) {
+    ++Repeats;
+    RepeatsReplayed += reply.Ok && reply.Replayed ? 1 : 0;
+  }
   void notSent() { ++NotSent; }
 
   [[nodiscard]] nlohmann::json json() const;
@@ -28,6 +33,8 @@
   std::uint64_t Ok = 0;
   std::uint64_t NotSent = 0; ///< Arrivals beyond the bound of what may wait.
   std::uint64_t Replayed = 0;
+  std::uint64_t Repeats = 0;
+  std::uint64_t RepeatsReplayed = 0;
   std::uint64_t Reads = 0;
   std::uint64_t ReplicaReads = 0;
   std::map<std::string, std::uint64_t> Refusals;
