--- a/src/failover/tests/failovermoduletest.cpp
+++ b/src/failover/tests/failovermoduletest.cpp
@@ -59,6 +59,11 @@
       server.Role = TargetRole::Primary;
       server.Log.Term = promote->Term;
       server.History.push_back({promote->Term, server.Log.Lsn});
+      if (CutPromoted) {
+        CutPromoted = false;
+        Cut = {call.Target};
+        return {call.Call, call.Target, ControlFailure{ControlError::Timeout, "no answer"}};
+      }
       if (LosePromoteAnswer)
         return {call.Call, call.Target, ControlFailure{ControlError::Timeout, "no answer"}};
     }
@@ -126,6 +131,8 @@
   int Puts = 0;
   int LosePutAnswers = 0;
   bool LosePromoteAnswer = false;
+  /// The promoted server is cut off before it answers, and the old primary can be reached again.
+  bool CutPromoted = false;
   bool StoreDown = false;
   bool StoreDownAfterPut = false;
 };
@@ -244,6 +251,21 @@
   }
 }
 
+TEST_CASE("a new primary that is cut off before it answers does not lead to a second one of its term") {
+  Fixture f;
+  f.run(6s);
+  f.CutPromoted = true;
+  f.cutPrimary(true);
+  f.run(15s);
+  REQUIRE(f.Promotions.size() >= 2);
+  std::map<Term, TargetId> promoted;
+  for (const auto &[target, term] : f.Promotions) {
+    auto [it, added] = promoted.try_emplace(term, target);
+    CHECK(it->second == target);
+  }
+  CHECK(f.group().Term == f.Promotions.back().second);
+}
+
 TEST_CASE("silence measured across a pause of this proxy proves nothing") {
   Fixture f;
   f.run(6s);
