Let a stated age add to the session token instead of replacing it

Cause: a read with max_staleness was served without the session's own last write, and a covered token excused data above the stated age. The promise of read-your-writes has no exception. Change: both conditions must hold; the checker of the randomised runs no longer exempts reads with an age; two focused cases.

--- a/src/routing/replicarule.cpp
+++ b/src/routing/replicarule.cpp
@@ -49,14 +49,13 @@
   // A server that has not yet undone what a change of primary discarded shows data that nobody else will see.
   if (!survives(at, view.Group.History))
     return false;
-  if (need.Token && covers(at, *need.Token, view.Group.History))
+  if (need.Token && !covers(at, *need.Token, view.Group.History))
+    return false;
+  if (!need.MaxAge)
     return true;
-  if (need.MaxAge) {
-    const auto current = need.FromPrimaryAt ? need.FromPrimaryAt : groups.currentAt(view, at);
-    const auto confirmed = termConfirmedAt(view);
-    return current && confirmed && asked - std::min(*current, *confirmed) < *need.MaxAge;
-  }
-  return !need.Token;
+  const auto current = need.FromPrimaryAt ? need.FromPrimaryAt : groups.currentAt(view, at);
+  const auto confirmed = termConfirmedAt(view);
+  return current && confirmed && asked - std::min(*current, *confirmed) < *need.MaxAge;
 }
 
 ReplicaVerdict mayReadFromReplica(const GroupTable &groups, const GroupView &view, const TargetView &replica,
--- a/src/routing/replicarule.h
+++ b/src/routing/replicarule.h
@@ -14,7 +14,7 @@
 /// What a read asks of the server that runs it.
 struct ReadNeed {
   std::optional<Position> Token;  ///< What the session wrote.
-  std::optional<Duration> MaxAge; ///< Age of the data that the caller accepts, instead of the token.
+  std::optional<Duration> MaxAge; ///< Age of the data that the caller accepts, besides the token.
   Duration Wait{};                ///< How long the read may wait for a replica; 0: not at all.
   /// When the data was read from the primary itself, if it was.
   std::optional<TimePoint> FromPrimaryAt = std::nullopt;
--- a/src/routing/tests/replicarule.cpp
+++ b/src/routing/tests/replicarule.cpp
@@ -58,6 +58,18 @@
   CHECK(ask(need, {2, 1499}) == ReplicaVerdict::No);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a stated age does not hide what the session itself just wrote") {
+  View.Samples.push_back({Now - 50ms, {2, 1400}});
+  CHECK(ask({Position{2, 1450}, 2s, 0ms}, {2, 1420}) == ReplicaVerdict::No);
+  CHECK(ask({Position{2, 1450}, 2s, 0ms}, {2, 1450}) == ReplicaVerdict::Yes);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an old token does not excuse data above the stated age") {
+  View.Samples.push_back({Now - 10min, {2, 1100}});
+  View.Samples.push_back({Now - 50ms, {2, 9000}});
+  CHECK(ask({Position{2, 1010}, 2s, 0ms}, {2, 1200}) == ReplicaVerdict::No);
+}
+
 TEST_CASE_FIXTURE(Fixture, "samples of a primary that was cut off prove no age") {
   View.Samples.push_back({Now, {2, 1500}});
   confirmTerm(3);
--- a/src/soak/readyourwrites.cpp
+++ b/src/soak/readyourwrites.cpp
@@ -43,7 +43,7 @@
   const auto &op = *submission.What;
   if (op.Sleep > 0ms && result.Columns.front().ends_with("#0"))
     return; // The result of the sleep.
-  auto until = submission.SentAt - op.MaxStaleness.value_or(0ms);
+  auto until = submission.SentAt;
   Position needed;
   std::string neededTag;
   for (const auto &it : Sessions[op.Session])
