--- a/src/fakes/proxy.cpp
+++ b/src/fakes/proxy.cpp
@@ -338,6 +338,10 @@
   auto *server = World.server(it->second);
   Connections.erase(it);
   ConnectionKey key{Index, Incarnation, effect.Connection.Value};
+  // As the target adapter does, the end of the connection is reported for a close of this side too.
+  World.Queue.after(0us, [this, key] {
+    receiveFor(key.Incarnation, ConnectionClosed{ConnectionId{key.Connection}, "closed by this proxy"});
+  });
   auto closed = [server, key] { server->closedByProxy(key); };
   World.Network.send(Where, server->place(), closed, true, [this, closed] {
     World.Queue.after(World.Random.between(1s, ServerNoticeHigh), closed);
