--- a/src/fakes/caller.cpp
+++ b/src/fakes/caller.cpp
@@ -72,6 +72,9 @@
     op.Class = ClassName("default");
     if (!op.Interactive && Random.chance(Profile.StaleShare))
       op.MaxStaleness = Random.between(200ms, 3s);
+    // Rows of others tell whether a stated age is kept.
+    if (op.MaxStaleness && Random.chance(0.5))
+      op.Key = "k" + std::to_string(Random.below(World.Callers.size()));
   }
   return op;
 }
--- a/src/soak/readyourwrites.cpp
+++ b/src/soak/readyourwrites.cpp
@@ -23,13 +23,15 @@
   if (const auto *refusal = std::get_if<Refusal>(&answer)) {
     // The caller was told that writes of its session are lost and begins a new one.
     if (refusal->Reason == RefusalReason::SessionWriteLost)
-      Sessions[op.Session].clear();
+      for (auto &[key, writes] : Rows)
+        std::erase_if(writes, [&](const auto &it) { return it.Session == op.Session; });
     return;
   }
   bool whole = submission.Step == TransactionStep::None;
   if (op.Write) {
     if (whole || submission.Step == TransactionStep::Commit)
-      Sessions[op.Session].push_back({op.Tag, World.Queue.now()});
+      Rows[op.Database.str() + "/" + op.Key].push_back(
+          {op.Tag, World.Queue.now(), op.Session, op.StrengthPrimary});
     return;
   }
   if (!whole && submission.Step != TransactionStep::Statement)
@@ -43,14 +45,18 @@
   const auto &op = *submission.What;
   if (op.Sleep > 0ms && result.Columns.front().ends_with("#0"))
     return; // The result of the sleep.
-  auto until = submission.SentAt;
   Position needed;
   std::string neededTag;
-  for (const auto &it : Sessions[op.Session])
+  for (const auto &it : Rows[op.Database.str() + "/" + op.Key]) {
+    bool own = it.Session == op.Session;
+    if (!own && (!op.MaxStaleness || it.MayBeLost))
+      continue;
+    auto until = own ? submission.SentAt : submission.SentAt - *op.MaxStaleness;
     if (it.At <= until && positionOf(it.Tag) > needed) {
       needed = positionOf(it.Tag);
       neededTag = it.Tag;
     }
+  }
   std::string seen = result.Rows.empty() ? "" : result.Rows.front().front().value_or("");
   if (positionOf(seen) < needed)
     fail("operation " + op.Tag + " of session " + std::to_string(op.Session) + " read '" + seen +
