--- /dev/null
+++ b/src/measure/measure.cpp
@@ -0,0 +1,194 @@
+// Fleets with a steady open-loop load, with and without a fault.
+
+#include "measure/measure.h"
+
+#include "fakes/fleet.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace rosemaryhinge::measure {
+
+namespace {
+
+constexpr std::size_t Nodes = 6;
+constexpr std::uint64_t Seeds = 20;
+constexpr Duration StartUp = 5s;
+constexpr Duration Gap = 20ms;
+/// Fixed long timeout of the baseline, as an operator's script that waits to be sure.
+constexpr const char *LongTimeout = "10s";
+
+/// Sends writes at fixed times whatever happens to the earlier ones, and notes when each was acknowledged.
+class Probe {
+public:
+  Probe(fakes::Fleet &fleet, std::size_t proxy, ClassName name)
+      : World(fleet), Proxy(proxy), Class(std::move(name)) {}
+
+  void run(Duration time) {
+    for (auto until = World.Queue.now() + time; World.Queue.now() < until; World.runFor(Gap))
+      send();
+  }
+
+  std::vector<TimePoint> Acknowledged;
+  std::vector<Duration> Latencies;
+
+private:
+  void send() {
+    fakes::Operation op;
+    op.Tag = "probe" + std::to_string(Proxy) + "-" + std::to_string(++Next);
+    op.Database = World.Plan.Groups.front().Database;
+    op.Key = "probe";
+    op.Write = true;
+    op.Class = Class;
+    op.Deadline = 1s;
+    const auto &kept = World.keep(std::move(op));
+    CallerRequest request;
+    request.Caller = CallerId("probe");
+    request.Database = kept.Database;
+    request.Class = kept.Class;
+    request.Statements = {"put probe " + kept.Tag + " #" + kept.Tag + "/1"};
+    auto sent = World.Queue.now();
+    World.Proxies[Proxy]->request(
+        fakes::Submission{&kept, 1, sent, TransactionStep::None, 1, {}}, std::move(request),
+        [this, sent](const Answer &answer) {
+          if (!std::holds_alternative<Success>(answer))
+            return;
+          Acknowledged.push_back(World.Queue.now());
+          Latencies.push_back(World.Queue.now() - sent);
+        },
+        [] {});
+  }
+
+  fakes::Fleet &World;
+  std::size_t Proxy;
+  ClassName Class;
+  std::uint64_t Next = 0;
+};
+
+double milliseconds(Duration it) { return static_cast<double>(it.count()) / 1000; }
+
+double quantile(std::vector<double> values, double share) {
+  if (values.empty())
+    return 0;
+  std::sort(values.begin(), values.end());
+  auto index = static_cast<std::size_t>(share * static_cast<double>(values.size()));
+  return values[std::min(index, values.size() - 1)];
+}
+
+fakes::FleetOptions options(const std::string &deployment, std::uint64_t seed) {
+  fakes::FleetOptions out;
+  out.Seed = seed;
+  out.Deployment = deployment;
+  out.Nodes = Nodes;
+  return out;
+}
+
+std::string treeWith(const fakes::FleetOptions &from, const std::string &key, const std::string &value) {
+  auto tree = fakes::makeLayout(from.Deployment, from.Nodes, from.Databases).settingsTree();
+  auto at = tree.find("      slots.connections");
+  return tree.insert(at, "      " + key + ": " + value + "\n");
+}
+
+/// Longest time without an acknowledged write around the loss of the primary.
+double failoverGap(const std::string &deployment, std::uint64_t seed, bool withProxy, bool baseline) {
+  auto setup = options(deployment, seed);
+  if (baseline)
+    setup.SettingsTree = treeWith(setup, "failover.suspect_after", LongTimeout);
+  fakes::Fleet fleet(setup);
+  fleet.start();
+  fleet.runFor(StartUp + Duration(static_cast<std::int64_t>(seed) * 7919));
+  auto *primary = fleet.Groups.front()->primary();
+  // A proxy of another zone sends the writes; the one that is cut off with the primary is of its own zone.
+  Probe probe(fleet, 1, ClassName("default"));
+  probe.run(2s);
+  std::vector<fakes::Endpoint> inside = {primary->place()};
+  if (withProxy)
+    inside.push_back(fleet.Proxies.front()->place());
+  std::vector<fakes::Endpoint> rest;
+  for (fakes::Endpoint it = 0; it < fleet.Network.size(); ++it)
+    if (std::find(inside.begin(), inside.end(), it) == inside.end())
+      rest.push_back(it);
+  auto cutAt = fleet.Queue.now();
+  fleet.Network.cut(inside, rest);
+  probe.run(16s);
+  auto first = std::find_if(probe.Acknowledged.begin(), probe.Acknowledged.end(),
+                            [&](auto it) { return it > cutAt + 300ms; });
+  auto end = first == probe.Acknowledged.end() ? fleet.Queue.now() : *first;
+  return milliseconds(end - cutAt);
+}
+
+void addGap(std::vector<Figure> &out, const std::string &deployment, const std::string &name,
+            bool withProxy) {
+  std::vector<double> values;
+  std::vector<double> baseline;
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    values.push_back(failoverGap(deployment, seed, withProxy, false));
+    if (seed <= Seeds / 4)
+      baseline.push_back(failoverGap(deployment, seed, withProxy, true));
+  }
+  out.push_back(
+      {name, deployment, quantile(values, 0.5), quantile(baseline, 0.5), "ms at the median", "<= 3000"});
+  out.push_back({name, deployment, quantile(values, 0.99), quantile(baseline, 0.99), "ms at p99", "<= 5000"});
+}
+
+double writeLatency(const std::string &deployment, const std::string &name) {
+  fakes::Fleet fleet(options(deployment, 1));
+  fleet.start();
+  fleet.runFor(StartUp);
+  Probe probe(fleet, 1, ClassName(name));
+  probe.run(10s);
+  std::vector<double> values;
+  for (auto it : probe.Latencies)
+    values.push_back(milliseconds(it));
+  return quantile(values, 0.5);
+}
+
+class ReadCounter : public fakes::IObserver {
+public:
+  void onAnswered(const fakes::Submission &submission, const Answer &answer) override {
+    const auto *success = std::get_if<Success>(&answer);
+    if (success == nullptr || submission.What->Write)
+      return;
+    ++All;
+    if (success->ServedByReplica)
+      ++FromReplicas;
+  }
+  std::uint64_t All = 0;
+  std::uint64_t FromReplicas = 0;
+};
+
+/// Share of reads that replicas serve, 100 ms behind, to sessions that write once in ten requests.
+double replicaReadShare(const std::string &deployment) {
+  fakes::Fleet fleet(options(deployment, 1));
+  ReadCounter counter;
+  fleet.Observers.push_back(&counter);
+  fleet.start();
+  fleet.runFor(StartUp);
+  auto &group = *fleet.Groups.front();
+  for (std::size_t n = 0; n < group.servers().size(); ++n)
+    group.setLag(n, 100ms);
+  for (int n = 0; n < 30; ++n) {
+    fakes::CallerProfile profile;
+    profile.Database = group.Description.Database;
+    profile.WriteShare = 0.1;
+    profile.InteractiveShare = profile.StaleShare = profile.LongShare = profile.FailingShare = 0;
+    profile.KeyedShare = 0;
+    fleet.addCaller(profile).start();
+  }
+  fleet.runFor(30s);
+  return counter.All == 0 ? 0 : static_cast<double>(counter.FromReplicas) / static_cast<double>(counter.All);
+}
+
+} // namespace
+
+std::vector<Figure> measureDeployment(const std::string &deployment) {
+  std::vector<Figure> out;
+  addGap(out, deployment, "failover_gap_ms", false);
+  addGap(out, deployment, "failover_gap_partition_ms", true);
+  out.push_back({"write_latency_cost_ms", deployment, writeLatency(deployment, "default"),
+                 writeLatency(deployment, "fast"), "ms at the median", "reported"});
+  out.push_back({"replica_read_share", deployment, replicaReadShare(deployment), -1, "share", ">= 0.95"});
+  return out;
+}
+
+} // namespace rosemaryhinge::measure
