--- a/src/measure/measure.cpp
+++ b/src/measure/measure.cpp
@@ -93,7 +93,9 @@
 double failoverGap(const std::string &deployment, std::uint64_t seed, bool withProxy, bool baseline) {
   auto setup = options(deployment, seed);
   if (baseline)
-    setup.SettingsTree = treeWith(setup, "failover.suspect_after", LongTimeout);
+    // A takeover must take longer than the suspicion, or the tree is refused.
+    setup.SettingsTree =
+        treeWith(setup, "failover.takeover_after: 30s\n      failover.suspect_after", LongTimeout);
   fakes::Fleet fleet(setup);
   fleet.start();
   fleet.runFor(StartUp + Duration(static_cast<std::int64_t>(seed) * 7919));
