Keep the candidates of each database in an index

Cause: every 20 ms each proxy ordered all members for all databases, and copied the member list for each forwarded request. At 13,000 databases and 3,500 members one round would compute 45 million hashes. Change: CandidateIndex is updated only when the members or the settings change; live() returns a reference and members are found by name; slots are ordered among the 12 candidates only.

--- a/src/failover/failovermodule.cpp
+++ b/src/failover/failovermodule.cpp
@@ -212,22 +212,20 @@
     forgetSilence(ctx, *State);
   State->LastTimer = ctx.Now;
   State->Next = ctx.Now + TickInterval;
-  auto live = services.Members.live();
-  const auto &databases = services.Policies.databases();
-  readList(ctx, *State, live.size());
+  const auto databases = services.Policies.databases().size();
+  readList(ctx, *State, services.Members.live().size());
   std::size_t polled = 0;
   for (const auto &[database, db] : State->Databases)
     polled += db.Polls.size();
   auto budget = std::chrono::microseconds(1s) * static_cast<std::int64_t>(polled) / MaxPollsPerSecond;
-  for (const auto &database : databases) {
-    auto order = databaseOrder(database, live);
-    auto rank =
-        static_cast<std::size_t>(std::find(order.begin(), order.end(), ctx.Self.Node) - order.begin());
+  auto looked = services.Candidates.own();
+  for (const auto &[database, db] : State->Databases)
+    if (db.Promotion)
+      looked.insert(database);
+  for (const auto &database : looked) {
     auto &db = State->Databases[database];
     const auto *view = services.Groups.find(database);
-    if (rank >= DatabaseCandidates && view != nullptr && !db.Promotion)
-      continue;
-    readGroup(ctx, *State, db, database, databases.size());
+    readGroup(ctx, *State, db, database, databases);
     if (view == nullptr)
       continue;
     const auto &policy = services.Policies.databasePolicy(database);
@@ -237,7 +235,7 @@
       continue;
     }
     askHolders(ctx, services, db, *view);
-    considerPromotion(ctx, services, *State, db, *view, rank);
+    considerPromotion(ctx, services, *State, db, *view, services.Candidates.rank(database));
   }
 }
 
--- a/src/failover/failovermodule.h
+++ b/src/failover/failovermodule.h
@@ -7,6 +7,7 @@
 #include "protocol/context.h"
 #include "protocol/event.h"
 #include "settings/ipolicies.h"
+#include "slots/candidateindex.h"
 #include "slots/islots.h"
 
 #include <memory>
@@ -24,6 +25,7 @@
   const IMembers &Members;
   const ISlots &Slots;
   GroupTable &Groups;
+  const CandidateIndex &Candidates;
 };
 
 class FailoverModule {
--- a/src/failover/tests/failovermoduletest.cpp
+++ b/src/failover/tests/failovermoduletest.cpp
@@ -99,6 +99,7 @@
     auto services = this->services();
     while (Now < end) {
       Now += 20ms;
+      Candidates.update(Source.Self.Node, Policies.databases(), 1, Members);
       auto ctx = Source.at(Now);
       Failover.onTimer(ctx, services);
       carryOut();
@@ -112,7 +113,7 @@
         Servers[it].SincePrimary = 5s;
   }
 
-  FailoverServices services() { return {Policies, Members, Slots, Groups}; }
+  FailoverServices services() { return {Policies, Members, Slots, Groups, Candidates}; }
   [[nodiscard]] const Group &group() const { return Groups.find(DatabaseId("db"))->Group; }
 
   ContextSource Source{"n1"};
@@ -120,6 +121,7 @@
   FixedMembers Members;
   HeldSlots Slots;
   GroupTable Groups;
+  CandidateIndex Candidates;
   ObjectStore Store;
   FailoverModule Failover;
   std::map<TargetId, TargetStatus> Servers;
--- a/src/journal/internal/collector.cpp
+++ b/src/journal/internal/collector.cpp
@@ -140,7 +140,7 @@
 }
 
 std::vector<NodeId> owners(const IMembers &members) {
-  auto live = members.live();
+  const auto &live = members.live();
   auto staying = live;
   std::erase_if(staying, [](const auto &it) { return it.Leaving; });
   return rendezvousFirst("journal", staying.empty() ? live : staying, Owners);
--- a/src/membership/internal/membershipstate.h
+++ b/src/membership/internal/membershipstate.h
@@ -41,6 +41,7 @@
   bool Joined = false;
   mutable std::vector<Member> LiveCache;
   mutable bool CacheValid = false;
+  mutable std::uint64_t CacheVersion = 0; ///< Grows when LiveCache changes.
 };
 
 } // namespace rosemaryhinge::detail
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -51,9 +51,10 @@
 }
 
 void rebuildCache(const MembershipState &state) {
-  state.LiveCache.clear();
+  std::vector<Member> live;
+  live.reserve(state.LiveCache.size());
   auto add = [&](const MemberUpdate &it, bool leaving) {
-    state.LiveCache.push_back({it.Node, it.Incarnation, it.AvailabilityZone, it.Region, leaving});
+    live.push_back({it.Node, it.Incarnation, it.AvailabilityZone, it.Region, leaving});
   };
   bool selfAdded = state.Self.Node.empty();
   auto addSelf = [&] {
@@ -69,6 +70,10 @@
   if (!selfAdded)
     addSelf();
   state.CacheValid = true;
+  if (live == state.LiveCache)
+    return;
+  state.LiveCache = std::move(live);
+  ++state.CacheVersion;
 }
 
 } // namespace
@@ -184,12 +189,17 @@
     ctx.emit(SendToPeer{it, MembersReply{{state.Self}}});
 }
 
-std::vector<Member> MembershipModule::live() const {
+const std::vector<Member> &MembershipModule::live() const {
   if (!State->CacheValid)
     rebuildCache(*State);
   return State->LiveCache;
 }
 
+std::uint64_t MembershipModule::version() const {
+  (void)live();
+  return State->CacheVersion;
+}
+
 bool MembershipModule::isLive(const NodeId &node) const {
   if (node == State->Self.Node)
     return true;
--- a/src/membership/membershipmodule.h
+++ b/src/membership/membershipmodule.h
@@ -29,7 +29,8 @@
   /// Tells the fleet that this proxy is leaving.
   void announceLeaving(Context &ctx);
 
-  [[nodiscard]] std::vector<Member> live() const override;
+  [[nodiscard]] const std::vector<Member> &live() const override;
+  [[nodiscard]] std::uint64_t version() const override;
   [[nodiscard]] bool isLive(const NodeId &node) const override;
   [[nodiscard]] bool isDead(const NodeId &node) const override;
   [[nodiscard]] bool isLeaving(const NodeId &node) const override;
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -36,7 +36,9 @@
     return {S.Settings,       S.Membership, S.Slots, S.Groups, S.Settings.ready() && S.Membership.joined(),
             S.Drain.leaving()};
   }
-  [[nodiscard]] FailoverServices failoverServices() { return {S.Settings, S.Membership, S.Slots, S.Groups}; }
+  [[nodiscard]] FailoverServices failoverServices() {
+    return {S.Settings, S.Membership, S.Slots, S.Groups, S.Candidates};
+  }
   void membershipMessage(const NodeId &from, const PeerMessage &message);
   void resumeWaiting();
   void checkDrain();
@@ -65,12 +67,13 @@
     S.Membership.onTimer(Ctx, S.Settings.revision());
   if (due(S.Settings, Ctx.Now))
     S.Settings.onTimer(Ctx, S.Membership);
+  S.Candidates.update(S.Self.Node, S.Settings.databases(), S.Settings.revision(), S.Membership);
   if (due(S.Failover, Ctx.Now)) {
     auto services = failoverServices();
     S.Failover.onTimer(Ctx, services);
   }
   if (due(S.Slots, Ctx.Now))
-    S.Slots.onTimer(Ctx, S.Settings, S.Groups, S.Membership);
+    S.Slots.onTimer(Ctx, S.Settings, S.Groups, S.Membership, S.Candidates);
   if (due(S.Requests, Ctx.Now)) {
     auto services = this->services();
     S.Requests.onTimer(Ctx, services);
--- a/src/reducer/state.h
+++ b/src/reducer/state.h
@@ -27,6 +27,7 @@
   std::optional<WallReading> Wall;
 
   GroupTable Groups;
+  CandidateIndex Candidates;
   SettingsModule Settings;
   MembershipModule Membership;
   SlotsModule Slots;
--- a/src/request/tests/world.h
+++ b/src/request/tests/world.h
@@ -29,15 +29,19 @@
   std::set<NodeId> Nodes = {NodeId("n0"), NodeId("n1"), NodeId("n2")};
   std::set<NodeId> Leaving;
 
-  [[nodiscard]] std::vector<Member> live() const override {
-    std::vector<Member> out;
+  [[nodiscard]] const std::vector<Member> &live() const override {
+    Live.clear();
     for (const auto &it : Nodes)
-      out.push_back({it, 1, AvailabilityZone("a"), Region("r"), isLeaving(it)});
-    return out;
+      Live.push_back({it, 1, AvailabilityZone("a"), Region("r"), isLeaving(it)});
+    return Live;
   }
+  [[nodiscard]] std::uint64_t version() const override { return ++Version; }
   [[nodiscard]] bool isLive(const NodeId &node) const override { return Nodes.contains(node); }
   [[nodiscard]] bool isDead(const NodeId &node) const override { return !isLive(node); }
   [[nodiscard]] bool isLeaving(const NodeId &node) const override { return Leaving.contains(node); }
+
+  mutable std::vector<Member> Live;
+  mutable std::uint64_t Version = 0;
 };
 
 /// Connections that open at once.
--- a/src/routing/choosetarget.cpp
+++ b/src/routing/choosetarget.cpp
@@ -105,10 +105,9 @@
 std::vector<NodeId> holdersOf(Context &ctx, const RouteServices &services, const DatabaseId &database,
                               const TargetId &target, std::span<const NodeId> excluded) {
   std::vector<std::tuple<int, std::uint64_t, NodeId>> found;
-  const auto members = services.Members.live();
   for (const auto &node : services.Slots.otherHolders(database, target)) {
-    auto it = std::find_if(members.begin(), members.end(), [&](const Member &m) { return m.Node == node; });
-    if (it == members.end() || services.Members.isLeaving(node) || node == ctx.Self.Node)
+    const auto *it = services.Members.find(node);
+    if (it == nullptr || services.Members.isLeaving(node) || node == ctx.Self.Node)
       continue;
     if (std::find(excluded.begin(), excluded.end(), node) != excluded.end())
       continue;
--- a/src/settings/internal/adminsessions.cpp
+++ b/src/settings/internal/adminsessions.cpp
@@ -138,7 +138,7 @@
 
 /// Live members by the peers' view and by the platform's list, with the differences by name.
 json liveJson(const AdminSession &session, const IMembers &members) {
-  auto live = members.live();
+  const auto &live = members.live();
   json out = {{"by_peers", live.size()}};
   if (!session.Vms) {
     out["by_platform"] = nullptr;
@@ -193,7 +193,7 @@
 }
 
 bool coversAll(const Round &round, const IMembers &members, const NodeId &self) {
-  auto live = members.live();
+  const auto &live = members.live();
   return std::all_of(live.begin(), live.end(), [&](const auto &it) {
     return it.Node == self || (round.Targets.contains(it.Node) && !round.Missing.contains(it.Node));
   });
--- a/src/slots/candidates.cpp
+++ b/src/slots/candidates.cpp
@@ -49,12 +49,8 @@
   return sorted(std::move(ranked));
 }
 
-std::vector<NodeId> databaseOrder(const DatabaseId &database, std::span<const Member> members) {
-  std::vector<Ranked> ranked;
-  for (const auto &it : members)
-    if (!it.Leaving)
-      ranked.push_back({0, score(database.str(), it.Node), it.Node});
-  return sorted(std::move(ranked));
+std::uint64_t databaseScore(const DatabaseId &database, const NodeId &node) {
+  return score(database.str(), node);
 }
 
 } // namespace rosemaryhinge
--- a/src/slots/candidates.h
+++ b/src/slots/candidates.h
@@ -15,9 +15,9 @@
 /// availability zone, then those of its region, then the others.
 [[nodiscard]] std::vector<NodeId> slotOrder(const GroupServer &server, std::span<const Member> members);
 
-/// Members in the order in which they look after a database: read its objects, poll its servers and order
-/// its changes of primary.
-[[nodiscard]] std::vector<NodeId> databaseOrder(const DatabaseId &database, std::span<const Member> members);
+/// Members look after a database in ascending order of this score: the first ones read its objects, poll its
+/// servers and order its changes of primary.
+[[nodiscard]] std::uint64_t databaseScore(const DatabaseId &database, const NodeId &node);
 
 /// Proxies that look after a database. Its slot holders are among them.
 inline constexpr std::size_t DatabaseCandidates = 12;
--- a/src/slots/slotsmodule.cpp
+++ b/src/slots/slotsmodule.cpp
@@ -219,15 +219,23 @@
   }
 }
 
+/// Only candidates hold slots, so that ordering them costs the same in a fleet of any size.
+std::vector<Member> candidateMembers(const DatabaseSlots &db, const IMembers &members) {
+  std::vector<Member> out;
+  for (const auto &it : db.Candidates)
+    if (const auto *member = members.find(it))
+      out.push_back(*member);
+  return out;
+}
+
 void maintainDatabase(Context &ctx, SlotsState &state, const GroupView &view, const IMembers &members,
-                      const std::vector<Member> &live, Duration interval) {
+                      const CandidateIndex &candidates, Duration interval) {
+
   const auto &database = view.Group.Database;
   auto &db = state.Databases[database];
-  db.Candidates = databaseOrder(database, live);
-  if (db.Candidates.size() > DatabaseCandidates)
-    db.Candidates.resize(DatabaseCandidates);
-  bool candidate =
-      std::find(db.Candidates.begin(), db.Candidates.end(), ctx.Self.Node) != db.Candidates.end();
+  bool candidate = candidates.own().contains(database);
+  db.Candidates = candidates.of(database);
+  const auto live = candidateMembers(db, members);
   if (!db.Read && ctx.Now >= db.NextRead && (candidate || db.Change)) {
     db.NextRead = ctx.Now + interval;
     read(ctx, db, database);
@@ -357,15 +365,18 @@
 }
 
 void SlotsModule::onTimer(Context &ctx, const IPolicies &policies, const GroupTable &groups,
-                          const IMembers &members) {
+                          const IMembers &members, const CandidateIndex &candidates) {
   if (State->Next && ctx.Now < *State->Next)
     return;
   State->Next = ctx.Now + TickInterval;
-  auto live = members.live();
   auto interval = readInterval(policies.databases().size());
-  for (const auto &database : policies.databases())
+  // A proxy that stopped being a candidate still has slots to give back.
+  auto databases = candidates.own();
+  for (const auto &[slot, held] : State->Held)
+    databases.insert(State->DatabaseOf[slot.Target]);
+  for (const auto &database : databases)
     if (const auto *view = groups.find(database))
-      maintainDatabase(ctx, *State, *view, members, live, interval);
+      maintainDatabase(ctx, *State, *view, members, candidates, interval);
   maintainHeld(ctx, *State, policies);
 }
 
--- a/src/slots/slotsmodule.h
+++ b/src/slots/slotsmodule.h
@@ -7,6 +7,7 @@
 #include "protocol/context.h"
 #include "protocol/event.h"
 #include "settings/ipolicies.h"
+#include "slots/candidateindex.h"
 #include "slots/islots.h"
 
 #include <memory>
@@ -31,7 +32,8 @@
   void onControlAnswer(Context &ctx, const IPolicies &policies, const ControlAnswer &event);
   void onConnectionOpened(Context &ctx, const ConnectionOpened &event);
   void onConnectionClosed(Context &ctx, const ConnectionClosed &event);
-  void onTimer(Context &ctx, const IPolicies &policies, const GroupTable &groups, const IMembers &members);
+  void onTimer(Context &ctx, const IPolicies &policies, const GroupTable &groups, const IMembers &members,
+               const CandidateIndex &candidates);
   /// Claims nothing from now on and gives up each slot once its connections are idle.
   void startLeaving(Context &ctx);
   /// True if a leaving proxy holds no slot any more, or the store keeps it from saying so.
--- a/src/slots/tests/fakes.h
+++ b/src/slots/tests/fakes.h
@@ -37,12 +37,13 @@
 
 class FixedMembers : public IMembers {
 public:
-  [[nodiscard]] std::vector<Member> live() const override {
-    std::vector<Member> out;
-    std::copy_if(All.begin(), All.end(), std::back_inserter(out),
+  [[nodiscard]] const std::vector<Member> &live() const override {
+    Live.clear();
+    std::copy_if(All.begin(), All.end(), std::back_inserter(Live),
                  [&](const auto &it) { return !Dead.contains(it.Node); });
-    return out;
+    return Live;
   }
+  [[nodiscard]] std::uint64_t version() const override { return ++Version; }
   [[nodiscard]] bool isLive(const NodeId &node) const override { return !Dead.contains(node); }
   [[nodiscard]] bool isDead(const NodeId &node) const override { return Dead.contains(node); }
   [[nodiscard]] bool isLeaving(const NodeId &node) const override {
@@ -51,6 +52,10 @@
 
   std::vector<Member> All;
   std::set<NodeId> Dead;
+
+private:
+  mutable std::vector<Member> Live;
+  mutable std::uint64_t Version = 0; ///< Tells a change at every call; the fakes do not track changes.
 };
 
 /// Supplies contexts and collects effects.
--- a/src/slots/tests/slotsmoduletest.cpp
+++ b/src/slots/tests/slotsmoduletest.cpp
@@ -41,7 +41,8 @@
   void step(Duration by, bool loseAnswer = false) {
     Now += by;
     auto ctx = Source.at(Now);
-    Slots.onTimer(ctx, Policies, Groups, Members);
+    Candidates.update(Source.Self.Node, Policies.databases(), 1, Members);
+    Slots.onTimer(ctx, Policies, Groups, Members, Candidates);
     answerPlatform(loseAnswer);
   }
 
@@ -58,6 +59,7 @@
   FixedMembers Members;
   GroupTable Groups;
   ObjectStore Store;
+  CandidateIndex Candidates;
   SlotsModule Slots;
   TimePoint Now{1s};
 };
