--- a/src/slots/tests/candidateindextest.cpp
+++ b/src/slots/tests/candidateindextest.cpp
@@ -33,6 +33,7 @@
   for (int n = 0; n < 40; ++n)
     members.All.push_back({NodeId("n" + std::to_string(100 + n)), 1, {}, {}, false});
   std::vector<DatabaseId> databases;
+  databases.reserve(30);
   for (int n = 0; n < 30; ++n)
     databases.emplace_back("db" + std::to_string(n));
   const NodeId self("n100");
