--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -22,7 +22,8 @@
 /// With more than one, RESTinio reads on while a request is handled and notices that the caller has gone.
 constexpr std::size_t PipelinedRequests = 2;
 
-/// Counts RESTinio's errors, which are closed connections: broken HTTP, limits, half requests.
+/// Counts RESTinio's errors, which are closed connections: broken HTTP, limits, half heads. RESTinio reports
+/// neither a body that was cut off nor a sender that was too slow.
 class CountingLogger {
 public:
   explicit CountingLogger(std::function<void()> onError) : OnError(std::move(onError)) {}
--- a/src/targets/internal/controlpool.cpp
+++ b/src/targets/internal/controlpool.cpp
@@ -41,6 +41,19 @@
     : Io(io), Target(std::move(target)), Options(options), Sink(std::move(sink)), Metrics(metrics),
       Timer(io) {}
 
+void ControlPool::setServer(ConnectionOptions options) {
+  if (options == Server)
+    return;
+  Server = std::move(options);
+  for (auto it = Connections.begin(); it != Connections.end();) {
+    it->Former = true;
+    const bool unused = it->Running.empty();
+    if (unused)
+      it->Pg->close();
+    it = unused ? Connections.erase(it) : std::next(it);
+  }
+}
+
 void ControlPool::call(const ControlCall &effect) {
   const auto now = Clock::now();
   Call call{effect.Call, effect.Request, now + effect.Timeout, now + effect.Timeout};
@@ -109,8 +122,9 @@
 }
 
 std::optional<ControlPool::ConnectionIt> ControlPool::freeConnection() {
-  const auto it = std::find_if(Connections.begin(), Connections.end(),
-                               [](const Connection &one) { return one.Running.empty() && one.Pg->idle(); });
+  const auto it = std::find_if(Connections.begin(), Connections.end(), [](const Connection &one) {
+    return one.Running.empty() && !one.Former && one.Pg->idle();
+  });
   if (it != Connections.end())
     return it;
   if (Connections.size() >= Options.MaxControlConnections)
@@ -253,7 +267,7 @@
       self->expire(it->Running, now);
       // A connection whose answer nobody waits for is closed: its answer may still come.
       const bool abandoned = busy && it->Running.empty();
-      const bool stale = !busy && now - it->IdleSince > self->Options.ControlIdle;
+      const bool stale = !busy && (it->Former || now - it->IdleSince > self->Options.ControlIdle);
       if (abandoned || stale)
         it->Pg->close();
       it = abandoned || stale ? self->Connections.erase(it) : std::next(it);
--- a/src/targets/internal/controlpool.h
+++ b/src/targets/internal/controlpool.h
@@ -20,7 +20,8 @@
   ControlPool(asio::io_context &io, TargetId target, const TargetOptions &options, EventSink sink,
               IMetrics &metrics);
 
-  void setServer(ConnectionOptions options) { Server = std::move(options); }
+  /// Connections to a former address take no further calls.
+  void setServer(ConnectionOptions options);
   void call(const ControlCall &effect);
   void stop();
 
@@ -38,7 +39,8 @@
   struct Connection {
     std::shared_ptr<PgConnection> Pg;
     Calls Running;
-    bool Waits = false; ///< The running query waits for a position.
+    bool Waits = false;  ///< The running query waits for a position.
+    bool Former = false; ///< To a former address of the server.
     Clock::time_point IdleSince;
   };
   using ConnectionIt = std::list<Connection>::iterator;
--- a/src/targets/internal/pgconnection.cpp
+++ b/src/targets/internal/pgconnection.cpp
@@ -213,7 +213,8 @@
     InRows = PQresultStatus(&result) == PGRES_SINGLE_TUPLE;
     if (!InRows) {
       Outcome.Tags.back() = PQcmdStatus(const_cast<PGresult *>(&result));
-      Outcome.Results.back().Affected = parseDecimal(PQcmdTuples(const_cast<PGresult *>(&result))).value_or(0);
+      Outcome.Results.back().Affected =
+          parseDecimal(PQcmdTuples(const_cast<PGresult *>(&result))).value_or(0);
     }
     return;
   }
