--- a/src/routing/replicarule.h
+++ b/src/routing/replicarule.h
@@ -14,14 +14,17 @@
 /// What a read asks of the server that runs it.
 struct ReadNeed {
   std::optional<Position> Token;  ///< What the session wrote.
-  std::optional<Duration> MaxAge; ///< Age of the data that the caller accepts, instead of the token.
+  std::optional<Duration> MaxAge; ///< Age of the data that the caller accepts, besides the token.
   Duration Wait{};                ///< How long the read may wait for a replica; 0: not at all.
+  /// When the data was read from the primary itself, if it was.
+  std::optional<TimePoint> FromPrimaryAt = std::nullopt;
 };
 
 enum class ReplicaVerdict : std::uint8_t {
   Yes,
   Soon, ///< Expected to hold the token within the read's wait.
   No,
+  Unknown, ///< This proxy has no recent sample of the replica; a holder of its slots has.
 };
 
 /// True if data at this position satisfies the read, by the proofs known at the time asked.
