Name members that die during a verification

Change: every member that was live at the start is reported or named as missing; settings.set names the members that died while it waited.

--- a/src/settings/internal/adminsessions.cpp
+++ b/src/settings/internal/adminsessions.cpp
@@ -238,6 +238,11 @@
   body["everywhere"] = all;
   body["in_force"] = members.live().size() - missing.size();
   body["missing"] = missingJson(state, ctx, missing);
+  body["died"] = json::array();
+  if (it != state.Rounds.end())
+    for (const auto &node : it->second.Targets)
+      if (!members.isLive(node))
+        body["died"].push_back(node.str());
   body["live"] = liveJson(session, members);
   reply(ctx, session.Id, 200, body);
   session.Id = 0;
@@ -254,7 +259,10 @@
   std::set<NodeId> missing;
   if (it != state.Rounds.end()) {
     reports = it->second.Reports;
-    missing = openMembers(it->second, members);
+    // A member that died during the query has proven nothing and is named too.
+    for (const auto &node : it->second.Targets)
+      if (!reports.contains(node))
+        missing.insert(node);
   }
   reports[ctx.Self.Node] = {ctx.Self.Node, ctx.Incarnation, state.Current.Revision,
                             ctx.Now - state.Current.Since};
@@ -267,7 +275,6 @@
     auto report = reports.find(member.Node);
     if (report == reports.end()) {
       missing.insert(member.Node);
-      state.MissingSince.try_emplace(member.Node, session.StartedAt);
       continue;
     }
     bool current = report->second.Revision == expected;
@@ -278,6 +285,8 @@
                     {"in_force_ms", report->second.Since.count() / 1000},
                     {"current", current}});
   }
+  for (const auto &node : missing)
+    state.MissingSince.try_emplace(node, session.StartedAt);
   reply(ctx, session.Id, 200,
         {{"revision", expected},
          {"store_revision", session.StoreRevision ? json(*session.StoreRevision) : json()},
