--- a/src/ctl/render.cpp
+++ b/src/ctl/render.cpp
@@ -62,6 +62,7 @@
   Table out{columns};
   for (const auto &row : list) {
     std::vector<std::string> cells;
+    cells.reserve(columns.size());
     for (const auto &it : columns)
       cells.push_back(row.contains(it) ? scalar(row[it]) : "");
     out.push_back(std::move(cells));
--- a/src/settings/internal/spreader.cpp
+++ b/src/settings/internal/spreader.cpp
@@ -225,13 +225,15 @@
 
 void onPush(SettingsState &state, Context &ctx, const NodeId &from, const SettingsPush &message) {
   state.PushSeen = std::max(state.PushSeen, message.Revision);
-  bool reached = state.Current.Revision >= message.Revision && ctx.Rules.SettingsInForce;
+  bool reached = state.Current.Revision == message.Revision;
   bool refused = false;
   if (!reached) {
     if (auto text = wholeText(message, state.Current.Revision, state.Current.Tree)) {
       reached = acceptTree(state, ctx, message.Revision, std::move(*text), message.Version, UnknownKeys::Skip,
                            from.str());
       refused = !reached;
+    } else if (state.Current.Revision > message.Revision) {
+      reached = true; // The delta of an older revision.
     } else {
       ctx.emit(SendToPeer{from, SettingsRequest{state.Current.Revision}});
     }
--- a/src/spread/baseline.cpp
+++ b/src/spread/baseline.cpp
@@ -10,18 +10,16 @@
 constexpr double WatchSeconds = 30;
 /// Request and answer headers of a watch.
 constexpr double HttpBytes = 600;
-/// History of 200 changes, as the object holds it after the first days.
-constexpr double HistoryBytes = 200 * 200;
 
 double ms(Duration value) { return static_cast<double>(value.count()) / 1000; }
 
 } // namespace
 
 BaselineFigures everyProxyWatches(const FleetOptions &options, Duration changeInterval,
-                                  std::size_t treeBytes) {
+                                  std::size_t objectBytes) {
   auto nodes = static_cast<double>(options.Nodes);
   auto changesPerS = 1000 / ms(changeInterval);
-  auto object = static_cast<double>(treeBytes) + HistoryBytes;
+  auto object = static_cast<double>(objectBytes);
   BaselineFigures out;
   // Read and update by the operator's proxy, then the answers to all watches.
   out.InForceMs =
--- a/src/spread/baseline.h
+++ b/src/spread/baseline.h
@@ -14,6 +14,6 @@
 
 /// A store that answers 2,000 reads a second answers the watches one after the other.
 [[nodiscard]] BaselineFigures everyProxyWatches(const FleetOptions &options, Duration changeInterval,
-                                                std::size_t treeBytes);
+                                                std::size_t objectBytes);
 
 } // namespace rosemaryhinge::spread
--- a/src/spread/main.cpp
+++ b/src/spread/main.cpp
@@ -43,6 +43,7 @@
   double BytesPerNodeS = 0;         ///< Sent by proxies to each other and exchanged with the store.
   double SettingsBytesPerNodeS = 0; ///< The part above what the fleet sends without changes.
   double StoreCallsPerS = 0;
+  std::size_t ObjectBytes = 0; ///< Of settings/tree, halfway between the first and the last change.
 };
 
 std::string readFile(const std::string &name) {
@@ -101,6 +102,7 @@
   }
   out.BytesPerNodeS = rate(fleet, before, fleet.Now - started);
   out.SettingsBytesPerNodeS = out.BytesPerNodeS - idle;
+  out.ObjectBytes = (tree.size() + fleet.Store.object(std::string(SettingsKey)).Value.size()) / 2;
   out.StoreCallsPerS = static_cast<double>(fleet.Store.Calls - calls) / (ms(fleet.Now - started) / 1000);
   return out;
 }
@@ -124,16 +126,15 @@
 
 void measure(const Deployment &deployment, const std::string &tree, std::uint64_t seed) {
   std::vector<double> times;
-  std::vector<double> baseTimes;
+  std::size_t objectBytes = 0;
   std::vector<double> costs;
-  std::vector<double> baseCosts;
   for (auto nodes : Sizes) {
     auto figures = measureTree(deployment, nodes, tree, seed);
-    auto base = everyProxyWatches(options(deployment, nodes, tree, seed), ChangeInterval, tree.size());
+    auto base =
+        everyProxyWatches(options(deployment, nodes, tree, seed), ChangeInterval, figures.ObjectBytes);
+    objectBytes = figures.ObjectBytes;
     times.push_back(figures.InForceMs);
     costs.push_back(figures.BytesPerNodeS);
-    baseTimes.push_back(base.InForceMs);
-    baseCosts.push_back(base.BytesPerNodeS);
     print("settings_in_force_ms", deployment.Name, figures.InForceMs, base.InForceMs, "ms", TargetMs,
           {{"nodes", nodes}, {"operator_told_ms", std::round(figures.AnswerMs * 10) / 10}});
     print("settings_bytes_per_node_s", deployment.Name, figures.BytesPerNodeS, base.BytesPerNodeS, "B/s",
@@ -144,7 +145,7 @@
            {"baseline_store_calls_per_s", std::round(base.StoreCallsPerS * 100) / 100}});
   }
   auto base = everyProxyWatches(options(deployment, static_cast<std::size_t>(DesignNodes), tree, seed),
-                                ChangeInterval, tree.size());
+                                ChangeInterval, objectBytes);
   print("settings_in_force_ms", deployment.Name, atDesignSize(times), base.InForceMs, "ms", TargetMs,
         {{"nodes", DesignNodes}, {"by_slope", true}});
   print("settings_bytes_per_node_s", deployment.Name, atDesignSize(costs), base.BytesPerNodeS, "B/s",
