Let a proxy start from the fleet when the settings object is gone

Cause: with the object absent or unreadable the store answers, so the way through a majority of members was never taken and new proxies stayed not ready. Change: any start read without usable settings opens that way; a test covers it, and another that only the rule SettingsInForce refuses a lower revision.

--- a/src/settings/internal/settingsstate.h
+++ b/src/settings/internal/settingsstate.h
@@ -106,7 +106,7 @@
   std::optional<CallId> StartCall;
   std::optional<TimePoint> NextStartRead;
   Duration StartBackoff{};
-  bool StoreFailed = false;
+  bool StoreFailed = false;        ///< The store gave no usable settings.
   std::uint64_t StartRound = 0;    ///< Query to the members while the store is down.
   std::uint64_t StartRevision = 0; ///< Highest revision of a majority.
 
--- a/src/settings/internal/storereader.cpp
+++ b/src/settings/internal/storereader.cpp
@@ -76,9 +76,10 @@
     }
     ctx.emit(Log{LogLevel::Warn, "the store holds no usable settings; store a tree in settings/tree", {}});
   } else {
-    state.StoreFailed = true;
     ctx.emit(CountRetry{RetryReason::StoreFailure});
   }
+  // Also where the object is absent or unusable, the members may have a revision in force.
+  state.StoreFailed = true;
   state.StartBackoff = nextBackoff(state.StartBackoff);
   state.NextStartRead = ctx.Now + jittered(ctx, state.StartBackoff);
 }
--- a/src/settings/tests/spreadtest.cpp
+++ b/src/settings/tests/spreadtest.cpp
@@ -1,5 +1,6 @@
 // Settings of a fleet under failures, in virtual time.
 
+#include "settings/internal/delta.h"
 #include "settings/object.h"
 #include "settings/tests/trees.h"
 #include "spread/fleet.h"
@@ -257,3 +258,30 @@
   auto body = answer(fleet, fleet.admin(0, "settings.set", change(1, "c1", "40ms").dump()), 503);
   CHECK(body["error"] == "store_unavailable");
 }
+
+TEST_CASE("a proxy that starts while the object is gone from the store takes the fleet's revision") {
+  ReadyFleet fleet(6);
+  answer(fleet, fleet.admin(0, "settings.set", change(1, "c1", "40ms").dump()), 200);
+  fleet.Store.overwrite(std::string(SettingsKey), "");
+  fleet.start(3);
+  CHECK(fleet.runUntil([&] { return fleet.settings(3).ready(); }, 10s));
+  CHECK(fleet.settings(3).revision() == 2);
+}
+
+TEST_CASE("a push of a lower revision is refused, and only the rule of the invariant refuses it") {
+  for (bool rule : {true, false}) {
+    SettingsModule module;
+    MembershipModule members;
+    NodeConfig self;
+    Rules rules;
+    rules.SettingsInForce = rule;
+    std::mt19937_64 random;
+    Effects effects;
+    std::vector<JournalEntry> journal;
+    std::uint64_t number = 0;
+    Context ctx{TimePoint(1h), self, 1, rules, random, effects, journal, number, {}};
+    for (std::uint64_t revision : {7, 5})
+      module.onPeer(ctx, members, NodeId("b"), detail::wholePush(revision, testing::SmallTree, revision));
+    CHECK(module.revision() == (rule ? 7 : 5));
+  }
+}
