Bound connections without RESTinio's own limiter

The sanitizer build found a use after free: connections of RESTinio's limiter refer to the acceptor, which a stopped server destroys while its last connections are still open, as at the end of a graceful shutdown. An IP blocker now closes and counts connections beyond the bound, and holds nothing of the acceptor.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -40,15 +40,41 @@
 class Listener {
 public:
   std::function<void(restinio::connection_id_t)> OnClosed;
+  std::size_t Open = 0; ///< Connections.
 
   // RESTinio names this method.
   // NOLINTNEXTLINE(readability-identifier-naming)
   void state_changed(const restinio::connection_state::notice_t &notice) noexcept {
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()) && OnClosed)
+    if (restinio::holds_alternative<restinio::connection_state::accepted_t>(notice.cause()))
+      ++Open;
+    if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
+      return;
+    --Open;
+    if (OnClosed)
       OnClosed(notice.connection_id());
   }
 };
 
+/// Closes connections beyond the bound as they come in. RESTinio's own limiter is not used: its connections
+/// refer to the server's acceptor, which a server that is stopped destroys before them.
+class Gate {
+public:
+  Gate(std::shared_ptr<Listener> state, std::size_t limit, std::function<void()> onDenied)
+      : State(std::move(state)), Limit(limit), OnDenied(std::move(onDenied)) {}
+
+  restinio::ip_blocker::inspection_result_t inspect(const restinio::ip_blocker::incoming_info_t &) noexcept {
+    if (State->Open < Limit)
+      return restinio::ip_blocker::allow();
+    OnDenied();
+    return restinio::ip_blocker::deny();
+  }
+
+private:
+  std::shared_ptr<Listener> State;
+  std::size_t Limit;
+  std::function<void()> OnDenied;
+};
+
 using Handler = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
 
 // RESTinio names the members of a traits class.
@@ -56,7 +82,7 @@
 struct ServerTraits
     : restinio::single_thread_traits_t<restinio::asio_timer_manager_t, CountingLogger, Handler> {
   using connection_state_listener_t = Listener;
-  static constexpr bool use_connection_count_limiter = true;
+  using ip_blocker_t = Gate;
 };
 // NOLINTEND(readability-identifier-naming)
 
@@ -79,13 +105,15 @@
     State = std::make_shared<Listener>();
     State->OnClosed = [this](restinio::connection_id_t id) { closed(id); };
     const auto errors = "http_connection_errors_total{listener=\"" + Options.Name + "\"}";
+    const auto denied = "http_connections_refused_total{listener=\"" + Options.Name + "\"}";
     auto settings = restinio::server_settings_t<ServerTraits>{};
     settings.address(asio::ip::make_address(Options.Ip))
         .port(Options.Port)
         .logger([&metrics = Metrics, errors] { metrics.count(errors); })
         .timer_manager(Options.TimerResolution)
         .connection_state_listener(State)
-        .max_parallel_connections(Options.MaxConnections)
+        .ip_blocker(std::make_shared<Gate>(State, Options.MaxConnections,
+                                           [&metrics = Metrics, denied] { metrics.count(denied); }))
         .max_pipelined_requests(PipelinedRequests)
         .read_next_http_message_timelimit(Options.ReadTimeout)
         .write_http_response_timelimit(Options.WriteTimeout)
