Give up holders that were declared dead, log unknown outcomes at a bounded rate

A partition does not always break the connection to a holder, so a forwarded request waited until its deadline. It now checks the membership every 500 ms.

--- a/src/request/internal/engine.h
+++ b/src/request/internal/engine.h
@@ -61,6 +61,8 @@
 
   // forward.cpp
   void forward(Flight &flight, const NodeId &node);
+  void holderLost(Flight &flight);
+  void checkHolder(Flight &flight);
   void retryElsewhere(Flight &flight, RetryReason reason, Refusal refusal);
 
   // execute.cpp
@@ -110,6 +112,7 @@
               std::optional<Duration> retryAfter = std::nullopt);
   void refuseAs(Flight &flight, RefusalReason reason, Ran ran, std::string message,
                 std::optional<Duration> retryAfter = std::nullopt);
+  void logUnknown(const Flight &flight, std::string_view reason);
   void broken(Flight &flight, const char *invariant, std::string detail);
   bool takeRetry(Flight &flight, RetryReason reason);
   void unmatched();
--- a/src/request/internal/finish.cpp
+++ b/src/request/internal/finish.cpp
@@ -11,6 +11,8 @@
 const char *const AnswerInvariant = "answer_matching";
 /// Calls are forgotten after this time, far above each timeout, should an answer never come.
 constexpr Duration CallLifetime = 10s;
+/// At most one log line about a single request in this time; the counters hold all of them.
+constexpr Duration LogInterval = 1s;
 } // namespace
 
 void Engine::finish(Flight &flight, Answer answer) {
@@ -53,9 +55,25 @@
 
 void Engine::refuseAs(Flight &flight, RefusalReason reason, Ran ran, std::string message,
                       std::optional<Duration> retryAfter) {
+  if (ran == Ran::Unknown)
+    logUnknown(flight, toString(reason));
   finish(flight, Refusal{reason, ran, retryAfter, std::move(message)});
 }
 
+void Engine::logUnknown(const Flight &flight, std::string_view reason) {
+  if (Ctx.Now < St.NextLog)
+    return;
+  St.NextLog = Ctx.Now + LogInterval;
+  Ctx.emit(Log{LogLevel::Warn,
+               "outcome of a request is not known",
+               {{"database", flight.Request.Database.str()},
+                {"reason", std::string(reason)},
+                {"request", std::to_string(flight.Id)},
+                {"attempt", std::to_string(flight.Attempt)},
+                {"term", std::to_string(flight.Write.At.Term)},
+                {"position", std::to_string(flight.Write.At.Lsn)}}});
+}
+
 void Engine::broken(Flight &flight, const char *invariant, std::string detail) {
   Ctx.emit(InvariantBroken{invariant, detail});
   refuse(flight, RefusalReason::InvariantBroken, std::move(detail));
--- a/src/request/internal/forward.cpp
+++ b/src/request/internal/forward.cpp
@@ -11,6 +11,8 @@
 /// Time kept back from the budget of a forwarded request, so that its answer arrives before our deadline.
 constexpr Duration AnswerReserve = 30ms;
 constexpr int ReserveDivisor = 10;
+/// A holder that was declared dead is noticed after this time, also if its connection does not break.
+constexpr Duration HolderCheck = 500ms;
 
 /// The holder did nothing, and another one may do better.
 bool elsewhere(RefusalReason reason) {
@@ -41,7 +43,7 @@
   const auto budget = left - std::min<Duration>(AnswerReserve, left / ReserveDivisor);
   Ctx.emit(SendToPeer{
       node, ForwardRequest{flight.ForwardId, budget, flight.Hops + 1, flight.Attempt, flight.Request}});
-  wakeAt(flight, flight.Request.Deadline);
+  wakeAt(flight, Ctx.Now + HolderCheck);
 }
 
 void Engine::forwardAnswered(const NodeId &from, const ForwardAnswer &message) {
@@ -82,23 +84,31 @@
     if (flight.Phase == Phase::Forwarded && flight.Peer == node)
       ids.push_back(id);
   std::sort(ids.begin(), ids.end());
-  for (const auto id : ids) {
-    auto *flight = find(id);
-    if (flight == nullptr)
-      continue;
-    St.ToPeers.erase(flight->ForwardId);
-    if (flight->hasEffects()) {
-      flight->Excluded.push_back(node);
-      lostAnswer(*flight, RetryReason::PeerLost);
-    } else if (flight->inTransaction()) {
-      // The transaction may live on and be committed through another proxy.
-      refuseAs(*flight, RefusalReason::TransactionLost, Ran::Unknown, "lost the proxy " + node.str());
-    } else {
-      retryElsewhere(
-          *flight, RetryReason::PeerLost,
-          Refusal{RefusalReason::PeerUnreachable, Ran::NotRun, Duration{}, "lost the proxy " + node.str()});
-    }
+  for (const auto id : ids)
+    if (auto *flight = find(id); flight != nullptr)
+      holderLost(*flight);
+}
+
+void Engine::holderLost(Flight &flight) {
+  const auto why = "lost the proxy " + flight.Peer.str();
+  St.ToPeers.erase(flight.ForwardId);
+  if (flight.hasEffects()) {
+    flight.Excluded.push_back(flight.Peer);
+    lostAnswer(flight, RetryReason::PeerLost);
+  } else if (flight.inTransaction()) {
+    // The transaction may live on and be committed through another proxy.
+    refuseAs(flight, RefusalReason::TransactionLost, Ran::Unknown, why);
+  } else {
+    retryElsewhere(flight, RetryReason::PeerLost,
+                   Refusal{RefusalReason::PeerUnreachable, Ran::NotRun, Duration{}, why});
   }
 }
 
+void Engine::checkHolder(Flight &flight) {
+  if (Svc.Members.isDead(flight.Peer))
+    holderLost(flight);
+  else
+    wakeAt(flight, Ctx.Now + HolderCheck);
+}
+
 } // namespace rosemaryhinge::detail
--- a/src/request/internal/state.h
+++ b/src/request/internal/state.h
@@ -53,6 +53,7 @@
   explicit RequestState(RequestOptions options) : Options(options), Queue(options.Queue) {}
 
   RequestOptions Options;
+  TimePoint NextLog; ///< Bounds the rate of log lines about single requests.
   std::unordered_map<std::uint64_t, Flight> Flights;
   std::unordered_map<RequestId, std::uint64_t> Own;                ///< Requests of callers.
   std::map<std::pair<NodeId, RequestId>, std::uint64_t> FromPeers; ///< By sender and its id.
--- a/src/request/internal/timers.cpp
+++ b/src/request/internal/timers.cpp
@@ -68,7 +68,9 @@
   case Phase::Queued:
   case Phase::Parked:
   case Phase::Running:
+    return;
   case Phase::Forwarded:
+    checkHolder(flight);
     return;
   }
 }
--- a/src/request/tests/forwarding.cpp
+++ b/src/request/tests/forwarding.cpp
@@ -86,6 +86,18 @@
   CHECK(second->first != first->first);
 }
 
+TEST_CASE_FIXTURE(Entry,
+                  "a holder that was declared dead is given up, also if its connection does not break") {
+  ask(request(1, true));
+  const auto first = takeForward();
+  REQUIRE(first);
+  Members.Nodes.erase(first->first);
+  advance(600ms);
+  const auto second = takeForward();
+  REQUIRE(second);
+  CHECK(second->first != first->first);
+}
+
 TEST_CASE_FIXTURE(Entry, "a forwarded write without an answer is unknown at its deadline") {
   forwardWrite();
   advance(3s);
