Estimate replica lag only while the replica is behind

In a quiet database a replica that holds everything showed a lag of zero, so the first read after a write waited for it in vain (up to read.wait, 30 ms) before it went to the primary.

--- a/src/routing/lagtable.cpp
+++ b/src/routing/lagtable.cpp
@@ -28,6 +28,9 @@
   }
   auto &[sampledAt, lag] = it->second;
   sampledAt = *replica.SampledAt;
+  // A replica that holds everything shows no lag while nothing is written, however slow it is.
+  if (view.Samples.back().End <= replica.Status.Log)
+    return;
   lag = seen < lag ? seen : lag + (seen - lag) / RiseDivisor;
 }
 
--- a/src/routing/lagtable.h
+++ b/src/routing/lagtable.h
@@ -9,6 +9,7 @@
 
 namespace rosemaryhinge {
 
+/// Updated only while a replica is seen behind the primary.
 /// The proven age of a replica's position is the lag plus up to one interval between samples of the primary,
 /// so the estimate follows the low end of what is seen and rises slowly.
 class LagTable {
--- a/src/routing/tests/replicarule.cpp
+++ b/src/routing/tests/replicarule.cpp
@@ -1,6 +1,7 @@
 // The rule by which reads go to replicas: what a session must not miss.
 
 #include "routing/replicarule.h"
+#include "routing/lagtable.h"
 
 #include <doctest/doctest.h>
 
@@ -76,3 +77,23 @@
   CHECK(ask({Position{2, 1}, {}, 0ms}, {2, 1200}, {}, ReadPolicy::StickyPrimary) == ReplicaVerdict::No);
   CHECK(ask({}, {2, 1200}, {}, ReadPolicy::StickyPrimary) == ReplicaVerdict::Yes);
 }
+
+TEST_CASE_FIXTURE(Fixture, "a quiet database does not make a slow replica look fast") {
+  LagTable lags;
+  const TargetId target("s1");
+  auto see = [&](TimePoint at, Position primary, Position replica) {
+    View.Samples.push_back({at, primary});
+    Replica.SampledAt = at;
+    Replica.Status.Log = replica;
+    lags.note(Groups, View, target, Replica);
+  };
+  see(Now, {2, 1000}, {2, 1000});
+  for (int it = 1; it <= 50; ++it)
+    see(Now + it * 100ms, {2, 1000 + Lsn(it)}, {2, 1000 + Lsn(it) - 2}); // 200 ms behind.
+  const auto busy = lags.find(target);
+  REQUIRE(busy);
+  CHECK(*busy > 150ms);
+  for (int it = 51; it <= 100; ++it)
+    see(Now + it * 100ms, {2, 1050}, {2, 1050});
+  CHECK(lags.find(target) == busy);
+}
