--- a/src/fakes/proxy.cpp
+++ b/src/fakes/proxy.cpp
@@ -17,7 +17,8 @@
 constexpr Duration TimerStep = 100us;
 constexpr Duration NoticeLow = 100ms;
 constexpr Duration NoticeHigh = 1500ms;
-constexpr Duration ServerNoticeHigh = 4s;
+/// A server notices a connection that was cut by its keep-alive, much later than the proxy.
+constexpr Duration ServerNoticeHigh = 15s;
 
 } // namespace
 
@@ -61,24 +62,31 @@
               static_cast<std::uint64_t>(World.Queue.now().time_since_epoch().count()) * 1000 + Incarnation});
 }
 
-void FakeProxy::end(bool graceful) {
-  if (!running())
-    return;
-  World.trace(Config.Node.str() + (graceful ? " ended" : " killed"));
-  for (auto *it : World.Observers)
-    it->onProxyEnded(*this, graceful);
-  auto incarnation = Incarnation;
+void FakeProxy::closeConnections(Ending how) {
   for (const auto &[connection, target] : Connections) {
     auto *server = World.server(target);
-    ConnectionKey key{Index, incarnation, connection};
+    ConnectionKey key{Index, Incarnation, connection};
     auto closed = [server, key] { server->closedByProxy(key); };
-    World.Network.send(Where, server->place(), closed, true, [this, closed] {
-      World.Queue.after(World.Random.between(1s, ServerNoticeHigh), closed);
-    });
+    auto late = [this, closed] { World.Queue.after(World.Random.between(1s, ServerNoticeHigh), closed); };
+    if (how == Ending::Vm)
+      late();
+    else
+      World.Network.send(Where, server->place(), closed, true, late);
   }
+  Connections.clear();
+}
+
+void FakeProxy::end(Ending how) {
+  if (!running())
+    return;
+  World.trace(Config.Node.str() + (how == Ending::Graceful ? " ended"
+                                   : how == Ending::Vm     ? " fails with its VM"
+                                                           : " killed"));
+  for (auto *it : World.Observers)
+    it->onProxyEnded(*this, how == Ending::Graceful);
+  closeConnections(how);
   auto calls = std::move(Calls);
   auto admin = std::move(AdminCalls);
-  Connections.clear();
   Calls.clear();
   AdminCalls.clear();
   Waiting.clear();
@@ -92,6 +100,8 @@
     call.Gone();
   for (auto &[id, call] : admin)
     call.second();
+  if (how == Ending::Vm)
+    return;
   for (const auto &it : World.Proxies)
     if (it.get() != this && it->running())
       World.Network.send(Where, it->place(), [peer = it.get(), node = Config.Node] {
@@ -100,19 +110,26 @@
       });
 }
 
-void FakeProxy::kill() { end(false); }
+void FakeProxy::kill(bool withVm) { end(withVm ? Ending::Vm : Ending::Process); }
 
 void FakeProxy::pause(Duration time) {
   if (!running())
     return;
   World.trace(Config.Node.str() + " pauses for " + std::to_string(time.count() / 1000) + " ms");
   PausedUntil = std::max(PausedUntil, World.Queue.now() + time);
-  World.Queue.at(PausedUntil, [this, incarnation = Incarnation] {
-    if (running() && Incarnation == incarnation && !paused())
+  World.Queue.at(PausedUntil, [this, incarnation = Incarnation, until = PausedUntil] {
+    if (running() && Incarnation == incarnation && PausedUntil == until)
       resume();
   });
 }
 
+void FakeProxy::wake() {
+  if (!running() || !paused())
+    return;
+  PausedUntil = World.Queue.now();
+  resume();
+}
+
 void FakeProxy::resume() {
   auto held = std::move(Held);
   Held.clear();
@@ -166,7 +183,7 @@
   for (auto *it : World.Observers)
     it->onAfterEvent(*this);
   if (Ended)
-    end(true);
+    end(Ending::Graceful);
   else
     armTimer();
 }
@@ -321,6 +338,10 @@
   auto *server = World.server(it->second);
   Connections.erase(it);
   ConnectionKey key{Index, Incarnation, effect.Connection.Value};
+  // As the target adapter does, the end of the connection is reported for a close of this side too.
+  World.Queue.after(0us, [this, key] {
+    receiveFor(key.Incarnation, ConnectionClosed{ConnectionId{key.Connection}, "closed by this proxy"});
+  });
   auto closed = [server, key] { server->closedByProxy(key); };
   World.Network.send(Where, server->place(), closed, true, [this, closed] {
     World.Queue.after(World.Random.between(1s, ServerNoticeHigh), closed);
--- a/src/membership/internal/membershipstate.h
+++ b/src/membership/internal/membershipstate.h
@@ -36,10 +36,12 @@
   TimePoint JoinBy;
   TimePoint NextSeedCall;
   TimePoint NextReconnect;
+  TimePoint NextSync;
   TimePoint TrustedFrom; ///< Before this time, own timeouts prove nothing.
   bool Joined = false;
   mutable std::vector<Member> LiveCache;
   mutable bool CacheValid = false;
+  mutable std::uint64_t CacheVersion = 0; ///< Grows when LiveCache changes.
 };
 
 } // namespace rosemaryhinge::detail
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -51,9 +51,10 @@
 }
 
 void rebuildCache(const MembershipState &state) {
-  state.LiveCache.clear();
+  std::vector<Member> live;
+  live.reserve(state.LiveCache.size());
   auto add = [&](const MemberUpdate &it, bool leaving) {
-    state.LiveCache.push_back({it.Node, it.Incarnation, it.AvailabilityZone, it.Region, leaving});
+    live.push_back({it.Node, it.Incarnation, it.AvailabilityZone, it.Region, leaving});
   };
   bool selfAdded = state.Self.Node.empty();
   auto addSelf = [&] {
@@ -69,6 +70,10 @@
   if (!selfAdded)
     addSelf();
   state.CacheValid = true;
+  if (live == state.LiveCache)
+    return;
+  state.LiveCache = std::move(live);
+  ++state.CacheVersion;
 }
 
 } // namespace
@@ -92,6 +97,7 @@
   state.Gossip.add(state.Self);
   state.JoinBy = ctx.Now + JoinPatience;
   state.NextReconnect = ctx.Now;
+  state.NextSync = ctx.Now + JoinPatience;
   state.Joined = std::all_of(ctx.Self.Seeds.begin(), ctx.Self.Seeds.end(),
                              [&](const auto &it) { return it.Node == ctx.Self.Node; });
   state.NextSeedCall = ctx.Now;
@@ -115,8 +121,11 @@
                           ctx.emit(SendToPeer{from, membersReply(state)});
                         },
                         [&](const MembersReply &it) {
+                          // A whole list is no news to the fleet: passing it on cost 2.5 KB/s per node for
+                          // minutes after 300 proxies had started together.
+                          bool notice = it.Members.size() == 1;
                           for (const auto &update : it.Members)
-                            detail::learn(state, ctx, update);
+                            detail::learn(state, ctx, update, notice);
                           // A leaving notice is not the member list of a peer.
                           if (it.Members.size() != 1 ||
                               it.Members.front().State != MemberUpdate::Kind::Leaving)
@@ -180,12 +189,17 @@
     ctx.emit(SendToPeer{it, MembersReply{{state.Self}}});
 }
 
-std::vector<Member> MembershipModule::live() const {
+const std::vector<Member> &MembershipModule::live() const {
   if (!State->CacheValid)
     rebuildCache(*State);
   return State->LiveCache;
 }
 
+std::uint64_t MembershipModule::version() const {
+  (void)live();
+  return State->CacheVersion;
+}
+
 bool MembershipModule::isLive(const NodeId &node) const {
   if (node == State->Self.Node)
     return true;
