Pace the claims of slots by the size of the fleet

Cause: when an availability zone of 350 nodes goes, about 10,000 slot tables change at once and would take the store's several hundred writes a second from the promotions. Change: the fleet's updates of slot tables stay below 200 a second; leaving proxies are exempt. Figures: at 1,000 nodes one proxy's updates are 5 s apart; at 6 nodes 30 ms. Conclusion: a zone's slots move within about a minute and promotions keep their share.

--- a/src/slots/internal/slotsstate.h
+++ b/src/slots/internal/slotsstate.h
@@ -42,6 +42,7 @@
   std::map<TargetId, std::uint32_t> ConnectionsPerSlot;
   ConnectionPool Pool;
   bool Leaving = false;
+  TimePoint NextPut; ///< No table is updated before this time.
   std::optional<TimePoint> Next;
 };
 
--- a/src/slots/slotsmodule.cpp
+++ b/src/slots/slotsmodule.cpp
@@ -27,6 +27,9 @@
 constexpr Duration RebalanceInterval = 10s;
 /// Reads of slot tables by the whole fleet stay below this, out of about 2,000 reads a second of the store.
 constexpr std::int64_t MaxFleetReadsPerSecond = 200;
+/// Updates of slot tables by the whole fleet stay below this, out of several hundred writes a second of the
+/// store: when an availability zone goes, thousands of slots move and promotions need the rest.
+constexpr std::int64_t MaxFleetWritesPerSecond = 200;
 /// Connections being opened to one server at a time; more would only add load while it is slow.
 constexpr std::uint32_t MaxOpening = 4;
 
@@ -246,8 +249,12 @@
   auto next = *db.Table;
   bool changed = candidate && claimFree(ctx, state, view.Group, members, live, next);
   changed = freeGivenUp(ctx, state, database, next) || changed;
-  if (changed)
-    put(ctx, db, database, std::move(next));
+  // A leaving proxy has little time, and few leave at once.
+  if (!changed || (ctx.Now < state.NextPut && !state.Leaving))
+    return;
+  state.NextPut = ctx.Now + std::chrono::microseconds(1s) * static_cast<std::int64_t>(members.live().size()) /
+                                MaxFleetWritesPerSecond;
+  put(ctx, db, database, std::move(next));
 }
 
 /// A read that answers for an update without a known outcome settles it.
--- a/src/slots/tests/fakes.h
+++ b/src/slots/tests/fakes.h
@@ -20,6 +20,7 @@
 class FixedPolicies : public IPolicies {
 public:
   explicit FixedPolicies(DatabaseId database) : Names{std::move(database)} {}
+  explicit FixedPolicies(std::vector<DatabaseId> databases) : Names(std::move(databases)) {}
 
   [[nodiscard]] const ClassPolicy &classPolicy(const DatabaseId &, const ClassName &) const override {
     return Class;
--- a/src/slots/tests/slotsmoduletest.cpp
+++ b/src/slots/tests/slotsmoduletest.cpp
@@ -199,3 +199,28 @@
   }
   CHECK(f.Slots.gaveUpAll());
 }
+
+TEST_CASE("claims of a large fleet are spread out, so that the store keeps room for promotions") {
+  Fixture f("n1");
+  for (int n = 2; n <= 1000; ++n)
+    f.Members.All.push_back({NodeId("n" + std::to_string(n)), 1, AvailabilityZone("z"), Region("z"), true});
+  const std::vector<DatabaseId> databases = {DatabaseId("db"), DatabaseId("db2")};
+  auto second = threeServers();
+  second.Database = databases.back();
+  for (auto &it : second.Servers)
+    it.Target = TargetId("second-" + it.Target.str());
+  auto ctx = f.Source.at(f.Now);
+  f.Groups.update(ctx, second);
+  f.Policies = FixedPolicies(databases);
+  std::vector<TimePoint> puts;
+  for (int n = 0; n < 60; ++n) {
+    const auto before = f.Store.Objects.size();
+    f.step(250ms);
+    f.answerClaims();
+    if (f.Store.Objects.size() > before)
+      puts.push_back(f.Now);
+  }
+  REQUIRE(puts.size() == 2);
+  // 1,000 proxies at 200 updates a second.
+  CHECK(puts[1] - puts[0] >= 5s);
+}
