--- a/src/standin/faults.cpp
+++ b/src/standin/faults.cpp
@@ -108,7 +108,7 @@
 }
 
 const std::map<std::string, std::function<void(World &, const Json &)>> &faults() {
-  static const std::map<std::string, std::function<void(World &, const Json &)>> table = {
+  static const std::map<std::string, std::function<void(World &, const Json &)>> Table = {
       {"store_down", storeDown},
       {"store_slow", storeSlow},
       {"store_lose_answer", storeLoseAnswer},
@@ -120,7 +120,7 @@
       {"leaving", setLeaving},
       {"reset", reset},
   };
-  return table;
+  return Table;
 }
 
 } // namespace
--- a/src/standin/httpconnection.cpp
+++ b/src/standin/httpconnection.cpp
@@ -45,8 +45,8 @@
   In.erase(0, bytes);
   Request = std::move(*head);
   if (Request.header("expect") && In.size() < *length) {
-    static constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(Socket, asio::buffer(goOn),
+    static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(Socket, asio::buffer(Continue),
                       [self = shared_from_this(), n = *length](std::error_code ec, std::size_t) {
                         if (!ec)
                           self->readBody(n);
--- a/src/standin/slottable.cpp
+++ b/src/standin/slottable.cpp
@@ -9,22 +9,22 @@
 namespace rosemaryhinge::standin {
 
 std::optional<SlotName> parseSlotName(std::string_view applicationName) {
-  constexpr std::string_view slotKey = "rh/slot=";
-  constexpr std::string_view generationKey = "/gen=";
-  constexpr std::string_view nodeKey = "/node=";
-  auto generation = applicationName.find(generationKey);
-  auto node = applicationName.find(nodeKey);
-  if (!applicationName.starts_with(slotKey) || generation == std::string_view::npos ||
+  constexpr std::string_view SlotKey = "rh/slot=";
+  constexpr std::string_view GenerationKey = "/gen=";
+  constexpr std::string_view NodeKey = "/node=";
+  auto generation = applicationName.find(GenerationKey);
+  auto node = applicationName.find(NodeKey);
+  if (!applicationName.starts_with(SlotKey) || generation == std::string_view::npos ||
       node == std::string_view::npos || node < generation)
     return std::nullopt;
-  auto slotText = applicationName.substr(slotKey.size(), generation - slotKey.size());
-  generation += generationKey.size();
+  auto slotText = applicationName.substr(SlotKey.size(), generation - SlotKey.size());
+  generation += GenerationKey.size();
   auto slot = parseNumber(slotText);
   auto number = parseNumber(applicationName.substr(generation, node - generation));
   if (!slot || *slot > UINT32_MAX || !number)
     return std::nullopt;
   return SlotName{static_cast<std::uint32_t>(*slot), *number,
-                  std::string(applicationName.substr(node + nodeKey.size()))};
+                  std::string(applicationName.substr(node + NodeKey.size()))};
 }
 
 SlotTable::Admission SlotTable::open(const SlotName &name) {
--- a/src/standin/statement.cpp
+++ b/src/standin/statement.cpp
@@ -124,7 +124,7 @@
 }
 
 void classifySelect(Reader in, Statement &out) {
-  constexpr std::string_view prefix = "rosemaryhinge_";
+  constexpr std::string_view Prefix = "rosemaryhinge_";
   if (auto sleep = in; upper(sleep.word()) == "PG_SLEEP" && readArguments(sleep, out.Args)) {
     out.Type = Statement::Kind::Sleep;
     return;
@@ -133,9 +133,9 @@
   if (!in.accept('*') || upper(in.word()) != "FROM")
     return;
   auto name = in.word();
-  if (name.starts_with(prefix) && readArguments(in, out.Args)) {
+  if (name.starts_with(Prefix) && readArguments(in, out.Args)) {
     out.Type = Statement::Kind::Function;
-    out.Function = name.substr(prefix.size());
+    out.Function = name.substr(Prefix.size());
   }
 }
 
