--- a/src/slots/slotsmodule.cpp
+++ b/src/slots/slotsmodule.cpp
@@ -27,6 +27,9 @@
 constexpr Duration RebalanceInterval = 10s;
 /// Reads of slot tables by the whole fleet stay below this, out of about 2,000 reads a second of the store.
 constexpr std::int64_t MaxFleetReadsPerSecond = 200;
+/// Updates of slot tables by the whole fleet stay below this, out of several hundred writes a second of the
+/// store: when an availability zone goes, thousands of slots move and promotions need the rest.
+constexpr std::int64_t MaxFleetWritesPerSecond = 200;
 /// Connections being opened to one server at a time; more would only add load while it is slow.
 constexpr std::uint32_t MaxOpening = 4;
 
@@ -219,15 +222,23 @@
   }
 }
 
+/// Only candidates hold slots, so that ordering them costs the same in a fleet of any size.
+std::vector<Member> candidateMembers(const DatabaseSlots &db, const IMembers &members) {
+  std::vector<Member> out;
+  for (const auto &it : db.Candidates)
+    if (const auto *member = members.find(it))
+      out.push_back(*member);
+  return out;
+}
+
 void maintainDatabase(Context &ctx, SlotsState &state, const GroupView &view, const IMembers &members,
-                      const std::vector<Member> &live, Duration interval) {
+                      const CandidateIndex &candidates, Duration interval) {
+
   const auto &database = view.Group.Database;
   auto &db = state.Databases[database];
-  db.Candidates = databaseOrder(database, live);
-  if (db.Candidates.size() > DatabaseCandidates)
-    db.Candidates.resize(DatabaseCandidates);
-  bool candidate =
-      std::find(db.Candidates.begin(), db.Candidates.end(), ctx.Self.Node) != db.Candidates.end();
+  bool candidate = candidates.own().contains(database);
+  db.Candidates = candidates.of(database);
+  const auto live = candidateMembers(db, members);
   if (!db.Read && ctx.Now >= db.NextRead && (candidate || db.Change)) {
     db.NextRead = ctx.Now + interval;
     read(ctx, db, database);
@@ -238,8 +249,12 @@
   auto next = *db.Table;
   bool changed = candidate && claimFree(ctx, state, view.Group, members, live, next);
   changed = freeGivenUp(ctx, state, database, next) || changed;
-  if (changed)
-    put(ctx, db, database, std::move(next));
+  // A leaving proxy has little time, and few leave at once.
+  if (!changed || (ctx.Now < state.NextPut && !state.Leaving))
+    return;
+  state.NextPut = ctx.Now + std::chrono::microseconds(1s) * static_cast<std::int64_t>(members.live().size()) /
+                                MaxFleetWritesPerSecond;
+  put(ctx, db, database, std::move(next));
 }
 
 /// A read that answers for an update without a known outcome settles it.
@@ -357,15 +372,18 @@
 }
 
 void SlotsModule::onTimer(Context &ctx, const IPolicies &policies, const GroupTable &groups,
-                          const IMembers &members) {
+                          const IMembers &members, const CandidateIndex &candidates) {
   if (State->Next && ctx.Now < *State->Next)
     return;
   State->Next = ctx.Now + TickInterval;
-  auto live = members.live();
   auto interval = readInterval(policies.databases().size());
-  for (const auto &database : policies.databases())
+  // A proxy that stopped being a candidate still has slots to give back.
+  auto databases = candidates.own();
+  for (const auto &[slot, held] : State->Held)
+    databases.insert(State->DatabaseOf[slot.Target]);
+  for (const auto &database : databases)
     if (const auto *view = groups.find(database))
-      maintainDatabase(ctx, *State, *view, members, live, interval);
+      maintainDatabase(ctx, *State, *view, members, candidates, interval);
   maintainHeld(ctx, *State, policies);
 }
 
