Send nothing to a silent primary, and remember answered forwards

A write that arrived 3.5 s after a primary was cut off was sent to it and ended as unknown. Change: a server that has not answered for failover.suspect_after gets no new work; a request for such a primary goes to one other holder, and if that one has no contact either it is tried again every 250 ms until its deadline. A holder keeps the ids of answered forwards until 5 s after their deadline. A focused test for the copy.

--- a/src/failover/failovermodule.cpp
+++ b/src/failover/failovermodule.cpp
@@ -229,6 +229,9 @@
     if (view == nullptr)
       continue;
     const auto &policy = services.Policies.databasePolicy(database);
+    for (const auto &server : view->Group.Servers)
+      services.Groups.setSilent(server.Target,
+                                detail::silence(db, server.Target, ctx.Now) >= policy.SuspectAfter);
     pollServers(ctx, *State, db, *view, std::max<Duration>(policy.StatusInterval, budget));
     if (db.Promotion) {
       detail::drivePromotion(ctx, services, *State, db);
--- a/src/groups/grouptable.cpp
+++ b/src/groups/grouptable.cpp
@@ -79,6 +79,11 @@
     view->Targets[target].ListedLeaving = leaving;
 }
 
+void GroupTable::setSilent(const TargetId &target, bool silent) {
+  if (auto *view = mutableByTarget(target))
+    view->Targets[target].Silent = silent;
+}
+
 const GroupView *GroupTable::find(const DatabaseId &database) const {
   auto it = Groups.find(database);
   return it == Groups.end() ? nullptr : &it->second;
--- a/src/groups/grouptable.h
+++ b/src/groups/grouptable.h
@@ -21,6 +21,7 @@
   /// When this proxy itself last heard from the server.
   std::optional<TimePoint> LastContact;
   bool ListedLeaving = false; ///< By the platform's list.
+  bool Silent = false;        ///< It has not answered this proxy for the time of suspicion.
 
   [[nodiscard]] bool leaving() const { return ListedLeaving || Status.Leaving; }
 };
@@ -48,6 +49,7 @@
   /// Records the (role, position) that came with an answer.
   void observeAnswer(const TargetId &target, Position at, TargetRole role, TimePoint sentAt, TimePoint now);
   void setListedLeaving(const TargetId &target, bool leaving);
+  void setSilent(const TargetId &target, bool silent);
 
   [[nodiscard]] const GroupView *find(const DatabaseId &database) const;
   [[nodiscard]] const GroupView *findByTarget(const TargetId &target) const;
--- a/src/request/internal/arrive.cpp
+++ b/src/request/internal/arrive.cpp
@@ -95,7 +95,7 @@
 
 void Engine::arriveForwarded(const NodeId &from, const ForwardRequest &message) {
   const auto known = std::pair(from, message.Id);
-  if (St.FromPeers.contains(known)) {
+  if (St.FromPeers.contains(known) || St.Answered.contains(known)) {
     Ctx.emit(Count{"duplicate_messages_total"});
     return;
   }
--- a/src/request/internal/dispatch.cpp
+++ b/src/request/internal/dispatch.cpp
@@ -46,6 +46,10 @@
                         [&](const WaitHere &it) { awaitReplica(flight, it); },
                         [&](const Forward &it) { forward(flight, it.Node); },
                         [&](const AwaitPrimary &) { park(flight); },
+                        [&](const PrimarySilent &) {
+                          refuse(flight, RefusalReason::NoPrimary, "the primary does not answer",
+                                 NoTargetRetryAfter);
+                        },
                         [&](const NoHolder &) {
                           refuse(flight, RefusalReason::NoTarget, "no proxy is known that may serve this",
                                  NoTargetRetryAfter);
--- a/src/request/internal/engine.h
+++ b/src/request/internal/engine.h
@@ -107,6 +107,7 @@
   // finish.cpp
   void use(const DatabaseId &database);
   void unuse(const DatabaseId &database);
+  void rememberAnswered(const Flight &flight);
   void finish(Flight &flight, Answer answer);
   void refuse(Flight &flight, RefusalReason reason, std::string message,
               std::optional<Duration> retryAfter = std::nullopt);
--- a/src/request/internal/finish.cpp
+++ b/src/request/internal/finish.cpp
@@ -13,6 +13,11 @@
 constexpr Duration CallLifetime = 10s;
 /// At most one log line about a single request in this time; the counters hold all of them.
 constexpr Duration LogInterval = 1s;
+/// A copy of a forwarded request that arrives later than this after its deadline would run again. Copies stem
+/// from connections between proxies, which are closed long before.
+constexpr Duration CopyAllowance = 5s;
+/// Bound of the memory of answered forwards: about 5 s of a node's share of 10 million statements a second.
+constexpr std::size_t MaxAnswered = 16'384;
 } // namespace
 
 void Engine::finish(Flight &flight, Answer answer) {
@@ -29,10 +34,12 @@
   if (auto it = St.Keys.find(flight.Request.IdempotencyKey); it != St.Keys.end() && it->second == id)
     St.Keys.erase(it);
   if (flight.From) {
-    if (St.FromPeers.erase({*flight.From, flight.FromId}) == 1)
+    if (St.FromPeers.erase({*flight.From, flight.FromId}) == 1) {
+      rememberAnswered(flight);
       Ctx.emit(SendToPeer{*flight.From, ForwardAnswer{flight.FromId, std::move(answer)}});
-    else
+    } else {
       Ctx.emit(InvariantBroken{AnswerInvariant, "second answer to a forwarded request"});
+    }
   } else if (St.Own.erase(flight.Request.Id) == 1) {
     if (refusal != nullptr)
       Ctx.emit(CountRefusal{refusal->Reason});
@@ -48,6 +55,18 @@
   unuse(database);
 }
 
+void Engine::rememberAnswered(const Flight &flight) {
+  while (!St.AnsweredOrder.empty() &&
+         (St.AnsweredOrder.front().first <= Ctx.Now || St.AnsweredOrder.size() >= MaxAnswered)) {
+    St.Answered.erase(St.AnsweredOrder.front().second);
+    St.AnsweredOrder.pop_front();
+  }
+  const auto until = std::max(flight.Request.Deadline, Ctx.Now) + CopyAllowance;
+  const auto key = std::pair(*flight.From, flight.FromId);
+  St.Answered[key] = until;
+  St.AnsweredOrder.emplace_back(until, key);
+}
+
 void Engine::refuse(Flight &flight, RefusalReason reason, std::string message,
                     std::optional<Duration> retryAfter) {
   refuseAs(flight, reason, ranWithoutProof(flight.Sent, flight.hasEffects()), std::move(message), retryAfter);
--- a/src/request/internal/forward.cpp
+++ b/src/request/internal/forward.cpp
@@ -11,6 +11,8 @@
 /// Time kept back from the budget of a forwarded request, so that its answer arrives before our deadline.
 constexpr Duration AnswerReserve = 30ms;
 constexpr int ReserveDivisor = 10;
+/// After a holder that the primary does not answer either, the request is dispatched again.
+constexpr Duration SilentRetryInterval = 250ms;
 /// A holder that was declared dead is noticed after this time, also if its connection does not break.
 constexpr Duration HolderCheck = 500ms;
 
@@ -62,6 +64,13 @@
   if (refusal->Ran == Ran::NotRun)
     flight->Sent = false;
   const bool whole = flight->Request.Step == TransactionStep::None;
+  // The holder waits no longer than it must: only this proxy knows when its caller's time is up.
+  if (refusal->Ran == Ran::NotRun && refusal->Reason == RefusalReason::NoPrimary &&
+      !flight->inTransaction() && Ctx.Now + SilentRetryInterval < flight->Request.Deadline) {
+    flight->Phase = Phase::Paced;
+    wakeAt(*flight, Ctx.Now + SilentRetryInterval);
+    return;
+  }
   if (refusal->Ran == Ran::NotRun && elsewhere(refusal->Reason) && !flight->inTransaction())
     retryElsewhere(*flight, RetryReason::TargetChanged, *refusal);
   else if (!flight->From && whole && flight->hasEffects() && undecided(*refusal))
--- a/src/request/internal/state.h
+++ b/src/request/internal/state.h
@@ -11,6 +11,7 @@
 #include "routing/lagtable.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -57,11 +58,14 @@
   std::unordered_map<std::uint64_t, Flight> Flights;
   std::unordered_map<RequestId, std::uint64_t> Own;                ///< Requests of callers.
   std::map<std::pair<NodeId, RequestId>, std::uint64_t> FromPeers; ///< By sender and its id.
-  std::unordered_map<RequestId, std::uint64_t> ToPeers;            ///< By the id that was sent along.
-  std::unordered_map<ExecutionId, std::uint64_t> Executions;       ///< Exactly the flights that run.
-  std::unordered_map<ConnectionId, ConnectionUse> Connections;     ///< Those given out to this module.
-  std::unordered_map<std::string, std::uint64_t> Keys;             ///< Marker keys in flight here.
-  std::map<std::uint64_t, PendingCall> Calls;                      ///< By call number, which grows with time.
+  /// Forwarded requests that were answered, until no copy of them is expected any more.
+  std::map<std::pair<NodeId, RequestId>, TimePoint> Answered;
+  std::deque<std::pair<TimePoint, std::pair<NodeId, RequestId>>> AnsweredOrder; ///< Oldest answer first.
+  std::unordered_map<RequestId, std::uint64_t> ToPeers;        ///< By the id that was sent along.
+  std::unordered_map<ExecutionId, std::uint64_t> Executions;   ///< Exactly the flights that run.
+  std::unordered_map<ConnectionId, ConnectionUse> Connections; ///< Those given out to this module.
+  std::unordered_map<std::string, std::uint64_t> Keys;         ///< Marker keys in flight here.
+  std::map<std::uint64_t, PendingCall> Calls;                  ///< By call number, which grows with time.
   std::map<TransactionId, Transaction> Transactions;
   std::set<std::pair<TimePoint, std::uint64_t>> Timers;               ///< One entry per flight, at WakeAt.
   std::set<std::pair<TimePoint, TransactionId>> TransactionDeadlines; ///< One entry per transaction.
--- a/src/request/tests/forwarding.cpp
+++ b/src/request/tests/forwarding.cpp
@@ -135,6 +135,19 @@
   CHECK((std::get<Refusal>(answers[0]).Ran == Ran::Unknown));
 }
 
+TEST_CASE("a copy that arrives after the answer does not run again") {
+  World w;
+  auto request = w.request(5, false);
+  request.IdempotencyKey = "p:key";
+  const ForwardRequest message{RequestId{9}, 1s, 1, 1, request};
+  arrive(w, message);
+  w.finish(w.take<Execute>().at(0), ExecutionFailed{"23505", "constraint violated"});
+  REQUIRE(answersToPeer(w).size() == 1);
+  arrive(w, message);
+  CHECK(w.take<Execute>().empty());
+  CHECK(answersToPeer(w).empty());
+}
+
 TEST_CASE("a request is not passed on for ever, nor back to where it came from") {
   World w;
   w.Slots.Held.clear();
--- a/src/routing/choosetarget.cpp
+++ b/src/routing/choosetarget.cpp
@@ -83,10 +83,27 @@
   return std::nullopt;
 }
 
+bool isLeaving(const GroupView &view, const TargetId &target, const Rules &rules) {
+  auto it = view.Targets.find(target);
+  return it == view.Targets.end() || (it->second.leaving() && rules.LeavingTargetIdle);
+}
+
+bool isSilent(const GroupView &view, const TargetId &target) {
+  auto it = view.Targets.find(target);
+  return it != view.Targets.end() && it->second.Silent;
+}
+
 Route routeToPrimary(Context &ctx, const RouteServices &services, const RouteQuery &query) {
   const auto &group = query.View.Group;
-  if (group.State != Group::Phase::Done || !takesNewWork(query.View, group.Primary, ctx.Rules))
+  if (group.State != Group::Phase::Done || isLeaving(query.View, group.Primary, ctx.Rules))
     return AwaitPrimary{};
+  if (isSilent(query.View, group.Primary)) {
+    // Another holder may still reach it; a second one is not asked.
+    if (query.Hops > 0)
+      return PrimarySilent{};
+    auto holders = holdersOf(ctx, services, group.Database, group.Primary, query.Excluded);
+    return holders.empty() ? Route(AwaitPrimary{}) : Route(Forward{holders.front()});
+  }
   if (services.Slots.holds(group.Primary))
     return RunHere{group.Primary};
   if (query.Hops >= MaxHops)
@@ -98,8 +115,7 @@
 } // namespace
 
 bool takesNewWork(const GroupView &view, const TargetId &target, const Rules &rules) {
-  auto it = view.Targets.find(target);
-  return it != view.Targets.end() && !(it->second.leaving() && rules.LeavingTargetIdle);
+  return !isLeaving(view, target, rules) && !isSilent(view, target);
 }
 
 std::vector<NodeId> holdersOf(Context &ctx, const RouteServices &services, const DatabaseId &database,
--- a/src/routing/choosetarget.h
+++ b/src/routing/choosetarget.h
@@ -51,15 +51,17 @@
 };
 /// The group has no primary that may take new work at present.
 struct AwaitPrimary {};
+/// The primary answers neither this proxy nor the one that passed the request on.
+struct PrimarySilent {};
 /// No proxy is known that may give work to a suitable server.
 struct NoHolder {};
 
-using Route = std::variant<RunHere, WaitHere, Forward, AwaitPrimary, NoHolder>;
+using Route = std::variant<RunHere, WaitHere, Forward, AwaitPrimary, PrimarySilent, NoHolder>;
 
 [[nodiscard]] Route chooseTarget(Context &ctx, const RouteServices &services, LagTable &lags,
                                  const RouteQuery &query);
 
-/// Whether a server may get new work.
+/// Whether a server may get new work from this proxy: it is not leaving and has answered lately.
 [[nodiscard]] bool takesNewWork(const GroupView &view, const TargetId &target, const Rules &rules);
 
 /// Proxies that may get a request for this server passed on, own availability zone first.
--- a/src/soak/gracefulshutdown.cpp
+++ b/src/soak/gracefulshutdown.cpp
@@ -7,7 +7,9 @@
 void GracefulShutdown::onBeforeEvent(const fakes::FakeProxy &proxy, const Event &event) {
   auto &work = Proxies[proxy.index()];
   if (const auto *received = std::get_if<PeerReceived>(&event)) {
-    if (const auto *forward = std::get_if<ForwardRequest>(&received->Message))
+    // A copy of a request that this process has answered needs no second answer.
+    if (const auto *forward = std::get_if<ForwardRequest>(&received->Message);
+        forward != nullptr && !work.Answered.contains({received->From, forward->Id.Value}))
       work.Forwarded.insert({received->From, forward->Id.Value});
   } else if (const auto *lost = std::get_if<PeerLost>(&event)) {
     std::erase_if(work.Forwarded, [&](const auto &it) { return it.first == lost->Node; });
@@ -23,8 +25,10 @@
 void GracefulShutdown::onEffect(const fakes::FakeProxy &proxy, const Effect &effect) {
   auto &work = Proxies[proxy.index()];
   if (const auto *send = std::get_if<SendToPeer>(&effect)) {
-    if (const auto *answer = std::get_if<ForwardAnswer>(&send->Message))
+    if (const auto *answer = std::get_if<ForwardAnswer>(&send->Message)) {
       work.Forwarded.erase({send->To, answer->Id.Value});
+      work.Answered.insert({send->To, answer->Id.Value});
+    }
   } else if (const auto *respond = std::get_if<Respond>(&effect)) {
     const auto *refusal = std::get_if<Refusal>(&respond->Answer);
     if (refusal != nullptr && refusal->Reason == RefusalReason::ShuttingDown &&
--- a/src/soak/gracefulshutdown.h
+++ b/src/soak/gracefulshutdown.h
@@ -26,6 +26,8 @@
 private:
   struct Work {
     std::set<std::pair<NodeId, std::uint64_t>> Forwarded;
+    std::set<std::pair<NodeId, std::uint64_t>>
+        Answered;                                ///< Forwarded requests that this process has answered.
     std::map<std::uint64_t, bool> ArrivedBefore; ///< Whole transactions taken in before the shutdown.
   };
   std::map<std::size_t, Work> Proxies;
