--- a/src/fakes/fleet.h
+++ b/src/fakes/fleet.h
@@ -11,6 +11,7 @@
 #include "fakes/observer.h"
 #include "fakes/proxy.h"
 #include "fakes/store.h"
+#include "request/requestoptions.h"
 
 #include <cstdint>
 #include <deque>
@@ -28,6 +29,7 @@
   std::size_t Databases = 1;
   std::size_t Servers = 3;
   rosemaryhinge::Rules Rules;
+  RequestOptions Requests;  ///< Policies of the proxies; others than the default are baselines.
   std::string SettingsTree; ///< Empty: that of the layout.
   bool SkewClocks = true;
   std::uint32_t ServerCores = 1000;
--- a/src/fakes/proxy.cpp
+++ b/src/fakes/proxy.cpp
@@ -49,6 +49,7 @@
   State = std::make_unique<rosemaryhinge::State>();
   State->Self = Config;
   State->Rules = World.Options.Rules;
+  State->Requests = RequestModule(World.Options.Requests);
   ++Incarnation;
   StartedAt = World.Queue.now();
   ShuttingDown = false;
--- a/src/measure/measure.cpp
+++ b/src/measure/measure.cpp
@@ -3,6 +3,7 @@
 #include "measure/measure.h"
 
 #include "fakes/fleet.h"
+#include "measure/openload.h"
 
 #include <algorithm>
 #include <optional>
@@ -160,8 +161,10 @@
 };
 
 /// Share of reads that replicas serve, 100 ms behind, to sessions that write once in ten requests.
-double replicaReadShare(const std::string &deployment) {
-  fakes::Fleet fleet(options(deployment, 1));
+double replicaReadShare(const std::string &deployment, ReadPolicy policy) {
+  auto setup = options(deployment, 1);
+  setup.Requests.Reads = policy;
+  fakes::Fleet fleet(setup);
   ReadCounter counter;
   fleet.Observers.push_back(&counter);
   fleet.start();
@@ -181,6 +184,126 @@
   return counter.All == 0 ? 0 : static_cast<double>(counter.FromReplicas) / static_cast<double>(counter.All);
 }
 
+/// Few connections, so that work queues at loads that are quick to run.
+constexpr std::uint32_t ScarceConnections = 2;
+constexpr double ShortPerSecond = 54;
+constexpr double LongPerSecond = 6; ///< One request in ten.
+constexpr Duration LongSleep = 1s;
+
+fakes::FleetOptions scarce(const std::string &deployment, QueuePolicy policy) {
+  auto out = options(deployment, 1);
+  out.SlotConnections = ScarceConnections;
+  out.Requests.Queue = policy;
+  return out;
+}
+
+/// p99 of short requests, with or without long ones beside them. A failed request counts as the deadline.
+double shortLatency(const std::string &deployment, QueuePolicy policy, bool withLong) {
+  fakes::Fleet fleet(scarce(deployment, policy));
+  fleet.start();
+  fleet.runFor(StartUp);
+  OpenLoad shortLoad(fleet, "short", {ShortPerSecond, 20ms, 5s, "default"});
+  OpenLoad longLoad(fleet, "long", {LongPerSecond, LongSleep, 30s, "extract"});
+  constexpr Duration WarmUp = 10s;
+  constexpr Duration Length = 40s;
+  shortLoad.start(WarmUp + Length);
+  if (withLong)
+    longLoad.start(WarmUp + Length);
+  const auto from = fleet.Queue.now() + WarmUp;
+  fleet.runFor(WarmUp + Length + 6s);
+  std::vector<double> values;
+  for (const auto &it : shortLoad.Results)
+    if (it.SentAt >= from)
+      values.push_back(it.Succeeded ? milliseconds(it.Took) : 5000);
+  return quantile(values, 0.99);
+}
+
+double shortRatio(const std::string &deployment, QueuePolicy policy) {
+  return shortLatency(deployment, policy, true) / shortLatency(deployment, policy, false);
+}
+
+constexpr Duration CrestDeadline = 1s;
+
+/// Answers per second in the last seconds of a run, of those sent at the given rate.
+double goodput(const OpenLoad &load, TimePoint from, TimePoint until) {
+  std::size_t n = 0;
+  for (const auto &it : load.Results)
+    if (const auto at = it.SentAt + it.Took;
+        it.Succeeded && it.Took <= CrestDeadline && at >= from && at < until)
+      ++n;
+  return static_cast<double>(n) / std::chrono::duration<double>(until - from).count();
+}
+
+/// What the connections carry at twice the load that keeps them busy on paper.
+double capacity(const std::string &deployment) {
+  fakes::Fleet fleet(scarce(deployment, QueuePolicy::FairLanes));
+  fleet.start();
+  fleet.runFor(StartUp);
+  OpenLoad load(fleet, "capacity", {1, 20ms, CrestDeadline, "default"});
+  load.start(8s, 1800);
+  const auto from = fleet.Queue.now() + 3s;
+  fleet.runFor(9s);
+  return goodput(load, from, from + 5s);
+}
+
+struct Crest {
+  double Ratio = 0;       ///< Goodput over capacity while the load is at five times the capacity.
+  double RecoveredMs = 0; ///< From its end until 99 % of the requests succeed again.
+};
+
+Crest crest(const std::string &deployment, QueuePolicy policy, double capacity) {
+  fakes::Fleet fleet(scarce(deployment, policy));
+  fleet.start();
+  fleet.runFor(StartUp);
+  OpenLoad load(fleet, "crest", {1, 20ms, CrestDeadline, "default"});
+  load.start(3s, capacity / 2);
+  fleet.runFor(3s);
+  constexpr int Steps = 10;
+  for (int n = 1; n <= Steps; ++n) { // Rises within a second.
+    load.start(1s / Steps, capacity * (0.5 + 4.5 * n / Steps));
+    fleet.runFor(1s / Steps);
+  }
+  const auto from = fleet.Queue.now();
+  load.start(5s, capacity * 5);
+  fleet.runFor(5s);
+  const auto until = fleet.Queue.now();
+  load.start(6s, capacity / 2);
+  fleet.runFor(8s);
+  Crest out{goodput(load, from, until) / capacity, 0};
+  for (const auto &it : load.Results)
+    if (it.SentAt >= until && (!it.Succeeded || it.Took > CrestDeadline))
+      out.RecoveredMs = std::max(out.RecoveredMs, milliseconds(it.SentAt - until));
+  return out;
+}
+
+/// Goodput during ten minutes without the store, over that of the minute before.
+double storeOutage(const std::string &deployment) {
+  fakes::Fleet fleet(options(deployment, 1));
+  fleet.start();
+  fleet.runFor(StartUp);
+  OpenLoad load(fleet, "outage", {20, 5ms, CrestDeadline, "default"});
+  constexpr Duration Before = 60s;
+  constexpr Duration Outage = 10min;
+  load.start(Before + Outage);
+  const auto start = fleet.Queue.now();
+  fleet.runFor(Before);
+  fleet.Store->Down = true;
+  fleet.runFor(Outage);
+  return goodput(load, start + Before, start + Before + Outage) / goodput(load, start, start + Before);
+}
+
+void addLoad(std::vector<Figure> &out, const std::string &deployment) {
+  out.push_back({"short_wait_p99_ratio", deployment, shortRatio(deployment, QueuePolicy::FairLanes),
+                 shortRatio(deployment, QueuePolicy::SingleFifo), "ratio", "<= 1.5"});
+  const auto most = capacity(deployment);
+  const auto ours = crest(deployment, QueuePolicy::FairLanes, most);
+  const auto baseline = crest(deployment, QueuePolicy::UnboundedRetry, most);
+  out.push_back({"crest_goodput_ratio", deployment, ours.Ratio, baseline.Ratio, "ratio", ">= 0.9"});
+  out.push_back({"crest_goodput_ratio", deployment, ours.RecoveredMs, baseline.RecoveredMs,
+                 "ms until recovered", "<= 2000"});
+  out.push_back({"store_outage_goodput_ratio", deployment, storeOutage(deployment), -1, "ratio", ">= 0.99"});
+}
+
 } // namespace
 
 std::vector<Figure> measureDeployment(const std::string &deployment) {
@@ -189,7 +312,9 @@
   addGap(out, deployment, "failover_gap_partition_ms", true);
   out.push_back({"write_latency_cost_ms", deployment, writeLatency(deployment, "default"),
                  writeLatency(deployment, "fast"), "ms at the median", "reported"});
-  out.push_back({"replica_read_share", deployment, replicaReadShare(deployment), -1, "share", ">= 0.95"});
+  out.push_back({"replica_read_share", deployment, replicaReadShare(deployment, ReadPolicy::Token),
+                 replicaReadShare(deployment, ReadPolicy::StickyPrimary), "share", ">= 0.95"});
+  addLoad(out, deployment);
   return out;
 }
 
