--- a/src/measure/measure.cpp
+++ b/src/measure/measure.cpp
@@ -292,6 +292,35 @@
   return goodput(load, start + Before, start + Before + Outage) / goodput(load, start, start + Before);
 }
 
+class PromotionCounter : public fakes::IObserver {
+public:
+  void onPromoted(const fakes::FakeServer & /*server*/, Term /*term*/) override { ++Count; }
+  std::uint64_t Count = 0;
+};
+
+/// Promotions in runs in which the primary has no fault: a proxy loses contact with it, a replica is far
+/// behind, the store is slow and then down.
+double falsePromotions(const std::string &deployment) {
+  PromotionCounter counter;
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    fakes::Fleet fleet(options(deployment, seed));
+    fleet.Observers.push_back(&counter);
+    fleet.start();
+    fleet.runFor(StartUp);
+    OpenLoad load(fleet, "steady", {50, 5ms, CrestDeadline, "default"});
+    load.start(30s);
+    fleet.runFor(5s);
+    auto &group = *fleet.Groups.front();
+    fleet.Network.cut({fleet.Proxies[seed % Nodes]->place()}, {group.primary()->place()});
+    group.setLag((seed + 1) % group.servers().size(), 2s);
+    fleet.Store->Slow = 400ms;
+    fleet.runFor(10s);
+    fleet.Store->Down = true;
+    fleet.runFor(15s);
+  }
+  return static_cast<double>(counter.Count);
+}
+
 void addLoad(std::vector<Figure> &out, const std::string &deployment) {
   out.push_back({"short_wait_p99_ratio", deployment, shortRatio(deployment, QueuePolicy::FairLanes),
                  shortRatio(deployment, QueuePolicy::SingleFifo), "ratio", "<= 1.5"});
@@ -301,6 +330,7 @@
   out.push_back({"crest_goodput_ratio", deployment, ours.Ratio, baseline.Ratio, "ratio", ">= 0.9"});
   out.push_back({"crest_goodput_ratio", deployment, ours.RecoveredMs, baseline.RecoveredMs,
                  "ms until recovered", "<= 2000"});
+  out.push_back({"false_promotions", deployment, falsePromotions(deployment), -1, "in 20 runs", "0"});
   out.push_back({"store_outage_goodput_ratio", deployment, storeOutage(deployment), -1, "ratio", ">= 0.99"});
 }
 
