Record refusals, retries and store outages for the report

Change: the request module records both with their class; the failover module notes when the VM list cannot be read and when it can again. Conclusion: the morning report can name outages and who was refused.

--- a/src/failover/failovermodule.cpp
+++ b/src/failover/failovermodule.cpp
@@ -176,6 +176,24 @@
     services.Groups.setListedLeaving(TargetId(it.Vm.str()), it.Leaving);
 }
 
+/// The VM list is read about once a second, so it tells how the store is.
+void noteStore(Context &ctx, FailoverState &state, bool answers) {
+  if (answers == !state.StoreDownSince)
+    return;
+  if (answers) {
+    const auto length =
+        std::chrono::duration_cast<std::chrono::milliseconds>(ctx.Now - *state.StoreDownSince);
+    ctx.record(
+        {"store", DatabaseId(), "answers again", "after " + std::to_string(length.count()) + " ms", 0, 0});
+    state.StoreDownSince.reset();
+  } else {
+    state.StoreDownSince = ctx.Now;
+    ctx.emit(Count{"store_outages_total"});
+    ctx.emit(Log{LogLevel::Warn, "the platform's store does not answer", {}});
+    ctx.record({"store", DatabaseId(), "does not answer", "a reading of the VM list failed", 0, 0});
+  }
+}
+
 void onContactRequest(Context &ctx, const FailoverServices &services, const FailoverState &state,
                       const NodeId &from, const PrimaryContactRequest &message) {
   PrimaryContactReply reply{message.Database, message.Term, false, Duration::zero()};
@@ -245,7 +263,9 @@
 void FailoverModule::onPlatformAnswer(Context &ctx, FailoverServices &services, const PlatformAnswer &event) {
   if (State->ListCall == event.Call) {
     State->ListCall.reset();
-    if (const auto *list = std::get_if<VmList>(&event.Result))
+    const auto *list = std::get_if<VmList>(&event.Result);
+    noteStore(ctx, *State, list != nullptr);
+    if (list != nullptr)
       onList(services, *list);
     return;
   }
--- a/src/failover/internal/failoverstate.h
+++ b/src/failover/internal/failoverstate.h
@@ -43,6 +43,7 @@
   std::map<CallId, DatabaseId> Calls; ///< Calls on their way, to find their database.
   std::optional<CallId> ListCall;
   TimePoint NextList;
+  std::optional<TimePoint> StoreDownSince; ///< Since when the VM list could not be read.
   TimePoint LastTimer = TimePoint::min();
   std::optional<TimePoint> Next;
 };
--- a/src/failover/tests/failovermoduletest.cpp
+++ b/src/failover/tests/failovermoduletest.cpp
@@ -231,6 +231,20 @@
   CHECK(stored->Primary == f.group().Primary);
 }
 
+TEST_CASE("an outage of the store is recorded once at its begin and once at its end") {
+  Fixture f;
+  f.run(3s);
+  f.StoreDown = true;
+  f.run(5s);
+  f.StoreDown = false;
+  f.run(5s);
+  std::vector<std::string> records;
+  for (const auto &it : f.Source.Journal)
+    if (it.Kind == "store")
+      records.push_back(it.What);
+  CHECK(records == std::vector<std::string>{"does not answer", "answers again"});
+}
+
 TEST_CASE("without the store no promotion starts") {
   Fixture f;
   f.run(6s);
--- a/src/request/internal/confirm.cpp
+++ b/src/request/internal/confirm.cpp
@@ -38,7 +38,7 @@
     confirmed(flight);
     return;
   case AckVerdict::Superseded:
-    Ctx.emit(CountRetry{RetryReason::TermChanged});
+    countRetry(flight, RetryReason::TermChanged);
     resolve(flight, std::max(group.Term, St.Confirmations.highest(group)));
     return;
   case AckVerdict::AwaitWindow:
--- a/src/request/internal/engine.h
+++ b/src/request/internal/engine.h
@@ -107,6 +107,9 @@
   // finish.cpp
   void use(const DatabaseId &database);
   void unuse(const DatabaseId &database);
+  void countRetry(const Flight &flight, RetryReason reason);
+  /// Counted by the journal for the report, per database and class.
+  void recordReason(const char *kind, const Flight &flight, std::string_view reason);
   void rememberAnswered(const Flight &flight);
   void finish(Flight &flight, Answer answer);
   void refuse(Flight &flight, RefusalReason reason, std::string message,
--- a/src/request/internal/execute.cpp
+++ b/src/request/internal/execute.cpp
@@ -127,7 +127,7 @@
   flight.Ahead = true;
   flight.PrimaryOnly = true;
   flight.Phase = Phase::Paced;
-  Ctx.emit(CountRetry{RetryReason::TermChanged});
+  countRetry(flight, RetryReason::TermChanged);
   wakeAt(flight, Ctx.Now + AskAgainAfter);
 }
 
@@ -151,7 +151,7 @@
 
 void Engine::notPrimary(Flight &flight, const NotPrimary &result) {
   flight.Sent = false;
-  Ctx.emit(CountRetry{RetryReason::TermChanged});
+  countRetry(flight, RetryReason::TermChanged);
   if (flight.inTransaction()) {
     endTransaction(flight.Request.Transaction, true);
     leaveConnection(flight, true, false);
@@ -187,7 +187,7 @@
 void Engine::lostAnswer(Flight &flight, RetryReason reason) {
   const bool again = !flight.hasEffects() || (!Ctx.Rules.AtMostOnce && !flight.inTransaction());
   if (!again) {
-    Ctx.emit(CountRetry{reason});
+    countRetry(flight, reason);
     if (mayAssumeNotRun(Ctx.Rules))
       refuseAs(flight, RefusalReason::LostAnswer, Ran::NotRun, "the answer was lost");
     else
--- a/src/request/internal/finish.cpp
+++ b/src/request/internal/finish.cpp
@@ -41,8 +41,10 @@
       Ctx.emit(InvariantBroken{AnswerInvariant, "second answer to a forwarded request"});
     }
   } else if (St.Own.erase(flight.Request.Id) == 1) {
-    if (refusal != nullptr)
+    if (refusal != nullptr) {
       Ctx.emit(CountRefusal{refusal->Reason});
+      recordReason("refusal", flight, toString(refusal->Reason));
+    }
     Ctx.emit(Observe{"request", Ctx.Now - flight.ArrivedAt});
     Ctx.emit(Respond{flight.Request.Id, std::move(answer)});
   } else {
@@ -55,6 +57,15 @@
   unuse(database);
 }
 
+void Engine::countRetry(const Flight &flight, RetryReason reason) {
+  Ctx.emit(CountRetry{reason});
+  recordReason("retry", flight, toString(reason));
+}
+
+void Engine::recordReason(const char *kind, const Flight &flight, std::string_view reason) {
+  Ctx.record({kind, flight.Request.Database, flight.Request.Class.str(), std::string(reason), 0, 0});
+}
+
 void Engine::rememberAnswered(const Flight &flight) {
   while (!St.AnsweredOrder.empty() &&
          (St.AnsweredOrder.front().first <= Ctx.Now || St.AnsweredOrder.size() >= MaxAnswered)) {
@@ -103,7 +114,7 @@
     Ctx.emit(Count{"retry_budget_spent_total"});
     return false;
   }
-  Ctx.emit(CountRetry{reason});
+  countRetry(flight, reason);
   return true;
 }
 
--- a/src/request/tests/forwarding.cpp
+++ b/src/request/tests/forwarding.cpp
@@ -148,6 +148,19 @@
   CHECK(answersToPeer(w).empty());
 }
 
+TEST_CASE("a refusal is recorded with its database and class, so that the report can tell which were hit") {
+  World w;
+  auto request = w.request(5, false);
+  request.Class = ClassName("weighing");
+  w.ask(request);
+  w.finish(w.take<Execute>().at(0), ExecutionFailed{"23505", "constraint violated"});
+  REQUIRE(w.Journal.size() == 1);
+  CHECK(w.Journal[0].Kind == "refusal");
+  CHECK(w.Journal[0].Database == request.Database);
+  CHECK(w.Journal[0].What == "weighing");
+  CHECK(w.Journal[0].Why == "sql_error");
+}
+
 TEST_CASE("a request is not passed on for ever, nor back to where it came from") {
   World w;
   w.Slots.Held.clear();
