Send a request again only if its class is repeatable

Cause: a covered abort let every class run again, while the design and the operators' setting repeatable say that a request that may not be repeated is never sent again once a byte may have reached a target. Change: the class decides; otherwise the caller is told lost_answer and not_run, which the abort has proved. Two cases now state their class, and a third covers the other one.

--- a/src/request/internal/resolve.cpp
+++ b/src/request/internal/resolve.cpp
@@ -77,7 +77,8 @@
     return;
   }
   // Only the proxy that took the request in raises the attempt: it may already have answered not_run.
-  const bool again = !flight.From && Ctx.Now + LeastRunTime < flight.Request.Deadline &&
+  const bool again = !flight.From && classOf(flight).Repeatable &&
+                     Ctx.Now + LeastRunTime < flight.Request.Deadline &&
                      takeRetry(flight, RetryReason::MarkerAborted);
   if (!again) {
     refuse(flight, RefusalReason::LostAnswer, "the answer was lost; the request did not run", Duration{});
--- a/src/request/tests/forwarding.cpp
+++ b/src/request/tests/forwarding.cpp
@@ -47,8 +47,9 @@
   CHECK(take<Count>().size() == 2);
 }
 
-TEST_CASE_FIXTURE(Entry,
-                  "a write at a lost proxy runs elsewhere only after its attempt is aborted for good") {
+TEST_CASE_FIXTURE(
+    Entry, "a repeatable write at a lost proxy runs elsewhere only after its attempt is aborted for good") {
+  Policies.Class.Repeatable = true;
   const auto [node, message] = forwardWrite();
   with([&, lost = node](auto &ctx, auto &services) { Module.onPeerLost(ctx, services, lost); });
   CHECK_FALSE(takeForward());
--- a/src/request/tests/requests.cpp
+++ b/src/request/tests/requests.cpp
@@ -107,7 +107,17 @@
   REQUIRE(abort);
   CHECK(abort->Target == World::server(1));
   CHECK(std::get<AbortMarker>(abort->Request).Marker == *run.Marker);
-  SUBCASE("it is not there: it runs again, but only after its abort is covered") {
+  SUBCASE("it is not there and may not be repeated: the caller is told so, and nothing is sent again") {
+    w.reply(*abort, MarkerRecord{false, 1, std::nullopt, {2, 1200}});
+    CHECK(w.take<Respond>().empty());
+    w.replyStatus({2, 1200}, 2);
+    CHECK(w.take<Execute>().empty());
+    const auto answers = w.take<Respond>();
+    REQUIRE(answers.size() == 1);
+    CHECK((std::get<Refusal>(answers[0].Answer).Ran == Ran::NotRun));
+  }
+  SUBCASE("it is not there and may be repeated: it runs again, but only after its abort is covered") {
+    w.Policies.Class.Repeatable = true;
     w.reply(*abort, MarkerRecord{false, 1, std::nullopt, {2, 1200}});
     CHECK(w.take<Execute>().empty());
     w.replyStatus({2, 1200}, 2);
