Share the change ids and drop parameters that nothing reads

Cause: slots and failover each built the same id for conditional updates, and five parameters of their functions were never used. Change: protocol/changeid.h serves both modules; the parameters are gone. Behaviour is the same. Conclusion: one place decides how an update is recognised.

--- a/src/failover/failovermodule.cpp
+++ b/src/failover/failovermodule.cpp
@@ -102,7 +102,7 @@
   if (ctx.Now < *db.EligibleSince + OrderStagger * rank || view.Group.Version == 0)
     return;
   db.EligibleSince = ctx.Now;
-  detail::startPromotion(ctx, services, state, db, view, *why);
+  detail::startPromotion(ctx, state, db, view, *why);
 }
 
 /// Forgets silence that was measured across a pause of this process.
--- a/src/failover/internal/coordinator.cpp
+++ b/src/failover/internal/coordinator.cpp
@@ -3,6 +3,7 @@
 #include "failover/internal/coordinator.h"
 
 #include "failover/internal/suspicion.h"
+#include "protocol/changeid.h"
 
 #include <utility>
 
@@ -137,15 +138,14 @@
 
 std::string groupKey(const DatabaseId &database) { return "groups/" + database.str(); }
 
-void startPromotion(Context &ctx, FailoverServices &, FailoverState &state, DatabaseFailover &db,
-                    const GroupView &view, const std::string &why) {
+void startPromotion(Context &ctx, FailoverState &state, DatabaseFailover &db, const GroupView &view,
+                    const std::string &why) {
   Promotion promotion;
   promotion.Next = view.Group;
   promotion.Next.Term = view.Group.Term + 1;
   promotion.Next.State = Group::Phase::Ordered;
   promotion.Next.Orderer = ctx.Self.Node;
-  promotion.Next.ChangeId =
-      ctx.Self.Node.str() + ":" + std::to_string(ctx.Incarnation) + ":" + std::to_string(ctx.number());
+  promotion.Next.ChangeId = makeChangeId(ctx);
   promotion.Why = why;
   promotion.StartedAt = ctx.Now;
   db.Promotion = std::move(promotion);
@@ -153,8 +153,7 @@
   ctx.emit(Count{"promotions_started_total"});
 }
 
-void resumePromotion(Context &ctx, FailoverServices &, FailoverState &state, DatabaseFailover &db,
-                     const GroupView &view) {
+void resumePromotion(Context &ctx, FailoverState &state, DatabaseFailover &db, const GroupView &view) {
   Promotion promotion;
   promotion.Next = view.Group;
   promotion.Why = "the order took effect late";
@@ -202,12 +201,12 @@
   if (!db.Promotion) {
     // The restarted node's change ids hold its new incarnation, so an order of an earlier life is not
     // resumed.
-    auto own = ctx.Self.Node.str() + ":" + std::to_string(ctx.Incarnation) + ":";
+    const auto own = changeIdPrefix(ctx);
     if (group.State == Group::Phase::Ordered && group.Term == view->Group.Term &&
         view->Group.State == Group::Phase::Ordered && group.ChangeId.starts_with(own) &&
         group.Term > db.PromoteSent &&
         ctx.Now - view->ChangedAt < services.Policies.databasePolicy(group.Database).TakeoverAfter)
-      resumePromotion(ctx, services, state, db, *view);
+      resumePromotion(ctx, state, db, *view);
     return;
   }
   auto &promotion = *db.Promotion;
--- a/src/failover/internal/coordinator.h
+++ b/src/failover/internal/coordinator.h
@@ -10,11 +10,10 @@
 namespace rosemaryhinge::detail {
 
 /// Begins with the conditional update that decides between contenders.
-void startPromotion(Context &ctx, FailoverServices &services, FailoverState &state, DatabaseFailover &db,
-                    const GroupView &view, const std::string &why);
+void startPromotion(Context &ctx, FailoverState &state, DatabaseFailover &db, const GroupView &view,
+                    const std::string &why);
 /// Goes on with a term that this proxy ordered and whose promotion it does not run (the answer came late).
-void resumePromotion(Context &ctx, FailoverServices &services, FailoverState &state, DatabaseFailover &db,
-                     const GroupView &view);
+void resumePromotion(Context &ctx, FailoverState &state, DatabaseFailover &db, const GroupView &view);
 /// Sends what is due: repeated calls, the promotion after the wait.
 void drivePromotion(Context &ctx, FailoverServices &services, FailoverState &state, DatabaseFailover &db);
 /// The group as the platform now has it, read or pushed.
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -195,7 +195,7 @@
     S.Settings.onPlatformAnswer(Ctx, S.Membership, event);
     break;
   case Module::Slots:
-    S.Slots.onPlatformAnswer(Ctx, S.Settings, S.Groups, S.Membership, event);
+    S.Slots.onPlatformAnswer(Ctx, S.Settings, event);
     break;
   case Module::Failover: {
     auto services = failoverServices();
--- a/src/slots/slotsmodule.cpp
+++ b/src/slots/slotsmodule.cpp
@@ -2,6 +2,7 @@
 
 #include "slots/slotsmodule.h"
 
+#include "protocol/changeid.h"
 #include "slots/candidates.h"
 #include "slots/internal/slotsstate.h"
 
@@ -42,10 +43,6 @@
   return DatabaseId(key.substr(Prefix.size()));
 }
 
-std::string changeId(Context &ctx) {
-  return ctx.Self.Node.str() + ":" + std::to_string(ctx.Incarnation) + ":" + std::to_string(ctx.number());
-}
-
 bool isOwn(const Context &ctx, const SlotRecord &record) {
   return record.Holder == ctx.Self.Node && record.Incarnation == ctx.Incarnation;
 }
@@ -106,7 +103,7 @@
 }
 
 void put(Context &ctx, DatabaseSlots &db, const DatabaseId &database, SlotTable next) {
-  next.ChangeId = changeId(ctx);
+  next.ChangeId = makeChangeId(ctx);
   auto call = ctx.call(Module::Slots);
   ctx.emit(
       PlatformCall{call, PlatformTimeout, PutObject{keyOf(database), next.Version, formatSlotTable(next)}});
@@ -258,7 +255,7 @@
 }
 
 /// A read that answers for an update without a known outcome settles it.
-void settleChange(Context &ctx, SlotsState &state, DatabaseSlots &db, const DatabaseId &database) {
+void settleChange(Context &ctx, DatabaseSlots &db, const DatabaseId &database) {
   if (!db.Change || db.Change->Call)
     return;
   bool applied = db.Table && db.Table->ChangeId == db.Change->Next.ChangeId;
@@ -268,7 +265,6 @@
   // An update that was not seen may still arrive late. It then carries the version read here and takes a slot
   // for this incarnation, which adopt() recognises, so nothing is lost by forgetting it.
   db.Change.reset();
-  (void)state;
 }
 
 void onRead(Context &ctx, SlotsState &state, const DatabaseId &database, const PlatformAnswer &event) {
@@ -288,7 +284,7 @@
     ctx.emit(Count{"platform_objects_invalid_total"});
     return;
   }
-  settleChange(ctx, state, db, database);
+  settleChange(ctx, db, database);
 }
 
 void onPut(Context &ctx, SlotsState &state, const DatabaseId &database, const PlatformAnswer &event) {
@@ -317,8 +313,7 @@
 SlotsModule::SlotsModule(SlotsModule &&) noexcept = default;
 SlotsModule &SlotsModule::operator=(SlotsModule &&) noexcept = default;
 
-void SlotsModule::onPlatformAnswer(Context &ctx, const IPolicies &policies, const GroupTable &,
-                                   const IMembers &, const PlatformAnswer &event) {
+void SlotsModule::onPlatformAnswer(Context &ctx, const IPolicies &policies, const PlatformAnswer &event) {
   for (auto &[database, db] : State->Databases) {
     if (db.Read == event.Call)
       onRead(ctx, *State, database, event);
--- a/src/slots/slotsmodule.h
+++ b/src/slots/slotsmodule.h
@@ -26,8 +26,7 @@
   SlotsModule(SlotsModule &&) noexcept;
   SlotsModule &operator=(SlotsModule &&) noexcept;
 
-  void onPlatformAnswer(Context &ctx, const IPolicies &policies, const GroupTable &groups,
-                        const IMembers &members, const PlatformAnswer &event);
+  void onPlatformAnswer(Context &ctx, const IPolicies &policies, const PlatformAnswer &event);
   void onObjectChanged(Context &ctx, const ObjectChanged &message);
   void onControlAnswer(Context &ctx, const IPolicies &policies, const ControlAnswer &event);
   void onConnectionOpened(Context &ctx, const ConnectionOpened &event);
--- a/src/slots/tests/slotsmoduletest.cpp
+++ b/src/slots/tests/slotsmoduletest.cpp
@@ -24,7 +24,7 @@
     for (const auto &it : Source.take<PlatformCall>()) {
       bool lose = loseAnswer && std::holds_alternative<PutObject>(it.Request);
       auto ctx = Source.at(Now);
-      Slots.onPlatformAnswer(ctx, Policies, Groups, Members, Store.answer(it, lose));
+      Slots.onPlatformAnswer(ctx, Policies, Store.answer(it, lose));
     }
   }
 
