--- /dev/null
+++ b/src/catalog/catalog.cpp
@@ -0,0 +1,145 @@
+// Routes, servers and the primary of each service.
+
+#include "catalog/catalog.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Missing servers that are remembered for a service: more than its servers that can fail at once.
+constexpr std::size_t MaxMissing = 16;
+
+} // namespace
+
+bool Catalog::accept(Configuration next) {
+  if (next.Version <= Current.Version)
+    return false;
+  Current = std::move(next);
+  RouteByDatabase.clear();
+  for (std::size_t n = 0; n < Current.Routes.size(); ++n)
+    RouteByDatabase.emplace(Current.Routes[n].Database, n);
+  return true;
+}
+
+const DatabaseRoute *Catalog::route(std::string_view database) const {
+  const auto it = RouteByDatabase.find(database);
+  return it == RouteByDatabase.end() ? nullptr : &Current.Routes[it->second];
+}
+
+const ServiceLimits *Catalog::limits(const DatabaseId &service) const {
+  const auto it = std::find_if(Current.Services.begin(), Current.Services.end(),
+                               [&](const ServiceLimits &one) { return one.Service == service; });
+  return it == Current.Services.end() ? nullptr : &*it;
+}
+
+void Catalog::updateServer(ServerEntry entry, TimePoint now) {
+  const auto known = Servers.find(entry.Target);
+  if (known != Servers.end() && known->second.Entry.Revision >= entry.Revision)
+    return;
+  ++Changes;
+  if (known != Servers.end() && known->second.Entry.Service != entry.Service)
+    removeServer(entry.Target, now);
+  auto &group = Groups[entry.Service];
+  const auto at = std::lower_bound(group.Servers.begin(), group.Servers.end(), entry.Target);
+  if (at == group.Servers.end() || *at != entry.Target)
+    group.Servers.insert(at, entry.Target);
+  std::erase_if(group.Missing, [&](const MissingServer &it) { return it.Target == entry.Target; });
+  if (group.Confirmed && entry.Role == TargetRole::Primary && *group.Confirmed != entry.Target)
+    group.Confirmed.reset();
+  auto &view = Servers[entry.Target];
+  if (!entry.Leaving)
+    view.LeavingSince.reset();
+  else if (!view.LeavingSince)
+    view.LeavingSince = now;
+  view.Entry = std::move(entry);
+}
+
+void Catalog::removeServer(const TargetId &target, TimePoint now) {
+  const auto it = Servers.find(target);
+  if (it == Servers.end())
+    return;
+  ++Changes;
+  auto &group = Groups[it->second.Entry.Service];
+  std::erase(group.Servers, target);
+  group.Denied.erase(target);
+  if (group.Confirmed == target)
+    group.Confirmed.reset();
+  if (!it->second.Entry.Leaving) {
+    group.Missing.push_back({target, now, it->second.Entry.Role == TargetRole::Primary});
+    if (group.Missing.size() > MaxMissing)
+      group.Missing.erase(group.Missing.begin());
+  }
+  Servers.erase(it);
+}
+
+const ServerView *Catalog::server(const TargetId &target) const {
+  const auto it = Servers.find(target);
+  return it == Servers.end() ? nullptr : &it->second;
+}
+
+std::span<const TargetId> Catalog::servers(const DatabaseId &service) const {
+  const auto it = Groups.find(service);
+  return it == Groups.end() ? std::span<const TargetId>() : it->second.Servers;
+}
+
+std::vector<DatabaseId> Catalog::services() const {
+  std::vector<DatabaseId> out;
+  for (const auto &[service, group] : Groups)
+    if (!group.Servers.empty())
+      out.push_back(service);
+  return out;
+}
+
+std::span<const MissingServer> Catalog::missing(const DatabaseId &service) const {
+  const auto it = Groups.find(service);
+  return it == Groups.end() ? std::span<const MissingServer>() : it->second.Missing;
+}
+
+std::optional<TargetId> Catalog::primary(const DatabaseId &service) const {
+  const auto it = Groups.find(service);
+  if (it == Groups.end())
+    return std::nullopt;
+  const auto &group = it->second;
+  if (group.Confirmed)
+    return group.Confirmed;
+  const ServerEntry *best = nullptr;
+  for (const auto &target : group.Servers) {
+    const auto &entry = Servers.at(target).Entry;
+    const auto denied = group.Denied.find(target);
+    if (entry.Role != TargetRole::Primary ||
+        (denied != group.Denied.end() && denied->second >= entry.Revision))
+      continue;
+    if (!best || entry.Revision > best->Revision)
+      best = &entry;
+  }
+  return best ? std::optional(best->Target) : std::nullopt;
+}
+
+void Catalog::confirmPrimary(const TargetId &target) {
+  const auto it = Servers.find(target);
+  if (it == Servers.end())
+    return;
+  auto &group = Groups[it->second.Entry.Service];
+  if (group.Confirmed == target)
+    return;
+  group.Confirmed = target;
+  group.Denied.erase(target);
+  ++Changes;
+}
+
+void Catalog::denyPrimary(const TargetId &target) {
+  const auto it = Servers.find(target);
+  if (it == Servers.end())
+    return;
+  auto &group = Groups[it->second.Entry.Service];
+  if (group.Confirmed == target)
+    group.Confirmed.reset();
+  const auto [denied, added] = group.Denied.try_emplace(target, it->second.Entry.Revision);
+  if (added || denied->second != it->second.Entry.Revision)
+    ++Changes;
+  denied->second = it->second.Entry.Revision;
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/catalog/tests/catalogtests.cpp
@@ -0,0 +1,96 @@
+// Tests of the catalogue of routes and servers.
+
+#include "catalog/catalog.h"
+
+#include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+
+namespace {
+
+const DatabaseId Yard("yard");
+const TargetId A("a");
+const TargetId B("b");
+const TimePoint Start{10s};
+
+ServerEntry entry(const TargetId &target, TargetRole role, std::uint64_t revision, bool leaving = false) {
+  return {target, Yard, target.str() + ":1", AvailabilityZone("z"), role, leaving, revision};
+}
+
+Configuration configuration(std::uint64_t version, std::vector<std::string> databases) {
+  Configuration out;
+  out.Version = version;
+  for (auto &it : databases) {
+    DatabaseRoute route;
+    route.Database = std::move(it);
+    route.Service = Yard;
+    out.Routes.push_back(std::move(route));
+  }
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("a configuration never reverts to an older version") {
+  Catalog catalog;
+  CHECK(catalog.accept(configuration(7, {"one"})));
+  CHECK_FALSE(catalog.accept(configuration(5, {"two"})));
+  CHECK(catalog.route("one"));
+  CHECK_FALSE(catalog.route("two"));
+  CHECK(catalog.accept(configuration(9, {"two"})));
+  CHECK_FALSE(catalog.route("one"));
+}
+
+TEST_CASE("a late and older entry does not replace a newer one") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Replica, 8), Start);
+  catalog.updateServer(entry(A, TargetRole::Primary, 5), Start);
+  CHECK_FALSE(catalog.primary(Yard));
+}
+
+TEST_CASE("of two servers that call themselves primary, the newer word counts") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Primary, 3), Start);
+  catalog.updateServer(entry(B, TargetRole::Primary, 9), Start);
+  CHECK(catalog.primary(Yard) == B);
+}
+
+TEST_CASE("a server that refused a primary's work is not taken for one until its entry changes") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Primary, 3), Start);
+  catalog.denyPrimary(A);
+  CHECK_FALSE(catalog.primary(Yard));
+  catalog.updateServer(entry(A, TargetRole::Primary, 3), Start);
+  CHECK_FALSE(catalog.primary(Yard));
+  catalog.updateServer(entry(A, TargetRole::Primary, 4), Start);
+  CHECK(catalog.primary(Yard) == A);
+}
+
+TEST_CASE("a server found to be primary counts before the store says so") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Primary, 3), Start);
+  catalog.updateServer(entry(B, TargetRole::Replica, 4), Start);
+  catalog.confirmPrimary(B);
+  CHECK(catalog.primary(Yard) == B);
+}
+
+TEST_CASE("a server that vanished without notice is remembered, one that left is not") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Replica, 1), Start);
+  catalog.updateServer(entry(B, TargetRole::Replica, 2, true), Start);
+  catalog.removeServer(A, Start + 1s);
+  catalog.removeServer(B, Start + 1s);
+  REQUIRE(catalog.missing(Yard).size() == 1);
+  CHECK(catalog.missing(Yard).front().Target == A);
+  catalog.updateServer(entry(A, TargetRole::Replica, 5), Start + 2s);
+  CHECK(catalog.missing(Yard).empty());
+}
+
+TEST_CASE("the time of leaving is when it was first learned") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Replica, 1), Start);
+  CHECK_FALSE(catalog.server(A)->LeavingSince);
+  catalog.updateServer(entry(A, TargetRole::Replica, 2, true), Start + 1s);
+  catalog.updateServer(entry(A, TargetRole::Replica, 3, true), Start + 2s);
+  CHECK(catalog.server(A)->LeavingSince == Start + 1s);
+}
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -7,7 +7,7 @@
 #include "daemon/loop.h"
 #include "http/httpserver.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "objects/platform.h"
 #include "targets/targets.h"
 
 #include <asio/signal_set.hpp>
--- a/src/daemon/internal/localsettings.cpp
+++ b/src/daemon/internal/localsettings.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -17,8 +18,11 @@
 constexpr std::size_t MaxFileBytes = std::size_t{256} << 10;
 constexpr std::size_t MaxSeeds = 1'000;
 constexpr std::size_t MaxName = 64;
+constexpr double MinGrace = 1;
+constexpr double MaxGrace = 600;
 
 constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn", "error"};
+constexpr std::array<std::string_view, 2> InterfaceNames = {"requests", "sessions"};
 constexpr std::array<std::string_view, 2> FormatNames = {"key_value", "json"};
 
 class Reader {
@@ -143,34 +147,64 @@
   }
 }
 
-void readPlatform(Reader &in, const YAML::Node &root, LocalSettings &out) {
+std::string readUrl(Reader &in, const YAML::Node &root, const char *key) {
   YAML::Mark mark;
-  out.PlatformUrl = in.text(root, "", "platform", true, &mark);
-  while (out.PlatformUrl.ends_with('/'))
-    out.PlatformUrl.pop_back();
-  const std::string_view url = out.PlatformUrl;
+  auto out = in.text(root, "", key, true, &mark);
+  while (out.ends_with('/'))
+    out.pop_back();
+  const std::string_view url = out;
   const auto scheme = url.starts_with("http://") ? 7U : url.starts_with("https://") ? 8U : 0U;
   const bool valid = scheme != 0 && url.size() > scheme &&
                      url.find_first_of("/?#@ \t\r\n", scheme) == std::string_view::npos;
   if (!url.empty() && !valid)
-    in.report(mark, "platform: expected a URL without a path, such as http://10.0.0.1:7000");
+    in.report(mark, std::string(key) + ": expected a URL without a path, such as http://10.0.0.1:7000");
+  return out;
+}
+
+/// Settings that only proxies with sessions have.
+void readSessions(Reader &in, const YAML::Node &root, LocalSettings &out) {
+  out.DutiesUrl = readUrl(in, root, "duties");
+  if (const auto regions = root["regions"]; regions && !regions.IsNull()) {
+    if (!regions.IsMap()) {
+      in.report(regions.Mark(), "regions: expected a map of availability zones to regions");
+    } else {
+      for (const auto &it : regions)
+        out.Self.Regions[AvailabilityZone(it.first.Scalar())] = Region(it.second.Scalar());
+    }
+  }
+  YAML::Mark mark;
+  if (const auto grace = in.text(root, "", "shutdown_grace_s", false, &mark); !grace.empty()) {
+    double seconds = 0;
+    const auto [end, ec] = std::from_chars(grace.data(), grace.data() + grace.size(), seconds);
+    if (ec != std::errc() || end != grace.data() + grace.size() || seconds < MinGrace || seconds > MaxGrace)
+      in.report(mark, "shutdown_grace_s: expected seconds from 1 to 600");
+    else
+      out.Self.ShutdownGrace = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  }
 }
 
 void readRoot(Reader &in, const YAML::Node &root, LocalSettings &out) {
   if (!in.checkMap(root, "",
-                   {"node", "region", "availability_zone", "addresses", "platform", "seeds", "log"}))
+                   {"node", "region", "availability_zone", "interface", "addresses", "platform", "duties", "regions",
+                    "shutdown_grace_s", "seeds", "log"}))
     return;
   out.Self.Node = NodeId(in.name(root, "", "node"));
   out.Self.Region = Region(in.name(root, "", "region"));
   out.Self.AvailabilityZone = AvailabilityZone(in.name(root, "", "availability_zone"));
-  readPlatform(in, root, out);
+  out.Self.Interface = static_cast<CallerInterface>(in.choice(root, "", "interface", InterfaceNames, 0));
+  const bool sessions = out.Self.Interface == CallerInterface::Sessions;
+  out.PlatformUrl = readUrl(in, root, "platform");
+  if (sessions)
+    readSessions(in, root, out);
   if (const auto addresses = root["addresses"]; !addresses) {
     in.report(root.Mark(), "addresses: missing");
-  } else if (in.checkMap(addresses, "addresses", {"callers", "peers", "admin", "advertised"})) {
+  } else if (in.checkMap(addresses, "addresses", {"callers", "peers", "admin", "metrics", "advertised"})) {
     std::string listen;
     out.Callers = in.address(addresses, "addresses", "callers", true);
-    out.Peers = in.address(addresses, "addresses", "peers", true, &listen);
+    out.Peers = in.address(addresses, "addresses", "peers", !sessions, &listen);
     out.Admin = in.address(addresses, "addresses", "admin", true);
+    if (sessions && addresses["metrics"])
+      out.MetricsOnly = in.address(addresses, "addresses", "metrics", true);
     in.address(addresses, "addresses", "advertised", false, &out.Self.PeerAddress);
     if (out.Self.PeerAddress.empty())
       out.Self.PeerAddress = listen;
@@ -221,13 +255,27 @@
   pair("node", settings.Self.Node.str());
   pair("region", settings.Self.Region.str());
   pair("availability_zone", settings.Self.AvailabilityZone.str());
+  const bool sessions = settings.Self.Interface == CallerInterface::Sessions;
+  pair("interface", InterfaceNames.at(static_cast<std::size_t>(settings.Self.Interface)));
   out << YAML::Key << "addresses" << YAML::Value << YAML::BeginMap;
   pair("callers", formatAddress(settings.Callers));
-  pair("peers", formatAddress(settings.Peers));
+  if (!sessions)
+    pair("peers", formatAddress(settings.Peers));
   pair("admin", formatAddress(settings.Admin));
-  pair("advertised", settings.Self.PeerAddress);
+  if (settings.MetricsOnly)
+    pair("metrics", formatAddress(*settings.MetricsOnly));
+  if (!sessions)
+    pair("advertised", settings.Self.PeerAddress);
   out << YAML::EndMap;
   pair("platform", settings.PlatformUrl);
+  if (sessions) {
+    pair("duties", settings.DutiesUrl);
+    pair("shutdown_grace_s", std::to_string(std::chrono::duration<double>(settings.Self.ShutdownGrace).count()));
+    out << YAML::Key << "regions" << YAML::Value << YAML::BeginMap;
+    for (const auto &[zone, region] : settings.Self.Regions)
+      pair(zone.str().c_str(), region.str());
+    out << YAML::EndMap;
+  }
   out << YAML::Key << "seeds" << YAML::Value << YAML::BeginSeq;
   for (const auto &it : settings.Self.Seeds) {
     out << YAML::BeginMap;
--- a/src/daemon/internal/logger.cpp
+++ b/src/daemon/internal/logger.cpp
@@ -63,7 +63,7 @@
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
   root->addAppender(appender);
   root->setLevel(log4cxx::Level::getDebug());
 }
--- a/src/daemon/internal/loop.cpp
+++ b/src/daemon/internal/loop.cpp
@@ -63,7 +63,8 @@
 void Loop::run(const Started &started) {
   post(started);
   readWallClock();
-  readKeys();
+  if (Out.Callers)
+    readKeys();
   Io.run();
 }
 
@@ -111,6 +112,19 @@
                  [&](const Observe &it) { Counters.observe(it.Name, it.Value); },
                  [&](const InvariantBroken &it) { invariantBroken(it); },
                  [&](const ShutdownComplete &) { finishShutdown(); },
+                 [&](const GreetSession &it) { Out.Sessions->greet(it); },
+                 [&](const RefuseSession &it) { Out.Sessions->refuse(it); },
+                 [&](const AnswerStatement &it) { Out.Sessions->answer(it); },
+                 [&](const CloseSession &it) { Out.Sessions->close(it); },
+                 [&](const OpenLink &it) { Out.Links->open(it); },
+                 [&](const SendOnLink &it) { Out.Links->send(it); },
+                 [&](const CloseLink &it) { Out.Links->close(it); },
+                 [&](const DirectoryCall &it) {
+                   Out.Directory->call(it, [this](DirectoryAnswer answer) { post(std::move(answer)); });
+                 },
+                 [&](const PromotionCall &it) {
+                   Out.Directory->promote(it, [this](PromotionAnswer answer) { post(std::move(answer)); });
+                 },
              },
              effect);
 }
@@ -183,14 +197,29 @@
   });
 }
 
+std::size_t Loop::unwritten() const {
+  std::size_t n = 0;
+  if (Out.Callers)
+    n += Out.Callers->pending();
+  if (Out.Peers)
+    n += Out.Peers->pending();
+  if (Out.Admin)
+    n += Out.Admin->pending();
+  if (Out.Sessions)
+    n += Out.Sessions->pending();
+  return n;
+}
+
 void Loop::finishShutdown() {
   if (!ShuttingDown) {
     ShuttingDown = true;
     ShutdownDeadline = std::chrono::steady_clock::now() + FlushTime;
-    Out.Callers->stop();
+    if (Out.Callers)
+      Out.Callers->stop();
+    if (Out.Sessions)
+      Out.Sessions->stop();
   }
-  const bool flushed = Out.Callers->pending() == 0 && Out.Peers->pending() == 0 && Out.Admin->pending() == 0;
-  if (flushed || std::chrono::steady_clock::now() >= ShutdownDeadline) {
+  if (unwritten() == 0 || std::chrono::steady_clock::now() >= ShutdownDeadline) {
     Io.stop();
     return;
   }
--- /dev/null
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -0,0 +1,126 @@
+// Wires up a proxy whose callers keep sessions.
+
+#include "daemon/sessiondaemon.h"
+
+#include "admin/admin.h"
+#include "daemon/loop.h"
+#include "http/httpserver.h"
+#include "wire/wire.h"
+
+#include <asio/signal_set.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <random>
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr std::size_t AdminConnections = 64;
+
+std::uint64_t randomSeed() {
+  std::random_device source;
+  return (static_cast<std::uint64_t>(source()) << 32) | source();
+}
+
+HttpOptions adminOptions(const SocketAddress &address, const char *name) {
+  HttpOptions out;
+  out.Ip = address.Ip;
+  out.Port = address.Port;
+  out.Name = name;
+  out.MaxConnections = AdminConnections;
+  return out;
+}
+
+/// Addresses and names cannot change while the process runs, so a reload only reports what it finds.
+void reload(const LocalSettings &settings, const std::string &file, ILogger &logger) {
+  const auto next = loadLocalSettings(file);
+  if (const auto *findings = std::get_if<Findings>(&next)) {
+    for (const auto &it : *findings)
+      logger.log({LogLevel::Error, "settings file refused", {{"finding", it.str()}}});
+    return;
+  }
+  const bool same = formatLocalSettings(std::get<LocalSettings>(next)) == formatLocalSettings(settings);
+  logger.log({LogLevel::Info, "settings file read", {{"change", same ? "none" : "in force after a restart"}}});
+}
+
+class Signals {
+public:
+  Signals(asio::io_context &io, Loop &loop, const LocalSettings &settings, std::string file, ILogger &logger)
+      : Set(io, SIGTERM, SIGINT, SIGHUP), Events(loop), Settings(settings), File(std::move(file)), Logger(logger) {
+    wait();
+  }
+
+private:
+  void wait() {
+    Set.async_wait([this](std::error_code ec, int number) {
+      if (ec)
+        return;
+      take(number);
+      wait();
+    });
+  }
+
+  void take(int number) {
+    if (number == SIGHUP) {
+      reload(Settings, File, Logger);
+      return;
+    }
+    Logger.log({LogLevel::Info, Stopping ? "ending at once" : "shutdown requested", {{"signal", std::to_string(number)}}});
+    if (std::exchange(Stopping, true))
+      Events.stop();
+    else
+      Events.post(ShutdownRequested{});
+  }
+
+  asio::signal_set Set;
+  Loop &Events;
+  const LocalSettings &Settings;
+  std::string File;
+  ILogger &Logger;
+  bool Stopping = false;
+};
+
+} // namespace
+
+int runSessionDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer, ILogger &logger,
+                     const ICodecs &codecs, const DirectoryFactory &makeDirectory) {
+  std::signal(SIGPIPE, SIG_IGN);
+  asio::io_context io(1);
+  Metrics metrics;
+  Loop loop(io, reducer, metrics, logger);
+  const auto sink = [&loop](Event event) { loop.post(std::move(event)); };
+  const auto ready = [&reducer] { return reducer.ready(); };
+  const auto sessions = makeSessionListener(io, {settings.Callers}, codecs, sink, metrics);
+  const auto links = makeLinkConnector(io, codecs, sink, metrics);
+  const auto directory = makeDirectory(io, metrics);
+  const auto admin = makeAdmin(makeHttpServer(io, metrics, adminOptions(settings.Admin, "admin")), sink, metrics, ready);
+  Adapters adapters;
+  adapters.Admin = admin.get();
+  adapters.Sessions = sessions.get();
+  adapters.Links = links.get();
+  adapters.Directory = directory.get();
+  loop.setAdapters(adapters);
+  admin->start();
+  std::unique_ptr<IAdmin> more;
+  if (settings.MetricsOnly) {
+    more = makeAdmin(makeHttpServer(io, metrics, adminOptions(*settings.MetricsOnly, "metrics")), sink, metrics, ready);
+    more->start();
+  }
+  const Signals signals(io, loop, settings, file, logger);
+  logger.log({LogLevel::Info,
+              "started",
+              {{"release", settings.Self.Release},
+               {"availability_zone", settings.Self.AvailabilityZone.str()},
+               {"callers", std::to_string(sessions->port())},
+               {"admin", std::to_string(admin->port())}}});
+  // The incarnation has to differ from one start of a node to the next.
+  loop.run({randomSeed(), randomSeed()});
+  links->stop();
+  directory->stop();
+  logger.log({LogLevel::Info, "ended", {}});
+  return 0;
+}
+
+} // namespace rosemaryhinge
--- a/src/daemon/internal/trail.cpp
+++ b/src/daemon/internal/trail.cpp
@@ -86,6 +86,30 @@
           [](const AdminRequest &it) {
             return Entry{{}, "admin", it.Id, it.Command, ""};
           },
+          [](const SessionOpened &it) {
+            return Entry{{}, "session_opened", it.Session.Value, it.Database, ""};
+          },
+          [](const StatementArrived &it) {
+            return Entry{{}, "statement", it.Session.Value, it.Statement.Id, ""};
+          },
+          [](const SessionClosed &it) {
+            return Entry{{}, "session_closed", it.Session.Value, {}, ""};
+          },
+          [](const LinkOpened &it) {
+            return Entry{{}, "link_opened", it.Link.Value, {}, ""};
+          },
+          [](const LinkClosed &it) {
+            return Entry{{}, "link_closed", it.Link.Value, {}, ""};
+          },
+          [](const LinkReplied &it) {
+            return Entry{{}, "link_replied", it.Link.Value, {}, ""};
+          },
+          [](const DirectoryAnswer &it) {
+            return Entry{{}, "directory", it.Call.Number, {}, ""};
+          },
+          [](const PromotionAnswer &it) {
+            return Entry{{}, "promotion", it.Call.Number, it.Message, ""};
+          },
       },
       event);
 }
--- a/src/daemon/localsettings.h
+++ b/src/daemon/localsettings.h
@@ -7,6 +7,7 @@
 #include "protocol/effect.h"
 #include "protocol/nodeconfig.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -21,6 +22,8 @@
   SocketAddress Peers;
   SocketAddress Admin;
   std::string PlatformUrl;
+  std::string DutiesUrl; ///< Sessions: where promotions are ordered.
+  std::optional<SocketAddress> MetricsOnly; ///< Sessions: a further listener with the paths of the admin address.
   rosemaryhinge::LogFormat LogFormat = LogFormat::KeyValue;
   rosemaryhinge::LogLevel LogLevel = LogLevel::Info;
 };
--- a/src/daemon/logger.h
+++ b/src/daemon/logger.h
@@ -17,7 +17,7 @@
 
 class Logger : public ILogger {
 public:
-  /// Writes to standard error.
+  /// Writes to standard output.
   Logger(LogFormat format, LogLevel level, const NodeId &node);
 
   /// Lines beyond the rate limit are left out, and their number is logged once there is room again.
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -4,14 +4,17 @@
 
 #include "admin/iadmin.h"
 #include "callers/icallers.h"
+#include "daemon/idirectory.h"
 #include "daemon/ilogger.h"
 #include "daemon/internal/trail.h"
 #include "daemon/ireducer.h"
 #include "metrics/metrics.h"
 #include "net/boottimer.h"
 #include "peers/ipeers.h"
-#include "platform/iplatform.h"
+#include "objects/iplatform.h"
 #include "targets/itargets.h"
+#include "wire/ilinkconnector.h"
+#include "wire/isessionlistener.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -20,12 +23,16 @@
 
 namespace rosemaryhinge {
 
+/// A proxy has the adapters of its caller interface; the others are null and get no effects.
 struct Adapters {
   ICallers *Callers = nullptr;
   IPeers *Peers = nullptr;
   ITargets *Targets = nullptr;
   IPlatform *Platform = nullptr;
   IAdmin *Admin = nullptr;
+  ISessionListener *Sessions = nullptr;
+  ILinkConnector *Links = nullptr;
+  IDirectory *Directory = nullptr;
 };
 
 class Loop {
@@ -56,6 +63,7 @@
   void readKeys();
   void takeKeys(const PlatformAnswer &answer);
   void finishShutdown();
+  [[nodiscard]] std::size_t unwritten() const;
 
   asio::io_context &Io;
   IReducer &Reducer;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,63 +3,18 @@
 #include "daemon/daemon.h"
 #include "daemon/internal/reduceradapter.h"
 #include "daemon/logger.h"
-
-#include <iostream>
-#include <memory>
-#include <popt.h>
+#include "daemon/options.h"
 
 namespace {
 
 using namespace rosemaryhinge;
 
-constexpr int ExitUsage = 2;
-
-struct Options {
-  std::string Settings;
-  bool Check = false;
-  bool PrintEffective = false;
-  bool Version = false;
-};
-
-/// Reads the command line; false after a message about what is wrong.
-bool readOptions(int argc, char **argv, Options &out) {
-  char *file = nullptr;
-  int check = 0;
-  int print = 0;
-  int version = 0;
-  const poptOption table[] = {
-      {"settings", 's', POPT_ARG_STRING, static_cast<void *>(&file), 0, "local settings (YAML)", "FILE"},
-      {"check", 0, POPT_ARG_NONE, static_cast<void *>(&check), 0, "check the settings and end", nullptr},
-      {"print-effective", 0, POPT_ARG_NONE, static_cast<void *>(&print), 0,
-       "print the settings in effect and end", nullptr},
-      {"version", 0, POPT_ARG_NONE, static_cast<void *>(&version), 0, "print the release and end", nullptr},
-      POPT_AUTOHELP POPT_TABLEEND};
-  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
-      poptGetContext(nullptr, argc, const_cast<const char **>(argv), table, 0), &poptFreeContext);
-  const int rc = poptGetNextOpt(context.get());
-  if (file)
-    out.Settings = file;
-  free(file);
-  out.Check = check != 0;
-  out.PrintEffective = print != 0;
-  out.Version = version != 0;
-  if (rc < -1) {
-    std::cerr << "rosemaryhinged: " << poptBadOption(context.get(), 0) << ": " << poptStrerror(rc) << "\n";
-    return false;
-  }
-  if (const char *rest = poptPeekArg(context.get())) {
-    std::cerr << "rosemaryhinged: " << rest << ": unexpected argument\n";
-    return false;
-  }
-  if (out.Settings.empty() && !out.Version) {
-    std::cerr << "rosemaryhinged: --settings FILE is missing; see --help\n";
-    return false;
-  }
-  return true;
-}
-
 int run(const LocalSettings &settings) {
   Logger logger(settings.LogFormat, settings.LogLevel, settings.Self.Node);
+  if (settings.Self.Interface != CallerInterface::Requests) {
+    logger.log({LogLevel::Error, "cannot run", {{"why", "interface: this program serves requests only"}}});
+    return 1;
+  }
   try {
     detail::ReducerAdapter reducer(settings.Self);
     return runDaemon(settings, reducer, logger);
@@ -72,22 +27,6 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  Options options;
-  if (!readOptions(argc, argv, options))
-    return ExitUsage;
-  if (options.Version) {
-    std::cout << "rosemaryhinged " << NodeConfig().Release << "\n";
-    return 0;
-  }
-  const auto settings = loadLocalSettings(options.Settings);
-  if (const auto *findings = std::get_if<Findings>(&settings)) {
-    for (const auto &it : *findings)
-      std::cerr << it.str() << "\n";
-    return 1;
-  }
-  if (options.PrintEffective)
-    std::cout << formatLocalSettings(std::get<LocalSettings>(settings));
-  if (options.Check || options.PrintEffective)
-    return 0;
-  return run(std::get<LocalSettings>(settings));
+  return startDaemon(argc, argv, "rosemaryhinged",
+                     [](const LocalSettings &settings, const std::string &) { return run(settings); });
 }
--- a/src/platform/internal/platform.cpp
+++ b/src/httpclient/httpclient.cpp
@@ -1,8 +1,8 @@
 // libcurl's multi interface on Asio.
 
-#include "platform/platform.h"
+#include "httpclient/httpclient.h"
 
-#include "platform/internal/transfer.h"
+#include "httpclient/internal/transfer.h"
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
@@ -28,36 +28,37 @@
   bool Removed = false;
 };
 
-class Platform : public IPlatform {
+class HttpClient : public IHttpClient {
 public:
-  Platform(asio::io_context &io, PlatformOptions options, IMetrics &metrics)
+  HttpClient(asio::io_context &io, HttpClientOptions options, IMetrics &metrics)
       : Io(io), Options(std::move(options)), Metrics(metrics), Timer(io) {
     static const CURLcode Global = curl_global_init(CURL_GLOBAL_DEFAULT);
     static_cast<void>(Global);
     Multi = curl_multi_init();
-    curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &Platform::onSocket);
+    curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &HttpClient::onSocket);
     curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &Platform::onTimer);
+    curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &HttpClient::onTimer);
     curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
   }
 
-  ~Platform() override {
+  ~HttpClient() override {
     stop();
     curl_multi_cleanup(Multi);
   }
 
-  void call(const PlatformCall &effect, Handler handler) override {
-    Metrics.count("platform_calls_total");
-    auto transfer = std::make_unique<detail::Transfer>(effect, std::move(handler));
+  void call(HttpCall call, Handler handler) override {
+    Metrics.count(Options.MetricPrefix + "_calls_total");
+    const auto timeout = call.Timeout;
+    auto transfer = std::make_unique<detail::Transfer>(std::move(call), std::move(handler), Options.MaxBody);
     if (Stopped)
       return;
     if (Running.size() < Options.MaxRunning) {
       start(std::move(transfer));
     } else if (Queue.size() < Options.MaxQueued) {
-      Queue.push_back({std::move(transfer), std::chrono::steady_clock::now() + effect.Timeout});
+      Queue.push_back({std::move(transfer), std::chrono::steady_clock::now() + timeout});
     } else {
-      Metrics.count("platform_calls_rejected_total");
-      failLater(std::move(transfer), "too many calls to the platform");
+      Metrics.count(Options.MetricPrefix + "_calls_rejected_total");
+      failLater(std::move(transfer), "too many calls are waiting");
     }
   }
 
@@ -80,11 +81,8 @@
   };
 
   void start(std::unique_ptr<detail::Transfer> transfer) {
-    auto timeout = std::chrono::ceil<std::chrono::milliseconds>(transfer->call().Timeout);
-    if (std::holds_alternative<WatchObject>(transfer->call().Request))
-      timeout += Options.WatchGrace;
     CURL *easy = nullptr;
-    if (transfer->prepare(Options.Url, std::max(timeout, std::chrono::milliseconds(1))))
+    if (transfer->prepare(Options.Url, Options.ConnectTimeout))
       easy = transfer->easy();
     if (!easy || curl_multi_add_handle(Multi, easy) != CURLM_OK) {
       failLater(std::move(transfer), "libcurl cannot start the request");
@@ -95,15 +93,18 @@
 
   void failLater(std::unique_ptr<detail::Transfer> transfer, const char *why) {
     asio::post(Io, [this, transfer = std::shared_ptr<detail::Transfer>(std::move(transfer)), why] {
+      HttpResult failed;
+      failed.Connected = false;
+      failed.Error = why;
       if (!Stopped)
-        finish(*transfer, {transfer->call().Call, PlatformFailure{why}});
+        finish(*transfer, std::move(failed));
     });
   }
 
-  void finish(detail::Transfer &transfer, PlatformAnswer answer) {
-    if (std::holds_alternative<PlatformFailure>(answer.Result))
-      Metrics.count("platform_failures_total");
-    transfer.finish(std::move(answer));
+  void finish(detail::Transfer &transfer, HttpResult result) {
+    if (!result.Answered)
+      Metrics.count(Options.MetricPrefix + "_calls_unanswered_total");
+    transfer.finish(std::move(result));
   }
 
   void act(curl_socket_t fd, int what) {
@@ -136,7 +137,7 @@
   }
 
   static int onTimer(CURLM *, long millis, void *data) {
-    auto *self = static_cast<Platform *>(data);
+    auto *self = static_cast<HttpClient *>(data);
     if (self->Stopped)
       return 0;
     self->Timer.cancel();
@@ -151,7 +152,7 @@
   }
 
   static int onSocket(CURL *, curl_socket_t fd, int what, void *data, void *) {
-    auto *self = static_cast<Platform *>(data);
+    auto *self = static_cast<HttpClient *>(data);
     if (self->Stopped)
       return 0;
     const auto it = self->Sockets.find(fd);
@@ -199,7 +200,7 @@
   }
 
   asio::io_context &Io;
-  PlatformOptions Options;
+  HttpClientOptions Options;
   IMetrics &Metrics;
   asio::steady_timer Timer;
   CURLM *Multi = nullptr;
@@ -211,8 +212,8 @@
 
 } // namespace
 
-std::unique_ptr<IPlatform> makePlatform(asio::io_context &io, PlatformOptions options, IMetrics &metrics) {
-  return std::make_unique<Platform>(io, std::move(options), metrics);
+std::unique_ptr<IHttpClient> makeHttpClient(asio::io_context &io, HttpClientOptions options, IMetrics &metrics) {
+  return std::make_unique<HttpClient>(io, std::move(options), metrics);
 }
 
 } // namespace rosemaryhinge
--- a/src/platform/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -1,6 +1,6 @@
 // One HTTP request through libcurl.
 
-#include "platform/internal/transfer.h"
+#include "httpclient/internal/transfer.h"
 
 #include <algorithm>
 #include <cctype>
@@ -20,52 +20,63 @@
 
 } // namespace
 
-bool Transfer::prepare(const std::string &url, std::chrono::milliseconds timeout) {
+bool Transfer::prepare(const std::string &url, std::chrono::milliseconds connectTimeout) {
   Easy.reset(curl_easy_init());
   if (!Easy)
     return false;
-  Request = encodePlatform(Call);
   CURL *easy = Easy.get();
-  curl_easy_setopt(easy, CURLOPT_URL, (url + Request.Path).c_str());
+  curl_easy_setopt(easy, CURLOPT_URL, (url + Call.Path).c_str());
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(Call.Timeout.count()));
+  if (connectTimeout.count() > 0)
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connectTimeout.count()));
+  if (Call.FreshConnection)
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, Error.data());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
-  if (Request.Put) {
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, Request.Body.data());
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(Request.Body.size()));
-    const auto header = "If-Version: " + std::to_string(Request.IfVersion.value_or(0));
-    Headers.reset(curl_slist_append(nullptr, header.c_str()));
+  curl_slist *headers = nullptr;
+  if (Call.Method != "GET") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, Call.Method.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, Call.Body.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(Call.Body.size()));
     // Without a round trip of its own before the body.
-    curl_slist_append(Headers.get(), "Expect:");
-    curl_slist_append(Headers.get(), "Content-Type: application/octet-stream");
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, Headers.get());
+    headers = curl_slist_append(headers, "Expect:");
   }
+  for (const auto &it : Call.Headers)
+    headers = curl_slist_append(headers, it.c_str());
+  Headers.reset(headers);
+  if (headers)
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
   return true;
 }
 
-PlatformAnswer Transfer::result(CURLcode code) {
-  if (TooLarge)
-    return {Call.Call, PlatformFailure{"the body exceeds " + std::to_string(MaxPlatformBody) + " bytes"}};
-  if (code != CURLE_OK)
-    return {Call.Call, PlatformFailure{Error[0] != '\0' ? Error.data() : curl_easy_strerror(code)}};
+HttpResult Transfer::result(CURLcode code) {
+  if (TooLarge) {
+    Response.Error = "the body exceeds " + std::to_string(MaxBody) + " bytes";
+    return std::move(Response);
+  }
+  if (code != CURLE_OK) {
+    Response.Connected = code != CURLE_COULDNT_CONNECT;
+    Response.Error = Error[0] != '\0' ? Error.data() : curl_easy_strerror(code);
+    return std::move(Response);
+  }
   long status = 0;
   curl_easy_getinfo(Easy.get(), CURLINFO_RESPONSE_CODE, &status);
   Response.Status = static_cast<int>(status);
-  return {Call.Call, decodePlatform(Call, Response)};
+  Response.Answered = true;
+  return std::move(Response);
 }
 
 std::size_t Transfer::onBody(char *data, std::size_t size, std::size_t count, void *self) {
   auto *it = static_cast<Transfer *>(self);
-  if (it->Response.Body.size() + size * count > MaxPlatformBody) {
+  if (it->Response.Body.size() + size * count > it->MaxBody) {
     it->TooLarge = true;
     return 0; // Ends the transfer.
   }
@@ -79,7 +90,7 @@
   if (line.size() > VersionHeader.size() &&
       std::equal(VersionHeader.begin(), VersionHeader.end(), line.begin(),
                  [&](char a, char b) { return same(b, a); }))
-    static_cast<Transfer *>(self)->Response.Version = trim(line.substr(VersionHeader.size()));
+    static_cast<Transfer *>(self)->Response.VersionHeader = trim(line.substr(VersionHeader.size()));
   return size * count;
 }
 
--- a/src/platform/internal/transfer.h
+++ b/src/httpclient/internal/transfer.h
@@ -2,8 +2,7 @@
 
 #pragma once
 
-#include "platform/internal/platformcodec.h"
-#include "platform/iplatform.h"
+#include "httpclient/httpclient.h"
 
 #include <array>
 #include <curl/curl.h>
@@ -21,27 +20,27 @@
 
 class Transfer {
 public:
-  Transfer(PlatformCall call, IPlatform::Handler handler)
-      : Call(std::move(call)), Handler(std::move(handler)) {}
+  Transfer(HttpCall call, IHttpClient::Handler handler, std::size_t maxBody)
+      : Call(std::move(call)), Handler(std::move(handler)), MaxBody(maxBody) {}
 
-  /// Prepares the handle. Url is the platform's, without a path.
-  [[nodiscard]] bool prepare(const std::string &url, std::chrono::milliseconds timeout);
+  /// Prepares the handle. Url is without a path.
+  [[nodiscard]] bool prepare(const std::string &url, std::chrono::milliseconds connectTimeout);
   [[nodiscard]] CURL *easy() const { return Easy.get(); }
   /// Result after libcurl has finished.
-  [[nodiscard]] PlatformAnswer result(CURLcode code);
-  [[nodiscard]] const PlatformCall &call() const { return Call; }
-  void finish(PlatformAnswer answer) { Handler(std::move(answer)); }
+  [[nodiscard]] HttpResult result(CURLcode code);
+  [[nodiscard]] const HttpCall &call() const { return Call; }
+  void finish(HttpResult result) { Handler(std::move(result)); }
 
 private:
   static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
   static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
 
-  PlatformCall Call;
-  IPlatform::Handler Handler;
+  HttpCall Call;
+  IHttpClient::Handler Handler;
+  std::size_t MaxBody;
   std::unique_ptr<CURL, EasyDeleter> Easy;
   std::unique_ptr<curl_slist, HeadersDeleter> Headers;
-  PlatformRequest Request;
-  PlatformResponse Response;
+  HttpResult Response;
   bool TooLarge = false;
   std::array<char, CURL_ERROR_SIZE> Error{};
 };
--- /dev/null
+++ b/src/leadership/internal/reason.cpp
@@ -0,0 +1,46 @@
+// Reasons for a change of primary.
+
+#include "leadership/internal/reason.h"
+
+namespace rosemaryhinge::detail {
+
+namespace {
+
+/// A process that is down refuses connections; a short restart of the network does so, too.
+constexpr Duration RefusedFor = 150ms;
+/// Silence that no work explains: statements take at most some hundred ms, also behind others.
+constexpr Duration SilentFor = 900ms;
+/// Writes wait for a replica; without an answer for this long the primary has lost its replicas.
+constexpr Duration WritesSilentFor = 1200ms;
+/// A server that was promoted may need this long before it says so.
+constexpr Duration NoPrimaryFor = 2500ms;
+
+std::string millis(Duration it) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(it).count()) + " ms";
+}
+
+} // namespace
+
+std::optional<ChangeReason> reasonToChange(const DatabaseId &service, const Catalog &catalog, const LinkPool &links,
+                                           const SessionsModule &sessions, std::optional<TimePoint> noPrimarySince,
+                                           TimePoint now) {
+  const auto primary = catalog.primary(service);
+  if (!primary) {
+    if (noPrimarySince && now - *noPrimarySince >= NoPrimaryFor)
+      return ChangeReason{"no primary for " + millis(now - *noPrimarySince), TargetId(), true};
+    return std::nullopt;
+  }
+  const auto *view = catalog.server(*primary);
+  const auto &health = links.health(*primary);
+  if (const auto since = health.refusedSince(); since && now - *since >= RefusedFor)
+    return ChangeReason{"the primary refuses connections for " + millis(now - *since), *primary, true};
+  if (const auto silence = health.silence(now); silence >= SilentFor)
+    return ChangeReason{"the primary is silent for " + millis(silence), *primary, true};
+  if (const auto since = sessions.writesUnansweredSince(service); since && now - *since >= WritesSilentFor)
+    return ChangeReason{"no write is answered for " + millis(now - *since), *primary, true};
+  if (view && view->LeavingSince)
+    return ChangeReason{"the primary is leaving", *primary, false};
+  return std::nullopt;
+}
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/links/linkpool.cpp
@@ -0,0 +1,321 @@
+// Connections to servers.
+
+#include "links/linkpool.h"
+
+#include "base/overloaded.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr Duration OpenTimeout = 700ms;
+/// An answer to the proxy's own rollback that takes longer means that the link is stuck.
+constexpr Duration AnswerTimeout = 1500ms;
+constexpr Duration SweepInterval = 100ms;
+/// Idle links that are kept for each server, and for how long the ones beyond them stay.
+constexpr std::size_t KeptIdle = 2;
+constexpr Duration KeptIdleFor = 8s;
+constexpr Duration SpareIdleFor = 600ms;
+/// While a server was full lately, its idle links are given up sooner: others wait for them.
+constexpr Duration FullMemory = 3s;
+constexpr Duration FullIdleFor = 100ms;
+/// Pause before a server that was full is asked again, with as much again at random.
+constexpr Duration FullPause = 40ms;
+constexpr Duration FailurePause = 200ms;
+/// Links to one server that are being opened at once.
+constexpr std::size_t MaxOpening = 4;
+/// Prepared names on one link beyond which it is cleared.
+constexpr std::size_t MaxPrepared = 256;
+constexpr std::size_t MaxNames = 4'096;
+
+LinkStep stepOf(const LinkCommand &command) {
+  return std::visit(Overloaded{
+                        [](const RunStatement &) { return LinkStep::Statement; },
+                        [](const BeginTransaction &) { return LinkStep::Begin; },
+                        [](const RollbackTransaction &) { return LinkStep::End; },
+                        [](const SetSessionValue &) { return LinkStep::Prepare; },
+                        [](const PrepareOnServer &) { return LinkStep::Prepare; },
+                        [](const DiscardSession &) { return LinkStep::Prepare; },
+                        [](const auto &) { return LinkStep::Order; },
+                    },
+                    command);
+}
+
+/// Whether every name that the link carries is one that the session sets anyway.
+bool extends(const SessionValues &wanted, const SessionValues &carried) {
+  return std::all_of(carried.begin(), carried.end(),
+                     [&](const auto &it) { return wanted.contains(it.first); });
+}
+
+} // namespace
+
+std::optional<LinkId> LinkPool::acquire(const TargetId &target, LinkUser user, const SessionValues &values,
+                                        TimePoint now) {
+  const auto server = Servers.find(target);
+  if (server == Servers.end() || server->second.Idle == 0)
+    return std::nullopt;
+  std::optional<LinkId> best;
+  int bestRank = -1;
+  for (const auto &id : server->second.Links) {
+    const auto &link = Links.at(id);
+    if (link.State != Phase::Idle)
+      continue;
+    const int rank = link.Values == values ? 2 : extends(values, link.Values) ? 1 : 0;
+    // Of equal ones the youngest, so that links that are not needed become old.
+    if (rank > bestRank || (rank == bestRank && Links.at(*best).Since < link.Since)) {
+      best = id;
+      bestRank = rank;
+    }
+  }
+  if (!best)
+    return std::nullopt;
+  auto &link = Links.at(*best);
+  link.User = user;
+  link.Lent = true;
+  setPhase(link, *best, Phase::Busy, now);
+  return best;
+}
+
+void LinkPool::want(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting) {
+  const auto *view = catalog.server(target);
+  if (!view)
+    return;
+  auto &server = Servers[target];
+  const auto *limits = catalog.limits(view->Entry.Service);
+  const std::size_t cap = limits && limits->MaxConnections > 0 ? limits->MaxConnections : 1;
+  while (server.Opening < std::min(waiting, MaxOpening) && server.Links.size() < cap &&
+         ctx.Now >= server.RetryAt) {
+    const LinkId id{ctx.number()};
+    Link link;
+    link.Target = target;
+    link.Service = view->Entry.Service;
+    link.Since = ctx.Now;
+    Links.emplace(id, std::move(link));
+    server.Links.insert(id);
+    ++server.Opening;
+    ++server.Awaiting;
+    server.Health.sent(ctx.Now);
+    ctx.emit(OpenLink{id, target, view->Entry.Service, view->Entry.Address});
+    ctx.emit(Count{"links_opened_total"});
+  }
+  if (!NextSweep)
+    NextSweep = ctx.Now + SweepInterval;
+}
+
+std::string LinkPool::preparedName(const PreparedShape &shape) {
+  if (const auto it = Names.find(shape); it != Names.end())
+    return it->second;
+  // Numbers go on after the table was cleared: links still hold the names given before.
+  if (Names.size() >= MaxNames)
+    Names.clear();
+  return Names.emplace(shape, "p" + std::to_string(++NamesGiven)).first->second;
+}
+
+std::vector<LinkCommand> LinkPool::prepare(LinkId id, const SessionValues &values, const PreparedShape *shape) {
+  std::vector<LinkCommand> out;
+  auto &link = Links.at(id);
+  const bool tooMany = shape && link.Prepared.size() >= MaxPrepared;
+  if (!extends(values, link.Values) || tooMany) {
+    out.emplace_back(DiscardSession{});
+    link.Values.clear();
+    link.Prepared.clear();
+  }
+  for (const auto &[name, value] : values) {
+    const auto it = link.Values.find(name);
+    if (it != link.Values.end() && it->second == value)
+      continue;
+    out.emplace_back(SetSessionValue{name, value});
+    link.Values[name] = value;
+  }
+  if (shape)
+    if (auto name = preparedName(*shape); link.Prepared.insert(name).second)
+      out.emplace_back(PrepareOnServer{std::move(name), shape->Mode, shape->Shape});
+  return out;
+}
+
+void LinkPool::send(Context &ctx, LinkId id, std::vector<LinkCommand> commands) {
+  auto &link = Links.at(id);
+  auto &server = Servers[link.Target];
+  for (const auto &it : commands) {
+    link.Awaiting.push_back({stepOf(it), ctx.Now});
+    ++server.Awaiting;
+  }
+  server.Health.sent(ctx.Now);
+  ctx.emit(SendOnLink{id, std::move(commands)});
+}
+
+void LinkPool::release(Context &ctx, LinkId id) {
+  const auto it = Links.find(id);
+  if (it == Links.end())
+    return;
+  auto &link = it->second;
+  link.Lent = false;
+  link.User = {};
+  if (!link.Awaiting.empty())
+    return;
+  setPhase(link, id, Phase::Idle, ctx.Now);
+}
+
+void LinkPool::close(Context &ctx, LinkId id, bool silent) {
+  if (!Links.contains(id))
+    return;
+  forget(ctx, id, std::nullopt, silent);
+  ctx.emit(CloseLink{id});
+}
+
+void LinkPool::setPhase(Link &link, LinkId, Phase next, TimePoint now) {
+  auto &server = Servers[link.Target];
+  if (link.State == Phase::Idle)
+    --server.Idle;
+  if (next == Phase::Idle)
+    ++server.Idle;
+  link.State = next;
+  link.Since = now;
+}
+
+void LinkPool::forget(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent) {
+  const auto it = Links.find(id);
+  auto &link = it->second;
+  auto &server = Servers[link.Target];
+  if (link.State == Phase::Idle)
+    --server.Idle;
+  if (link.State == Phase::Opening) {
+    --server.Opening;
+    --server.Awaiting;
+  }
+  server.Awaiting -= link.Awaiting.size();
+  server.Links.erase(id);
+  const bool outstanding = server.Awaiting > 0;
+  if (why)
+    server.Health.failed(*why, ctx.Now, outstanding);
+  else if (silent && !outstanding)
+    server.Health.abandoned(ctx.Now);
+  Links.erase(it);
+}
+
+void LinkPool::onOpened(Context &ctx, LinkId id) {
+  const auto it = Links.find(id);
+  if (it == Links.end())
+    return;
+  auto &server = Servers[it->second.Target];
+  --server.Opening;
+  --server.Awaiting;
+  server.Health.received(ctx.Now, server.Awaiting > 0);
+  setPhase(it->second, id, Phase::Idle, ctx.Now);
+}
+
+std::optional<LinkPool::Reply> LinkPool::onReply(Context &ctx, const LinkReplied &event) {
+  const auto it = Links.find(event.Link);
+  if (it == Links.end() || it->second.Awaiting.empty())
+    return std::nullopt;
+  auto &link = it->second;
+  const auto awaited = link.Awaiting.front();
+  link.Awaiting.pop_front();
+  auto &server = Servers[link.Target];
+  --server.Awaiting;
+  server.Health.received(ctx.Now, server.Awaiting > 0);
+  Reply out{awaited.Step, link.User, link.Target, link.Service, awaited.SentAt, link.Awaiting.empty()};
+  if (!link.Lent && link.Awaiting.empty())
+    release(ctx, event.Link);
+  return out;
+}
+
+std::optional<LinkPool::Closed> LinkPool::onClosed(Context &ctx, const LinkClosed &event) {
+  const auto it = Links.find(event.Link);
+  if (it == Links.end())
+    return std::nullopt;
+  auto &link = it->second;
+  Closed out{link.User, link.Target, link.Service, link.State != Phase::Opening, {}};
+  for (const auto &awaited : link.Awaiting)
+    out.Unanswered.push_back(awaited.Step);
+  auto &server = Servers[link.Target];
+  if (event.Why == LinkFailure::TooMany) {
+    server.FullAt = ctx.Now;
+    server.RetryAt = ctx.Now + FullPause +
+                     Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(FullPause.count())));
+  } else if (!out.Opened) {
+    server.RetryAt = ctx.Now + FailurePause;
+  }
+  // The end of an idle link says little: servers close what rests. One that is in use or opening says more.
+  const bool telling = !out.Opened || link.State == Phase::Busy;
+  ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(event.Why)) + "\"}"});
+  forget(ctx, event.Link, telling ? std::optional(event.Why) : std::nullopt, false);
+  return out;
+}
+
+Duration LinkPool::idleLimit(const Server &server, TimePoint now) const {
+  if (server.FullAt && now - *server.FullAt < FullMemory)
+    return FullIdleFor;
+  return server.Idle > KeptIdle ? SpareIdleFor : KeptIdleFor;
+}
+
+void LinkPool::onTimer(Context &ctx, const Catalog &catalog) {
+  if (!NextSweep || ctx.Now < *NextSweep)
+    return;
+  std::vector<std::pair<LinkId, bool>> closing;
+  for (const auto &[id, link] : Links) {
+    const auto age = ctx.Now - link.Since;
+    if (link.State == Phase::Opening) {
+      if (age >= OpenTimeout)
+        closing.emplace_back(id, true);
+    } else if (link.State == Phase::Idle) {
+      if (!catalog.server(link.Target) || age >= idleLimit(Servers.at(link.Target), ctx.Now))
+        closing.emplace_back(id, false);
+    } else if (!link.Lent && !link.Awaiting.empty() && ctx.Now - link.Awaiting.front().SentAt >= AnswerTimeout) {
+      closing.emplace_back(id, true);
+    }
+  }
+  for (const auto &[id, silent] : closing) {
+    const auto it = Links.find(id);
+    if (it == Links.end())
+      continue;
+    auto &server = Servers.at(it->second.Target);
+    // Each closing of a spare link may bring the server down to the links that are kept.
+    if (it->second.State == Phase::Idle && catalog.server(it->second.Target) &&
+        ctx.Now - it->second.Since < idleLimit(server, ctx.Now))
+      continue;
+    if (it->second.State == Phase::Opening)
+      server.RetryAt = ctx.Now + FailurePause;
+    const bool opening = it->second.State == Phase::Opening;
+    if (opening)
+      ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(LinkFailure::Timeout)) + "\"}"});
+    forget(ctx, id, opening ? std::optional(LinkFailure::Timeout) : std::nullopt, silent);
+    ctx.emit(CloseLink{id});
+  }
+  std::erase_if(Servers, [&](const auto &it) { return it.second.Links.empty() && !catalog.server(it.first); });
+  NextSweep = Links.empty() ? std::nullopt : std::optional(ctx.Now + SweepInterval);
+}
+
+std::optional<TimePoint> LinkPool::nextTimer() const { return NextSweep; }
+
+const ServerHealth &LinkPool::health(const TargetId &target) const {
+  static const ServerHealth Unknown;
+  const auto it = Servers.find(target);
+  return it == Servers.end() ? Unknown : it->second.Health;
+}
+
+std::size_t LinkPool::open(const TargetId &target) const {
+  const auto it = Servers.find(target);
+  return it == Servers.end() ? 0 : it->second.Links.size() - it->second.Opening;
+}
+
+std::size_t LinkPool::idle(const TargetId &target) const {
+  const auto it = Servers.find(target);
+  return it == Servers.end() ? 0 : it->second.Idle;
+}
+
+std::size_t LinkPool::busy(const TargetId &target) const { return open(target) - idle(target); }
+
+bool LinkPool::full(const TargetId &target, TimePoint now) const {
+  const auto it = Servers.find(target);
+  return it != Servers.end() && it->second.FullAt && now - *it->second.FullAt < FullMemory;
+}
+
+std::optional<TargetId> LinkPool::targetOf(LinkId link) const {
+  const auto it = Links.find(link);
+  return it == Links.end() ? std::nullopt : std::optional(it->second.Target);
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/links/linkpool.h
@@ -0,0 +1,132 @@
+// Connections of this proxy to servers: opened on demand, lent to one session at a time, closed when idle.
+//
+// A server takes a bounded number of connections from all proxies together. Nobody divides them up: a proxy opens what
+// its waiting work needs, the server refuses what is too many, and idle connections are closed soon, so that connections
+// move to where the load is.
+
+#pragma once
+
+#include "catalog/catalog.h"
+#include "links/serverhealth.h"
+#include "protocol/context.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rosemaryhinge {
+
+/// What a session needs to find on its connection.
+struct PreparedShape {
+  AccessMode Mode = AccessMode::Read;
+  std::string Shape;
+  auto operator<=>(const PreparedShape &) const = default;
+};
+using SessionValues = std::map<std::string, std::string>;
+
+/// What an awaited answer belongs to.
+enum class LinkStep : std::uint8_t {
+  Prepare,   ///< Brings the values and prepared statements of the session onto the link.
+  Begin,     ///< Start of a transaction.
+  Statement, ///< The caller's statement.
+  End,       ///< The proxy's own rollback.
+  Order,     ///< Status or an order of a change of primary.
+};
+
+struct LinkUser {
+  SessionId Session; ///< Zero if the link is lent for a change of primary.
+  bool ForOrders = false;
+};
+
+class LinkPool {
+public:
+  /// Takes an idle link to a server for a session, preferring one that carries the session's values.
+  [[nodiscard]] std::optional<LinkId> acquire(const TargetId &target, LinkUser user, const SessionValues &values,
+                                              TimePoint now);
+  /// Opens a further link for waiting work, unless enough are being opened or the server has refused lately.
+  void want(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting);
+  /// Commands that make the link carry these values and this prepared statement.
+  [[nodiscard]] std::vector<LinkCommand> prepare(LinkId link, const SessionValues &values,
+                                                 const PreparedShape *shape);
+  /// Name under which a shape is prepared on every link of this proxy.
+  [[nodiscard]] std::string preparedName(const PreparedShape &shape);
+  void send(Context &ctx, LinkId link, std::vector<LinkCommand> commands);
+  /// Gives a link back. It is lent again once nothing is awaited on it.
+  void release(Context &ctx, LinkId link);
+  /// Closes a link whose state is in doubt. Silent: because the server did not answer.
+  void close(Context &ctx, LinkId link, bool silent);
+
+  // Events. Answers for which the pool has no link are late ones of closed links.
+
+  void onOpened(Context &ctx, LinkId link);
+  struct Reply {
+    LinkStep Step = LinkStep::Statement;
+    LinkUser User;
+    TargetId Target;
+    DatabaseId Service;
+    TimePoint SentAt;
+    bool Last = false; ///< Nothing else is awaited on the link.
+  };
+  [[nodiscard]] std::optional<Reply> onReply(Context &ctx, const LinkReplied &event);
+  struct Closed {
+    LinkUser User;
+    TargetId Target;
+    DatabaseId Service;
+    bool Opened = false;
+    std::vector<LinkStep> Unanswered;
+  };
+  [[nodiscard]] std::optional<Closed> onClosed(Context &ctx, const LinkClosed &event);
+  void onTimer(Context &ctx, const Catalog &catalog);
+  [[nodiscard]] std::optional<TimePoint> nextTimer() const;
+
+  [[nodiscard]] const ServerHealth &health(const TargetId &target) const;
+  void took(const TargetId &target, Duration value) { Servers[target].Health.took(value); }
+  [[nodiscard]] std::size_t open(const TargetId &target) const;
+  [[nodiscard]] std::size_t busy(const TargetId &target) const;
+  [[nodiscard]] std::size_t idle(const TargetId &target) const;
+  [[nodiscard]] bool full(const TargetId &target, TimePoint now) const;
+  [[nodiscard]] std::optional<TargetId> targetOf(LinkId link) const;
+  [[nodiscard]] std::size_t size() const { return Links.size(); }
+
+private:
+  enum class Phase : std::uint8_t { Opening, Idle, Busy };
+  struct Awaited {
+    LinkStep Step;
+    TimePoint SentAt;
+  };
+  struct Link {
+    TargetId Target;
+    DatabaseId Service;
+    Phase State = Phase::Opening;
+    TimePoint Since; ///< Of the phase.
+    LinkUser User;
+    bool Lent = false;
+    SessionValues Values;            ///< What the server holds for this connection.
+    std::set<std::string> Prepared; ///< Names that the server holds for this connection.
+    std::deque<Awaited> Awaiting;
+  };
+  struct Server {
+    std::set<LinkId> Links;
+    std::size_t Opening = 0;
+    std::size_t Idle = 0;
+    std::size_t Awaiting = 0; ///< Answers that are due, and links being opened.
+    std::optional<TimePoint> FullAt;   ///< When the server last had too many connections.
+    TimePoint RetryAt;                 ///< No new link before.
+    ServerHealth Health;
+  };
+
+  void setPhase(Link &link, LinkId id, Phase next, TimePoint now);
+  void forget(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent);
+  [[nodiscard]] Duration idleLimit(const Server &server, TimePoint now) const;
+
+  std::map<LinkId, Link> Links;
+  std::map<TargetId, Server> Servers;
+  std::map<PreparedShape, std::string> Names;
+  std::uint64_t NamesGiven = 0;
+  std::optional<TimePoint> NextSweep;
+};
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/links/serverhealth.h
@@ -0,0 +1,45 @@
+// What this proxy's own connections tell about a server: silence, refusals, and how long it takes.
+
+#pragma once
+
+#include "base/time.h"
+#include "protocol/link.h"
+
+#include <optional>
+
+namespace rosemaryhinge {
+
+class ServerHealth {
+public:
+  void sent(TimePoint now);
+  /// An answer came, sent for at a time. Outstanding: whether others are still awaited.
+  void received(TimePoint now, bool outstanding);
+  /// A link could not be opened or ended.
+  void failed(LinkFailure why, TimePoint now, bool outstanding);
+  /// Nothing is awaited any more, without an answer: the waiting was given up.
+  void abandoned(TimePoint now);
+  /// How long a statement took, without the time on the network.
+  void took(Duration value);
+
+  /// How long the server has left this proxy without any answer while one was due. Zero if none is due.
+  [[nodiscard]] Duration silence(TimePoint now) const;
+  /// The server is not to be chosen where another can serve.
+  [[nodiscard]] bool suspect(TimePoint now) const;
+  /// The server's address refuses connections since this time: its process is down.
+  [[nodiscard]] std::optional<TimePoint> refusedSince() const { return RefusedSince; }
+  /// Since when the server has failed to answer, if it does.
+  [[nodiscard]] std::optional<TimePoint> failingSince() const { return FailingSince; }
+  [[nodiscard]] Duration typical() const { return Typical; }
+
+  /// Silence after which a server is suspect. Above the longest work of the deployments, 270 ms, with its
+  /// queueing.
+  static constexpr Duration SuspectAfter = 500ms;
+
+private:
+  std::optional<TimePoint> DueSince; ///< No answer since, while one is due.
+  std::optional<TimePoint> FailingSince;
+  std::optional<TimePoint> RefusedSince;
+  Duration Typical = 15ms; ///< Smoothed.
+};
+
+} // namespace rosemaryhinge
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/objects/internal/platformcodec.cpp
@@ -1,6 +1,6 @@
 // HTTP form of platform calls.
 
-#include "platform/internal/platformcodec.h"
+#include "objects/internal/platformcodec.h"
 
 #include "base/overloaded.h"
 
--- a/src/platform/platform.h
+++ b/src/objects/platform.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "metrics/imetrics.h"
-#include "platform/iplatform.h"
+#include "objects/iplatform.h"
 
 #include <asio/io_context.hpp>
 #include <chrono>
--- a/src/platform/tests/platformtests.cpp
+++ b/src/objects/tests/platformtests.cpp
@@ -1,11 +1,11 @@
 // Tests of the platform adapter.
 
-#include "platform/platform.h"
+#include "objects/platform.h"
 
 #include "metrics/metrics.h"
 #include "net/tests/corrupt.h"
 #include "net/tests/scriptedserver.h"
-#include "platform/internal/platformcodec.h"
+#include "objects/internal/platformcodec.h"
 
 #include <doctest/doctest.h>
 
--- a/src/protocol/callid.h
+++ b/src/protocol/callid.h
@@ -18,6 +18,8 @@
   Membership,
   Drain,
   Journal,
+  Directory,
+  Leadership,
 };
 
 struct CallId {
--- /dev/null
+++ b/src/protocol/directory.h
@@ -0,0 +1,155 @@
+// Configuration, servers and claims as the platform's store holds them, and calls to read and write them.
+
+#pragma once
+
+#include "base/id.h"
+#include "base/time.h"
+#include "protocol/callid.h"
+#include "protocol/target.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace rosemaryhinge {
+
+/// What the reads of a route must see.
+enum class Consistency : std::uint8_t {
+  Primary,          ///< Every acknowledged commit.
+  BoundedStaleness, ///< Every commit acknowledged before MaxStaleness.
+  ReadYourWrites,   ///< As BoundedStaleness, and every commit of the same session.
+};
+
+struct DatabaseRoute {
+  std::string Database; ///< The name that callers ask for.
+  DatabaseId Service;   ///< The group of servers that holds it.
+  Consistency Reads = Consistency::Primary;
+  Duration StatementTimeout = 1s;
+  Duration LatencyTarget = 1s;
+  Duration MaxStaleness{};
+  std::uint32_t Priority = 0; ///< 0 is the highest.
+};
+
+struct ServiceLimits {
+  DatabaseId Service;
+  std::uint32_t MaxConnections = 0; ///< Per server, for all proxies together.
+  std::uint32_t SyncReplicas = 0;   ///< Replicas that hold a commit before it is acknowledged.
+};
+
+struct Configuration {
+  std::uint64_t Version = 0;
+  std::vector<DatabaseRoute> Routes;
+  std::vector<ServiceLimits> Services;
+  Duration TransactionIdle = 3s; ///< A transaction that rests longer may be ended.
+};
+
+/// A server's own word about itself.
+struct ServerEntry {
+  TargetId Target;
+  DatabaseId Service;
+  std::string Address;
+  rosemaryhinge::AvailabilityZone AvailabilityZone;
+  std::optional<TargetRole> Role;
+  bool Leaving = false;
+  std::uint64_t Revision = 0; ///< Grows with each change of any object.
+};
+
+/// The right of one proxy to carry out a change of primary. Revision is the fencing token.
+struct Claim {
+  DatabaseId Service;
+  NodeId Holder;
+  TargetId From; ///< The primary that is to be replaced; empty if none was known.
+  bool Done = false;
+  std::string Nonce; ///< Tells this claim from an earlier one of the same holder.
+  std::uint64_t Revision = 0; ///< 0: nobody has claimed it yet.
+};
+
+enum class DirectoryKind : std::uint8_t { Configuration, Servers, Claims };
+
+struct ListDirectory {
+  DirectoryKind Kind = DirectoryKind::Servers;
+  std::string After; ///< Continues after this name; empty at the start.
+};
+/// Answered when something has changed after Revision, or after Wait.
+struct WatchDirectory {
+  DirectoryKind Kind = DirectoryKind::Servers;
+  std::uint64_t Revision = 0;
+  Duration Wait{};
+};
+/// Takes effect only if the claim has the revision that Next carries.
+struct PutClaim {
+  Claim Next;
+};
+
+struct DirectoryCall {
+  CallId Call;
+  Duration Timeout{};
+  std::variant<ListDirectory, WatchDirectory, PutClaim> Request;
+};
+
+/// An object whose contents cannot be used, with the reason.
+struct UnreadableObject {
+  std::string Why;
+};
+using DirectoryValue = std::variant<Configuration, ServerEntry, Claim, UnreadableObject>;
+
+struct DirectoryObject {
+  std::string Name;
+  bool Deleted = false;
+  DirectoryValue Value;
+};
+
+struct DirectoryListing {
+  std::vector<DirectoryObject> Objects;
+  bool More = false;
+  std::uint64_t Revision = 0;
+};
+struct DirectoryChanges {
+  std::vector<DirectoryObject> Objects;
+  std::uint64_t Revision = 0;
+};
+/// The changes after the watch's revision are not kept any more.
+struct DirectoryHistoryGone {};
+struct ClaimStored {
+  Claim Stored;
+};
+/// The claim has another revision; Current is what it is now.
+struct ClaimConflict {
+  Claim Current;
+};
+struct DirectoryFailure {
+  std::string Message;
+  bool NothingDone = false; ///< The store said that the call had no effect.
+};
+
+struct DirectoryAnswer {
+  CallId Call;
+  std::variant<DirectoryListing, DirectoryChanges, DirectoryHistoryGone, ClaimStored, ClaimConflict,
+               DirectoryFailure>
+      Result;
+};
+
+/// Asks the platform to make a server the primary of its service.
+struct PromotionCall {
+  CallId Call;
+  Duration Timeout{};
+  DatabaseId Service;
+  TargetId Target;
+  std::uint64_t Token = 0; ///< Fencing token: the revision of the claim.
+};
+
+enum class PromotionResult : std::uint8_t {
+  Accepted,
+  Fenced,  ///< A higher token was seen, or the server is not running.
+  Unknown, ///< No answer: it may still be carried out.
+  NotDone, ///< The platform refused the call.
+};
+struct PromotionAnswer {
+  CallId Call;
+  PromotionResult Result = PromotionResult::Unknown;
+  std::string Message;
+};
+
+} // namespace rosemaryhinge
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -2,9 +2,12 @@
 
 #pragma once
 
+#include "protocol/directory.h"
+#include "protocol/link.h"
 #include "protocol/peer.h"
 #include "protocol/platform.h"
 #include "protocol/request.h"
+#include "protocol/session.h"
 #include "protocol/target.h"
 
 #include <cstdint>
@@ -80,7 +83,9 @@
 
 using Effect = std::variant<Respond, SendToPeer, PeerAddress, TargetAddress, OpenConnection, CloseConnection,
                             Execute, ControlCall, PlatformCall, AdminReply, Log, CountRefusal, CountRetry,
-                            Count, Observe, InvariantBroken, ShutdownComplete>;
+                            Count, Observe, InvariantBroken, ShutdownComplete, GreetSession, RefuseSession,
+                            AnswerStatement, CloseSession, OpenLink, SendOnLink, CloseLink, DirectoryCall,
+                            PromotionCall>;
 using Effects = std::vector<Effect>;
 
 } // namespace rosemaryhinge
--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -2,9 +2,12 @@
 
 #pragma once
 
+#include "protocol/directory.h"
+#include "protocol/link.h"
 #include "protocol/peer.h"
 #include "protocol/platform.h"
 #include "protocol/request.h"
+#include "protocol/session.h"
 #include "protocol/target.h"
 #include "protocol/wallreading.h"
 
@@ -54,6 +57,7 @@
 
 using Event = std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerGone, PeerReceived,
                            PeerLost, ConnectionOpened, ConnectionClosed, ExecutionFinished, ControlAnswer,
-                           PlatformAnswer, AdminRequest, WallClockRead>;
+                           PlatformAnswer, AdminRequest, WallClockRead, SessionOpened, StatementArrived, SessionClosed,
+                           LinkOpened, LinkClosed, LinkReplied, DirectoryAnswer, PromotionAnswer>;
 
 } // namespace rosemaryhinge
--- /dev/null
+++ b/src/protocol/names.cpp
@@ -0,0 +1,23 @@
+// Names of enumerations, as they stand in metrics and logs.
+
+#include "protocol/link.h"
+
+#include <array>
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr std::array<std::string_view, RejectionCount> RejectionNames = {
+    "busy",   "aborted", "lagging",  "read_only",   "misrouted", "too_many",  "no_statement",
+    "failed", "timeout", "in_doubt", "no_database", "too_large", "malformed", "unknown"};
+constexpr std::array<std::string_view, 5> FailureNames = {"refused", "timeout", "too_many", "misrouted",
+                                                          "lost"};
+
+} // namespace
+
+std::string_view toString(Rejection code) { return RejectionNames.at(static_cast<std::size_t>(code)); }
+
+std::string_view toString(LinkFailure why) { return FailureNames.at(static_cast<std::size_t>(why)); }
+
+} // namespace rosemaryhinge
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -4,6 +4,7 @@
 
 #include "base/overloaded.h"
 #include "reducer/internal/adminviews.h"
+#include "reducer/internal/sessionevents.h"
 
 #include <algorithm>
 #include <array>
@@ -30,6 +31,15 @@
   void operator()(const PlatformAnswer &event);
   void operator()(const AdminRequest &event);
   void operator()(const WallClockRead &event) { S.Wall = event.Reading; }
+  /// What only callers with sessions bring about.
+  void operator()(const SessionOpened &event) { detail::onSessionEvent(S, Ctx, event); }
+  void operator()(const StatementArrived &event) { detail::onSessionEvent(S, Ctx, event); }
+  void operator()(const SessionClosed &event) { detail::onSessionEvent(S, Ctx, event); }
+  void operator()(const LinkOpened &event) { detail::onSessionEvent(S, Ctx, event); }
+  void operator()(const LinkClosed &event) { detail::onSessionEvent(S, Ctx, event); }
+  void operator()(const LinkReplied &event) { detail::onSessionEvent(S, Ctx, event); }
+  void operator()(const DirectoryAnswer &event) { detail::onSessionEvent(S, Ctx, event); }
+  void operator()(const PromotionAnswer &event) { detail::onSessionEvent(S, Ctx, event); }
 
 private:
   [[nodiscard]] Services services() {
@@ -51,6 +61,10 @@
   S.Incarnation = event.Incarnation;
   Ctx.Incarnation = event.Incarnation;
   S.Random.seed(event.Seed);
+  if (S.Self.Interface == CallerInterface::Sessions) {
+    detail::onSessionEvent(S, Ctx, event);
+    return;
+  }
   S.Membership.onStarted(Ctx);
   S.Settings.onStarted(Ctx);
   S.Journal.onStarted(Ctx);
@@ -63,6 +77,10 @@
 }
 
 void Dispatcher::operator()(const TimerFired &) {
+  if (S.Self.Interface == CallerInterface::Sessions) {
+    detail::onSessionEvent(S, Ctx, TimerFired{});
+    return;
+  }
   if (due(S.Membership, Ctx.Now))
     S.Membership.onTimer(Ctx, S.Settings.revision());
   if (due(S.Settings, Ctx.Now))
@@ -88,6 +106,10 @@
   if (S.Drain.leaving())
     return;
   S.Drain.start(Ctx);
+  if (S.Self.Interface == CallerInterface::Sessions) {
+    detail::onSessionEvent(S, Ctx, ShutdownRequested{});
+    return;
+  }
   S.Membership.announceLeaving(Ctx);
   S.Slots.startLeaving(Ctx);
   auto services = this->services();
@@ -243,6 +265,8 @@
 }
 
 std::optional<TimePoint> nextTimer(const State &state) {
+  if (state.Self.Interface == CallerInterface::Sessions)
+    return detail::nextSessionTimer(state);
   std::array<std::optional<TimePoint>, 7> times = {state.Settings.nextTimer(), state.Membership.nextTimer(),
                                                    state.Slots.nextTimer(),    state.Failover.nextTimer(),
                                                    state.Requests.nextTimer(), state.Drain.nextTimer(),
@@ -255,6 +279,8 @@
 }
 
 bool isReady(const State &state) {
+  if (state.Self.Interface == CallerInterface::Sessions)
+    return state.Catalog.configured() && state.Catalog.listed() && !state.Drain.leaving();
   return state.Settings.ready() && state.Membership.joined() && !state.Drain.leaving();
 }
 
--- a/src/reducer/state.h
+++ b/src/reducer/state.h
@@ -2,13 +2,18 @@
 
 #pragma once
 
+#include "catalog/catalog.h"
+#include "directory/directorymodule.h"
 #include "drain/drainmodule.h"
 #include "failover/failovermodule.h"
 #include "groups/grouptable.h"
 #include "journal/journalmodule.h"
+#include "leadership/leadershipmodule.h"
+#include "links/linkpool.h"
 #include "membership/membershipmodule.h"
 #include "protocol/rules.h"
 #include "request/requestmodule.h"
+#include "sessions/sessionsmodule.h"
 #include "settings/settingsmodule.h"
 #include "slots/slotsmodule.h"
 
@@ -35,6 +40,13 @@
   RequestModule Requests;
   DrainModule Drain;
   JournalModule Journal;
+
+  // For callers that keep sessions (CallerInterface::Sessions), in place of the modules above but Drain.
+  DirectoryModule Directory;
+  rosemaryhinge::Catalog Catalog;
+  LinkPool Links;
+  SessionsModule Sessions;
+  LeadershipModule Leadership;
 };
 
 } // namespace rosemaryhinge
--- /dev/null
+++ b/src/sessions/internal/dispatch.cpp
@@ -0,0 +1,199 @@
+// The way of a statement to a server: which one may serve it, and on which link.
+
+#include "sessions/internal/serverchoice.h"
+#include "sessions/sessionsmodule.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// A read goes to another server at once if that costs at most this much more than waiting for a link.
+constexpr Duration DetourCost = 30ms;
+/// A replica that lacked a position is left alone this long.
+constexpr Duration LaggingPause = 400ms;
+/// Pause before the same server is asked again whether it has become the primary.
+constexpr Duration AskInterval = 150ms;
+
+} // namespace
+
+void SessionsModule::dispatch(Context &ctx, SessionServices &services, SessionId id, Session &session) {
+  Attempt attempt;
+  if (session.Transaction && session.Transaction->Link) {
+    send(ctx, services, id, session, *session.Transaction->Link,
+         services.Links.targetOf(*session.Transaction->Link).value_or(TargetId()));
+    return;
+  }
+  if (ctx.Now >= session.Current->RetryAt && tryStart(ctx, services, id, session, attempt))
+    return;
+  if (WaitingCount >= MaxWaiting) {
+    rejected(ctx, services, id, session, {Rejection::Busy, "too many statements wait; retry in 500 ms"},
+             TransactionState::Idle);
+    return;
+  }
+  wait(id, session);
+  alarm(id, session);
+}
+
+void SessionsModule::wait(SessionId id, const Session &session) {
+  const auto &work = *session.Current;
+  if (Waiting[work.Route.Service].insert({work.Route.Priority, work.ArrivedAt, id}).second)
+    ++WaitingCount;
+}
+
+void SessionsModule::unwait(SessionId id, const Session &session) {
+  if (!session.Current)
+    return;
+  const auto &work = *session.Current;
+  if (Waiting[work.Route.Service].erase({work.Route.Priority, work.ArrivedAt, id}) > 0)
+    --WaitingCount;
+}
+
+void SessionsModule::onCapacity(Context &ctx, SessionServices &services) {
+  for (auto &[service, queue] : Waiting) {
+    if (queue.empty())
+      continue;
+    Attempt attempt;
+    const std::vector<WaitKey> keys(queue.begin(), queue.end());
+    for (const auto &key : keys) {
+      const auto id = std::get<SessionId>(key);
+      const auto it = Sessions.find(id);
+      if (it == Sessions.end() || !it->second.Current || it->second.Current->RetryAt > ctx.Now)
+        continue;
+      tryStart(ctx, services, id, it->second, attempt);
+    }
+  }
+}
+
+std::optional<Position> SessionsModule::proof(const Session &session, const Work &work) {
+  if (work.Route.Reads == Consistency::Primary || work.PrimaryOnly)
+    return std::nullopt;
+  const auto began = session.Transaction ? session.Transaction->BeganAt : work.ArrivedAt;
+  auto out = Services[work.Route.Service].Positions.covering(began - work.Route.MaxStaleness);
+  if (!out || session.WrittenUnknown.contains(work.Route.Service))
+    return std::nullopt;
+  if (const auto it = session.Written.find(work.Route.Service); it != session.Written.end())
+    out = std::max(*out, it->second);
+  return out;
+}
+
+std::vector<TargetId> SessionsModule::primaryCandidates(Context &ctx, SessionServices &services, const Work &work) {
+  const auto usable = [&](const TargetId &target) {
+    const auto *view = services.Catalog.server(target);
+    return view && (!view->LeavingSince || ctx.Now - *view->LeavingSince < detail::LeavingUse);
+  };
+  if (const auto primary = services.Catalog.primary(work.Route.Service)) {
+    if (!usable(*primary) || services.Links.health(*primary).suspect(ctx.Now)) {
+      // A link that opens tells that the server is back.
+      services.Links.want(ctx, services.Catalog, *primary, 1);
+      return {};
+    }
+    return {*primary};
+  }
+  // Nobody is known to lead: any server may have been promoted meanwhile, and refuses if it was not.
+  auto &asked = Services[work.Route.Service].AskedAt;
+  std::vector<TargetId> out;
+  for (const auto &target : services.Catalog.servers(work.Route.Service)) {
+    const auto it = asked.find(target);
+    if ((it == asked.end() || ctx.Now - it->second >= AskInterval) && usable(target) &&
+        !services.Links.health(target).suspect(ctx.Now))
+      out.push_back(target);
+  }
+  return out;
+}
+
+std::vector<TargetId> SessionsModule::candidates(Context &ctx, SessionServices &services, const Session &session,
+                                                 const Work &work, std::optional<Position> &after) {
+  const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
+  after = read ? proof(session, work) : std::nullopt;
+  if (!after)
+    return primaryCandidates(ctx, services, work);
+  const auto primary = services.Catalog.primary(work.Route.Service);
+  const auto &lagged = Services[work.Route.Service].LaggedAt;
+  std::vector<std::pair<Duration, TargetId>> costs;
+  bool fit = false;
+  for (const auto &target : services.Catalog.servers(work.Route.Service)) {
+    const auto *view = services.Catalog.server(target);
+    if (view->LeavingSince && ctx.Now - *view->LeavingSince >= detail::LeavingUse)
+      continue;
+    const auto lag = lagged.find(target);
+    const bool lags = lag != lagged.end() && ctx.Now - lag->second < LaggingPause;
+    const bool avoid = lags || work.Avoid.contains(target) || view->LeavingSince;
+    fit = fit || !avoid;
+    const auto cost = detail::readCost(ctx.Self, *view, services.Links, primary == target, ctx.Now);
+    costs.emplace_back(avoid ? cost + 1s : cost, target);
+  }
+  std::sort(costs.begin(), costs.end());
+  std::vector<TargetId> out;
+  for (const auto &[cost, target] : costs)
+    if (cost <= costs.front().first + DetourCost)
+      out.push_back(target);
+  return out;
+}
+
+bool SessionsModule::tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                              Attempt &attempt) {
+  auto &work = *session.Current;
+  std::optional<Position> after;
+  const auto targets = candidates(ctx, services, session, work, after);
+  for (const auto &target : targets) {
+    if (attempt.Exhausted.contains(target))
+      continue;
+    const auto link = services.Links.acquire(target, {id, false}, session.Values, ctx.Now);
+    if (!link) {
+      attempt.Exhausted.insert(target);
+      continue;
+    }
+    if (!services.Catalog.primary(work.Route.Service) && !after)
+      Services[work.Route.Service].AskedAt[target] = ctx.Now;
+    work.After = after;
+    unwait(id, session);
+    send(ctx, services, id, session, *link, target);
+    return true;
+  }
+  if (!targets.empty())
+    services.Links.want(ctx, services.Catalog, targets.front(), ++attempt.Wanted[targets.front()]);
+  return false;
+}
+
+void SessionsModule::send(Context &ctx, SessionServices &services, SessionId id, Session &session, LinkId link,
+                          const TargetId &target) {
+  auto &work = *session.Current;
+  const PreparedShape *shape = nullptr;
+  RunStatement run{work.Statement.Id, work.Statement.Text, std::nullopt};
+  if (const auto *it = std::get_if<ExecuteStatement>(&work.Statement.Parsed)) {
+    shape = &session.Prepared.at(it->Name);
+    run.Body = ExecuteStatement{services.Links.preparedName(*shape), it->Arguments};
+  }
+  auto commands = services.Links.prepare(link, session.Values, shape);
+  work.BeganForProof = false;
+  work.BeginRejected.reset();
+  if (auto &transaction = session.Transaction) {
+    if (!transaction->Link) {
+      transaction->Link = link;
+      // A plain transaction is refused once the server has lost the lead; a read-only one is not.
+      const bool replica = transaction->ReadOnly && work.After;
+      commands.emplace_back(BeginTransaction{replica, replica ? work.After : std::nullopt});
+    }
+    commands.emplace_back(std::move(run));
+  } else if (work.Mode == AccessMode::Read && !work.After) {
+    work.BeganForProof = true;
+    commands.emplace_back(BeginTransaction{});
+    commands.emplace_back(std::move(run));
+    commands.emplace_back(RollbackTransaction{});
+  } else {
+    run.After = work.Mode == AccessMode::Read ? work.After : std::nullopt;
+    commands.emplace_back(std::move(run));
+  }
+  work.Link = link;
+  work.Target = target;
+  work.SentAt = ctx.Now;
+  ++work.Tries;
+  if (work.Mode == AccessMode::Write)
+    WritesOut[work.Route.Service].insert({work.SentAt, id});
+  services.Links.send(ctx, link, std::move(commands));
+  alarm(id, session);
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/sessions/internal/outcomes.cpp
@@ -0,0 +1,329 @@
+// What a server made of a statement, and what the caller is told.
+
+#include "sessions/internal/serverchoice.h"
+#include "sessions/sessionsmodule.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Times that one statement is sent where a server says that nothing ran, or that a read failed.
+constexpr int MaxTries = 8;
+constexpr int MaxReadFailures = 3;
+constexpr Duration BusyPause = 15ms;
+constexpr Duration PrimaryPause = 10ms;
+
+bool saysNotRun(Rejection code) {
+  switch (code) {
+  case Rejection::Busy:
+  case Rejection::Lagging:
+  case Rejection::ReadOnly:
+  case Rejection::Misrouted:
+  case Rejection::TooMany:
+  case Rejection::NoStatement:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
+void SessionsModule::onReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply,
+                             const LinkReplied &event) {
+  const auto it = Sessions.find(reply.User.Session);
+  if (it == Sessions.end() || !it->second.Current || it->second.Current->Link != event.Link)
+    return;
+  auto &session = it->second;
+  auto &work = *session.Current;
+  const auto *why = std::get_if<StatementRejection>(&event.Outcome);
+  switch (reply.Step) {
+  case LinkStep::Prepare:
+    if (why) {
+      // The link does not carry what the session needs: whatever runs on it now is not what was asked for.
+      ctx.emit(Log{LogLevel::Warn,
+                   "session state refused by a server",
+                   {{"session", std::to_string(reply.User.Session.Value)},
+                    {"server", reply.Target.str()},
+                    {"reason", std::string(toString(why->Code))}}});
+      services.Links.close(ctx, event.Link, false);
+      unanswered(ctx, services, reply.User.Session, session, false);
+    }
+    return;
+  case LinkStep::Begin:
+    if (why) {
+      work.BeginRejected = *why;
+    } else {
+      if (session.Transaction)
+        session.Transaction->Begun = true;
+      if (event.At && !work.After) {
+        Services[reply.Service].Positions.add(*event.At, reply.SentAt);
+        services.Catalog.confirmPrimary(reply.Target);
+      }
+    }
+    return;
+  case LinkStep::Statement:
+    if (work.Mode == AccessMode::Write)
+      Services[reply.Service].WritesUnansweredSince.reset();
+    if (why)
+      rejected(ctx, services, reply.User.Session, session, work.BeginRejected.value_or(*why), event.State);
+    else
+      succeeded(ctx, services, reply.User.Session, session, reply, event);
+    return;
+  default:
+    return;
+  }
+}
+
+void SessionsModule::succeeded(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                               const LinkPool::Reply &reply, const LinkReplied &event) {
+  auto &work = *session.Current;
+  if (const auto *view = services.Catalog.server(reply.Target)) {
+    const auto rtt = detail::roundTrip(ctx.Self, view->Entry.AvailabilityZone);
+    services.Links.took(reply.Target, std::max(Duration{}, ctx.Now - work.SentAt - rtt));
+  }
+  const bool wrote = work.Commit ? session.Transaction->Wrote : work.Mode == AccessMode::Write;
+  const bool committed = wrote && (work.Commit || !session.Transaction);
+  if (committed) {
+    if (event.At) {
+      session.Written[reply.Service] = *event.At;
+      session.WrittenUnknown.erase(reply.Service);
+      Services[reply.Service].Positions.add(*event.At, work.SentAt);
+      services.Catalog.confirmPrimary(reply.Target);
+    } else {
+      session.WrittenUnknown.insert(reply.Service);
+    }
+  }
+  if (session.Transaction && work.Mode == AccessMode::Write && !work.Commit)
+    session.Transaction->Wrote = true;
+  const auto link = *work.Link;
+  if (work.Commit) {
+    session.Transaction.reset();
+    services.Links.release(ctx, link);
+  } else if (!session.Transaction) {
+    services.Links.release(ctx, link);
+  }
+  finish(ctx, services, id, session, event.Outcome, event.At);
+}
+
+bool SessionsModule::retry(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                           const StatementRejection &why, TransactionState state) {
+  auto &work = *session.Current;
+  const bool single = !session.Transaction;
+  const bool first = single || !session.Transaction->Begun || !session.Transaction->Ran;
+  const bool failedRead = single && work.Mode == AccessMode::Read &&
+                          (why.Code == Rejection::Failed || why.Code == Rejection::Timeout);
+  if (!first || (!saysNotRun(why.Code) && !failedRead))
+    return false;
+  if (work.Tries >= (failedRead ? MaxReadFailures : MaxTries) || ctx.Now >= work.Deadline)
+    return false;
+  ctx.emit(Count{"statement_retries_total{reason=\"" + std::string(toString(why.Code)) + "\"}"});
+  switch (why.Code) {
+  case Rejection::ReadOnly:
+    services.Catalog.denyPrimary(work.Target);
+    work.RetryAt = ctx.Now + PrimaryPause;
+    break;
+  case Rejection::Lagging:
+    Services[work.Route.Service].LaggedAt[work.Target] = ctx.Now;
+    work.PrimaryOnly = work.Tries > 1;
+    work.Avoid.insert(work.Target);
+    break;
+  case Rejection::Busy:
+    work.RetryAt = ctx.Now + BusyPause;
+    work.Avoid.insert(work.Target);
+    break;
+  default:
+    work.Avoid.insert(work.Target);
+    break;
+  }
+  const auto link = *work.Link;
+  if (state != TransactionState::Idle && !work.BeganForProof)
+    services.Links.send(ctx, link, {RollbackTransaction{}});
+  if (session.Transaction) {
+    session.Transaction->Link.reset();
+    session.Transaction->Begun = false;
+  }
+  WritesOut[work.Route.Service].erase({work.SentAt, id});
+  work.Link.reset();
+  if (why.Code == Rejection::NoStatement || why.Code == Rejection::Misrouted)
+    services.Links.close(ctx, link, false);
+  else
+    services.Links.release(ctx, link);
+  dispatch(ctx, services, id, session);
+  return true;
+}
+
+void SessionsModule::rejected(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                              const StatementRejection &why, TransactionState state) {
+  auto &work = *session.Current;
+  if (work.Link && retry(ctx, services, id, session, why, state))
+    return;
+  auto told = why;
+  if (!session.Transaction) {
+    if (work.Link) {
+      if (state != TransactionState::Idle && !work.BeganForProof)
+        services.Links.send(ctx, *work.Link, {RollbackTransaction{}});
+      services.Links.release(ctx, *work.Link);
+    }
+    finish(ctx, services, id, session, told);
+    return;
+  }
+  if (work.Link && why.Code == Rejection::Busy && state == TransactionState::Open && ctx.Now < work.Deadline) {
+    // The transaction stays open at the server: the statement may be sent again on its link.
+    ctx.emit(Count{"statement_retries_total{reason=\"busy\"}"});
+    WritesOut[work.Route.Service].erase({work.SentAt, id});
+    work.Link.reset();
+    work.RetryAt = ctx.Now + BusyPause;
+    alarm(id, session);
+    return;
+  }
+  if (why.Code == Rejection::ReadOnly && work.Link)
+    services.Catalog.denyPrimary(work.Target);
+  if (work.Commit) {
+    const bool undecided = !saysNotRun(why.Code) && why.Code != Rejection::Failed && session.Transaction->Wrote;
+    if (undecided && why.Code != Rejection::Aborted)
+      told.Code = Rejection::InDoubt;
+    endTransaction(ctx, services, session);
+    finish(ctx, services, id, session, told);
+    return;
+  }
+  // The rollback that follows makes it certain that nothing of the transaction is kept.
+  if (!saysNotRun(why.Code))
+    told = {Rejection::Aborted, "rolled back: " + std::string(toString(why.Code)) + " " + why.Message};
+  failTransaction(ctx, services, session);
+  finish(ctx, services, id, session, told);
+}
+
+void SessionsModule::onLinkClosed(Context &ctx, SessionServices &services, const LinkPool::Closed &closed) {
+  const auto id = closed.User.Session;
+  const auto it = Sessions.find(id);
+  if (it == Sessions.end())
+    return;
+  auto &session = it->second;
+  const bool working = session.Current && session.Current->Link;
+  if (working) {
+    unanswered(ctx, services, id, session, false);
+    return;
+  }
+  if (!session.Transaction)
+    return;
+  session.Transaction->Link.reset();
+  session.Transaction->Failed = true;
+  if (session.Current) {
+    unwait(id, session);
+    finish(ctx, services, id, session, StatementRejection{Rejection::Aborted, "the server's connection ended"});
+  } else {
+    session.Transaction->Lost = StatementRejection{Rejection::Aborted, "the server's connection ended"};
+    alarm(id, session);
+  }
+}
+
+void SessionsModule::readAgain(Context &ctx, SessionServices &services, SessionId id, Session &session) {
+  auto &work = *session.Current;
+  const auto link = *work.Link;
+  ctx.emit(Count{"statement_retries_total{reason=\"no_answer\"}"});
+  work.Avoid.insert(work.Target);
+  work.Link.reset();
+  services.Links.close(ctx, link, true);
+  dispatch(ctx, services, id, session);
+}
+
+void SessionsModule::unanswered(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                                bool timedOut) {
+  auto &work = *session.Current;
+  const bool sent = work.Link.has_value();
+  unwait(id, session);
+  if (sent && timedOut) {
+    services.Links.close(ctx, *work.Link, true);
+    auto &since = Services[work.Route.Service].WritesUnansweredSince;
+    if (work.Mode == AccessMode::Write)
+      since = std::min(since.value_or(work.SentAt), work.SentAt);
+  }
+  const bool single = !session.Transaction;
+  if (sent && single && work.Mode == AccessMode::Read && !timedOut && work.Tries < MaxReadFailures) {
+    ctx.emit(Count{"statement_retries_total{reason=\"link_lost\"}"});
+    work.Avoid.insert(work.Target);
+    work.Link.reset();
+    dispatch(ctx, services, id, session);
+    return;
+  }
+  StatementRejection why{Rejection::Busy, "no server took the statement in time; retry in 200 ms"};
+  if (sent && single)
+    why = work.Mode == AccessMode::Read
+              ? StatementRejection{Rejection::Timeout, "no answer in time"}
+              : StatementRejection{Rejection::InDoubt, "no answer: the write may have taken effect"};
+  else if (sent && work.Commit && session.Transaction->Wrote)
+    why = {Rejection::InDoubt, "no answer: the commit may have taken effect"};
+  else if (!single && sent)
+    why = {Rejection::Aborted, "no answer: the transaction is rolled back"};
+  if (!single) {
+    if (sent)
+      session.Transaction->Link.reset();
+    if (work.Commit && sent)
+      session.Transaction.reset();
+    else
+      failTransaction(ctx, services, session);
+  }
+  finish(ctx, services, id, session, why);
+}
+
+void SessionsModule::failTransaction(Context &ctx, SessionServices &services, Session &session) {
+  auto &transaction = *session.Transaction;
+  transaction.Failed = true;
+  if (!transaction.Link)
+    return;
+  const auto link = *std::exchange(transaction.Link, std::nullopt);
+  if (services.Links.targetOf(link))
+    services.Links.send(ctx, link, {RollbackTransaction{}});
+  services.Links.release(ctx, link);
+}
+
+void SessionsModule::endTransaction(Context &ctx, SessionServices &services, Session &session) {
+  if (session.Transaction->Link)
+    failTransaction(ctx, services, session);
+  session.Transaction.reset();
+}
+
+void SessionsModule::finish(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                            StatementOutcome outcome, std::optional<Position> at) {
+  const auto work = *std::exchange(session.Current, std::nullopt);
+  WritesOut[work.Route.Service].erase({work.SentAt, id});
+  logOutcome(ctx, id, session, work, outcome);
+  if (session.Transaction) {
+    session.Transaction->RestsSince = ctx.Now;
+    session.Transaction->Ran = true;
+  }
+  ctx.emit(Observe{"statement_seconds", ctx.Now - work.ArrivedAt});
+  answer(ctx, id, session, work.Statement.Id, std::move(outcome), at);
+  nextQueued(ctx, services, id);
+  onCapacity(ctx, services);
+}
+
+void SessionsModule::logOutcome(Context &ctx, SessionId id, const Session &session, const Work &work,
+                                const StatementOutcome &outcome) {
+  const auto *why = std::get_if<StatementRejection>(&outcome);
+  const auto millis = [](Duration it) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(it).count());
+  };
+  Log line{LogLevel::Info, "statement", {}};
+  line.Fields = {{"request", work.Statement.Id},
+                 {"session", std::to_string(id.Value)},
+                 {"database", session.Database},
+                 {"service", work.Route.Service.str()},
+                 {"server", work.Target.str()},
+                 {"tries", std::to_string(work.Tries)},
+                 {"ms", millis(ctx.Now - work.ArrivedAt)},
+                 {"outcome", why ? std::string(toString(why->Code)) : "done"}};
+  if (work.After)
+    line.Fields.push_back({"after", std::to_string(work.After->Term) + "." + std::to_string(work.After->Lsn)});
+  if (why) {
+    line.Fields.push_back({"why", why->Message});
+    const auto primary = Services[work.Route.Service].Positions.newest();
+    line.Fields.push_back({"primary_seen_ms_ago", primary ? millis(ctx.Now - *primary) : "never"});
+  }
+  ctx.emit(std::move(line));
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/sessions/internal/serverchoice.cpp
@@ -0,0 +1,46 @@
+// Cost of a read at a server.
+
+#include "sessions/internal/serverchoice.h"
+
+namespace rosemaryhinge::detail {
+
+namespace {
+
+constexpr Duration SameZone = 500us;
+constexpr Duration SameRegion = 3ms;
+constexpr Duration OtherRegion = 25ms;
+/// A server works on this many statements at once.
+constexpr int ServerSlots = 3;
+/// The primary also carries all writes.
+constexpr Duration PrimaryPenalty = 5ms;
+/// Opening a link takes this long beyond its round trip.
+constexpr Duration OpeningCost = 15ms;
+/// Above any real cost: such a server is asked only if no other is left.
+constexpr Duration SuspectPenalty = 10s;
+constexpr Duration FullPenalty = 100ms;
+
+} // namespace
+
+Duration roundTrip(const NodeConfig &self, const AvailabilityZone &zone) {
+  if (zone == self.AvailabilityZone)
+    return SameZone;
+  const auto it = self.Regions.find(zone);
+  return it != self.Regions.end() && it->second == self.Region ? SameRegion : OtherRegion;
+}
+
+Duration readCost(const NodeConfig &self, const ServerView &server, const LinkPool &links, bool primary,
+                  TimePoint now) {
+  const auto &target = server.Entry.Target;
+  const auto &health = links.health(target);
+  const auto rtt = roundTrip(self, server.Entry.AvailabilityZone);
+  auto out = rtt + health.typical() * static_cast<int>(links.busy(target) + ServerSlots) / ServerSlots;
+  if (primary)
+    out += PrimaryPenalty;
+  if (links.idle(target) == 0)
+    out += links.full(target, now) ? FullPenalty : OpeningCost + rtt;
+  if (health.suspect(now))
+    out += SuspectPenalty;
+  return out;
+}
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/sessions/internal/statements.cpp
@@ -0,0 +1,163 @@
+// Statements that the proxy answers itself, and the start of those that a server answers.
+
+#include "base/overloaded.h"
+#include "sessions/sessionsmodule.h"
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Bounds on what one session may keep at this proxy.
+constexpr std::size_t MaxValues = 256;
+constexpr std::size_t MaxPreparedStatements = 1'024;
+const std::string NoSignature = "-";
+
+StatementResultRows done() { return {{}, NoSignature}; }
+
+} // namespace
+
+void SessionsModule::take(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                          SessionStatement statement) {
+  auto &transaction = session.Transaction;
+  const bool failed = transaction && transaction->Failed;
+  const bool ends = std::holds_alternative<CommitStatement>(statement.Parsed) ||
+                    std::holds_alternative<RollbackStatement>(statement.Parsed);
+  if (failed && !ends) {
+    StatementRejection why{Rejection::Malformed, "the transaction has failed; end it first"};
+    if (transaction->Lost)
+      why = *std::exchange(transaction->Lost, std::nullopt);
+    answer(ctx, id, session, statement.Id, why);
+    return;
+  }
+  std::visit(
+      Overloaded{
+          [&](const BeginStatement &) { begin(ctx, services, id, session, statement); },
+          [&](const CommitStatement &) {
+            if (!transaction) {
+              answer(ctx, id, session, statement.Id, StatementRejection{Rejection::Malformed, "no transaction is open"});
+            } else if (failed) {
+              session.Transaction.reset();
+              answer(ctx, id, session, statement.Id,
+                     StatementRejection{Rejection::Aborted, "the transaction was rolled back"});
+            } else {
+              startWork(ctx, services, id, session, statement, AccessMode::Write, true);
+            }
+          },
+          [&](const RollbackStatement &) { rollback(ctx, services, id, session, statement); },
+          [&](const DataStatement &it) { startWork(ctx, services, id, session, statement, it.Mode, false); },
+          [&](const SetStatement &it) {
+            if (session.Values.size() >= MaxValues && !session.Values.contains(it.Name)) {
+              answer(ctx, id, session, statement.Id, StatementRejection{Rejection::TooLarge, "too many session values"});
+              return;
+            }
+            session.Values[it.Name] = it.Value;
+            answer(ctx, id, session, statement.Id, done());
+          },
+          [&](const PrepareStatement &it) {
+            if (session.Prepared.size() >= MaxPreparedStatements && !session.Prepared.contains(it.Name)) {
+              answer(ctx, id, session, statement.Id,
+                     StatementRejection{Rejection::TooLarge, "too many prepared statements"});
+              return;
+            }
+            session.Prepared[it.Name] = {it.Mode, it.Shape};
+            answer(ctx, id, session, statement.Id, done());
+          },
+          [&](const ExecuteStatement &it) {
+            const auto shape = session.Prepared.find(it.Name);
+            if (shape == session.Prepared.end())
+              answer(ctx, id, session, statement.Id,
+                     StatementRejection{Rejection::NoStatement, "no statement is prepared under this name"});
+            else
+              startWork(ctx, services, id, session, statement, shape->second.Mode, false);
+          },
+          [&](const DeallocateStatement &it) {
+            session.Prepared.erase(it.Name);
+            answer(ctx, id, session, statement.Id, done());
+          },
+          [&](const MalformedStatement &) {
+            answer(ctx, id, session, statement.Id, StatementRejection{Rejection::Malformed, "the statement cannot be read"});
+          },
+      },
+      statement.Parsed);
+}
+
+void SessionsModule::begin(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                           const SessionStatement &statement) {
+  if (session.Transaction) {
+    answer(ctx, id, session, statement.Id, StatementRejection{Rejection::Malformed, "a transaction is open"});
+    return;
+  }
+  const auto *route = services.Catalog.route(session.Database);
+  if (!route) {
+    answer(ctx, id, session, statement.Id, StatementRejection{Rejection::NoDatabase, "the route was removed"});
+    return;
+  }
+  detail::Transaction next;
+  next.Route = *route;
+  next.ReadOnly = std::get<BeginStatement>(statement.Parsed).ReadOnly;
+  next.BeganAt = ctx.Now;
+  next.RestsSince = ctx.Now;
+  session.Transaction = std::move(next);
+  answer(ctx, id, session, statement.Id, done());
+}
+
+void SessionsModule::rollback(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                              const SessionStatement &statement) {
+  if (!session.Transaction) {
+    answer(ctx, id, session, statement.Id, StatementRejection{Rejection::Malformed, "no transaction is open"});
+    return;
+  }
+  failTransaction(ctx, services, session);
+  session.Transaction.reset();
+  answer(ctx, id, session, statement.Id, done());
+  onCapacity(ctx, services);
+}
+
+void SessionsModule::startWork(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                               SessionStatement statement, AccessMode mode, bool commit) {
+  const auto *route = session.Transaction ? &session.Transaction->Route : services.Catalog.route(session.Database);
+  if (!route) {
+    answer(ctx, id, session, statement.Id, StatementRejection{Rejection::NoDatabase, "the route was removed"});
+    return;
+  }
+  if (session.Transaction && session.Transaction->ReadOnly && mode == AccessMode::Write && !commit) {
+    const auto name = statement.Id;
+    failTransaction(ctx, services, session);
+    answer(ctx, id, session, name, StatementRejection{Rejection::ReadOnly, "the transaction is read-only"});
+    return;
+  }
+  TransactionIdle = services.Catalog.configuration().TransactionIdle;
+  Work work;
+  work.Statement = std::move(statement);
+  work.Mode = mode;
+  work.Commit = commit;
+  work.Route = *route;
+  work.ArrivedAt = ctx.Now;
+  work.Deadline = ctx.Now + route->StatementTimeout;
+  session.Current = std::move(work);
+  dispatch(ctx, services, id, session);
+}
+
+void SessionsModule::answer(Context &ctx, SessionId id, Session &session, const std::string &statement,
+                            StatementOutcome outcome, std::optional<Position> at) {
+  auto state = TransactionState::Idle;
+  if (session.Transaction)
+    state = session.Transaction->Failed ? TransactionState::Failed : TransactionState::Open;
+  if (const auto *why = std::get_if<StatementRejection>(&outcome))
+    ctx.emit(Count{"statements_rejected_total{reason=\"" + std::string(toString(why->Code)) + "\"}"});
+  ctx.emit(AnswerStatement{id, statement, std::move(outcome), state, at});
+  alarm(id, session);
+}
+
+void SessionsModule::nextQueued(Context &ctx, SessionServices &services, SessionId id) {
+  auto it = Sessions.find(id);
+  while (it != Sessions.end() && !it->second.Current && !it->second.Queued.empty()) {
+    auto statement = std::move(it->second.Queued.front());
+    it->second.Queued.pop_front();
+    take(ctx, services, id, it->second, std::move(statement));
+    it = Sessions.find(id);
+  }
+  closeIfLeaving(ctx, id);
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/sessions/sessionsmodule.cpp
@@ -0,0 +1,235 @@
+// Life of sessions, and their timers.
+
+#include "sessions/sessionsmodule.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr std::size_t MaxQueuedStatements = 32;
+/// While this proxy leaves, a session that has sent nothing stays this long: its statement may be on its way.
+constexpr Duration LeavingIdle = 2500ms;
+/// Share of the shutdown grace that open transactions get to end.
+constexpr int TransactionShare = 2;
+/// Time before the end of the grace at which the last sessions are closed.
+constexpr Duration LastCall = 800ms;
+
+} // namespace
+
+void SessionsModule::onOpened(Context &ctx, SessionServices &services, const SessionOpened &event) {
+  if (!services.Catalog.route(event.Database)) {
+    ctx.emit(Count{"sessions_refused_total"});
+    ctx.emit(Log{LogLevel::Info,
+                 "session refused",
+                 {{"session", std::to_string(event.Session.Value)},
+                  {"database", event.Database},
+                  {"configuration", std::to_string(services.Catalog.configuration().Version)},
+                  {"reason", std::string(toString(Rejection::NoDatabase))}}});
+    ctx.emit(RefuseSession{event.Session, {Rejection::NoDatabase, "no route has this name"}});
+    return;
+  }
+  auto &session = Sessions[event.Session];
+  session.Database = event.Database;
+  session.Caller = event.Caller;
+  ctx.emit(Count{"sessions_opened_total"});
+  ctx.emit(GreetSession{event.Session});
+  if (LeavingSince)
+    alarm(event.Session, session);
+}
+
+void SessionsModule::onStatement(Context &ctx, SessionServices &services, const StatementArrived &event) {
+  const auto it = Sessions.find(event.Session);
+  if (it == Sessions.end())
+    return;
+  auto &session = it->second;
+  session.Served = true;
+  if (session.Current) {
+    if (session.Queued.size() < MaxQueuedStatements) {
+      session.Queued.push_back(event.Statement);
+      return;
+    }
+    ctx.emit(Log{LogLevel::Warn,
+                 "session closed",
+                 {{"session", std::to_string(event.Session.Value)}, {"why", "too many statements are waiting"}}});
+    onClosed(ctx, services, {event.Session});
+    ctx.emit(CloseSession{event.Session});
+    return;
+  }
+  take(ctx, services, event.Session, session, event.Statement);
+  closeIfLeaving(ctx, event.Session);
+}
+
+void SessionsModule::onClosed(Context &ctx, SessionServices &services, const SessionClosed &event) {
+  const auto it = Sessions.find(event.Session);
+  if (it == Sessions.end())
+    return;
+  auto &session = it->second;
+  unwait(event.Session, session);
+  const bool committing = session.Current && session.Current->Commit;
+  if (session.Transaction && session.Transaction->Link) {
+    if (!committing)
+      services.Links.send(ctx, *session.Transaction->Link, {RollbackTransaction{}});
+    services.Links.release(ctx, *session.Transaction->Link);
+  } else if (session.Current && session.Current->Link) {
+    services.Links.release(ctx, *session.Current->Link);
+  }
+  erase(event.Session);
+  onCapacity(ctx, services);
+}
+
+void SessionsModule::erase(SessionId id) {
+  const auto it = Sessions.find(id);
+  if (it->second.Alarm)
+    Alarms.erase({*it->second.Alarm, id});
+  if (const auto &work = it->second.Current; work && work->Link)
+    WritesOut[work->Route.Service].erase({work->SentAt, id});
+  Sessions.erase(it);
+}
+
+std::optional<TimePoint> SessionsModule::nextTimer() const {
+  if (Alarms.empty())
+    return std::nullopt;
+  return Alarms.begin()->first;
+}
+
+void SessionsModule::onTimer(Context &ctx, SessionServices &services) {
+  while (!Alarms.empty() && Alarms.begin()->first <= ctx.Now) {
+    const auto id = Alarms.begin()->second;
+    Alarms.erase(Alarms.begin());
+    auto &session = Sessions.at(id);
+    session.Alarm.reset();
+    onAlarm(ctx, services, id, session);
+  }
+}
+
+void SessionsModule::alarm(SessionId id, Session &session) {
+  std::optional<TimePoint> at;
+  const auto earlier = [&at](TimePoint it) { at = at ? std::min(*at, it) : it; };
+  if (const auto &work = session.Current) {
+    earlier(work->Deadline);
+    if (work->Link && !session.Transaction && work->Mode == AccessMode::Read)
+      earlier(work->SentAt + ReadPatience);
+    if (!work->Link)
+      earlier(std::max(work->RetryAt, work->ArrivedAt) + WaitCheck);
+  } else if (session.Transaction && !session.Transaction->Failed && session.Transaction->Link) {
+    earlier(session.Transaction->RestsSince + TransactionIdle);
+  }
+  if (LeavingSince) {
+    if (!session.Current && !session.Transaction)
+      earlier(*LeavingSince + LeavingIdle);
+    else if (session.Transaction && !session.Transaction->Failed)
+      earlier(*LeavingSince + Grace / TransactionShare);
+    earlier(*LeavingSince + Grace - LastCall);
+  }
+  if (session.Alarm == at)
+    return;
+  if (session.Alarm)
+    Alarms.erase({*session.Alarm, id});
+  session.Alarm = at;
+  if (at)
+    Alarms.insert({*at, id});
+}
+
+void SessionsModule::onAlarm(Context &ctx, SessionServices &services, SessionId id, Session &session) {
+  if (LeavingSince && ctx.Now >= *LeavingSince + Grace - LastCall) {
+    ctx.emit(Log{LogLevel::Warn,
+                 "session closed at the end of the shutdown",
+                 {{"session", std::to_string(id.Value)}, {"statement", session.Current ? session.Current->Statement.Id : "-"}}});
+    onClosed(ctx, services, {id});
+    ctx.emit(CloseSession{id});
+    return;
+  }
+  if (session.Current) {
+    auto &work = *session.Current;
+    const bool sent = work.Link.has_value();
+    if (ctx.Now >= work.Deadline) {
+      unanswered(ctx, services, id, session, true);
+      return;
+    }
+    if (sent && !session.Transaction && work.Mode == AccessMode::Read && ctx.Now >= work.SentAt + ReadPatience) {
+      readAgain(ctx, services, id, session);
+      return;
+    }
+    if (!sent && ctx.Now >= work.RetryAt) {
+      work.RetryAt = ctx.Now;
+      Attempt attempt;
+      if (session.Transaction && session.Transaction->Link) {
+        dispatch(ctx, services, id, session);
+        return;
+      }
+      if (tryStart(ctx, services, id, session, attempt))
+        return;
+    }
+  } else if (session.Transaction && session.Transaction->Link && !session.Transaction->Failed) {
+    const bool idle = ctx.Now >= session.Transaction->RestsSince + TransactionIdle;
+    const bool leaving = LeavingSince && ctx.Now >= *LeavingSince + Grace / TransactionShare;
+    if (idle || leaving) {
+      ctx.emit(Count{"transactions_ended_total"});
+      ctx.emit(Log{LogLevel::Info,
+                   "idle transaction rolled back",
+                   {{"session", std::to_string(id.Value)},
+                    {"database", session.Database},
+                    {"why", leaving ? "this proxy is leaving" : "idle for too long"}}});
+      failTransaction(ctx, services, session);
+      session.Transaction->Lost = StatementRejection{Rejection::Aborted, "the transaction was idle and is rolled back"};
+      onCapacity(ctx, services);
+    }
+  } else if (LeavingSince && !session.Transaction) {
+    if (session.Served || ctx.Now >= *LeavingSince + LeavingIdle) {
+      ctx.emit(CloseSession{id});
+      erase(id);
+      return;
+    }
+  }
+  alarm(id, session);
+}
+
+void SessionsModule::startLeaving(Context &ctx, SessionServices &services) {
+  if (LeavingSince)
+    return;
+  LeavingSince = ctx.Now;
+  Grace = ctx.Self.ShutdownGrace;
+  std::vector<SessionId> ids;
+  for (const auto &[id, session] : Sessions)
+    ids.push_back(id);
+  for (const auto &id : ids) {
+    closeIfLeaving(ctx, id);
+    if (const auto it = Sessions.find(id); it != Sessions.end())
+      alarm(id, it->second);
+  }
+  onCapacity(ctx, services);
+}
+
+void SessionsModule::closeIfLeaving(Context &ctx, SessionId id) {
+  const auto it = Sessions.find(id);
+  if (!LeavingSince || it == Sessions.end())
+    return;
+  const auto &session = it->second;
+  if (session.Current || session.Transaction || !session.Queued.empty() || !session.Served)
+    return;
+  ctx.emit(CloseSession{id});
+  erase(id);
+}
+
+std::optional<TimePoint> SessionsModule::writesUnansweredSince(const DatabaseId &service) const {
+  std::optional<TimePoint> out;
+  if (const auto it = Services.find(service); it != Services.end())
+    out = it->second.WritesUnansweredSince;
+  if (const auto it = WritesOut.find(service); it != WritesOut.end() && !it->second.empty())
+    out = std::min(out.value_or(TimePoint::max()), it->second.begin()->first);
+  return out;
+}
+
+std::optional<TimePoint> SessionsModule::primarySeen(const DatabaseId &service) const {
+  const auto it = Services.find(service);
+  return it == Services.end() ? std::nullopt : it->second.Positions.newest();
+}
+
+std::size_t SessionsModule::waitingAt(const DatabaseId &service) const {
+  const auto it = Waiting.find(service);
+  return it == Waiting.end() ? 0 : it->second.size();
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/sessions/sessionsmodule.h
@@ -0,0 +1,128 @@
+// Sessions of callers: their values, prepared statements and transactions, and the way of each statement to a server
+// and back.
+//
+// A session holds a server connection only from the first read, write or commit of a transaction to its end.
+
+#pragma once
+
+#include "catalog/catalog.h"
+#include "freshness/positionhistory.h"
+#include "links/linkpool.h"
+#include "protocol/context.h"
+#include "sessions/internal/session.h"
+
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace rosemaryhinge {
+
+/// The other modules, as sessions use them.
+struct SessionServices {
+  rosemaryhinge::Catalog &Catalog;
+  LinkPool &Links;
+};
+
+class SessionsModule {
+public:
+  void onOpened(Context &ctx, SessionServices &services, const SessionOpened &event);
+  void onStatement(Context &ctx, SessionServices &services, const StatementArrived &event);
+  void onClosed(Context &ctx, SessionServices &services, const SessionClosed &event);
+  void onReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply, const LinkReplied &event);
+  void onLinkClosed(Context &ctx, SessionServices &services, const LinkPool::Closed &closed);
+  void onTimer(Context &ctx, SessionServices &services);
+  /// A link became idle, a primary was found, or servers changed: tries the statements that wait.
+  void onCapacity(Context &ctx, SessionServices &services);
+
+  /// Closes sessions that rest; goes on to serve the others until they rest.
+  void startLeaving(Context &ctx, SessionServices &services);
+  [[nodiscard]] std::size_t size() const { return Sessions.size(); }
+  [[nodiscard]] std::size_t waiting() const { return WaitingCount; }
+  [[nodiscard]] std::size_t waitingAt(const DatabaseId &service) const;
+  /// Since when writes and commits are sent to the primary of a service without any answer.
+  [[nodiscard]] std::optional<TimePoint> writesUnansweredSince(const DatabaseId &service) const;
+  /// When the newest proof of the primary's lead was asked for.
+  [[nodiscard]] std::optional<TimePoint> primarySeen(const DatabaseId &service) const;
+  [[nodiscard]] std::optional<TimePoint> nextTimer() const;
+
+  /// Bound on statements that wait for a connection; more are refused at once.
+  static constexpr std::size_t MaxWaiting = 1'000;
+
+private:
+  using Session = detail::Session;
+  using Work = detail::Work;
+  /// Order in which waiting statements are served: priority, then arrival.
+  using WaitKey = std::tuple<std::uint32_t, TimePoint, SessionId>;
+  struct Service {
+    PositionHistory Positions;
+    std::map<TargetId, TimePoint> LaggedAt; ///< Last time that a replica lacked a position.
+    std::map<TargetId, TimePoint> AskedAt;  ///< Last time that a server was asked whether it is the primary.
+    /// When the first write was sent of those that were not answered since the last answered one.
+    std::optional<TimePoint> WritesUnansweredSince;
+  };
+
+  // Statements that the proxy answers itself (internal/statements.cpp).
+  void take(Context &ctx, SessionServices &services, SessionId id, Session &session, SessionStatement statement);
+  void begin(Context &ctx, SessionServices &services, SessionId id, Session &session, const SessionStatement &statement);
+  void rollback(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                const SessionStatement &statement);
+  void startWork(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                 SessionStatement statement, AccessMode mode, bool commit);
+  void answer(Context &ctx, SessionId id, Session &session, const std::string &statement, StatementOutcome outcome,
+              std::optional<Position> at = std::nullopt);
+  void nextQueued(Context &ctx, SessionServices &services, SessionId id);
+
+  // The way to a server (internal/dispatch.cpp).
+  struct Attempt {
+    std::set<TargetId> Exhausted; ///< Servers without an idle link in this round.
+    std::map<TargetId, std::size_t> Wanted;
+  };
+  void dispatch(Context &ctx, SessionServices &services, SessionId id, Session &session);
+  bool tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session, Attempt &attempt);
+  void send(Context &ctx, SessionServices &services, SessionId id, Session &session, LinkId link,
+            const TargetId &target);
+  void wait(SessionId id, const Session &session);
+  void unwait(SessionId id, const Session &session);
+  [[nodiscard]] std::optional<Position> proof(const Session &session, const Work &work);
+  [[nodiscard]] std::vector<TargetId> candidates(Context &ctx, SessionServices &services, const Session &session,
+                                                 const Work &work, std::optional<Position> &after);
+  [[nodiscard]] std::vector<TargetId> primaryCandidates(Context &ctx, SessionServices &services, const Work &work);
+
+  // What a server made of it (internal/outcomes.cpp).
+  void succeeded(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                 const LinkPool::Reply &reply, const LinkReplied &event);
+  void rejected(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                const StatementRejection &why, TransactionState state);
+  bool retry(Context &ctx, SessionServices &services, SessionId id, Session &session, const StatementRejection &why,
+             TransactionState state);
+  void readAgain(Context &ctx, SessionServices &services, SessionId id, Session &session);
+  void unanswered(Context &ctx, SessionServices &services, SessionId id, Session &session, bool timedOut);
+  void finish(Context &ctx, SessionServices &services, SessionId id, Session &session, StatementOutcome outcome,
+              std::optional<Position> at = std::nullopt);
+  void endTransaction(Context &ctx, SessionServices &services, Session &session);
+  void failTransaction(Context &ctx, SessionServices &services, Session &session);
+  void logOutcome(Context &ctx, SessionId id, const Session &session, const Work &work,
+                  const StatementOutcome &outcome);
+
+  void alarm(SessionId id, Session &session);
+  void onAlarm(Context &ctx, SessionServices &services, SessionId id, Session &session);
+  void closeIfLeaving(Context &ctx, SessionId id);
+  void erase(SessionId id);
+
+  std::map<SessionId, Session> Sessions;
+  std::map<DatabaseId, std::set<WaitKey>> Waiting;
+  std::size_t WaitingCount = 0;
+  std::map<DatabaseId, Service> Services;
+  std::map<DatabaseId, std::set<std::pair<TimePoint, SessionId>>> WritesOut;
+  std::set<std::pair<TimePoint, SessionId>> Alarms;
+  std::optional<TimePoint> LeavingSince;
+  Duration Grace = 6s;           ///< From the request to stop to the end of the process.
+  Duration TransactionIdle = 3s; ///< Of the configuration in force.
+
+  /// A read that has no answer after this time goes to another server.
+  static constexpr Duration ReadPatience = 400ms;
+  /// Interval at which a waiting statement looks for a server again.
+  static constexpr Duration WaitCheck = 25ms;
+};
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/sessions/tests/sessionsmoduletests.cpp
@@ -0,0 +1,2 @@
+// Tests.
+#include <doctest/doctest.h>
--- /dev/null
+++ b/src/wire/internal/sessionlistener.cpp
@@ -0,0 +1,223 @@
+// Callers' connections.
+
+#include "base/overloaded.h"
+#include "wire/internal/socketoptions.h"
+#include "wire/wire.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <unordered_map>
+
+namespace rosemaryhinge {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds Unacknowledged{5'000};
+constexpr std::size_t ReadSize = 4'096;
+
+struct Connection {
+  Connection(tcp::socket socket, std::unique_ptr<ICallerCodec> codec)
+      : Socket(std::move(socket)), Codec(std::move(codec)) {}
+
+  tcp::socket Socket;
+  std::unique_ptr<ICallerCodec> Codec;
+  std::array<char, ReadSize> Buf{};
+  std::string Unsent;  ///< Waits for the write in progress.
+  std::string Writing;
+  bool Started = false; ///< The first message was read.
+  bool Ending = false;  ///< Closed once everything is written.
+  bool Closed = false;
+};
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+class SessionListener : public ISessionListener {
+public:
+  SessionListener(asio::io_context &io, const SessionListenerOptions &options, const ICodecs &codecs, EventSink sink,
+                  IMetrics &metrics)
+      : Options(options), Codecs(codecs), Sink(std::move(sink)), Metrics(metrics), Acceptor(io) {
+    const tcp::endpoint endpoint(asio::ip::make_address(options.Listen.Ip), options.Listen.Port);
+    Acceptor.open(endpoint.protocol());
+    Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor.bind(endpoint);
+    Acceptor.listen(asio::socket_base::max_listen_connections);
+    accept();
+  }
+
+  void greet(const GreetSession &effect) override {
+    if (const auto it = find(effect.Session))
+      write(effect.Session, it, it->Codec->greeting());
+  }
+
+  void refuse(const RefuseSession &effect) override {
+    if (const auto it = find(effect.Session)) {
+      it->Ending = true;
+      write(effect.Session, it, it->Codec->refusal(effect.Why));
+    }
+  }
+
+  void answer(const AnswerStatement &effect) override {
+    if (const auto it = find(effect.Session))
+      write(effect.Session, it, it->Codec->answer(effect));
+  }
+
+  void close(const CloseSession &effect) override {
+    const auto it = find(effect.Session);
+    if (!it)
+      return;
+    it->Ending = true;
+    if (it->Writing.empty())
+      end(effect.Session, it);
+  }
+
+  void stop() override {
+    std::error_code ec;
+    Acceptor.close(ec);
+  }
+
+  [[nodiscard]] std::uint16_t port() const override { return Acceptor.local_endpoint().port(); }
+
+  [[nodiscard]] std::size_t pending() const override {
+    std::size_t n = 0;
+    for (const auto &[id, it] : Connections)
+      n += it->Writing.empty() ? 0 : 1;
+    return n;
+  }
+
+private:
+  [[nodiscard]] ConnectionPtr find(SessionId id) const {
+    const auto it = Connections.find(id);
+    return it == Connections.end() ? nullptr : it->second;
+  }
+
+  void accept() {
+    Acceptor.async_accept([this](std::error_code ec, tcp::socket socket) {
+      if (ec == asio::error::operation_aborted)
+        return;
+      if (ec)
+        Metrics.count("session_accept_failures_total");
+      else if (Connections.size() >= Options.MaxSessions)
+        Metrics.count("session_connections_rejected_total");
+      else
+        add(std::move(socket));
+      if (Acceptor.is_open())
+        accept();
+    });
+  }
+
+  void add(tcp::socket socket) {
+    detail::setSocketOptions(socket, Unacknowledged);
+    const SessionId id{++LastId};
+    const auto it = std::make_shared<Connection>(std::move(socket), Codecs.caller());
+    Connections.emplace(id, it);
+    read(id, it);
+  }
+
+  void read(SessionId id, const ConnectionPtr &it) {
+    it->Socket.async_read_some(asio::buffer(it->Buf), [this, id, it](std::error_code ec, std::size_t size) {
+      if (it->Closed)
+        return;
+      if (ec) {
+        gone(id, it);
+        return;
+      }
+      std::vector<CallerMessage> messages;
+      it->Codec->decode({it->Buf.data(), size}, messages);
+      for (auto &message : messages) {
+        if (it->Closed || it->Ending)
+          return;
+        take(id, it, std::move(message));
+      }
+      if (!it->Closed)
+        read(id, it);
+    });
+  }
+
+  void take(SessionId id, const ConnectionPtr &it, CallerMessage message) {
+    std::visit(Overloaded{
+                   [&](SessionStart &start) {
+                     if (std::exchange(it->Started, true))
+                       protocolError(id, it, {Rejection::Malformed, "the session has started"});
+                     else
+                       Sink(SessionOpened{id, std::move(start.Database), std::move(start.Caller)});
+                   },
+                   [&](SessionStatement &statement) {
+                     if (it->Started)
+                       Sink(StatementArrived{id, std::move(statement)});
+                     else
+                       protocolError(id, it, {Rejection::Malformed, "the session has not started"});
+                   },
+                   [&](SessionLeave &) { gone(id, it); },
+                   [&](ProtocolError &error) { protocolError(id, it, error); },
+               },
+               message);
+  }
+
+  void protocolError(SessionId id, const ConnectionPtr &it, const ProtocolError &error) {
+    Metrics.count("session_protocol_errors_total");
+    it->Ending = true;
+    if (it->Started)
+      Sink(SessionClosed{id});
+    write(id, it, it->Codec->refusal({error.Code, error.Message}));
+  }
+
+  void write(SessionId id, const ConnectionPtr &it, const std::string &bytes) {
+    it->Unsent += bytes;
+    if (it->Unsent.size() > Options.MaxUnsent) {
+      Metrics.count("session_slow_readers_total");
+      gone(id, it);
+      return;
+    }
+    if (it->Writing.empty())
+      flush(id, it);
+  }
+
+  void flush(SessionId id, const ConnectionPtr &it) {
+    it->Writing.swap(it->Unsent);
+    asio::async_write(it->Socket, asio::buffer(it->Writing), [this, id, it](std::error_code ec, std::size_t) {
+      it->Writing.clear();
+      if (it->Closed)
+        return;
+      if (ec)
+        gone(id, it);
+      else if (!it->Unsent.empty())
+        flush(id, it);
+      else if (it->Ending)
+        end(id, it);
+    });
+  }
+
+  /// The caller has left, or cannot be reached.
+  void gone(SessionId id, const ConnectionPtr &it) {
+    if (it->Started && !it->Ending)
+      Sink(SessionClosed{id});
+    end(id, it);
+  }
+
+  void end(SessionId id, const ConnectionPtr &it) {
+    it->Closed = true;
+    std::error_code ec;
+    it->Socket.close(ec);
+    Connections.erase(id);
+  }
+
+  SessionListenerOptions Options;
+  const ICodecs &Codecs;
+  EventSink Sink;
+  IMetrics &Metrics;
+  tcp::acceptor Acceptor;
+  std::unordered_map<SessionId, ConnectionPtr> Connections;
+  std::uint64_t LastId = 0;
+};
+
+} // namespace
+
+std::unique_ptr<ISessionListener> makeSessionListener(asio::io_context &io, const SessionListenerOptions &options,
+                                                      const ICodecs &codecs, EventSink sink, IMetrics &metrics) {
+  return std::make_unique<SessionListener>(io, options, codecs, std::move(sink), metrics);
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/wire/isessionlistener.h
@@ -0,0 +1,27 @@
+// Connections of callers, one for each session.
+
+#pragma once
+
+#include "protocol/session.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace rosemaryhinge {
+
+class ISessionListener {
+public:
+  virtual ~ISessionListener() = default;
+
+  virtual void greet(const GreetSession &effect) = 0;
+  virtual void refuse(const RefuseSession &effect) = 0;
+  virtual void answer(const AnswerStatement &effect) = 0;
+  virtual void close(const CloseSession &effect) = 0;
+  /// Accepts no more connections.
+  virtual void stop() = 0;
+  [[nodiscard]] virtual std::uint16_t port() const = 0;
+  /// Connections with answers that are not written yet.
+  [[nodiscard]] virtual std::size_t pending() const = 0;
+};
+
+} // namespace rosemaryhinge
