Send a statement only after its BEGIN has succeeded

Ruled out: wrong positions; the log shows after=1.57 on a log at 1.37, refused by BEGIN only. The price is one round trip to the primary for transactions and reads without a proof.

--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -160,39 +160,54 @@
 void SessionsModule::send(Context &ctx, SessionServices &services, SessionId id, Session &session, LinkId link,
                           const TargetId &target) {
   auto &work = *session.Current;
+  work.Link = link;
+  work.Target = target;
+  work.SentAt = ctx.Now;
+  work.Offered = false;
+  work.BeganForProof = false;
+  ++work.Tries;
+  auto &transaction = session.Transaction;
+  if (transaction && transaction->Link) {
+    offer(ctx, services, id, session);
+    return;
+  }
+  if (!transaction && (work.Mode == AccessMode::Write || work.After)) {
+    offer(ctx, services, id, session);
+    return;
+  }
+  // The statement follows once the transaction is open: after a BEGIN that was refused, it would run outside of it.
+  // A plain transaction is refused once the server has lost the lead; a read-only one is not.
+  const bool replica = transaction && transaction->ReadOnly && work.After;
+  if (transaction)
+    transaction->Link = link;
+  else
+    work.BeganForProof = true;
+  const auto *execute = std::get_if<ExecuteStatement>(&work.Statement.Parsed);
+  auto commands = services.Links.prepare(link, session.Values, execute ? &session.Prepared.at(execute->Name) : nullptr);
+  commands.emplace_back(BeginTransaction{replica, replica ? work.After : std::nullopt});
+  services.Links.send(ctx, link, std::move(commands));
+  alarm(id, session);
+}
+
+void SessionsModule::offer(Context &ctx, SessionServices &services, SessionId id, Session &session) {
+  auto &work = *session.Current;
   const PreparedShape *shape = nullptr;
   RunStatement run{work.Statement.Id, work.Statement.Text, std::nullopt};
   if (const auto *it = std::get_if<ExecuteStatement>(&work.Statement.Parsed)) {
     shape = &session.Prepared.at(it->Name);
     run.Body = ExecuteStatement{services.Links.preparedName(*shape), it->Arguments};
   }
-  auto commands = services.Links.prepare(link, session.Values, shape);
-  work.BeganForProof = false;
-  work.BeginRejected.reset();
-  if (auto &transaction = session.Transaction) {
-    if (!transaction->Link) {
-      transaction->Link = link;
-      // A plain transaction is refused once the server has lost the lead; a read-only one is not.
-      const bool replica = transaction->ReadOnly && work.After;
-      commands.emplace_back(BeginTransaction{replica, replica ? work.After : std::nullopt});
-    }
-    commands.emplace_back(std::move(run));
-  } else if (work.Mode == AccessMode::Read && !work.After) {
-    work.BeganForProof = true;
-    commands.emplace_back(BeginTransaction{});
-    commands.emplace_back(std::move(run));
+  if (!session.Transaction && work.Mode == AccessMode::Read)
+    run.After = work.After;
+  auto commands = services.Links.prepare(*work.Link, session.Values, shape);
+  commands.emplace_back(std::move(run));
+  if (work.BeganForProof)
     commands.emplace_back(RollbackTransaction{});
-  } else {
-    run.After = work.Mode == AccessMode::Read ? work.After : std::nullopt;
-    commands.emplace_back(std::move(run));
-  }
-  work.Link = link;
-  work.Target = target;
+  work.Offered = true;
   work.SentAt = ctx.Now;
-  ++work.Tries;
   if (work.Mode == AccessMode::Write)
     WritesOut[work.Route.Service].insert({work.SentAt, id});
-  services.Links.send(ctx, link, std::move(commands));
+  services.Links.send(ctx, *work.Link, std::move(commands));
   alarm(id, session);
 }
 
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -54,21 +54,22 @@
     return;
   case LinkStep::Begin:
     if (why) {
-      work.BeginRejected = *why;
-    } else {
-      if (session.Transaction)
-        session.Transaction->Begun = true;
-      if (event.At && !work.After) {
-        Services[reply.Service].Positions.add(*event.At, reply.SentAt);
-        services.Catalog.confirmPrimary(reply.Target);
-      }
+      rejected(ctx, services, reply.User.Session, session, *why, event.State);
+      return;
+    }
+    if (session.Transaction)
+      session.Transaction->Begun = true;
+    if (event.At && !work.After) {
+      Services[reply.Service].Positions.add(*event.At, reply.SentAt);
+      services.Catalog.confirmPrimary(reply.Target);
     }
+    offer(ctx, services, reply.User.Session, session);
     return;
   case LinkStep::Statement:
     if (work.Mode == AccessMode::Write)
       Services[reply.Service].WritesUnansweredSince.reset();
     if (why)
-      rejected(ctx, services, reply.User.Session, session, work.BeginRejected.value_or(*why), event.State);
+      rejected(ctx, services, reply.User.Session, session, *why, event.State);
     else
       succeeded(ctx, services, reply.User.Session, session, reply, event);
     return;
@@ -139,7 +140,7 @@
     break;
   }
   const auto link = *work.Link;
-  if (state != TransactionState::Idle && !work.BeganForProof)
+  if (state != TransactionState::Idle && !(work.BeganForProof && work.Offered))
     services.Links.send(ctx, link, {RollbackTransaction{}});
   if (session.Transaction) {
     session.Transaction->Link.reset();
@@ -163,7 +164,7 @@
   auto told = why;
   if (!session.Transaction) {
     if (work.Link) {
-      if (state != TransactionState::Idle && !work.BeganForProof)
+      if (state != TransactionState::Idle && !(work.BeganForProof && work.Offered))
         services.Links.send(ctx, *work.Link, {RollbackTransaction{}});
       services.Links.release(ctx, *work.Link);
     }
@@ -233,16 +234,19 @@
 void SessionsModule::unanswered(Context &ctx, SessionServices &services, SessionId id, Session &session,
                                 bool timedOut) {
   auto &work = *session.Current;
-  const bool sent = work.Link.has_value();
+  const bool sent = work.Link.has_value() && work.Offered;
   unwait(id, session);
-  if (sent && timedOut) {
+  if (work.Link && timedOut) {
     services.Links.close(ctx, *work.Link, true);
     auto &since = Services[work.Route.Service].WritesUnansweredSince;
-    if (work.Mode == AccessMode::Write)
+    if (sent && work.Mode == AccessMode::Write)
       since = std::min(since.value_or(work.SentAt), work.SentAt);
   }
   const bool single = !session.Transaction;
-  if (sent && single && work.Mode == AccessMode::Read && !timedOut && work.Tries < MaxReadFailures) {
+  const bool again = !sent || (single && work.Mode == AccessMode::Read);
+  if (work.Link && again && !timedOut && work.Tries < MaxReadFailures) {
+    if (session.Transaction)
+      session.Transaction->Link.reset();
     ctx.emit(Count{"statement_retries_total{reason=\"link_lost\"}"});
     work.Avoid.insert(work.Target);
     work.Link.reset();
@@ -259,7 +263,7 @@
   else if (!single && sent)
     why = {Rejection::Aborted, "no answer: the transaction is rolled back"};
   if (!single) {
-    if (sent)
+    if (work.Link)
       session.Transaction->Link.reset();
     if (work.Commit && sent)
       session.Transaction.reset();
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -32,8 +32,8 @@
   TargetId Target;
   TimePoint SentAt;
   std::optional<Position> After;
+  bool Offered = false;       ///< The statement itself was sent, not only the start of its transaction.
   bool BeganForProof = false; ///< A read that the proxy wrapped in a transaction of its own.
-  std::optional<StatementRejection> BeginRejected;
 };
 
 /// From BEGIN to the answer of the statement that ends it. A server takes part from the first read, write or
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -81,6 +81,7 @@
   bool tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session, Attempt &attempt);
   void send(Context &ctx, SessionServices &services, SessionId id, Session &session, LinkId link,
             const TargetId &target);
+  void offer(Context &ctx, SessionServices &services, SessionId id, Session &session);
   void wait(SessionId id, const Session &session);
   void unwait(SessionId id, const Session &session);
   [[nodiscard]] std::optional<Position> proof(const Session &session, const Work &work);
