Roll back open transactions in the link pool, and judge a primary by its own time

Now the pool knows the state that the server last told and rolls back before it lends again. Cause of a second change of primary 150 ms after the first: silence of the new primary was counted from failures before it led (7,869 ms). It now counts from when it is known as primary, and failures are forgotten after 2 s without a try.

--- a/src/leadership/internal/reason.cpp
+++ b/src/leadership/internal/reason.cpp
@@ -2,6 +2,8 @@
 
 #include "leadership/internal/reason.h"
 
+#include <algorithm>
+
 namespace rosemaryhinge::detail {
 
 namespace {
@@ -22,22 +24,23 @@
 } // namespace
 
 std::optional<ChangeReason> reasonToChange(const DatabaseId &service, const Catalog &catalog, const LinkPool &links,
-                                           const SessionsModule &sessions, std::optional<TimePoint> noPrimarySince,
+                                           const SessionsModule &sessions, TimePoint since,
                                            TimePoint now) {
   const auto primary = catalog.primary(service);
   if (!primary) {
-    if (noPrimarySince && now - *noPrimarySince >= NoPrimaryFor)
-      return ChangeReason{"no primary for " + millis(now - *noPrimarySince), TargetId(), true};
+    if (now - since >= NoPrimaryFor)
+      return ChangeReason{"no primary for " + millis(now - since), TargetId(), true};
     return std::nullopt;
   }
   const auto *view = catalog.server(*primary);
   const auto &health = links.health(*primary);
-  if (const auto since = health.refusedSince(); since && now - *since >= RefusedFor)
-    return ChangeReason{"the primary refuses connections for " + millis(now - *since), *primary, true};
-  if (const auto silence = health.silence(now); silence >= SilentFor)
+  if (const auto from = health.refusedSince(now); from && now - std::max(*from, since) >= RefusedFor)
+    return ChangeReason{"the primary refuses connections for " + millis(now - *from), *primary, true};
+  if (const auto silence = std::min(health.silence(now), now - since); silence >= SilentFor)
     return ChangeReason{"the primary is silent for " + millis(silence), *primary, true};
-  if (const auto since = sessions.writesUnansweredSince(service); since && now - *since >= WritesSilentFor)
-    return ChangeReason{"no write is answered for " + millis(now - *since), *primary, true};
+  if (const auto from = sessions.writesUnansweredSince(service);
+      from && now - std::max(*from, since) >= WritesSilentFor)
+    return ChangeReason{"no write is answered for " + millis(now - *from), *primary, true};
   if (view && view->LeavingSince)
     return ChangeReason{"the primary is leaving", *primary, false};
   return std::nullopt;
--- a/src/leadership/internal/reason.h
+++ b/src/leadership/internal/reason.h
@@ -17,9 +17,10 @@
   bool Urgent = false; ///< Nobody can write meanwhile.
 };
 
-/// None while the primary answers and stays. NoPrimarySince: since when none is known.
+/// None while the primary answers and stays. Since: since when the present primary, or the lack of one, is known. What
+/// a server did before it became the primary does not count.
 [[nodiscard]] std::optional<ChangeReason> reasonToChange(const DatabaseId &service, const Catalog &catalog,
                                                          const LinkPool &links, const SessionsModule &sessions,
-                                                         std::optional<TimePoint> noPrimarySince, TimePoint now);
+                                                         TimePoint since, TimePoint now);
 
 } // namespace rosemaryhinge::detail
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -55,17 +55,18 @@
 }
 
 void LeadershipModule::step(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change) {
-  if (services.Catalog.primary(service))
-    change.NoPrimarySince.reset();
-  else if (!change.NoPrimarySince)
-    change.NoPrimarySince = ctx.Now;
+  if (const auto primary = services.Catalog.primary(service);
+      primary != change.Primary || change.PrimarySince == TimePoint()) {
+    change.Primary = primary;
+    change.PrimarySince = ctx.Now;
+  }
   switch (change.State) {
   case Phase::None:
     consider(ctx, services, service, change);
     break;
   case Phase::Waiting:
     if (ctx.Now >= change.ClaimAt) {
-      if (detail::reasonToChange(service, services.Catalog, services.Links, services.Sessions, change.NoPrimarySince, ctx.Now))
+      if (detail::reasonToChange(service, services.Catalog, services.Links, services.Sessions, change.PrimarySince, ctx.Now))
         putClaim(ctx, service, change, false);
       else
         enter(change, Phase::None, ctx.Now);
@@ -90,7 +91,7 @@
                                 Change &change) {
   if (Leaving || ctx.Now < change.NotBefore || services.Catalog.servers(service).size() < 2)
     return;
-  auto reason = detail::reasonToChange(service, services.Catalog, services.Links, services.Sessions, change.NoPrimarySince,
+  auto reason = detail::reasonToChange(service, services.Catalog, services.Links, services.Sessions, change.PrimarySince,
                                        ctx.Now);
   if (!reason)
     return;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -49,7 +49,8 @@
   struct Change {
     Phase State = Phase::None;
     detail::ChangeReason Reason;
-    std::optional<TimePoint> NoPrimarySince;
+    std::optional<TargetId> Primary; ///< As last seen in the catalogue.
+    TimePoint PrimarySince;          ///< When it was first seen, or the lack of one.
     TimePoint NotBefore; ///< No attempt before.
     std::uint64_t ClaimRevision = 0;
     /// Claim of another proxy that is left to its work, and since when it is known.
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -155,7 +155,10 @@
   link.User = {};
   if (!link.Awaiting.empty())
     return;
-  setPhase(link, id, Phase::Idle, ctx.Now);
+  if (link.InServer != TransactionState::Idle)
+    send(ctx, id, {RollbackTransaction{}});
+  else
+    setPhase(link, id, Phase::Idle, ctx.Now);
 }
 
 void LinkPool::close(Context &ctx, LinkId id, bool silent) {
@@ -213,11 +216,17 @@
   auto &link = it->second;
   const auto awaited = link.Awaiting.front();
   link.Awaiting.pop_front();
+  link.InServer = event.State;
   auto &server = Servers[link.Target];
   --server.Awaiting;
   server.Health.received(ctx.Now, server.Awaiting > 0);
   Reply out{awaited.Step, link.User, link.Target, link.Service, awaited.SentAt, link.Awaiting.empty()};
-  if (!link.Lent && link.Awaiting.empty())
+  if (link.Lent || !link.Awaiting.empty())
+    return out;
+  // A server that does not end a transaction when told to cannot be used on this link.
+  if (awaited.Step == LinkStep::End && event.State != TransactionState::Idle)
+    close(ctx, event.Link, false);
+  else
     release(ctx, event.Link);
   return out;
 }
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -54,7 +54,8 @@
   /// Name under which a shape is prepared on every link of this proxy.
   [[nodiscard]] std::string preparedName(const PreparedShape &shape);
   void send(Context &ctx, LinkId link, std::vector<LinkCommand> commands);
-  /// Gives a link back. It is lent again once nothing is awaited on it.
+  /// Gives a link back. A transaction that is still open is rolled back, and the link is lent again once nothing is
+  /// awaited on it.
   void release(Context &ctx, LinkId link);
   /// Closes a link whose state is in doubt. Silent: because the server did not answer.
   void close(Context &ctx, LinkId link, bool silent);
@@ -104,6 +105,7 @@
     TimePoint Since; ///< Of the phase.
     LinkUser User;
     bool Lent = false;
+    TransactionState InServer = TransactionState::Idle; ///< As of the last answer.
     SessionValues Values;            ///< What the server holds for this connection.
     std::set<std::string> Prepared; ///< Names that the server holds for this connection.
     std::deque<Awaited> Awaiting;
--- a/src/links/serverhealth.cpp
+++ b/src/links/serverhealth.cpp
@@ -30,8 +30,11 @@
     received(now, outstanding);
     return;
   }
-  if (!FailingSince)
+  if (!remembered(now)) {
     FailingSince = DueSince.value_or(now);
+    RefusedSince.reset();
+  }
+  FailedAt = now;
   if (why != LinkFailure::Refused)
     RefusedSince.reset();
   else if (!RefusedSince)
@@ -41,19 +44,26 @@
 }
 
 void ServerHealth::abandoned(TimePoint now) {
-  if (silence(now) >= SuspectAfter && !FailingSince)
-    FailingSince = DueSince;
+  if (silence(now) >= SuspectAfter) {
+    if (!remembered(now))
+      FailingSince = DueSince;
+    FailedAt = now;
+  }
   DueSince.reset();
 }
 
 void ServerHealth::took(Duration value) { Typical += (value - Typical) / Smoothing; }
 
 Duration ServerHealth::silence(TimePoint now) const {
-  if (FailingSince)
+  if (remembered(now))
     return now - *FailingSince;
   return DueSince ? now - *DueSince : Duration{};
 }
 
-bool ServerHealth::suspect(TimePoint now) const { return RefusedSince || silence(now) >= SuspectAfter; }
+std::optional<TimePoint> ServerHealth::refusedSince(TimePoint now) const {
+  return remembered(now) ? RefusedSince : std::nullopt;
+}
+
+bool ServerHealth::suspect(TimePoint now) const { return refusedSince(now) || silence(now) >= SuspectAfter; }
 
 } // namespace rosemaryhinge
--- a/src/links/serverhealth.h
+++ b/src/links/serverhealth.h
@@ -26,18 +26,21 @@
   /// The server is not to be chosen where another can serve.
   [[nodiscard]] bool suspect(TimePoint now) const;
   /// The server's address refuses connections since this time: its process is down.
-  [[nodiscard]] std::optional<TimePoint> refusedSince() const { return RefusedSince; }
-  /// Since when the server has failed to answer, if it does.
-  [[nodiscard]] std::optional<TimePoint> failingSince() const { return FailingSince; }
+  [[nodiscard]] std::optional<TimePoint> refusedSince(TimePoint now) const;
   [[nodiscard]] Duration typical() const { return Typical; }
 
   /// Silence after which a server is suspect. Above the longest work of the deployments, 270 ms, with its
   /// queueing.
   static constexpr Duration SuspectAfter = 500ms;
+  /// A failure says nothing any more once it is this old and nothing was tried since.
+  static constexpr Duration FailureMemory = 2s;
 
 private:
+  [[nodiscard]] bool remembered(TimePoint now) const { return FailingSince && now - FailedAt < FailureMemory; }
+
   std::optional<TimePoint> DueSince; ///< No answer since, while one is due.
   std::optional<TimePoint> FailingSince;
+  TimePoint FailedAt; ///< Last attempt that failed, while FailingSince is set.
   std::optional<TimePoint> RefusedSince;
   Duration Typical = 15ms; ///< Smoothed.
 };
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -110,7 +110,7 @@
 }
 
 bool SessionsModule::retry(Context &ctx, SessionServices &services, SessionId id, Session &session,
-                           const StatementRejection &why, TransactionState state) {
+                           const StatementRejection &why) {
   auto &work = *session.Current;
   const bool single = !session.Transaction;
   const bool first = single || !session.Transaction->Begun || !session.Transaction->Ran;
@@ -140,8 +140,6 @@
     break;
   }
   const auto link = *work.Link;
-  if (state != TransactionState::Idle && !(work.BeganForProof && work.Offered))
-    services.Links.send(ctx, link, {RollbackTransaction{}});
   if (session.Transaction) {
     session.Transaction->Link.reset();
     session.Transaction->Begun = false;
@@ -159,15 +157,12 @@
 void SessionsModule::rejected(Context &ctx, SessionServices &services, SessionId id, Session &session,
                               const StatementRejection &why, TransactionState state) {
   auto &work = *session.Current;
-  if (work.Link && retry(ctx, services, id, session, why, state))
+  if (work.Link && retry(ctx, services, id, session, why))
     return;
   auto told = why;
   if (!session.Transaction) {
-    if (work.Link) {
-      if (state != TransactionState::Idle && !(work.BeganForProof && work.Offered))
-        services.Links.send(ctx, *work.Link, {RollbackTransaction{}});
+    if (work.Link)
       services.Links.release(ctx, *work.Link);
-    }
     finish(ctx, services, id, session, told);
     return;
   }
@@ -276,12 +271,8 @@
 void SessionsModule::failTransaction(Context &ctx, SessionServices &services, Session &session) {
   auto &transaction = *session.Transaction;
   transaction.Failed = true;
-  if (!transaction.Link)
-    return;
-  const auto link = *std::exchange(transaction.Link, std::nullopt);
-  if (services.Links.targetOf(link))
-    services.Links.send(ctx, link, {RollbackTransaction{}});
-  services.Links.release(ctx, link);
+  if (const auto link = std::exchange(transaction.Link, std::nullopt))
+    services.Links.release(ctx, *link);
 }
 
 void SessionsModule::endTransaction(Context &ctx, SessionServices &services, Session &session) {
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -67,10 +67,7 @@
     return;
   auto &session = it->second;
   unwait(event.Session, session);
-  const bool committing = session.Current && session.Current->Commit;
   if (session.Transaction && session.Transaction->Link) {
-    if (!committing)
-      services.Links.send(ctx, *session.Transaction->Link, {RollbackTransaction{}});
     services.Links.release(ctx, *session.Transaction->Link);
   } else if (session.Current && session.Current->Link) {
     services.Links.release(ctx, *session.Current->Link);
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -94,8 +94,7 @@
                  const LinkPool::Reply &reply, const LinkReplied &event);
   void rejected(Context &ctx, SessionServices &services, SessionId id, Session &session,
                 const StatementRejection &why, TransactionState state);
-  bool retry(Context &ctx, SessionServices &services, SessionId id, Session &session, const StatementRejection &why,
-             TransactionState state);
+  bool retry(Context &ctx, SessionServices &services, SessionId id, Session &session, const StatementRejection &why);
   void readAgain(Context &ctx, SessionServices &services, SessionId id, Session &session);
   void unanswered(Context &ctx, SessionServices &services, SessionId id, Session &session, bool timedOut);
   void finish(Context &ctx, SessionServices &services, SessionId id, Session &session, StatementOutcome outcome,
