--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -16,6 +16,7 @@
 bool Catalog::accept(Configuration next) {
   if (next.Version <= Current.Version)
     return false;
+  ++Changes;
   Current = std::move(next);
   RouteByDatabase.clear();
   for (std::size_t n = 0; n < Current.Routes.size(); ++n)
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -50,14 +50,14 @@
   void confirmPrimary(const TargetId &target);
   /// The server refused work for a primary. Its entry counts again once it changes.
   void denyPrimary(const TargetId &target);
-  /// Grows whenever servers or their roles change.
+  /// Grows whenever the configuration, servers or their roles change.
   [[nodiscard]] std::uint64_t changes() const { return Changes; }
 
 private:
   struct Group {
     std::vector<TargetId> Servers; ///< Sorted.
     std::vector<MissingServer> Missing;
-    std::optional<TargetId> Confirmed;       ///< Answered as a primary after the last denial.
+    std::optional<TargetId> Confirmed;        ///< Answered as a primary after the last denial.
     std::map<TargetId, std::uint64_t> Denied; ///< Revision of the entry that was found wrong.
   };
 
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -6,8 +6,8 @@
 #include "callers/callers.h"
 #include "daemon/loop.h"
 #include "http/httpserver.h"
-#include "peers/peers.h"
 #include "objects/platform.h"
+#include "peers/peers.h"
 #include "targets/targets.h"
 
 #include <asio/signal_set.hpp>
--- a/src/daemon/internal/localsettings.cpp
+++ b/src/daemon/internal/localsettings.cpp
@@ -185,8 +185,8 @@
 
 void readRoot(Reader &in, const YAML::Node &root, LocalSettings &out) {
   if (!in.checkMap(root, "",
-                   {"node", "region", "availability_zone", "interface", "addresses", "platform", "duties", "regions",
-                    "shutdown_grace_s", "seeds", "log"}))
+                   {"node", "region", "availability_zone", "interface", "addresses", "platform", "duties",
+                    "regions", "shutdown_grace_s", "seeds", "log"}))
     return;
   out.Self.Node = NodeId(in.name(root, "", "node"));
   out.Self.Region = Region(in.name(root, "", "region"));
@@ -270,7 +270,8 @@
   pair("platform", settings.PlatformUrl);
   if (sessions) {
     pair("duties", settings.DutiesUrl);
-    pair("shutdown_grace_s", std::to_string(std::chrono::duration<double>(settings.Self.ShutdownGrace).count()));
+    pair("shutdown_grace_s",
+         std::to_string(std::chrono::duration<double>(settings.Self.ShutdownGrace).count()));
     out << YAML::Key << "regions" << YAML::Value << YAML::BeginMap;
     for (const auto &[zone, region] : settings.Self.Regions)
       pair(zone.str().c_str(), region.str());
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -42,13 +42,15 @@
     return;
   }
   const bool same = formatLocalSettings(std::get<LocalSettings>(next)) == formatLocalSettings(settings);
-  logger.log({LogLevel::Info, "settings file read", {{"change", same ? "none" : "in force after a restart"}}});
+  logger.log(
+      {LogLevel::Info, "settings file read", {{"change", same ? "none" : "in force after a restart"}}});
 }
 
 class Signals {
 public:
   Signals(asio::io_context &io, Loop &loop, const LocalSettings &settings, std::string file, ILogger &logger)
-      : Set(io, SIGTERM, SIGINT, SIGHUP), Events(loop), Settings(settings), File(std::move(file)), Logger(logger) {
+      : Set(io, SIGTERM, SIGINT, SIGHUP), Events(loop), Settings(settings), File(std::move(file)),
+        Logger(logger) {
     wait();
   }
 
@@ -67,7 +69,9 @@
       reload(Settings, File, Logger);
       return;
     }
-    Logger.log({LogLevel::Info, Stopping ? "ending at once" : "shutdown requested", {{"signal", std::to_string(number)}}});
+    Logger.log({LogLevel::Info,
+                Stopping ? "ending at once" : "shutdown requested",
+                {{"signal", std::to_string(number)}}});
     if (std::exchange(Stopping, true))
       Events.stop();
     else
@@ -84,8 +88,8 @@
 
 } // namespace
 
-int runSessionDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer, ILogger &logger,
-                     const ICodecs &codecs, const DirectoryFactory &makeDirectory) {
+int runSessionDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer,
+                     ILogger &logger, const ICodecs &codecs, const DirectoryFactory &makeDirectory) {
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context io(1);
   Metrics metrics;
@@ -95,7 +99,8 @@
   const auto sessions = makeSessionListener(io, {settings.Callers}, codecs, sink, metrics);
   const auto links = makeLinkConnector(io, codecs, sink, metrics);
   const auto directory = makeDirectory(io, metrics);
-  const auto admin = makeAdmin(makeHttpServer(io, metrics, adminOptions(settings.Admin, "admin")), sink, metrics, ready);
+  const auto admin =
+      makeAdmin(makeHttpServer(io, metrics, adminOptions(settings.Admin, "admin")), sink, metrics, ready);
   Adapters adapters;
   adapters.Admin = admin.get();
   adapters.Sessions = sessions.get();
@@ -105,7 +110,8 @@
   admin->start();
   std::unique_ptr<IAdmin> more;
   if (settings.MetricsOnly) {
-    more = makeAdmin(makeHttpServer(io, metrics, adminOptions(*settings.MetricsOnly, "metrics")), sink, metrics, ready);
+    more = makeAdmin(makeHttpServer(io, metrics, adminOptions(*settings.MetricsOnly, "metrics")), sink,
+                     metrics, ready);
     more->start();
   }
   const Signals signals(io, loop, settings, file, logger);
--- a/src/daemon/localsettings.h
+++ b/src/daemon/localsettings.h
@@ -23,7 +23,8 @@
   SocketAddress Admin;
   std::string PlatformUrl;
   std::string DutiesUrl; ///< Sessions: where promotions are ordered.
-  std::optional<SocketAddress> MetricsOnly; ///< Sessions: a further listener with the paths of the admin address.
+  std::optional<SocketAddress>
+      MetricsOnly; ///< Sessions: a further listener with the paths of the admin address.
   rosemaryhinge::LogFormat LogFormat = LogFormat::KeyValue;
   rosemaryhinge::LogLevel LogLevel = LogLevel::Info;
 };
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -15,7 +15,9 @@
 constexpr Duration MaxRetry = 800ms;
 constexpr int MaxDoublings = 3;
 
-const char *nameOf(DirectoryKind kind) { return kind == DirectoryKind::Configuration ? "configuration" : "servers"; }
+const char *nameOf(DirectoryKind kind) {
+  return kind == DirectoryKind::Configuration ? "configuration" : "servers";
+}
 
 } // namespace
 
@@ -30,12 +32,14 @@
     const auto after = feed.Listed.empty() ? std::string() : feed.Listed.back().Name;
     ctx.emit(DirectoryCall{*feed.Call, ListTimeout, ListDirectory{feed.Kind, after}});
   } else {
-    ctx.emit(DirectoryCall{*feed.Call, WatchWait + WatchGrace, WatchDirectory{feed.Kind, feed.Revision, WatchWait}});
+    ctx.emit(DirectoryCall{*feed.Call, WatchWait + WatchGrace,
+                           WatchDirectory{feed.Kind, feed.Revision, WatchWait}});
   }
 }
 
 void DirectoryModule::onAnswer(Context &ctx, Catalog &catalog, const DirectoryAnswer &event) {
-  const auto feed = std::find_if(Feeds.begin(), Feeds.end(), [&](const Feed &it) { return it.Call == event.Call; });
+  const auto feed =
+      std::find_if(Feeds.begin(), Feeds.end(), [&](const Feed &it) { return it.Call == event.Call; });
   if (feed == Feeds.end())
     return;
   feed->Call.reset();
@@ -82,7 +86,8 @@
     return;
   catalog.setListed();
   for (const auto &service : catalog.services())
-    for (const auto servers = catalog.servers(service); const auto &target : std::vector(servers.begin(), servers.end()))
+    for (const auto servers = catalog.servers(service);
+         const auto &target : std::vector(servers.begin(), servers.end()))
       if (!seen.contains(target))
         vanish(ctx, catalog, target);
 }
@@ -92,38 +97,41 @@
     vanish(ctx, catalog, TargetId(object.Name));
     return;
   }
-  std::visit(Overloaded{
-                 [&](const Configuration &it) {
-                   if (!catalog.accept(it))
-                     return;
-                   ctx.emit(Count{"configurations_accepted_total"});
-                   ctx.emit(Log{LogLevel::Info,
-                                "configuration in force",
-                                {{"version", std::to_string(it.Version)}, {"routes", std::to_string(it.Routes.size())}}});
-                 },
-                 [&](const ServerEntry &it) {
-                   Vanishing.erase(it.Target);
-                   const auto before = catalog.primary(it.Service);
-                   catalog.updateServer(it, ctx.Now);
-                   ctx.emit(Log{LogLevel::Info,
-                                "server entry",
-                                {{"server", it.Target.str()},
-                                 {"service", it.Service.str()},
-                                 {"role", it.Role ? (*it.Role == TargetRole::Primary ? "primary" : "replica") : "none"},
-                                 {"leaving", it.Leaving ? "yes" : "no"},
-                                 {"revision", std::to_string(it.Revision)}}});
-                   if (const auto after = catalog.primary(it.Service); after && after != before)
-                     ctx.emit(Log{LogLevel::Info,
-                                  "primary changed",
-                                  {{"service", it.Service.str()}, {"server", after->str()}, {"source", "store"}}});
-                 },
-                 [&](const UnreadableObject &it) {
-                   ctx.emit(Count{"directory_unreadable_total"});
-                   ctx.emit(Log{LogLevel::Warn, "object cannot be used", {{"name", object.Name}, {"why", it.Why}}});
-                 },
-                 [](const Claim &) {},
-             },
-             object.Value);
+  std::visit(
+      Overloaded{
+          [&](const Configuration &it) {
+            if (!catalog.accept(it))
+              return;
+            ctx.emit(Count{"configurations_accepted_total"});
+            ctx.emit(
+                Log{LogLevel::Info,
+                    "configuration in force",
+                    {{"version", std::to_string(it.Version)}, {"routes", std::to_string(it.Routes.size())}}});
+          },
+          [&](const ServerEntry &it) {
+            Vanishing.erase(it.Target);
+            const auto before = catalog.primary(it.Service);
+            catalog.updateServer(it, ctx.Now);
+            ctx.emit(
+                Log{LogLevel::Info,
+                    "server entry",
+                    {{"server", it.Target.str()},
+                     {"service", it.Service.str()},
+                     {"role", it.Role ? (*it.Role == TargetRole::Primary ? "primary" : "replica") : "none"},
+                     {"leaving", it.Leaving ? "yes" : "no"},
+                     {"revision", std::to_string(it.Revision)}}});
+            if (const auto after = catalog.primary(it.Service); after && after != before)
+              ctx.emit(Log{LogLevel::Info,
+                           "primary changed",
+                           {{"service", it.Service.str()}, {"server", after->str()}, {"source", "store"}}});
+          },
+          [&](const UnreadableObject &it) {
+            ctx.emit(Count{"directory_unreadable_total"});
+            ctx.emit(Log{LogLevel::Warn, "object cannot be used", {{"name", object.Name}, {"why", it.Why}}});
+          },
+          [](const Claim &) {},
+      },
+      object.Value);
 }
 
 void DirectoryModule::vanish(Context &ctx, Catalog &catalog, const TargetId &target) {
@@ -143,7 +151,9 @@
   ++feed.Failures;
   const int doublings = std::min(feed.Failures - 1, MaxDoublings);
   const auto pause = std::min(MaxRetry, FirstRetry * (1 << doublings));
-  feed.RetryAt = ctx.Now + pause / 2 + Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(pause.count() / 2)));
+  feed.RetryAt =
+      ctx.Now + pause / 2 +
+      Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(pause.count() / 2)));
   ctx.emit(Count{"directory_failures_total"});
   if (feed.Failures == 2)
     ctx.emit(Log{LogLevel::Warn, "store lost", {{"kind", nameOf(feed.Kind)}, {"why", why}}});
--- a/src/freshness/positionhistory.h
+++ b/src/freshness/positionhistory.h
@@ -1,7 +1,8 @@
 // Which log position proves that a read is fresh enough.
 //
-// A sample is a position that the primary gave inside a transaction which it refuses once it has lost the lead. It holds
-// every commit that was acknowledged before the request for it was sent, through whichever proxy.
+// A sample is a position that the primary gave inside a transaction which it refuses once it has lost the
+// lead. It holds every commit that was acknowledged before the request for it was sent, through whichever
+// proxy.
 
 #pragma once
 
--- a/src/httpclient/httpclient.cpp
+++ b/src/httpclient/httpclient.cpp
@@ -212,7 +212,8 @@
 
 } // namespace
 
-std::unique_ptr<IHttpClient> makeHttpClient(asio::io_context &io, HttpClientOptions options, IMetrics &metrics) {
+std::unique_ptr<IHttpClient> makeHttpClient(asio::io_context &io, HttpClientOptions options,
+                                            IMetrics &metrics) {
   return std::make_unique<HttpClient>(io, std::move(options), metrics);
 }
 
--- a/src/httpclient/httpclient.h
+++ b/src/httpclient/httpclient.h
@@ -16,17 +16,17 @@
 
 struct HttpCall {
   std::string Method = "GET";
-  std::string Path; ///< With the query.
+  std::string Path;                 ///< With the query.
   std::vector<std::string> Headers; ///< Whole lines, such as "If-Version: 3".
-  std::string Body; ///< Sent if the method is not GET.
+  std::string Body;                 ///< Sent if the method is not GET.
   std::chrono::milliseconds Timeout{1'000};
   /// A connection that has carried a call without an answer is not used again.
   bool FreshConnection = false;
 };
 
 struct HttpResult {
-  bool Answered = false;   ///< A whole response came.
-  bool Connected = true;   ///< False if no connection could be made: nothing was sent.
+  bool Answered = false; ///< A whole response came.
+  bool Connected = true; ///< False if no connection could be made: nothing was sent.
   int Status = 0;
   std::string VersionHeader; ///< X-Version; empty if absent.
   std::string Body;
@@ -34,7 +34,7 @@
 };
 
 struct HttpClientOptions {
-  std::string Url; ///< Without a path, such as http://10.0.0.1:7000.
+  std::string Url;          ///< Without a path, such as http://10.0.0.1:7000.
   std::string MetricPrefix; ///< Of the counters <prefix>_calls_total and so on.
   std::size_t MaxRunning = 256;
   std::size_t MaxQueued = 4'096;
--- a/src/leadership/internal/reason.cpp
+++ b/src/leadership/internal/reason.cpp
@@ -23,9 +23,9 @@
 
 } // namespace
 
-std::optional<ChangeReason> reasonToChange(const DatabaseId &service, const Catalog &catalog, const LinkPool &links,
-                                           const SessionsModule &sessions, TimePoint since,
-                                           TimePoint now) {
+std::optional<ChangeReason> reasonToChange(const DatabaseId &service, const Catalog &catalog,
+                                           const LinkPool &links, const SessionsModule &sessions,
+                                           TimePoint since, TimePoint now) {
   const auto primary = catalog.primary(service);
   if (!primary) {
     if (now - since >= NoPrimaryFor)
--- a/src/leadership/internal/reason.h
+++ b/src/leadership/internal/reason.h
@@ -17,10 +17,11 @@
   bool Urgent = false; ///< Nobody can write meanwhile.
 };
 
-/// None while the primary answers and stays. Since: since when the present primary, or the lack of one, is known. What
-/// a server did before it became the primary does not count.
+/// None while the primary answers and stays. Since: since when the present primary, or the lack of one, is
+/// known. What a server did before it became the primary does not count.
 [[nodiscard]] std::optional<ChangeReason> reasonToChange(const DatabaseId &service, const Catalog &catalog,
-                                                         const LinkPool &links, const SessionsModule &sessions,
-                                                         TimePoint since, TimePoint now);
+                                                         const LinkPool &links,
+                                                         const SessionsModule &sessions, TimePoint since,
+                                                         TimePoint now);
 
 } // namespace rosemaryhinge::detail
--- a/src/leadership/internal/survey.cpp
+++ b/src/leadership/internal/survey.cpp
@@ -46,7 +46,8 @@
       return true;
   return std::all_of(survey.begin(), survey.end(), [&](const auto &one) {
     const auto &[target, it] = one;
-    return target == candidate || it.Former || (!it.Missing && it.Paused && it.Status && it.Status->Log <= at);
+    return target == candidate || it.Former ||
+           (!it.Missing && it.Paused && it.Status && it.Status->Log <= at);
   });
 }
 
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -34,9 +34,8 @@
 } // namespace
 
 bool LeadershipModule::changing() const {
-  return std::any_of(Changes.begin(), Changes.end(), [](const auto &it) {
-    return it.second.State >= Phase::Surveying;
-  });
+  return std::any_of(Changes.begin(), Changes.end(),
+                     [](const auto &it) { return it.second.State >= Phase::Surveying; });
 }
 
 void LeadershipModule::enter(Change &change, Phase next, TimePoint now) {
@@ -54,7 +53,8 @@
   Next = ctx.Now + (active ? ActiveInterval : IdleInterval);
 }
 
-void LeadershipModule::step(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change) {
+void LeadershipModule::step(Context &ctx, LeadershipServices &services, const DatabaseId &service,
+                            Change &change) {
   if (const auto primary = services.Catalog.primary(service);
       primary != change.Primary || change.PrimarySince == TimePoint()) {
     change.Primary = primary;
@@ -66,7 +66,8 @@
     break;
   case Phase::Waiting:
     if (ctx.Now >= change.ClaimAt) {
-      if (detail::reasonToChange(service, services.Catalog, services.Links, services.Sessions, change.PrimarySince, ctx.Now))
+      if (detail::reasonToChange(service, services.Catalog, services.Links, services.Sessions,
+                                 change.PrimarySince, ctx.Now))
         putClaim(ctx, service, change, false);
       else
         enter(change, Phase::None, ctx.Now);
@@ -91,14 +92,15 @@
                                 Change &change) {
   if (Leaving || ctx.Now < change.NotBefore || services.Catalog.servers(service).size() < 2)
     return;
-  auto reason = detail::reasonToChange(service, services.Catalog, services.Links, services.Sessions, change.PrimarySince,
-                                       ctx.Now);
+  auto reason = detail::reasonToChange(service, services.Catalog, services.Links, services.Sessions,
+                                       change.PrimarySince, ctx.Now);
   if (!reason)
     return;
   change.Reason = std::move(*reason);
-  ctx.emit(Log{LogLevel::Warn,
-               "primary suspected",
-               {{"service", service.str()}, {"server", change.Reason.From.str()}, {"why", change.Reason.Why}}});
+  ctx.emit(
+      Log{LogLevel::Warn,
+          "primary suspected",
+          {{"service", service.str()}, {"server", change.Reason.From.str()}, {"why", change.Reason.Why}}});
   readClaim(ctx, change);
 }
 
@@ -108,7 +110,8 @@
   ctx.emit(DirectoryCall{*change.Call, CallTimeout, ListDirectory{DirectoryKind::Claims, {}}});
 }
 
-void LeadershipModule::onDirectoryAnswer(Context &ctx, LeadershipServices &services, const DirectoryAnswer &event) {
+void LeadershipModule::onDirectoryAnswer(Context &ctx, LeadershipServices &services,
+                                         const DirectoryAnswer &event) {
   const auto it = std::find_if(Changes.begin(), Changes.end(),
                                [&](const auto &one) { return one.second.Call == event.Call; });
   if (it == Changes.end())
@@ -135,8 +138,8 @@
   } else {
     const auto *failure = std::get_if<DirectoryFailure>(&event.Result);
     ctx.emit(Count{"claim_failures_total"});
-    giveUp(ctx, services, service, change, failure ? "store: " + failure->Message : "store: unexpected answer",
-           RetryPause);
+    giveUp(ctx, services, service, change,
+           failure ? "store: " + failure->Message : "store: unexpected answer", RetryPause);
   }
 }
 
@@ -160,8 +163,9 @@
     }
   }
   enter(change, Phase::Waiting, ctx.Now);
-  change.ClaimAt = ctx.Now + Duration(static_cast<std::int64_t>(
-                                 ctx.Random() % static_cast<std::uint64_t>(ClaimSpread.count())));
+  change.ClaimAt =
+      ctx.Now +
+      Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(ClaimSpread.count())));
 }
 
 void LeadershipModule::putClaim(Context &ctx, const DatabaseId &service, Change &change, bool done) {
@@ -169,8 +173,9 @@
     change.Nonce = std::to_string(ctx.Incarnation) + "." + std::to_string(ctx.number());
   enter(change, done ? Phase::Recording : Phase::Claiming, ctx.Now);
   change.Call = ctx.call(Module::Leadership);
-  ctx.emit(DirectoryCall{*change.Call, CallTimeout,
-                         PutClaim{{service, ctx.Self.Node, change.Reason.From, done, change.Nonce, change.ClaimRevision}}});
+  ctx.emit(DirectoryCall{
+      *change.Call, CallTimeout,
+      PutClaim{{service, ctx.Self.Node, change.Reason.From, done, change.Nonce, change.ClaimRevision}}});
 }
 
 void LeadershipModule::onClaimed(Context &ctx, LeadershipServices &services, const DatabaseId &service,
@@ -211,13 +216,12 @@
     else
       change.Servers[it.Target].Missing = true;
   }
-  std::erase_if(change.Servers, [&](const auto &it) {
-    return !it.second.Missing && !services.Catalog.server(it.first);
-  });
+  std::erase_if(change.Servers,
+                [&](const auto &it) { return !it.second.Missing && !services.Catalog.server(it.first); });
 }
 
-void LeadershipModule::order(Context &ctx, LeadershipServices &services, Change &change, const TargetId &target,
-                             bool pause) {
+void LeadershipModule::order(Context &ctx, LeadershipServices &services, Change &change,
+                             const TargetId &target, bool pause) {
   auto it = change.Orders.find(target);
   if (it != change.Orders.end() && it->second.Sent) {
     if (ctx.Now - it->second.SentAt < OrderPatience)
@@ -275,8 +279,8 @@
   }
   const bool former = change.Servers.contains(change.Reason.From) &&
                       !services.Links.health(change.Reason.From).suspect(ctx.Now);
-  if (former && ctx.Now - change.StartedAt >= StepDownAfter && !change.Servers[change.Reason.From].SteppedDown &&
-      detail::newestTerm(change.Servers) > 0)
+  if (former && ctx.Now - change.StartedAt >= StepDownAfter &&
+      !change.Servers[change.Reason.From].SteppedDown && detail::newestTerm(change.Servers) > 0)
     order(ctx, services, change, change.Reason.From, true);
   const auto candidate = detail::furthest(change.Servers);
   if (!candidate || (!allKnown && !change.Servers[change.Reason.From].SteppedDown))
@@ -321,9 +325,10 @@
     return;
   if (!event.Status) {
     const auto *why = std::get_if<StatementRejection>(&event.Outcome);
-    ctx.emit(Log{LogLevel::Info,
-                 "order refused",
-                 {{"server", reply.Target.str()}, {"why", why ? std::string(toString(why->Code)) : "no status"}}});
+    ctx.emit(
+        Log{LogLevel::Info,
+            "order refused",
+            {{"server", reply.Target.str()}, {"why", why ? std::string(toString(why->Code)) : "no status"}}});
     return;
   }
   auto &entry = change.Servers[reply.Target];
@@ -342,7 +347,8 @@
   survey(ctx, services, it->first, change);
 }
 
-void LeadershipModule::onLinkClosed(Context &, LeadershipServices &, const LinkPool::Closed &closed, LinkId link) {
+void LeadershipModule::onLinkClosed(Context &, LeadershipServices &, const LinkPool::Closed &closed,
+                                    LinkId link) {
   const auto it = Changes.find(closed.Service);
   if (it == Changes.end())
     return;
@@ -359,7 +365,8 @@
   ctx.emit(PromotionCall{*change.Call, PromoteTimeout, service, change.Chosen, change.ClaimRevision});
 }
 
-void LeadershipModule::onPromotionAnswer(Context &ctx, LeadershipServices &services, const PromotionAnswer &event) {
+void LeadershipModule::onPromotionAnswer(Context &ctx, LeadershipServices &services,
+                                         const PromotionAnswer &event) {
   const auto it = std::find_if(Changes.begin(), Changes.end(),
                                [&](const auto &one) { return one.second.Call == event.Call; });
   if (it == Changes.end())
@@ -413,8 +420,8 @@
     giveUp(ctx, services, service, change, "the promoted server does not lead", RetryPause);
 }
 
-void LeadershipModule::giveUp(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change,
-                              const std::string &why, Duration pause) {
+void LeadershipModule::giveUp(Context &ctx, LeadershipServices &services, const DatabaseId &service,
+                              Change &change, const std::string &why, Duration pause) {
   ctx.emit(Count{"changes_given_up_total"});
   ctx.emit(Log{LogLevel::Warn, "change of primary given up", {{"service", service.str()}, {"why", why}}});
   releaseOrders(ctx, services, change, true);
@@ -422,7 +429,8 @@
   enter(change, Phase::None, ctx.Now);
 }
 
-void LeadershipModule::releaseOrders(Context &ctx, LeadershipServices &services, Change &change, bool resume) {
+void LeadershipModule::releaseOrders(Context &ctx, LeadershipServices &services, Change &change,
+                                     bool resume) {
   for (const auto &[target, it] : change.Orders) {
     if (resume && change.PausedByUs.contains(target) && services.Links.targetOf(it.Link))
       services.Links.send(ctx, it.Link, {ResumeReplica{}});
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -1,8 +1,8 @@
 // Changes of primary: who carries one out, and its steps.
 //
-// Steps: claim (a conditional update at the store, whose revision is the fencing token), survey (pause the replicas and
-// learn their logs), promote, settle (until the new primary is known). Each claim promotes one server only, so that a
-// promotion that is carried out late cannot undo a later one.
+// Steps: claim (a conditional update at the store, whose revision is the fencing token), survey (pause the
+// replicas and learn their logs), promote, settle (until the new primary is known). Each claim promotes one
+// server only, so that a promotion that is carried out late cannot undo a later one.
 
 #pragma once
 
@@ -31,7 +31,8 @@
   void onTimer(Context &ctx, LeadershipServices &services);
   void onDirectoryAnswer(Context &ctx, LeadershipServices &services, const DirectoryAnswer &event);
   void onPromotionAnswer(Context &ctx, LeadershipServices &services, const PromotionAnswer &event);
-  void onReply(Context &ctx, LeadershipServices &services, const LinkPool::Reply &reply, const LinkReplied &event);
+  void onReply(Context &ctx, LeadershipServices &services, const LinkPool::Reply &reply,
+               const LinkReplied &event);
   void onLinkClosed(Context &ctx, LeadershipServices &services, const LinkPool::Closed &closed, LinkId link);
   /// Takes no new claim any more; a change that has begun is carried to its end.
   void startLeaving() { Leaving = true; }
@@ -39,7 +40,16 @@
   [[nodiscard]] std::optional<TimePoint> nextTimer() const { return Next; }
 
 private:
-  enum class Phase : std::uint8_t { None, Reading, Waiting, Claiming, Surveying, Promoting, Settling, Recording };
+  enum class Phase : std::uint8_t {
+    None,
+    Reading,
+    Waiting,
+    Claiming,
+    Surveying,
+    Promoting,
+    Settling,
+    Recording
+  };
   struct Order {
     LinkId Link;
     bool Sent = false;
@@ -51,7 +61,7 @@
     detail::ChangeReason Reason;
     std::optional<TargetId> Primary; ///< As last seen in the catalogue.
     TimePoint PrimarySince;          ///< When it was first seen, or the lack of one.
-    TimePoint NotBefore; ///< No attempt before.
+    TimePoint NotBefore;             ///< No attempt before.
     std::uint64_t ClaimRevision = 0;
     /// Claim of another proxy that is left to its work, and since when it is known.
     std::uint64_t ForeignRevision = 0;
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -113,7 +113,8 @@
   return Names.emplace(shape, "p" + std::to_string(++NamesGiven)).first->second;
 }
 
-std::vector<LinkCommand> LinkPool::prepare(LinkId id, const SessionValues &values, const PreparedShape *shape) {
+std::vector<LinkCommand> LinkPool::prepare(LinkId id, const SessionValues &values,
+                                           const PreparedShape *shape) {
   std::vector<LinkCommand> out;
   auto &link = Links.at(id);
   const bool tooMany = shape && link.Prepared.size() >= MaxPrepared;
@@ -242,8 +243,9 @@
   auto &server = Servers[link.Target];
   if (event.Why == LinkFailure::TooMany) {
     server.FullAt = ctx.Now;
-    server.RetryAt = ctx.Now + FullPause +
-                     Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(FullPause.count())));
+    server.RetryAt =
+        ctx.Now + FullPause +
+        Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(FullPause.count())));
   } else if (!out.Opened) {
     server.RetryAt = ctx.Now + FailurePause;
   }
@@ -272,7 +274,8 @@
     } else if (link.State == Phase::Idle) {
       if (!catalog.server(link.Target) || age >= idleLimit(Servers.at(link.Target), ctx.Now))
         closing.emplace_back(id, false);
-    } else if (!link.Lent && !link.Awaiting.empty() && ctx.Now - link.Awaiting.front().SentAt >= AnswerTimeout) {
+    } else if (!link.Lent && !link.Awaiting.empty() &&
+               ctx.Now - link.Awaiting.front().SentAt >= AnswerTimeout) {
       closing.emplace_back(id, true);
     }
   }
@@ -293,7 +296,8 @@
     forget(ctx, id, opening ? std::optional(LinkFailure::Timeout) : std::nullopt, silent);
     ctx.emit(CloseLink{id});
   }
-  std::erase_if(Servers, [&](const auto &it) { return it.second.Links.empty() && !catalog.server(it.first); });
+  std::erase_if(Servers,
+                [&](const auto &it) { return it.second.Links.empty() && !catalog.server(it.first); });
   NextSweep = Links.empty() ? std::nullopt : std::optional(ctx.Now + SweepInterval);
 }
 
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -1,8 +1,8 @@
 // Connections of this proxy to servers: opened on demand, lent to one session at a time, closed when idle.
 //
-// A server takes a bounded number of connections from all proxies together. Nobody divides them up: a proxy opens what
-// its waiting work needs, the server refuses what is too many, and idle connections are closed soon, so that connections
-// move to where the load is.
+// A server takes a bounded number of connections from all proxies together. Nobody divides them up: a proxy
+// opens what its waiting work needs, the server refuses what is too many, and idle connections are closed
+// soon, so that connections move to where the load is.
 
 #pragma once
 
@@ -44,8 +44,8 @@
 class LinkPool {
 public:
   /// Takes an idle link to a server for a session, preferring one that carries the session's values.
-  [[nodiscard]] std::optional<LinkId> acquire(const TargetId &target, LinkUser user, const SessionValues &values,
-                                              TimePoint now);
+  [[nodiscard]] std::optional<LinkId> acquire(const TargetId &target, LinkUser user,
+                                              const SessionValues &values, TimePoint now);
   /// Opens a further link for waiting work, unless enough are being opened or the server has refused lately.
   void want(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting);
   /// Commands that make the link carry these values and this prepared statement.
@@ -54,8 +54,8 @@
   /// Name under which a shape is prepared on every link of this proxy.
   [[nodiscard]] std::string preparedName(const PreparedShape &shape);
   void send(Context &ctx, LinkId link, std::vector<LinkCommand> commands);
-  /// Gives a link back. A transaction that is still open is rolled back, and the link is lent again once nothing is
-  /// awaited on it.
+  /// Gives a link back. A transaction that is still open is rolled back, and the link is lent again once
+  /// nothing is awaited on it.
   void release(Context &ctx, LinkId link);
   /// Closes a link whose state is in doubt. Silent: because the server did not answer.
   void close(Context &ctx, LinkId link, bool silent);
@@ -106,17 +106,17 @@
     LinkUser User;
     bool Lent = false;
     TransactionState InServer = TransactionState::Idle; ///< As of the last answer.
-    SessionValues Values;            ///< What the server holds for this connection.
-    std::set<std::string> Prepared; ///< Names that the server holds for this connection.
+    SessionValues Values;                               ///< What the server holds for this connection.
+    std::set<std::string> Prepared;                     ///< Names that the server holds for this connection.
     std::deque<Awaited> Awaiting;
   };
   struct Server {
     std::set<LinkId> Links;
     std::size_t Opening = 0;
     std::size_t Idle = 0;
-    std::size_t Awaiting = 0; ///< Answers that are due, and links being opened.
-    std::optional<TimePoint> FullAt;   ///< When the server last had too many connections.
-    TimePoint RetryAt;                 ///< No new link before.
+    std::size_t Awaiting = 0;        ///< Answers that are due, and links being opened.
+    std::optional<TimePoint> FullAt; ///< When the server last had too many connections.
+    TimePoint RetryAt;               ///< No new link before.
     ServerHealth Health;
   };
 
--- a/src/links/serverhealth.h
+++ b/src/links/serverhealth.h
@@ -36,7 +36,9 @@
   static constexpr Duration FailureMemory = 2s;
 
 private:
-  [[nodiscard]] bool remembered(TimePoint now) const { return FailingSince && now - FailedAt < FailureMemory; }
+  [[nodiscard]] bool remembered(TimePoint now) const {
+    return FailingSince && now - FailedAt < FailureMemory;
+  }
 
   std::optional<TimePoint> DueSince; ///< No answer since, while one is due.
   std::optional<TimePoint> FailingSince;
--- a/src/links/tests/linkpooltests.cpp
+++ b/src/links/tests/linkpooltests.cpp
@@ -1,2 +1,179 @@
-// Tests.
+// Tests of the connections to servers.
+
+#include "links/linkpool.h"
+
 #include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+
+namespace {
+
+const TargetId A("a");
+
+class Pool {
+public:
+  Pool() {
+    Configuration configuration;
+    configuration.Version = 1;
+    configuration.Services = {{DatabaseId("yard"), 3, 1}};
+    Known.accept(configuration);
+    Known.updateServer(
+        {A, DatabaseId("yard"), "10.0.0.1:80", AvailabilityZone("z"), TargetRole::Replica, false, 1}, Now);
+  }
+
+  Context &ctx() {
+    Ctx.emplace(Context{Now, Self, 1, Allowed, Random, Out, Journal, Number});
+    return *Ctx;
+  }
+
+  void want(std::size_t waiting) { Links.want(ctx(), Known, A, waiting); }
+  /// Accepts all links that are being opened.
+  void accept() {
+    for (const auto &it : std::exchange(Out, {}))
+      if (const auto *open = std::get_if<OpenLink>(&it))
+        Links.onOpened(ctx(), open->Link);
+  }
+  void refuse(LinkFailure why) {
+    for (const auto &it : std::exchange(Out, {}))
+      if (const auto *open = std::get_if<OpenLink>(&it))
+        static_cast<void>(Links.onClosed(ctx(), {open->Link, why}));
+  }
+  std::optional<LinkId> acquire(const SessionValues &values = {}) {
+    return Links.acquire(A, {SessionId{1}, false}, values, Now);
+  }
+  template <typename T> std::size_t count() const {
+    return static_cast<std::size_t>(std::count_if(
+        Out.begin(), Out.end(), [](const Effect &it) { return std::holds_alternative<T>(it); }));
+  }
+  void pass(Duration time) {
+    const auto end = Now + time;
+    while (Now < end) {
+      Now += 50ms;
+      Links.onTimer(ctx(), Known);
+    }
+  }
+
+  LinkPool Links;
+  Catalog Known;
+  Effects Out;
+  TimePoint Now{50s};
+
+private:
+  NodeConfig Self;
+  Rules Allowed;
+  std::mt19937_64 Random;
+  std::vector<JournalEntry> Journal;
+  std::uint64_t Number = 0;
+  std::optional<Context> Ctx;
+};
+
+} // namespace
+
+TEST_CASE("no more links are opened than the server takes from all proxies together") {
+  Pool pool;
+  pool.want(4);
+  CHECK(pool.count<OpenLink>() == 3);
+}
+
+TEST_CASE("a server that has too many connections is not asked again at once, and is not suspect") {
+  Pool pool;
+  pool.want(1);
+  pool.refuse(LinkFailure::TooMany);
+  pool.want(1);
+  CHECK(pool.count<OpenLink>() == 0);
+  CHECK_FALSE(pool.Links.health(A).suspect(pool.Now));
+  pool.Now += 100ms;
+  pool.want(1);
+  CHECK(pool.count<OpenLink>() == 1);
+}
+
+TEST_CASE("a server whose process is down is known as such at once") {
+  Pool pool;
+  pool.want(1);
+  pool.refuse(LinkFailure::Refused);
+  CHECK(pool.Links.health(A).suspect(pool.Now));
+  CHECK(pool.Links.health(A).refusedSince(pool.Now));
+}
+
+TEST_CASE("a link that was released inside a transaction is rolled back before it is lent again") {
+  Pool pool;
+  pool.want(1);
+  pool.accept();
+  const auto link = pool.acquire();
+  REQUIRE(link);
+  pool.Links.send(pool.ctx(), *link, {BeginTransaction{}});
+  pool.Links.release(pool.ctx(), *link);
+  CHECK_FALSE(pool.acquire());
+  pool.Out.clear();
+  static_cast<void>(
+      pool.Links.onReply(pool.ctx(), {*link, StatementResultRows{}, TransactionState::Open, {}, {}}));
+  CHECK(pool.count<SendOnLink>() == 1);
+  CHECK_FALSE(pool.acquire());
+  static_cast<void>(
+      pool.Links.onReply(pool.ctx(), {*link, StatementResultRows{}, TransactionState::Idle, {}, {}}));
+  CHECK(pool.acquire());
+}
+
+TEST_CASE("a link that stays in a transaction after its rollback is closed") {
+  Pool pool;
+  pool.want(1);
+  pool.accept();
+  const auto link = pool.acquire();
+  REQUIRE(link);
+  pool.Links.send(pool.ctx(), *link, {RollbackTransaction{}});
+  pool.Links.release(pool.ctx(), *link);
+  pool.Out.clear();
+  static_cast<void>(
+      pool.Links.onReply(pool.ctx(), {*link, StatementRejection{}, TransactionState::Failed, {}, {}}));
+  CHECK(pool.count<CloseLink>() == 1);
+}
+
+TEST_CASE("a link that carries the session's values is preferred, another is cleared") {
+  Pool pool;
+  pool.want(2);
+  pool.accept();
+  const auto first = pool.acquire();
+  const auto second = pool.acquire();
+  REQUIRE(first);
+  REQUIRE(second);
+  const SessionValues north{{"zone", "north"}};
+  CHECK(pool.Links.prepare(*first, north, nullptr).size() == 1);
+  pool.Links.release(pool.ctx(), *second);
+  pool.Links.release(pool.ctx(), *first);
+  CHECK((pool.acquire(north) == first));
+  CHECK(pool.Links.prepare(*first, north, nullptr).empty());
+  const auto cleared = pool.Links.prepare(*first, {{"lang", "fi"}}, nullptr);
+  REQUIRE(cleared.size() == 2);
+  CHECK(std::holds_alternative<DiscardSession>(cleared.front()));
+}
+
+TEST_CASE("a shape has one name on all links, and is prepared once on each") {
+  Pool pool;
+  pool.want(1);
+  pool.accept();
+  const auto link = pool.acquire();
+  REQUIRE(link);
+  const PreparedShape shape{AccessMode::Write, "q2"};
+  CHECK(pool.Links.prepare(*link, {}, &shape).size() == 1);
+  CHECK(pool.Links.prepare(*link, {}, &shape).empty());
+  CHECK(pool.Links.preparedName(shape) != pool.Links.preparedName({AccessMode::Read, "q2"}));
+}
+
+TEST_CASE("a link that never opens, or never answers a rollback, does not stay") {
+  Pool pool;
+  pool.want(1);
+  pool.Out.clear();
+  pool.pass(1s);
+  CHECK(pool.count<CloseLink>() == 1);
+  CHECK(pool.Links.size() == 0);
+  CHECK(pool.Links.health(A).silence(pool.Now) > 0ms);
+}
+
+TEST_CASE("spare links are closed soon, so that other proxies get their turn") {
+  Pool pool;
+  pool.want(3);
+  pool.accept();
+  REQUIRE(pool.Links.idle(A) == 3);
+  pool.pass(1s);
+  CHECK(pool.Links.idle(A) == 2);
+}
--- a/src/objects/internal/platform.cpp
+++ b/src/objects/internal/platform.cpp
@@ -15,9 +15,9 @@
 public:
   Platform(asio::io_context &io, const PlatformOptions &options, IMetrics &metrics)
       : WatchGrace(options.WatchGrace), Metrics(metrics),
-        Client(makeHttpClient(io, {options.Url, "platform", options.MaxRunning, options.MaxQueued,
-                                   detail::MaxPlatformBody, {}},
-                              metrics)) {}
+        Client(makeHttpClient(
+            io, {options.Url, "platform", options.MaxRunning, options.MaxQueued, detail::MaxPlatformBody, {}},
+            metrics)) {}
 
   void call(const PlatformCall &effect, Handler handler) override {
     const auto request = detail::encodePlatform(effect);
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -62,7 +62,7 @@
   NodeId Holder;
   TargetId From; ///< The primary that is to be replaced; empty if none was known.
   bool Done = false;
-  std::string Nonce; ///< Tells this claim from an earlier one of the same holder.
+  std::string Nonce;          ///< Tells this claim from an earlier one of the same holder.
   std::uint64_t Revision = 0; ///< 0: nobody has claimed it yet.
 };
 
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -81,11 +81,11 @@
 /// The last request was answered and all slots are given up: the process may end.
 struct ShutdownComplete {};
 
-using Effect = std::variant<Respond, SendToPeer, PeerAddress, TargetAddress, OpenConnection, CloseConnection,
-                            Execute, ControlCall, PlatformCall, AdminReply, Log, CountRefusal, CountRetry,
-                            Count, Observe, InvariantBroken, ShutdownComplete, GreetSession, RefuseSession,
-                            AnswerStatement, CloseSession, OpenLink, SendOnLink, CloseLink, DirectoryCall,
-                            PromotionCall>;
+using Effect =
+    std::variant<Respond, SendToPeer, PeerAddress, TargetAddress, OpenConnection, CloseConnection, Execute,
+                 ControlCall, PlatformCall, AdminReply, Log, CountRefusal, CountRetry, Count, Observe,
+                 InvariantBroken, ShutdownComplete, GreetSession, RefuseSession, AnswerStatement,
+                 CloseSession, OpenLink, SendOnLink, CloseLink, DirectoryCall, PromotionCall>;
 using Effects = std::vector<Effect>;
 
 } // namespace rosemaryhinge
--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -55,9 +55,10 @@
   std::string Body;    ///< JSON.
 };
 
-using Event = std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerGone, PeerReceived,
-                           PeerLost, ConnectionOpened, ConnectionClosed, ExecutionFinished, ControlAnswer,
-                           PlatformAnswer, AdminRequest, WallClockRead, SessionOpened, StatementArrived, SessionClosed,
-                           LinkOpened, LinkClosed, LinkReplied, DirectoryAnswer, PromotionAnswer>;
+using Event =
+    std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerGone, PeerReceived, PeerLost,
+                 ConnectionOpened, ConnectionClosed, ExecutionFinished, ControlAnswer, PlatformAnswer,
+                 AdminRequest, WallClockRead, SessionOpened, StatementArrived, SessionClosed, LinkOpened,
+                 LinkClosed, LinkReplied, DirectoryAnswer, PromotionAnswer>;
 
 } // namespace rosemaryhinge
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -14,8 +14,8 @@
 class Handler {
 public:
   Handler(State &state, Context &ctx)
-      : S(state), Ctx(ctx), Services{state.Catalog, state.Links},
-        Leaders{state.Catalog, state.Links, state.Sessions} {}
+      : S(state),
+        Ctx(ctx), Services{state.Catalog, state.Links}, Leaders{state.Catalog, state.Links, state.Sessions} {}
 
   void operator()(const Started &) { S.Directory.onStarted(Ctx); }
 
@@ -97,12 +97,14 @@
 
 } // namespace
 
-void onSessionEvent(State &state, Context &ctx, const Event &event) { std::visit(Handler(state, ctx), event); }
+void onSessionEvent(State &state, Context &ctx, const Event &event) {
+  std::visit(Handler(state, ctx), event);
+}
 
 std::optional<TimePoint> nextSessionTimer(const State &state) {
-  const std::array<std::optional<TimePoint>, 5> times = {state.Directory.nextTimer(), state.Links.nextTimer(),
-                                                         state.Sessions.nextTimer(), state.Leadership.nextTimer(),
-                                                         state.Drain.nextTimer()};
+  const std::array<std::optional<TimePoint>, 5> times = {
+      state.Directory.nextTimer(), state.Links.nextTimer(), state.Sessions.nextTimer(),
+      state.Leadership.nextTimer(), state.Drain.nextTimer()};
   std::optional<TimePoint> out;
   for (const auto &it : times)
     if (it && (!out || *it < *out))
--- /dev/null
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -0,0 +1,130 @@
+// Tests of changes of primary as a proxy with sessions carries them out.
+
+#include "reducer/tests/sessionharness.h"
+
+#include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+
+namespace {
+
+const DatabaseId Yard("yard");
+
+/// Answers a claim call that is due: the reading with no claim, the writing with a revision.
+bool answerClaim(SessionHarness &proxy, std::uint64_t revision) {
+  const auto call = proxy.take<DirectoryCall>();
+  if (!call)
+    return false;
+  if (const auto *put = std::get_if<PutClaim>(&call->Request)) {
+    auto stored = put->Next;
+    stored.Revision = revision;
+    proxy.apply(DirectoryAnswer{call->Call, ClaimStored{stored}});
+  } else if (const auto *list = std::get_if<ListDirectory>(&call->Request);
+             list && list->Kind == DirectoryKind::Claims) {
+    proxy.apply(DirectoryAnswer{call->Call, DirectoryListing{{}, false, 30}});
+  }
+  return true;
+}
+
+/// Makes the primary refuse connections until the proxy has claimed the change.
+void losePrimary(SessionHarness &proxy, std::uint64_t token) {
+  const auto session = proxy.open("settle");
+  for (int n = 0; n < 60; ++n) {
+    if (!proxy.Logic.Sessions.waiting())
+      proxy.write(session, "w" + std::to_string(n));
+    while (const auto open = proxy.take<OpenLink>()) {
+      if (open->Target == TargetId("p"))
+        proxy.apply(LinkClosed{open->Link, LinkFailure::Refused});
+      else
+        proxy.apply(LinkOpened{open->Link});
+    }
+    while (answerClaim(proxy, token)) {
+    }
+    proxy.pass(20ms);
+    if (proxy.Logic.Leadership.changing())
+      return;
+  }
+}
+
+/// Lets the servers answer orders and status queries for a while; logs by server.
+void answerOrders(SessionHarness &proxy, const std::map<std::string, Lsn> &logs) {
+  std::map<LinkId, TargetId> links;
+  for (int n = 0; n < 60; ++n) {
+    while (const auto open = proxy.take<OpenLink>()) {
+      if (!logs.contains(open->Target.str()))
+        continue;
+      proxy.apply(LinkOpened{open->Link});
+    }
+    while (const auto sent = proxy.take<SendOnLink>()) {
+      const auto target = proxy.Logic.Links.targetOf(sent->Link).value_or(TargetId());
+      if (!logs.contains(target.str()))
+        continue;
+      TargetStatus status{TargetRole::Replica, 1, {1, logs.at(target.str())}, {}, false, {}};
+      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
+        proxy.apply(
+            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+    }
+    proxy.pass(20ms);
+  }
+}
+
+} // namespace
+
+TEST_CASE("of two replicas the one with the longer log is promoted, with the claim's revision as token") {
+  SessionHarness proxy;
+  losePrimary(proxy, 41);
+  answerOrders(proxy, {{"a", 10}, {"b", 20}});
+  const auto call = proxy.take<PromotionCall>();
+  REQUIRE(call);
+  CHECK(call->Target == TargetId("b"));
+  CHECK(call->Token == 41);
+  CHECK(call->Service == Yard);
+}
+
+TEST_CASE("nobody is promoted while one replica does not answer: it may hold a commit that the other lacks") {
+  SessionHarness proxy;
+  losePrimary(proxy, 41);
+  answerOrders(proxy, {{"a", 10}});
+  CHECK_FALSE(proxy.take<PromotionCall>());
+}
+
+TEST_CASE("a proxy that was fenced gives up and does not call again with its token") {
+  SessionHarness proxy;
+  losePrimary(proxy, 41);
+  answerOrders(proxy, {{"a", 10}, {"b", 20}});
+  const auto call = proxy.take<PromotionCall>();
+  REQUIRE(call);
+  proxy.apply(PromotionAnswer{call->Call, PromotionResult::Fenced, ""});
+  proxy.pass(1500ms);
+  CHECK_FALSE(proxy.take<PromotionCall>());
+}
+
+TEST_CASE("silence from before a server led is no reason to replace it") {
+  SessionHarness proxy;
+  // Replica a fails while it is only a replica, and nothing is tried there afterwards.
+  ServerHealth health;
+  health.sent(proxy.Now);
+  health.failed(LinkFailure::Timeout, proxy.Now + 700ms, false);
+  CHECK(health.silence(proxy.Now + 1s) > 0ms);
+  CHECK(health.silence(proxy.Now + 8s) == 0ms);
+  const auto reason = detail::reasonToChange(Yard, proxy.Logic.Catalog, proxy.Logic.Links,
+                                             proxy.Logic.Sessions, proxy.Now - 100ms, proxy.Now);
+  CHECK_FALSE(reason);
+}
+
+TEST_CASE("writes inside transactions do not hide that commits get no answer") {
+  SessionHarness proxy;
+  const auto writer = proxy.open("settle");
+  proxy.write(writer, "w1");
+  const auto [stuck, p] = proxy.acceptLink();
+  const auto since = proxy.Now;
+  const auto other = proxy.open("settle");
+  proxy.send(other, "b", BeginStatement{});
+  proxy.write(other, "w2");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  proxy.pass(100ms);
+  // The write needs no replica until its transaction commits.
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  CHECK((proxy.Logic.Sessions.writesUnansweredSince(Yard) == since));
+}
--- /dev/null
+++ b/src/reducer/tests/sessionharness.h
@@ -0,0 +1,163 @@
+// A proxy with sessions whose servers, callers and store are played by the test, one effect at a time.
+
+#pragma once
+
+#include "reducer/reducer.h"
+
+#include <algorithm>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rosemaryhinge {
+
+class SessionHarness {
+public:
+  SessionHarness() {
+    Logic.Self.Node = NodeId("n1");
+    Logic.Self.AvailabilityZone = AvailabilityZone("z1");
+    Logic.Self.Region = Region("r1");
+    Logic.Self.Interface = CallerInterface::Sessions;
+    Logic.Self.Regions = {{AvailabilityZone("z1"), Region("r1")}, {AvailabilityZone("z2"), Region("r2")}};
+    apply(Started{1, 7});
+    Configuration configuration;
+    configuration.Version = 1;
+    configuration.Routes = {route("settle", Consistency::Primary),
+                            route("look", Consistency::BoundedStaleness),
+                            route("book", Consistency::ReadYourWrites)};
+    configuration.Services = {{DatabaseId("yard"), 22, 1}};
+    DirectoryObject object{"main", false, configuration};
+    answerList(DirectoryKind::Configuration, {object});
+    answerList(DirectoryKind::Servers,
+               {server("p", TargetRole::Primary, 11), server("a", TargetRole::Replica, 12),
+                server("b", TargetRole::Replica, 13)});
+  }
+
+  static DatabaseRoute route(std::string database, Consistency reads) {
+    DatabaseRoute out;
+    out.Database = std::move(database);
+    out.Service = DatabaseId("yard");
+    out.Reads = reads;
+    out.StatementTimeout = 800ms;
+    out.MaxStaleness = 1500ms;
+    return out;
+  }
+
+  static DirectoryObject server(const std::string &name, TargetRole role, std::uint64_t revision,
+                                bool leaving = false) {
+    ServerEntry entry{TargetId(name),
+                      DatabaseId("yard"),
+                      "10.0.0.1:" + std::to_string(1000 + name[0]),
+                      AvailabilityZone(name == "a" ? "z1" : "z2"),
+                      role,
+                      leaving,
+                      revision};
+    return {name, false, entry};
+  }
+
+  void apply(const Event &event) {
+    for (auto &it : reduce(Logic, event, Now))
+      Out.push_back(std::move(it));
+  }
+
+  /// Lets time pass in steps, with the timers that are due.
+  void pass(Duration time) {
+    const auto end = Now + time;
+    while (true) {
+      const auto next = nextTimer(Logic);
+      if (!next || *next > end)
+        break;
+      Now = std::max(Now + 1us, *next);
+      apply(TimerFired{});
+    }
+    Now = end;
+  }
+
+  /// Takes the oldest effect of a kind out of what was emitted; none if there is no such effect.
+  template <typename T> std::optional<T> take() {
+    const auto it = std::find_if(Out.begin(), Out.end(),
+                                 [](const Effect &one) { return std::holds_alternative<T>(one); });
+    if (it == Out.end())
+      return std::nullopt;
+    auto out = std::move(std::get<T>(*it));
+    Out.erase(it);
+    return out;
+  }
+
+  /// Answers the pending list call of a kind.
+  void answerList(DirectoryKind kind, std::vector<DirectoryObject> objects) {
+    for (auto it = Out.begin(); it != Out.end(); ++it) {
+      const auto *call = std::get_if<DirectoryCall>(&*it);
+      const auto *list = call ? std::get_if<ListDirectory>(&call->Request) : nullptr;
+      if (!list || list->Kind != kind)
+        continue;
+      const auto id = call->Call;
+      Out.erase(it);
+      apply(DirectoryAnswer{id, DirectoryListing{std::move(objects), false, 20}});
+      return;
+    }
+  }
+
+  /// Answers the pending watch of a kind with changes.
+  void answerWatch(DirectoryKind kind, std::vector<DirectoryObject> objects, std::uint64_t revision) {
+    for (auto it = Out.begin(); it != Out.end(); ++it) {
+      const auto *call = std::get_if<DirectoryCall>(&*it);
+      const auto *watch = call ? std::get_if<WatchDirectory>(&call->Request) : nullptr;
+      if (!watch || watch->Kind != kind)
+        continue;
+      const auto id = call->Call;
+      Out.erase(it);
+      apply(DirectoryAnswer{id, DirectoryChanges{std::move(objects), revision}});
+      return;
+    }
+  }
+
+  SessionId open(const std::string &database) {
+    const SessionId id{++LastSession};
+    apply(SessionOpened{id, database, "caller"});
+    return id;
+  }
+
+  /// Sends a statement. Its text is its id.
+  void send(SessionId session, const std::string &id, ParsedStatement parsed) {
+    apply(StatementArrived{session, {id, id, std::move(parsed)}});
+  }
+  void read(SessionId session, const std::string &id) { send(session, id, DataStatement{AccessMode::Read}); }
+  void write(SessionId session, const std::string &id) {
+    send(session, id, DataStatement{AccessMode::Write});
+  }
+
+  /// Accepts the link that the proxy wants to open, and returns it.
+  std::pair<LinkId, TargetId> acceptLink() {
+    const auto it = take<OpenLink>();
+    if (!it)
+      return {};
+    apply(LinkOpened{it->Link});
+    return {it->Link, it->Target};
+  }
+
+  void reply(LinkId link, StatementOutcome outcome, TransactionState state,
+             std::optional<Position> at = std::nullopt) {
+    apply(LinkReplied{link, std::move(outcome), state, at, std::nullopt});
+  }
+  static StatementOutcome done() { return StatementResultRows{{}, "signed"}; }
+  static StatementOutcome rejected(Rejection code) { return StatementRejection{code, ""}; }
+
+  /// Whether one of the commands that were sent together is of a kind.
+  template <typename T> static const T *command(const SendOnLink &sent) {
+    for (const auto &it : sent.Commands)
+      if (const auto *one = std::get_if<T>(&it))
+        return one;
+    return nullptr;
+  }
+
+  State Logic;
+  TimePoint Now{1000s};
+  std::deque<Effect> Out;
+
+private:
+  std::uint64_t LastSession = 0;
+};
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/reducer/tests/sessiontests.cpp
@@ -0,0 +1,289 @@
+// Tests of callers' sessions: which server runs a statement, and what callers are told when one fails.
+
+#include "reducer/tests/sessionharness.h"
+
+#include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+
+namespace {
+
+/// Code of the answer to a statement; Unknown if it succeeded or was not answered.
+Rejection codeOf(SessionHarness &proxy, const std::string &statement) {
+  while (const auto it = proxy.take<AnswerStatement>())
+    if (it->StatementId == statement)
+      if (const auto *why = std::get_if<StatementRejection>(&it->Outcome))
+        return why->Code;
+  return Rejection::Unknown;
+}
+
+/// Brings a proof of the primary's position: a read of a primary route, from start to end.
+void prove(SessionHarness &proxy, Position at) {
+  const auto session = proxy.open("settle");
+  proxy.read(session, "proof");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.take<SendOnLink>();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, at);
+  proxy.take<SendOnLink>();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, at);
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle, at);
+  proxy.apply(SessionClosed{session});
+  proxy.Out.clear();
+}
+
+} // namespace
+
+TEST_CASE("a read follows its BEGIN only once that has succeeded: otherwise it would run outside of it") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.read(session, "r1");
+  const auto [link, target] = proxy.acceptLink();
+  CHECK(target == TargetId("p"));
+  const auto begin = proxy.take<SendOnLink>();
+  REQUIRE(begin);
+  CHECK(SessionHarness::command<BeginTransaction>(*begin));
+  CHECK_FALSE(SessionHarness::command<RunStatement>(*begin));
+  proxy.reply(link, SessionHarness::rejected(Rejection::ReadOnly), TransactionState::Idle);
+  // The server has lost the lead: the read is not sent to it.
+  while (const auto sent = proxy.take<SendOnLink>())
+    CHECK_FALSE(SessionHarness::command<RunStatement>(*sent));
+}
+
+TEST_CASE("a link whose caller left while BEGIN was on its way is rolled back before anybody else gets it") {
+  SessionHarness proxy;
+  const auto first = proxy.open("settle");
+  proxy.read(first, "r1");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.take<SendOnLink>();
+  proxy.apply(SessionClosed{first});
+  const auto second = proxy.open("settle");
+  proxy.write(second, "w2");
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  const auto sent = proxy.take<SendOnLink>();
+  REQUIRE(sent);
+  CHECK(sent->Link == link);
+  CHECK(SessionHarness::command<RollbackTransaction>(*sent));
+  CHECK_FALSE(SessionHarness::command<RunStatement>(*sent));
+}
+
+TEST_CASE("a read of stated age goes to a replica only with a position that proves the age") {
+  SessionHarness proxy;
+  const auto session = proxy.open("look");
+  proxy.read(session, "r1");
+  // Nothing is known of the primary's log yet: only the primary itself can serve.
+  CHECK(proxy.acceptLink().second == TargetId("p"));
+  proxy.Out.clear();
+
+  SessionHarness proven;
+  prove(proven, {1, 40});
+  const auto other = proven.open("look");
+  proven.read(other, "r1");
+  const auto sent = proven.take<SendOnLink>();
+  REQUIRE(sent);
+  const auto *run = SessionHarness::command<RunStatement>(*sent);
+  REQUIRE(run);
+  CHECK((run->After == Position{1, 40}));
+  // The primary's idle link served for now; a link to the replica in this availability zone is opened for the
+  // next.
+  const auto opening = proven.take<OpenLink>();
+  REQUIRE(opening);
+  CHECK((opening->Target == TargetId("a")));
+}
+
+TEST_CASE("a proof that is older than the stated age does not count, also after a pause of the machine") {
+  SessionHarness proxy;
+  prove(proxy, {1, 40});
+  proxy.Now += 1600ms; // As after a freeze: no timer fired meanwhile.
+  const auto session = proxy.open("look");
+  proxy.read(session, "r1");
+  const auto sent = proxy.take<SendOnLink>();
+  REQUIRE(sent);
+  CHECK(SessionHarness::command<BeginTransaction>(*sent));
+  CHECK_FALSE(SessionHarness::command<RunStatement>(*sent));
+}
+
+TEST_CASE("a session reads at least what it wrote, whatever the proof of age would allow") {
+  SessionHarness proxy;
+  prove(proxy, {1, 40});
+  const auto session = proxy.open("book");
+  proxy.write(session, "w1");
+  const auto sent = proxy.take<SendOnLink>();
+  REQUIRE(sent);
+  proxy.reply(sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 55});
+  proxy.Out.clear();
+  proxy.read(session, "r2");
+  const auto [link, target] = proxy.acceptLink();
+  const auto read = proxy.take<SendOnLink>();
+  REQUIRE(read);
+  const auto *run = SessionHarness::command<RunStatement>(*read);
+  REQUIRE(run);
+  CHECK(run->After == Position{1, 55});
+}
+
+TEST_CASE("a write without an answer is in doubt, and is not sent again") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.write(session, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.take<SendOnLink>();
+  proxy.apply(LinkClosed{link, LinkFailure::Lost});
+  CHECK((codeOf(proxy, "w1") == Rejection::InDoubt));
+  CHECK_FALSE(proxy.take<SendOnLink>());
+}
+
+TEST_CASE("a statement of a transaction without an answer is aborted: its commit was never sent") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.send(session, "b", BeginStatement{});
+  proxy.write(session, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.take<SendOnLink>();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  proxy.take<SendOnLink>();
+  proxy.Out.clear();
+  proxy.pass(900ms);
+  CHECK((codeOf(proxy, "w1") == Rejection::Aborted));
+  // The rest of the transaction is refused, its end accepted.
+  proxy.read(session, "r2");
+  CHECK((codeOf(proxy, "r2") == Rejection::Malformed));
+  proxy.send(session, "e", RollbackStatement{});
+  const auto end = proxy.take<AnswerStatement>();
+  REQUIRE(end);
+  CHECK(end->State == TransactionState::Idle);
+}
+
+TEST_CASE("a commit that wrote is in doubt without an answer, one that only read is aborted") {
+  for (const bool writes : {true, false}) {
+    SessionHarness proxy;
+    const auto session = proxy.open("settle");
+    proxy.send(session, "b", BeginStatement{});
+    proxy.send(session, "s", DataStatement{writes ? AccessMode::Write : AccessMode::Read});
+    const auto [link, target] = proxy.acceptLink();
+    proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+    proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+    proxy.Out.clear();
+    proxy.send(session, "c", CommitStatement{});
+    proxy.apply(LinkClosed{link, LinkFailure::Lost});
+    CHECK((codeOf(proxy, "c") == (writes ? Rejection::InDoubt : Rejection::Aborted)));
+  }
+}
+
+TEST_CASE("a statement that no server took in time is refused as not run") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.write(session, "w1");
+  proxy.pass(900ms);
+  CHECK((codeOf(proxy, "w1") == Rejection::Busy));
+}
+
+TEST_CASE("a write that a replica refused goes to the server that is found to lead") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.write(session, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.take<SendOnLink>();
+  proxy.reply(link, SessionHarness::rejected(Rejection::ReadOnly), TransactionState::Idle);
+  proxy.Out.clear();
+  proxy.answerWatch(DirectoryKind::Servers, {}, 21);
+  CHECK_FALSE(proxy.Logic.Catalog.primary(DatabaseId("yard")));
+}
+
+TEST_CASE("values and prepared statements of a session come onto the link that runs its work") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.send(session, "s", SetStatement{"zone", "north"});
+  proxy.send(session, "p", PrepareStatement{"s1", AccessMode::Write, "q2"});
+  proxy.send(session, "x", ExecuteStatement{"s1", "item data"});
+  const auto [link, target] = proxy.acceptLink();
+  const auto sent = proxy.take<SendOnLink>();
+  REQUIRE(sent);
+  const auto *value = SessionHarness::command<SetSessionValue>(*sent);
+  REQUIRE(value);
+  CHECK(value->Value == "north");
+  const auto *prepared = SessionHarness::command<PrepareOnServer>(*sent);
+  REQUIRE(prepared);
+  const auto *run = SessionHarness::command<RunStatement>(*sent);
+  REQUIRE(run);
+  CHECK(std::get<ExecuteStatement>(run->Body).Name == prepared->Name);
+}
+
+TEST_CASE("a link with another session's values is cleared first") {
+  SessionHarness proxy;
+  const auto first = proxy.open("settle");
+  proxy.send(first, "s", SetStatement{"zone", "north"});
+  proxy.write(first, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle);
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle, Position{1, 2});
+  proxy.Out.clear();
+  const auto second = proxy.open("settle");
+  proxy.write(second, "w2");
+  const auto sent = proxy.take<SendOnLink>();
+  REQUIRE(sent);
+  CHECK(SessionHarness::command<DiscardSession>(*sent));
+}
+
+TEST_CASE("a database whose route was removed is refused from the next transaction on") {
+  SessionHarness proxy;
+  const auto session = proxy.open("look");
+  Configuration next;
+  next.Version = 5;
+  next.Routes = {SessionHarness::route("settle", Consistency::Primary)};
+  proxy.answerWatch(DirectoryKind::Configuration, {{"main", false, next}}, 30);
+  proxy.read(session, "r1");
+  CHECK((codeOf(proxy, "r1") == Rejection::NoDatabase));
+}
+
+TEST_CASE("a leaving proxy closes resting sessions, serves the others to their end, and then ends") {
+  SessionHarness proxy;
+  const auto resting = proxy.open("settle");
+  proxy.write(resting, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle, Position{1, 2});
+  const auto working = proxy.open("settle");
+  proxy.write(working, "w2");
+  proxy.Out.clear();
+  proxy.apply(ShutdownRequested{});
+  const auto closed = proxy.take<CloseSession>();
+  REQUIRE(closed);
+  CHECK(closed->Session == resting);
+  CHECK_FALSE(isReady(proxy.Logic));
+  CHECK_FALSE(proxy.take<ShutdownComplete>());
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle, Position{1, 3});
+  CHECK(proxy.take<AnswerStatement>());
+  proxy.pass(100ms);
+  CHECK(proxy.take<ShutdownComplete>());
+}
+
+TEST_CASE("a session that comes before the first configuration waits for it instead of hearing that its "
+          "database does not exist") {
+  SessionHarness started;
+  State logic;
+  logic.Self = started.Logic.Self;
+  started.Logic = std::move(logic);
+  started.Out.clear();
+  started.apply(Started{1, 8});
+  const auto session = started.open("settle");
+  CHECK_FALSE(started.take<RefuseSession>());
+  Configuration configuration;
+  configuration.Version = 3;
+  configuration.Routes = {SessionHarness::route("settle", Consistency::Primary)};
+  started.answerList(DirectoryKind::Configuration, {{"main", false, configuration}});
+  const auto greeted = started.take<GreetSession>();
+  REQUIRE(greeted);
+  CHECK((greeted->Session == session));
+}
+
+TEST_CASE("without a configuration a session is refused as not run before its caller gives up") {
+  SessionHarness started;
+  State logic;
+  logic.Self = started.Logic.Self;
+  started.Logic = std::move(logic);
+  started.Out.clear();
+  started.apply(Started{1, 8});
+  started.open("settle");
+  started.pass(1900ms);
+  const auto refused = started.take<RefuseSession>();
+  REQUIRE(refused);
+  CHECK((refused->Why.Code == Rejection::Busy));
+}
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -51,6 +51,8 @@
 }
 
 void SessionsModule::onCapacity(Context &ctx, SessionServices &services) {
+  if (!Held.empty())
+    admitHeld(ctx, services);
   for (auto &[service, queue] : Waiting) {
     if (queue.empty())
       continue;
@@ -78,7 +80,8 @@
   return out;
 }
 
-std::vector<TargetId> SessionsModule::primaryCandidates(Context &ctx, SessionServices &services, const Work &work) {
+std::vector<TargetId> SessionsModule::primaryCandidates(Context &ctx, SessionServices &services,
+                                                        const Work &work) {
   const auto usable = [&](const TargetId &target) {
     const auto *view = services.Catalog.server(target);
     return view && (!view->LeavingSince || ctx.Now - *view->LeavingSince < detail::LeavingUse);
@@ -103,8 +106,9 @@
   return out;
 }
 
-std::vector<TargetId> SessionsModule::candidates(Context &ctx, SessionServices &services, const Session &session,
-                                                 const Work &work, std::optional<Position> &after) {
+std::vector<TargetId> SessionsModule::candidates(Context &ctx, SessionServices &services,
+                                                 const Session &session, const Work &work,
+                                                 std::optional<Position> &after) {
   const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
   after = read ? proof(session, work) : std::nullopt;
   if (!after)
@@ -147,6 +151,9 @@
     }
     if (!services.Catalog.primary(work.Route.Service) && !after)
       Services[work.Route.Service].AskedAt[target] = ctx.Now;
+    // A detour serves now; the next one is to find a link to the best server.
+    if (target != targets.front() && services.Links.idle(targets.front()) == 0)
+      services.Links.want(ctx, services.Catalog, targets.front(), 1);
     work.After = after;
     unwait(id, session);
     send(ctx, services, id, session, *link, target);
@@ -157,8 +164,8 @@
   return false;
 }
 
-void SessionsModule::send(Context &ctx, SessionServices &services, SessionId id, Session &session, LinkId link,
-                          const TargetId &target) {
+void SessionsModule::send(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                          LinkId link, const TargetId &target) {
   auto &work = *session.Current;
   work.Link = link;
   work.Target = target;
@@ -175,20 +182,27 @@
     offer(ctx, services, id, session);
     return;
   }
-  // The statement follows once the transaction is open: after a BEGIN that was refused, it would run outside of it.
-  // A plain transaction is refused once the server has lost the lead; a read-only one is not.
+  // The statement follows once the transaction is open: after a BEGIN that was refused, it would run outside
+  // of it. A plain transaction is refused once the server has lost the lead; a read-only one is not.
   const bool replica = transaction && transaction->ReadOnly && work.After;
   if (transaction)
     transaction->Link = link;
   else
     work.BeganForProof = true;
   const auto *execute = std::get_if<ExecuteStatement>(&work.Statement.Parsed);
-  auto commands = services.Links.prepare(link, session.Values, execute ? &session.Prepared.at(execute->Name) : nullptr);
+  auto commands =
+      services.Links.prepare(link, session.Values, execute ? &session.Prepared.at(execute->Name) : nullptr);
   commands.emplace_back(BeginTransaction{replica, replica ? work.After : std::nullopt});
   services.Links.send(ctx, link, std::move(commands));
   alarm(id, session);
 }
 
+bool SessionsModule::durable(const Session &session, const Work &work) {
+  if (session.Transaction)
+    return work.Commit && session.Transaction->Wrote;
+  return work.Mode == AccessMode::Write;
+}
+
 void SessionsModule::offer(Context &ctx, SessionServices &services, SessionId id, Session &session) {
   auto &work = *session.Current;
   const PreparedShape *shape = nullptr;
@@ -205,7 +219,7 @@
     commands.emplace_back(RollbackTransaction{});
   work.Offered = true;
   work.SentAt = ctx.Now;
-  if (work.Mode == AccessMode::Write)
+  if (durable(session, work))
     WritesOut[work.Route.Service].insert({work.SentAt, id});
   services.Links.send(ctx, *work.Link, std::move(commands));
   alarm(id, session);
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -66,7 +66,7 @@
     offer(ctx, services, reply.User.Session, session);
     return;
   case LinkStep::Statement:
-    if (work.Mode == AccessMode::Write)
+    if (durable(session, work))
       Services[reply.Service].WritesUnansweredSince.reset();
     if (why)
       rejected(ctx, services, reply.User.Session, session, *why, event.State);
@@ -166,7 +166,8 @@
     finish(ctx, services, id, session, told);
     return;
   }
-  if (work.Link && why.Code == Rejection::Busy && state == TransactionState::Open && ctx.Now < work.Deadline) {
+  if (work.Link && why.Code == Rejection::Busy && state == TransactionState::Open &&
+      ctx.Now < work.Deadline) {
     // The transaction stays open at the server: the statement may be sent again on its link.
     ctx.emit(Count{"statement_retries_total{reason=\"busy\"}"});
     WritesOut[work.Route.Service].erase({work.SentAt, id});
@@ -178,7 +179,8 @@
   if (why.Code == Rejection::ReadOnly && work.Link)
     services.Catalog.denyPrimary(work.Target);
   if (work.Commit) {
-    const bool undecided = !saysNotRun(why.Code) && why.Code != Rejection::Failed && session.Transaction->Wrote;
+    const bool undecided =
+        !saysNotRun(why.Code) && why.Code != Rejection::Failed && session.Transaction->Wrote;
     if (undecided && why.Code != Rejection::Aborted)
       told.Code = Rejection::InDoubt;
     endTransaction(ctx, services, session);
@@ -209,7 +211,8 @@
   session.Transaction->Failed = true;
   if (session.Current) {
     unwait(id, session);
-    finish(ctx, services, id, session, StatementRejection{Rejection::Aborted, "the server's connection ended"});
+    finish(ctx, services, id, session,
+           StatementRejection{Rejection::Aborted, "the server's connection ended"});
   } else {
     session.Transaction->Lost = StatementRejection{Rejection::Aborted, "the server's connection ended"};
     alarm(id, session);
@@ -234,7 +237,7 @@
   if (work.Link && timedOut) {
     services.Links.close(ctx, *work.Link, true);
     auto &since = Services[work.Route.Service].WritesUnansweredSince;
-    if (sent && work.Mode == AccessMode::Write)
+    if (sent && durable(session, work))
       since = std::min(since.value_or(work.SentAt), work.SentAt);
   }
   const bool single = !session.Transaction;
@@ -312,7 +315,8 @@
                  {"ms", millis(ctx.Now - work.ArrivedAt)},
                  {"outcome", why ? std::string(toString(why->Code)) : "done"}};
   if (work.After)
-    line.Fields.push_back({"after", std::to_string(work.After->Term) + "." + std::to_string(work.After->Lsn)});
+    line.Fields.push_back(
+        {"after", std::to_string(work.After->Term) + "." + std::to_string(work.After->Lsn)});
   if (why) {
     line.Fields.push_back({"why", why->Message});
     const auto primary = Services[work.Route.Service].Positions.newest();
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -47,7 +47,7 @@
   bool Begun = false; ///< The server has answered its BEGIN with success.
   bool Ran = false;   ///< A statement of it was answered.
   bool Wrote = false;
-  bool Failed = false; ///< Rolled back: only its end is accepted.
+  bool Failed = false;                    ///< Rolled back: only its end is accepted.
   std::optional<StatementRejection> Lost; ///< To be told with the next statement.
 };
 
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -34,7 +34,8 @@
           [&](const BeginStatement &) { begin(ctx, services, id, session, statement); },
           [&](const CommitStatement &) {
             if (!transaction) {
-              answer(ctx, id, session, statement.Id, StatementRejection{Rejection::Malformed, "no transaction is open"});
+              answer(ctx, id, session, statement.Id,
+                     StatementRejection{Rejection::Malformed, "no transaction is open"});
             } else if (failed) {
               session.Transaction.reset();
               answer(ctx, id, session, statement.Id,
@@ -47,7 +48,8 @@
           [&](const DataStatement &it) { startWork(ctx, services, id, session, statement, it.Mode, false); },
           [&](const SetStatement &it) {
             if (session.Values.size() >= MaxValues && !session.Values.contains(it.Name)) {
-              answer(ctx, id, session, statement.Id, StatementRejection{Rejection::TooLarge, "too many session values"});
+              answer(ctx, id, session, statement.Id,
+                     StatementRejection{Rejection::TooLarge, "too many session values"});
               return;
             }
             session.Values[it.Name] = it.Value;
@@ -75,7 +77,8 @@
             answer(ctx, id, session, statement.Id, done());
           },
           [&](const MalformedStatement &) {
-            answer(ctx, id, session, statement.Id, StatementRejection{Rejection::Malformed, "the statement cannot be read"});
+            answer(ctx, id, session, statement.Id,
+                   StatementRejection{Rejection::Malformed, "the statement cannot be read"});
           },
       },
       statement.Parsed);
@@ -89,7 +92,8 @@
   }
   const auto *route = services.Catalog.route(session.Database);
   if (!route) {
-    answer(ctx, id, session, statement.Id, StatementRejection{Rejection::NoDatabase, "the route was removed"});
+    answer(ctx, id, session, statement.Id,
+           StatementRejection{Rejection::NoDatabase, "the route was removed"});
     return;
   }
   detail::Transaction next;
@@ -104,7 +108,8 @@
 void SessionsModule::rollback(Context &ctx, SessionServices &services, SessionId id, Session &session,
                               const SessionStatement &statement) {
   if (!session.Transaction) {
-    answer(ctx, id, session, statement.Id, StatementRejection{Rejection::Malformed, "no transaction is open"});
+    answer(ctx, id, session, statement.Id,
+           StatementRejection{Rejection::Malformed, "no transaction is open"});
     return;
   }
   failTransaction(ctx, services, session);
@@ -115,9 +120,11 @@
 
 void SessionsModule::startWork(Context &ctx, SessionServices &services, SessionId id, Session &session,
                                SessionStatement statement, AccessMode mode, bool commit) {
-  const auto *route = session.Transaction ? &session.Transaction->Route : services.Catalog.route(session.Database);
+  const auto *route =
+      session.Transaction ? &session.Transaction->Route : services.Catalog.route(session.Database);
   if (!route) {
-    answer(ctx, id, session, statement.Id, StatementRejection{Rejection::NoDatabase, "the route was removed"});
+    answer(ctx, id, session, statement.Id,
+           StatementRejection{Rejection::NoDatabase, "the route was removed"});
     return;
   }
   if (session.Transaction && session.Transaction->ReadOnly && mode == AccessMode::Write && !commit) {
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -19,6 +19,10 @@
 } // namespace
 
 void SessionsModule::onOpened(Context &ctx, SessionServices &services, const SessionOpened &event) {
+  if (!services.Catalog.configured()) {
+    Held.emplace(event.Session, HeldSession{event, ctx.Now + HoldLimit});
+    return;
+  }
   if (!services.Catalog.route(event.Database)) {
     ctx.emit(Count{"sessions_refused_total"});
     ctx.emit(Log{LogLevel::Info,
@@ -39,6 +43,23 @@
     alarm(event.Session, session);
 }
 
+void SessionsModule::admitHeld(Context &ctx, SessionServices &services) {
+  if (services.Catalog.configured()) {
+    for (const auto &[id, it] : std::exchange(Held, {}))
+      onOpened(ctx, services, it.Opened);
+    return;
+  }
+  for (auto it = Held.begin(); it != Held.end();) {
+    if (ctx.Now < it->second.Until) {
+      ++it;
+      continue;
+    }
+    ctx.emit(Count{"sessions_refused_total"});
+    ctx.emit(RefuseSession{it->first, {Rejection::Busy, "no configuration was read yet; retry in 500 ms"}});
+    it = Held.erase(it);
+  }
+}
+
 void SessionsModule::onStatement(Context &ctx, SessionServices &services, const StatementArrived &event) {
   const auto it = Sessions.find(event.Session);
   if (it == Sessions.end())
@@ -50,9 +71,10 @@
       session.Queued.push_back(event.Statement);
       return;
     }
-    ctx.emit(Log{LogLevel::Warn,
-                 "session closed",
-                 {{"session", std::to_string(event.Session.Value)}, {"why", "too many statements are waiting"}}});
+    ctx.emit(
+        Log{LogLevel::Warn,
+            "session closed",
+            {{"session", std::to_string(event.Session.Value)}, {"why", "too many statements are waiting"}}});
     onClosed(ctx, services, {event.Session});
     ctx.emit(CloseSession{event.Session});
     return;
@@ -62,6 +84,7 @@
 }
 
 void SessionsModule::onClosed(Context &ctx, SessionServices &services, const SessionClosed &event) {
+  Held.erase(event.Session);
   const auto it = Sessions.find(event.Session);
   if (it == Sessions.end())
     return;
@@ -86,12 +109,16 @@
 }
 
 std::optional<TimePoint> SessionsModule::nextTimer() const {
-  if (Alarms.empty())
-    return std::nullopt;
-  return Alarms.begin()->first;
+  std::optional<TimePoint> out;
+  if (!Alarms.empty())
+    out = Alarms.begin()->first;
+  for (const auto &[id, it] : Held)
+    out = out ? std::min(*out, it.Until) : it.Until;
+  return out;
 }
 
 void SessionsModule::onTimer(Context &ctx, SessionServices &services) {
+  admitHeld(ctx, services);
   while (!Alarms.empty() && Alarms.begin()->first <= ctx.Now) {
     const auto id = Alarms.begin()->second;
     Alarms.erase(Alarms.begin());
@@ -133,7 +160,8 @@
   if (LeavingSince && ctx.Now >= *LeavingSince + Grace - LastCall) {
     ctx.emit(Log{LogLevel::Warn,
                  "session closed at the end of the shutdown",
-                 {{"session", std::to_string(id.Value)}, {"statement", session.Current ? session.Current->Statement.Id : "-"}}});
+                 {{"session", std::to_string(id.Value)},
+                  {"statement", session.Current ? session.Current->Statement.Id : "-"}}});
     onClosed(ctx, services, {id});
     ctx.emit(CloseSession{id});
     return;
@@ -145,7 +173,8 @@
       unanswered(ctx, services, id, session, true);
       return;
     }
-    if (sent && !session.Transaction && work.Mode == AccessMode::Read && ctx.Now >= work.SentAt + ReadPatience) {
+    if (sent && !session.Transaction && work.Mode == AccessMode::Read &&
+        ctx.Now >= work.SentAt + ReadPatience) {
       readAgain(ctx, services, id, session);
       return;
     }
@@ -170,7 +199,8 @@
                     {"database", session.Database},
                     {"why", leaving ? "this proxy is leaving" : "idle for too long"}}});
       failTransaction(ctx, services, session);
-      session.Transaction->Lost = StatementRejection{Rejection::Aborted, "the transaction was idle and is rolled back"};
+      session.Transaction->Lost =
+          StatementRejection{Rejection::Aborted, "the transaction was idle and is rolled back"};
       onCapacity(ctx, services);
     }
   } else if (LeavingSince && !session.Transaction) {
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -1,5 +1,5 @@
-// Sessions of callers: their values, prepared statements and transactions, and the way of each statement to a server
-// and back.
+// Sessions of callers: their values, prepared statements and transactions, and the way of each statement to a
+// server and back.
 //
 // A session holds a server connection only from the first read, write or commit of a transaction to its end.
 
@@ -28,7 +28,8 @@
   void onOpened(Context &ctx, SessionServices &services, const SessionOpened &event);
   void onStatement(Context &ctx, SessionServices &services, const StatementArrived &event);
   void onClosed(Context &ctx, SessionServices &services, const SessionClosed &event);
-  void onReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply, const LinkReplied &event);
+  void onReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply,
+               const LinkReplied &event);
   void onLinkClosed(Context &ctx, SessionServices &services, const LinkPool::Closed &closed);
   void onTimer(Context &ctx, SessionServices &services);
   /// A link became idle, a primary was found, or servers changed: tries the statements that wait.
@@ -62,14 +63,16 @@
   };
 
   // Statements that the proxy answers itself (internal/statements.cpp).
-  void take(Context &ctx, SessionServices &services, SessionId id, Session &session, SessionStatement statement);
-  void begin(Context &ctx, SessionServices &services, SessionId id, Session &session, const SessionStatement &statement);
+  void take(Context &ctx, SessionServices &services, SessionId id, Session &session,
+            SessionStatement statement);
+  void begin(Context &ctx, SessionServices &services, SessionId id, Session &session,
+             const SessionStatement &statement);
   void rollback(Context &ctx, SessionServices &services, SessionId id, Session &session,
                 const SessionStatement &statement);
   void startWork(Context &ctx, SessionServices &services, SessionId id, Session &session,
                  SessionStatement statement, AccessMode mode, bool commit);
-  void answer(Context &ctx, SessionId id, Session &session, const std::string &statement, StatementOutcome outcome,
-              std::optional<Position> at = std::nullopt);
+  void answer(Context &ctx, SessionId id, Session &session, const std::string &statement,
+              StatementOutcome outcome, std::optional<Position> at = std::nullopt);
   void nextQueued(Context &ctx, SessionServices &services, SessionId id);
 
   // The way to a server (internal/dispatch.cpp).
@@ -81,24 +84,29 @@
   bool tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session, Attempt &attempt);
   void send(Context &ctx, SessionServices &services, SessionId id, Session &session, LinkId link,
             const TargetId &target);
+  /// Whether the answer has to wait until a replica has the commit.
+  [[nodiscard]] static bool durable(const Session &session, const Work &work);
   void offer(Context &ctx, SessionServices &services, SessionId id, Session &session);
   void wait(SessionId id, const Session &session);
   void unwait(SessionId id, const Session &session);
   [[nodiscard]] std::optional<Position> proof(const Session &session, const Work &work);
-  [[nodiscard]] std::vector<TargetId> candidates(Context &ctx, SessionServices &services, const Session &session,
-                                                 const Work &work, std::optional<Position> &after);
-  [[nodiscard]] std::vector<TargetId> primaryCandidates(Context &ctx, SessionServices &services, const Work &work);
+  [[nodiscard]] std::vector<TargetId> candidates(Context &ctx, SessionServices &services,
+                                                 const Session &session, const Work &work,
+                                                 std::optional<Position> &after);
+  [[nodiscard]] std::vector<TargetId> primaryCandidates(Context &ctx, SessionServices &services,
+                                                        const Work &work);
 
   // What a server made of it (internal/outcomes.cpp).
   void succeeded(Context &ctx, SessionServices &services, SessionId id, Session &session,
                  const LinkPool::Reply &reply, const LinkReplied &event);
   void rejected(Context &ctx, SessionServices &services, SessionId id, Session &session,
                 const StatementRejection &why, TransactionState state);
-  bool retry(Context &ctx, SessionServices &services, SessionId id, Session &session, const StatementRejection &why);
+  bool retry(Context &ctx, SessionServices &services, SessionId id, Session &session,
+             const StatementRejection &why);
   void readAgain(Context &ctx, SessionServices &services, SessionId id, Session &session);
   void unanswered(Context &ctx, SessionServices &services, SessionId id, Session &session, bool timedOut);
-  void finish(Context &ctx, SessionServices &services, SessionId id, Session &session, StatementOutcome outcome,
-              std::optional<Position> at = std::nullopt);
+  void finish(Context &ctx, SessionServices &services, SessionId id, Session &session,
+              StatementOutcome outcome, std::optional<Position> at = std::nullopt);
   void endTransaction(Context &ctx, SessionServices &services, Session &session);
   void failTransaction(Context &ctx, SessionServices &services, Session &session);
   void logOutcome(Context &ctx, SessionId id, const Session &session, const Work &work,
@@ -107,9 +115,16 @@
   void alarm(SessionId id, Session &session);
   void onAlarm(Context &ctx, SessionServices &services, SessionId id, Session &session);
   void closeIfLeaving(Context &ctx, SessionId id);
+  void admitHeld(Context &ctx, SessionServices &services);
   void erase(SessionId id);
 
+  struct HeldSession {
+    SessionOpened Opened;
+    TimePoint Until;
+  };
+
   std::map<SessionId, Session> Sessions;
+  std::map<SessionId, HeldSession> Held; ///< Came before the first configuration was read.
   std::map<DatabaseId, std::set<WaitKey>> Waiting;
   std::size_t WaitingCount = 0;
   std::map<DatabaseId, Service> Services;
@@ -121,6 +136,8 @@
 
   /// A read that has no answer after this time goes to another server.
   static constexpr Duration ReadPatience = 400ms;
+  /// How long a session may wait for the first configuration: callers give up after 2 s.
+  static constexpr Duration HoldLimit = 1800ms;
   /// Interval at which a waiting statement looks for a server again.
   static constexpr Duration WaitCheck = 25ms;
 };
--- a/src/sessions/tests/sessionsmoduletests.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-// Tests.
-#include <doctest/doctest.h>
--- a/src/wire/internal/linkconnector.cpp
+++ b/src/wire/internal/linkconnector.cpp
@@ -21,7 +21,8 @@
 constexpr std::size_t ReadSize = 8'192;
 
 struct Connection {
-  Connection(asio::io_context &io, std::unique_ptr<IServerCodec> codec) : Socket(io), Codec(std::move(codec)) {}
+  Connection(asio::io_context &io, std::unique_ptr<IServerCodec> codec)
+      : Socket(io), Codec(std::move(codec)) {}
 
   tcp::socket Socket;
   std::unique_ptr<IServerCodec> Codec;
@@ -53,7 +54,8 @@
       if (it->Closed)
         return;
       if (failure) {
-        const bool refused = failure == asio::error::connection_refused || failure == asio::error::connection_reset;
+        const bool refused =
+            failure == asio::error::connection_refused || failure == asio::error::connection_reset;
         fail(effect.Link, it, refused ? LinkFailure::Refused : LinkFailure::Timeout);
         return;
       }
@@ -145,15 +147,16 @@
 
   void flush(LinkId link, const ConnectionPtr &it) {
     it->Writing.swap(it->Unsent);
-    asio::async_write(it->Socket, asio::buffer(it->Writing), [this, link, it](std::error_code ec, std::size_t) {
-      it->Writing.clear();
-      if (it->Closed)
-        return;
-      if (ec)
-        fail(link, it, LinkFailure::Lost);
-      else if (!it->Unsent.empty())
-        flush(link, it);
-    });
+    asio::async_write(it->Socket, asio::buffer(it->Writing),
+                      [this, link, it](std::error_code ec, std::size_t) {
+                        it->Writing.clear();
+                        if (it->Closed)
+                          return;
+                        if (ec)
+                          fail(link, it, LinkFailure::Lost);
+                        else if (!it->Unsent.empty())
+                          flush(link, it);
+                      });
   }
 
   void fail(LinkId link, const ConnectionPtr &it, LinkFailure why) {
--- a/src/wire/internal/sessionlistener.cpp
+++ b/src/wire/internal/sessionlistener.cpp
@@ -26,7 +26,7 @@
   tcp::socket Socket;
   std::unique_ptr<ICallerCodec> Codec;
   std::array<char, ReadSize> Buf{};
-  std::string Unsent;  ///< Waits for the write in progress.
+  std::string Unsent; ///< Waits for the write in progress.
   std::string Writing;
   bool Started = false; ///< The first message was read.
   bool Ending = false;  ///< Closed once everything is written.
@@ -36,8 +36,8 @@
 
 class SessionListener : public ISessionListener {
 public:
-  SessionListener(asio::io_context &io, const SessionListenerOptions &options, const ICodecs &codecs, EventSink sink,
-                  IMetrics &metrics)
+  SessionListener(asio::io_context &io, const SessionListenerOptions &options, const ICodecs &codecs,
+                  EventSink sink, IMetrics &metrics)
       : Options(options), Codecs(codecs), Sink(std::move(sink)), Metrics(metrics), Acceptor(io) {
     const tcp::endpoint endpoint(asio::ip::make_address(options.Listen.Ip), options.Listen.Port);
     Acceptor.open(endpoint.protocol());
@@ -215,8 +215,10 @@
 
 } // namespace
 
-std::unique_ptr<ISessionListener> makeSessionListener(asio::io_context &io, const SessionListenerOptions &options,
-                                                      const ICodecs &codecs, EventSink sink, IMetrics &metrics) {
+std::unique_ptr<ISessionListener> makeSessionListener(asio::io_context &io,
+                                                      const SessionListenerOptions &options,
+                                                      const ICodecs &codecs, EventSink sink,
+                                                      IMetrics &metrics) {
   return std::make_unique<SessionListener>(io, options, codecs, std::move(sink), metrics);
 }
 
--- a/src/wire/internal/socketoptions.cpp
+++ b/src/wire/internal/socketoptions.cpp
@@ -12,7 +12,8 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ec);
   const auto millis = static_cast<unsigned>(unacknowledged.count());
   // A system without the option keeps the connection until its own limits; nothing depends on it.
-  static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis));
+  static_cast<void>(
+      ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis));
 }
 
 } // namespace rosemaryhinge::detail
