Size idle links by congestion, and ask the replicas before a doubtful change of primary

Ruled out: dead primaries; the surveys show replicas that went on receiving. Now two unanswered commits are needed, replicas that still receive end the change, idle links are kept for a time that is halved by each refusal and grows again, and refused proxies ask at growing intervals.

--- a/src/leadership/internal/reason.cpp
+++ b/src/leadership/internal/reason.cpp
@@ -37,10 +37,10 @@
   if (const auto from = health.refusedSince(now); from && now - std::max(*from, since) >= RefusedFor)
     return ChangeReason{"the primary refuses connections for " + millis(now - *from), *primary, true};
   if (const auto silence = std::min(health.silence(now), now - since); silence >= SilentFor)
-    return ChangeReason{"the primary is silent for " + millis(silence), *primary, true};
+    return ChangeReason{"the primary is silent for " + millis(silence), *primary, true, true};
   if (const auto from = sessions.writesUnansweredSince(service);
       from && now - std::max(*from, since) >= WritesSilentFor)
-    return ChangeReason{"no write is answered for " + millis(now - *from), *primary, true};
+    return ChangeReason{"no write is answered for " + millis(now - *from), *primary, true, true};
   if (view && view->LeavingSince)
     return ChangeReason{"the primary is leaving", *primary, false};
   return std::nullopt;
--- a/src/leadership/internal/survey.cpp
+++ b/src/leadership/internal/survey.cpp
@@ -51,6 +51,13 @@
   });
 }
 
+bool receives(const Survey &survey) {
+  return std::any_of(survey.begin(), survey.end(), [](const auto &one) {
+    const auto &it = one.second;
+    return !it.Former && it.Status && it.FirstLog && it.Status->Log > *it.FirstLog;
+  });
+}
+
 std::optional<TargetId> leads(const Survey &survey) {
   const auto newest = newestTerm(survey);
   for (const auto &[target, it] : survey)
--- a/src/leadership/internal/survey.h
+++ b/src/leadership/internal/survey.h
@@ -20,6 +20,7 @@
   bool Former = false;                ///< The primary that is to be replaced.
   bool Missing = false;               ///< Its entry has ended without notice, and it may hold commits.
   std::optional<TargetStatus> Status; ///< Newest answer.
+  std::optional<Position> FirstLog;   ///< Of the first answer.
   bool Paused = false;                ///< Status was given by a replica that receives nothing any more.
   bool SteppedDown = false;           ///< The former primary has answered as a replica.
 };
@@ -32,6 +33,8 @@
 [[nodiscard]] std::optional<TargetId> furthest(const Survey &survey);
 /// Whether Candidate is certain to hold every acknowledged commit.
 [[nodiscard]] bool holdsAll(const Survey &survey, const TargetId &candidate);
+/// A replica has received more since it was first asked: the primary serves on.
+[[nodiscard]] bool receives(const Survey &survey);
 /// A server other than the former primary that already leads the newest term.
 [[nodiscard]] std::optional<TargetId> leads(const Survey &survey);
 
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -21,6 +21,9 @@
 constexpr Duration OrderPatience = 600ms;
 /// Time for the candidate to receive what the paused replicas had, before it is paused, too.
 constexpr Duration CatchUp = 150ms;
+/// Replicas that receive nothing for this long, while commits wait, have lost the primary. Above the usual lag of
+/// the network between regions.
+constexpr Duration CompareTime = 200ms;
 /// Without an answer of all replicas, the former primary is asked to step down.
 constexpr Duration StepDownAfter = 1500ms;
 constexpr Duration PromoteTimeout = 900ms;
@@ -185,6 +188,8 @@
   change.Orders.clear();
   change.PausedByUs.clear();
   change.OthersPausedAt.reset();
+  change.ComparedAt.reset();
+  change.AskedAgain.clear();
   change.Chosen = TargetId();
   change.PromoteTries = 0;
   change.StartedAt = ctx.Now;
@@ -285,6 +290,8 @@
   const auto candidate = detail::furthest(change.Servers);
   if (!candidate || (!allKnown && !change.Servers[change.Reason.From].SteppedDown))
     return;
+  if (change.Reason.Doubtful && doubtsRemain(ctx, services, service, change))
+    return;
   bool othersPaused = true;
   for (const auto &[target, it] : change.Servers) {
     if (target == *candidate || it.Former || it.Missing || it.Paused)
@@ -311,6 +318,26 @@
   order(ctx, services, change, *candidate, ctx.Now - *change.OthersPausedAt >= CatchUp);
 }
 
+bool LeadershipModule::doubtsRemain(Context &ctx, LeadershipServices &services, const DatabaseId &service,
+                                    Change &change) {
+  if (!change.ComparedAt)
+    change.ComparedAt = ctx.Now;
+  if (detail::receives(change.Servers)) {
+    giveUp(ctx, services, service, change, "the replicas receive from the primary", MinChangeInterval);
+    return true;
+  }
+  if (ctx.Now - *change.ComparedAt < CompareTime)
+    return true;
+  bool all = true;
+  for (const auto &[target, it] : change.Servers) {
+    if (it.Missing || it.Former || !it.Status || change.AskedAgain.contains(target))
+      continue;
+    all = false;
+    order(ctx, services, change, target, false);
+  }
+  return !all;
+}
+
 void LeadershipModule::onReply(Context &ctx, LeadershipServices &services, const LinkPool::Reply &reply,
                                const LinkReplied &event) {
   const auto it = Changes.find(reply.Service);
@@ -333,6 +360,10 @@
   }
   auto &entry = change.Servers[reply.Target];
   entry.Status = *event.Status;
+  if (!entry.FirstLog)
+    entry.FirstLog = event.Status->Log;
+  if (change.ComparedAt && ctx.Now - *change.ComparedAt >= CompareTime)
+    change.AskedAgain.insert(reply.Target);
   if (order->second.Pause && entry.Former)
     entry.SteppedDown = event.Status->Role == TargetRole::Replica;
   else if (order->second.Pause)
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -75,6 +75,8 @@
     std::map<TargetId, Order> Orders;
     std::set<TargetId> PausedByUs;
     std::optional<TimePoint> OthersPausedAt;
+    std::optional<TimePoint> ComparedAt; ///< When all replicas had told their logs for the first time.
+    std::set<TargetId> AskedAgain;       ///< Replicas that have told their logs again since.
     TargetId Chosen;
     int PromoteTries = 0;
   };
@@ -90,6 +92,7 @@
   void survey(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change);
   void refreshSurvey(LeadershipServices &services, const DatabaseId &service, Change &change, TimePoint now);
   void order(Context &ctx, LeadershipServices &services, Change &change, const TargetId &target, bool pause);
+  bool doubtsRemain(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change);
   void promote(Context &ctx, const DatabaseId &service, Change &change);
   void settle(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change);
   void giveUp(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change,
--- a/src/leadership/tests/leadershipmoduletests.cpp
+++ b/src/leadership/tests/leadershipmoduletests.cpp
@@ -74,3 +74,12 @@
   survey[B].Status = TargetStatus{TargetRole::Primary, 4, {4, 21}, {}, false, {}};
   CHECK(leads(survey) == B);
 }
+
+TEST_CASE("a replica that goes on receiving shows that the primary serves, whatever this proxy sees of it") {
+  Survey survey{{A, replica(20, false)}, {B, replica(20, false)}, {P, former(false)}};
+  survey[A].FirstLog = Position{3, 20};
+  survey[B].FirstLog = Position{3, 20};
+  CHECK_FALSE(receives(survey));
+  survey[B].Status->Log.Lsn = 21;
+  CHECK(receives(survey));
+}
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -13,16 +13,21 @@
 constexpr Duration OpenTimeout = 700ms;
 /// An answer to the proxy's own rollback that takes longer means that the link is stuck.
 constexpr Duration AnswerTimeout = 1500ms;
-constexpr Duration SweepInterval = 100ms;
-/// Idle links that are kept for each server, and for how long the ones beyond them stay.
+constexpr Duration SweepInterval = 50ms;
+/// Idle links that are kept for each server, and for how long the ones beyond them stay at most.
 constexpr std::size_t KeptIdle = 2;
-constexpr Duration KeptIdleFor = 8s;
 constexpr Duration SpareIdleFor = 600ms;
-/// While a server was full lately, its idle links are given up sooner: others wait for them.
+/// The time for which idle links are kept is halved when the server has too many connections, since other proxies
+/// wait for them, and grows again while it has room. So it settles by the size of the fleet and the load.
+constexpr Duration LongestKeep = 8s;
+constexpr Duration ShortestKeep = 20ms;
+constexpr Duration KeepStep = 500ms;
+/// A server that had too many connections counts as full this long.
 constexpr Duration FullMemory = 3s;
-constexpr Duration FullIdleFor = 100ms;
-/// Pause before a server that was full is asked again, with as much again at random.
-constexpr Duration FullPause = 40ms;
+/// Pause before a server that was full is asked again, doubled with each refusal in a row, with as much again at
+/// random.
+constexpr Duration FullPause = 25ms;
+constexpr int MaxFullDoublings = 4;
 constexpr Duration FailurePause = 200ms;
 /// Links to one server that are being opened at once.
 constexpr std::size_t MaxOpening = 4;
@@ -206,6 +211,7 @@
   auto &server = Servers[it->second.Target];
   --server.Opening;
   --server.Awaiting;
+  server.Refusals = 0;
   server.Health.received(ctx.Now, server.Awaiting > 0);
   setPhase(it->second, id, Phase::Idle, ctx.Now);
 }
@@ -256,15 +262,27 @@
   return out;
 }
 
-Duration LinkPool::idleLimit(const Server &server, TimePoint now) const {
-  if (server.FullAt && now - *server.FullAt < FullMemory)
-    return FullIdleFor;
-  return server.Idle > KeptIdle ? SpareIdleFor : KeptIdleFor;
+Duration LinkPool::idleLimit(const Server &server) {
+  return server.Idle > KeptIdle ? std::min(SpareIdleFor, server.KeepIdle) : server.KeepIdle;
+}
+
+void LinkPool::shortenKeep(Server &server, TimePoint now) {
+  server.KeepIdle = std::max(ShortestKeep, server.KeepIdle / 2);
+  server.KeepAdjustedAt = now;
+}
+
+void LinkPool::lengthenKeep(Server &server, TimePoint now) {
+  if (now - server.KeepAdjustedAt < KeepStep)
+    return;
+  server.KeepIdle = std::min(LongestKeep, server.KeepIdle + server.KeepIdle / 4);
+  server.KeepAdjustedAt = now;
 }
 
 void LinkPool::onTimer(Context &ctx, const Catalog &catalog) {
   if (!NextSweep || ctx.Now < *NextSweep)
     return;
+  for (auto &[target, server] : Servers)
+    lengthenKeep(server, ctx.Now);
   std::vector<std::pair<LinkId, bool>> closing;
   for (const auto &[id, link] : Links) {
     const auto age = ctx.Now - link.Since;
@@ -272,7 +290,7 @@
       if (age >= OpenTimeout)
         closing.emplace_back(id, true);
     } else if (link.State == Phase::Idle) {
-      if (!catalog.server(link.Target) || age >= idleLimit(Servers.at(link.Target), ctx.Now))
+      if (!catalog.server(link.Target) || age >= idleLimit(Servers.at(link.Target)))
         closing.emplace_back(id, false);
     } else if (!link.Lent && !link.Awaiting.empty() &&
                ctx.Now - link.Awaiting.front().SentAt >= AnswerTimeout) {
@@ -286,7 +304,7 @@
     auto &server = Servers.at(it->second.Target);
     // Each closing of a spare link may bring the server down to the links that are kept.
     if (it->second.State == Phase::Idle && catalog.server(it->second.Target) &&
-        ctx.Now - it->second.Since < idleLimit(server, ctx.Now))
+        ctx.Now - it->second.Since < idleLimit(server))
       continue;
     if (it->second.State == Phase::Opening)
       server.RetryAt = ctx.Now + FailurePause;
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -116,13 +116,18 @@
     std::size_t Idle = 0;
     std::size_t Awaiting = 0;        ///< Answers that are due, and links being opened.
     std::optional<TimePoint> FullAt; ///< When the server last had too many connections.
-    TimePoint RetryAt;               ///< No new link before.
+    int Refusals = 0;                ///< Times in a row that it had.
+    Duration KeepIdle = 1s;          ///< How long an idle link is kept.
+    TimePoint KeepAdjustedAt;
+    TimePoint RetryAt; ///< No new link before.
     ServerHealth Health;
   };
 
   void setPhase(Link &link, LinkId id, Phase next, TimePoint now);
   void forget(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent);
-  [[nodiscard]] Duration idleLimit(const Server &server, TimePoint now) const;
+  [[nodiscard]] static Duration idleLimit(const Server &server);
+  static void shortenKeep(Server &server, TimePoint now);
+  static void lengthenKeep(Server &server, TimePoint now);
 
   std::map<LinkId, Link> Links;
   std::map<TargetId, Server> Servers;
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -126,5 +126,17 @@
   proxy.pass(100ms);
   // The write needs no replica until its transaction commits.
   proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  const auto third = proxy.open("settle");
+  proxy.write(third, "w3");
+  proxy.acceptLink();
   CHECK((proxy.Logic.Sessions.writesUnansweredSince(Yard) == since));
 }
+
+TEST_CASE("a single write without an answer is no reason for a change: answers get lost") {
+  SessionHarness proxy;
+  const auto writer = proxy.open("settle");
+  proxy.write(writer, "w1");
+  proxy.acceptLink();
+  proxy.pass(5s);
+  CHECK_FALSE(proxy.Logic.Sessions.writesUnansweredSince(Yard));
+}
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -66,8 +66,10 @@
     offer(ctx, services, reply.User.Session, session);
     return;
   case LinkStep::Statement:
-    if (durable(session, work))
+    if (durable(session, work)) {
       Services[reply.Service].WritesUnansweredSince.reset();
+      Services[reply.Service].WritesUnanswered = 0;
+    }
     if (why)
       rejected(ctx, services, reply.User.Session, session, *why, event.State);
     else
@@ -236,9 +238,10 @@
   unwait(id, session);
   if (work.Link && timedOut) {
     services.Links.close(ctx, *work.Link, true);
-    auto &since = Services[work.Route.Service].WritesUnansweredSince;
-    if (sent && durable(session, work))
-      since = std::min(since.value_or(work.SentAt), work.SentAt);
+    if (auto &service = Services[work.Route.Service]; sent && durable(session, work)) {
+      service.WritesUnansweredSince = std::min(service.WritesUnansweredSince.value_or(work.SentAt), work.SentAt);
+      ++service.WritesUnanswered;
+    }
   }
   const bool single = !session.Transaction;
   const bool again = !sent || (single && work.Mode == AccessMode::Read);
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -242,11 +242,16 @@
 
 std::optional<TimePoint> SessionsModule::writesUnansweredSince(const DatabaseId &service) const {
   std::optional<TimePoint> out;
-  if (const auto it = Services.find(service); it != Services.end())
+  std::size_t n = 0;
+  if (const auto it = Services.find(service); it != Services.end()) {
     out = it->second.WritesUnansweredSince;
-  if (const auto it = WritesOut.find(service); it != WritesOut.end() && !it->second.empty())
+    n = static_cast<std::size_t>(it->second.WritesUnanswered);
+  }
+  if (const auto it = WritesOut.find(service); it != WritesOut.end() && !it->second.empty()) {
     out = std::min(out.value_or(TimePoint::max()), it->second.begin()->first);
-  return out;
+    n += it->second.size();
+  }
+  return n >= 2 ? out : std::nullopt;
 }
 
 std::optional<TimePoint> SessionsModule::primarySeen(const DatabaseId &service) const {
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -40,7 +40,8 @@
   [[nodiscard]] std::size_t size() const { return Sessions.size(); }
   [[nodiscard]] std::size_t waiting() const { return WaitingCount; }
   [[nodiscard]] std::size_t waitingAt(const DatabaseId &service) const;
-  /// Since when writes and commits are sent to the primary of a service without any answer.
+  /// Since when commits are sent to the primary of a service without any answer. None for a single one: its answer may
+  /// have been lost.
   [[nodiscard]] std::optional<TimePoint> writesUnansweredSince(const DatabaseId &service) const;
   /// When the newest proof of the primary's lead was asked for.
   [[nodiscard]] std::optional<TimePoint> primarySeen(const DatabaseId &service) const;
@@ -60,6 +61,7 @@
     std::map<TargetId, TimePoint> AskedAt;  ///< Last time that a server was asked whether it is the primary.
     /// When the first write was sent of those that were not answered since the last answered one.
     std::optional<TimePoint> WritesUnansweredSince;
+    int WritesUnanswered = 0; ///< That were given up since then.
   };
 
   // Statements that the proxy answers itself (internal/statements.cpp).
