Share positions of primaries among the proxies of a zone

Now one proxy of a zone, by rendezvous order, asks the primary for a service, in a transaction of its own, and the others ask it. A sample counts from before the request was sent, so that no delay makes it look younger than it is.

--- a/src/daemon/internal/localsettings.cpp
+++ b/src/daemon/internal/localsettings.cpp
@@ -259,12 +259,12 @@
   pair("interface", InterfaceNames.at(static_cast<std::size_t>(settings.Self.Interface)));
   out << YAML::Key << "addresses" << YAML::Value << YAML::BeginMap;
   pair("callers", formatAddress(settings.Callers));
-  if (!sessions)
+  if (!sessions || settings.Peers.Port != 0)
     pair("peers", formatAddress(settings.Peers));
   pair("admin", formatAddress(settings.Admin));
   if (settings.MetricsOnly)
     pair("metrics", formatAddress(*settings.MetricsOnly));
-  if (!sessions)
+  if (!settings.Self.PeerAddress.empty())
     pair("advertised", settings.Self.PeerAddress);
   out << YAML::EndMap;
   pair("platform", settings.PlatformUrl);
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -5,6 +5,7 @@
 #include "admin/admin.h"
 #include "daemon/loop.h"
 #include "http/httpserver.h"
+#include "peers/peers.h"
 #include "wire/wire.h"
 
 #include <asio/signal_set.hpp>
@@ -101,7 +102,16 @@
   const auto directory = makeDirectory(io, metrics);
   const auto admin =
       makeAdmin(makeHttpServer(io, metrics, adminOptions(settings.Admin, "admin")), sink, metrics, ready);
+  std::unique_ptr<IPeers> peers;
+  if (settings.Peers.Port != 0) {
+    PeerOptions options;
+    options.Self = settings.Self.Node;
+    options.Listen = settings.Peers;
+    options.Advertised = settings.Self.PeerAddress;
+    peers = makePeers(io, options, sink, metrics);
+  }
   Adapters adapters;
+  adapters.Peers = peers.get();
   adapters.Admin = admin.get();
   adapters.Sessions = sessions.get();
   adapters.Links = links.get();
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -129,7 +129,7 @@
             ctx.emit(Count{"directory_unreadable_total"});
             ctx.emit(Log{LogLevel::Warn, "object cannot be used", {{"name", object.Name}, {"why", it.Why}}});
           },
-          [](const Claim &) {},
+          [](const auto &) {}, // Claims and proxies are read by their own modules.
       },
       object.Value);
 }
--- a/src/peers/internal/peerdecode.cpp
+++ b/src/peers/internal/peerdecode.cpp
@@ -256,6 +256,17 @@
           list<JournalMark>(envelope.message_as_JournalWritten()->marks(), [this](const auto *one) {
             return JournalMark{id<NodeId>(one->node()), one->incarnation(), one->first(), one->last()};
           })};
+    case wire::Message::PositionRequest: {
+      const auto *it = envelope.message_as_PositionRequest();
+      return PositionRequest{it->number(), id<DatabaseId>(it->service())};
+    }
+    case wire::Message::PositionReply: {
+      const auto *it = envelope.message_as_PositionReply();
+      if (it->at() == nullptr || it->age_us() < 0)
+        return std::nullopt;
+      return PositionReply{it->number(), id<DatabaseId>(it->service()), {it->at()->term(), it->at()->lsn()},
+                           Duration(it->age_us())};
+    }
     case wire::Message::NONE:
       break;
     }
--- a/src/peers/internal/peerencode.cpp
+++ b/src/peers/internal/peerencode.cpp
@@ -248,6 +248,16 @@
     return wire::CreateJournalWritten(B, B.CreateVector(out)).Union();
   }
 
+  Offset<void> put(const PositionRequest &it, wire::Message &type) {
+    type = wire::Message::PositionRequest;
+    return wire::CreatePositionRequest(B, it.Number, text(it.Service)).Union();
+  }
+  Offset<void> put(const PositionReply &it, wire::Message &type) {
+    type = wire::Message::PositionReply;
+    const wire::Position at(it.At.Term, it.At.Lsn);
+    return wire::CreatePositionReply(B, it.Number, text(it.Service), &at, it.Age.count()).Union();
+  }
+
   FlatBufferBuilder B{FirstAllocation};
 };
 
--- /dev/null
+++ b/src/positions/fleetmap.cpp
@@ -0,0 +1,123 @@
+// Announcements of proxies in the store.
+
+#include "positions/fleetmap.h"
+
+#include "membership/rendezvous.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr Duration CallTimeout = 1500ms;
+constexpr Duration RetryPause = 1s;
+/// Soon after the start, when the others have announced themselves; then at long intervals, since each call is
+/// priced.
+constexpr Duration FirstList = 1500ms;
+constexpr Duration SecondList = 5s;
+constexpr Duration ListInterval = 15s;
+
+} // namespace
+
+void FleetMap::onStarted(Context &ctx) {
+  Enabled = !ctx.Self.PeerAddress.empty();
+  if (!Enabled)
+    return;
+  take(ctx, {ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress});
+  announce(ctx, 0);
+  ListAt = ctx.Now + FirstList;
+}
+
+void FleetMap::announce(Context &ctx, std::uint64_t revision) {
+  AnnounceAt.reset();
+  AnnounceCall = ctx.call(Module::Positions);
+  const ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress};
+  ctx.emit(DirectoryCall{*AnnounceCall, CallTimeout, PutProxy{entry, revision}});
+}
+
+void FleetMap::list(Context &ctx) {
+  ListAt.reset();
+  ListCall = ctx.call(Module::Positions);
+  const auto after = Listed.empty() ? std::string() : Listed.back().Name;
+  ctx.emit(DirectoryCall{*ListCall, CallTimeout, ListDirectory{DirectoryKind::Proxies, after}});
+}
+
+void FleetMap::take(Context &ctx, const ProxyEntry &entry) {
+  const auto it = Proxies.find(entry.Node);
+  const bool known = it != Proxies.end() && it->second.Address == entry.Address;
+  Proxies[entry.Node] = entry;
+  if (!known && entry.Node != ctx.Self.Node)
+    ctx.emit(PeerAddress{entry.Node, entry.Address});
+}
+
+void FleetMap::onAnswer(Context &ctx, const DirectoryAnswer &event) {
+  if (AnnounceCall == event.Call) {
+    AnnounceCall.reset();
+    if (const auto *conflict = std::get_if<ProxyConflict>(&event.Result))
+      announce(ctx, conflict->Revision);
+    else if (!std::holds_alternative<ProxyStored>(event.Result) && !Leaving)
+      AnnounceAt = ctx.Now + RetryPause;
+    return;
+  }
+  if (ListCall != event.Call)
+    return;
+  ListCall.reset();
+  const auto *listing = std::get_if<DirectoryListing>(&event.Result);
+  if (!listing) {
+    Listed.clear();
+    ListAt = ctx.Now + RetryPause;
+    return;
+  }
+  Listed.insert(Listed.end(), listing->Objects.begin(), listing->Objects.end());
+  if (listing->More && !listing->Objects.empty()) {
+    list(ctx);
+    return;
+  }
+  const bool first = Proxies.size() <= 1;
+  std::map<NodeId, ProxyEntry> before;
+  before.swap(Proxies);
+  Proxies[ctx.Self.Node] = before[ctx.Self.Node];
+  for (const auto &object : std::exchange(Listed, {}))
+    if (const auto *entry = std::get_if<ProxyEntry>(&object.Value)) {
+      if (const auto it = before.find(entry->Node); it != before.end())
+        Proxies[entry->Node] = it->second;
+      if (entry->Node != ctx.Self.Node)
+        take(ctx, *entry);
+    }
+  ListAt = ctx.Now + (first ? SecondList : ListInterval);
+}
+
+void FleetMap::onTimer(Context &ctx) {
+  if (AnnounceAt && ctx.Now >= *AnnounceAt)
+    announce(ctx, 0);
+  if (ListAt && ctx.Now >= *ListAt)
+    list(ctx);
+}
+
+std::optional<TimePoint> FleetMap::nextTimer() const {
+  if (AnnounceAt && ListAt)
+    return std::min(*AnnounceAt, *ListAt);
+  return AnnounceAt ? AnnounceAt : ListAt;
+}
+
+void FleetMap::startLeaving(Context &ctx) {
+  if (!Enabled || std::exchange(Leaving, true))
+    return;
+  AnnounceAt.reset();
+  ListAt.reset();
+  ctx.emit(DirectoryCall{ctx.call(Module::Positions), CallTimeout, DeleteProxy{ctx.Self.Node}});
+}
+
+std::vector<NodeId> FleetMap::order(const AvailabilityZone &zone, std::string_view key) const {
+  std::vector<NodeId> out;
+  for (const auto &[node, entry] : Proxies)
+    if (entry.AvailabilityZone == zone)
+      out.push_back(node);
+  std::sort(out.begin(), out.end(), [&](const NodeId &a, const NodeId &b) {
+    return rendezvousWeight(key, a) > rendezvousWeight(key, b);
+  });
+  return out;
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/positions/positionexchange.cpp
@@ -0,0 +1,97 @@
+// Requests for positions between proxies.
+
+#include "positions/positionexchange.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// An asker has gone to the primary itself by then.
+constexpr Duration AskerPatience = 200ms;
+constexpr std::size_t MaxAskers = 1'000;
+
+} // namespace
+
+bool PositionExchange::waiting(const DatabaseId &service, TimePoint now) const {
+  const auto it = Requests.find(service);
+  return it != Requests.end() && now - it->second.SentAt < Patience;
+}
+
+bool PositionExchange::request(Context &ctx, const FleetMap &fleet, const DatabaseId &service) {
+  if (const auto it = Requests.find(service); it != Requests.end()) {
+    if (ctx.Now - it->second.SentAt < Patience)
+      return true;
+    RestsUntil[it->second.To] = ctx.Now + PeerRest;
+    ctx.emit(Count{"position_requests_unanswered_total"});
+    Requests.erase(it);
+    return false;
+  }
+  for (const auto &node : fleet.order(ctx.Self.AvailabilityZone, service.str())) {
+    if (node == ctx.Self.Node)
+      return false;
+    if (const auto rest = RestsUntil.find(node); rest != RestsUntil.end() && ctx.Now < rest->second)
+      continue;
+    const auto number = ctx.number();
+    Requests[service] = {number, node, ctx.Now};
+    ctx.emit(Count{"position_requests_total"});
+    ctx.emit(SendToPeer{node, PositionRequest{number, service}});
+    return true;
+  }
+  return false;
+}
+
+std::optional<PositionSample> PositionExchange::onReply(Context &, const NodeId &from, const PositionReply &reply) {
+  RestsUntil.erase(from);
+  const auto it = Requests.find(reply.Service);
+  if (it == Requests.end() || it->second.Number != reply.Number || it->second.To != from)
+    return std::nullopt;
+  // The answer was given after the request was sent, so its age counts from there at most.
+  const PositionSample out{reply.Service, reply.At, it->second.SentAt - reply.Age};
+  Requests.erase(it);
+  return out;
+}
+
+void PositionExchange::onPeerLost(Context &ctx, const NodeId &node) {
+  RestsUntil[node] = ctx.Now + PeerRest;
+  std::erase_if(Requests, [&](const auto &it) { return it.second.To == node; });
+}
+
+void PositionExchange::onRequest(Context &ctx, const NodeId &from, const PositionRequest &request,
+                                 const std::optional<PositionSample> &newest) {
+  if (newest && ctx.Now - newest->SentAt <= FreshEnough) {
+    ctx.emit(SendToPeer{from, PositionReply{request.Number, request.Service, newest->At, ctx.Now - newest->SentAt}});
+    return;
+  }
+  auto &askers = Askers[request.Service];
+  if (askers.size() < MaxAskers)
+    askers.push_back({from, request.Number, ctx.Now});
+}
+
+void PositionExchange::onSample(Context &ctx, const PositionSample &sample) {
+  const auto it = Askers.find(sample.Service);
+  if (it == Askers.end())
+    return;
+  const auto askers = std::move(it->second);
+  Askers.erase(it);
+  for (const auto &one : askers)
+    if (ctx.Now - one.At < AskerPatience)
+      ctx.emit(SendToPeer{one.Node, PositionReply{one.Number, sample.Service, sample.At, ctx.Now - sample.SentAt}});
+}
+
+std::vector<DatabaseId> PositionExchange::owed(TimePoint now) {
+  std::vector<DatabaseId> out;
+  for (auto it = Askers.begin(); it != Askers.end();) {
+    std::erase_if(it->second, [&](const Asker &one) { return now - one.At >= AskerPatience; });
+    if (it->second.empty()) {
+      it = Askers.erase(it);
+    } else {
+      out.push_back(it->first);
+      ++it;
+    }
+  }
+  return out;
+}
+
+} // namespace rosemaryhinge
--- a/src/protocol/callid.h
+++ b/src/protocol/callid.h
@@ -20,6 +20,7 @@
   Journal,
   Directory,
   Leadership,
+  Positions,
 };
 
 struct CallId {
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -66,7 +66,14 @@
   std::uint64_t Revision = 0; ///< 0: nobody has claimed it yet.
 };
 
-enum class DirectoryKind : std::uint8_t { Configuration, Servers, Claims };
+/// A proxy of the fleet, as it announces itself to the others.
+struct ProxyEntry {
+  NodeId Node;
+  rosemaryhinge::AvailabilityZone AvailabilityZone;
+  std::string Address; ///< Where it listens for other proxies.
+};
+
+enum class DirectoryKind : std::uint8_t { Configuration, Servers, Claims, Proxies };
 
 struct ListDirectory {
   DirectoryKind Kind = DirectoryKind::Servers;
@@ -83,17 +90,26 @@
   Claim Next;
 };
 
+/// Announces this proxy, in place of an earlier entry of its name.
+struct PutProxy {
+  ProxyEntry Entry;
+  std::uint64_t Revision = 0; ///< 0: there is no entry yet.
+};
+struct DeleteProxy {
+  NodeId Node;
+};
+
 struct DirectoryCall {
   CallId Call;
   Duration Timeout{};
-  std::variant<ListDirectory, WatchDirectory, PutClaim> Request;
+  std::variant<ListDirectory, WatchDirectory, PutClaim, PutProxy, DeleteProxy> Request;
 };
 
 /// An object whose contents cannot be used, with the reason.
 struct UnreadableObject {
   std::string Why;
 };
-using DirectoryValue = std::variant<Configuration, ServerEntry, Claim, UnreadableObject>;
+using DirectoryValue = std::variant<Configuration, ServerEntry, Claim, ProxyEntry, UnreadableObject>;
 
 struct DirectoryObject {
   std::string Name;
@@ -119,6 +135,11 @@
 struct ClaimConflict {
   Claim Current;
 };
+struct ProxyStored {};
+/// There is an entry of this name; it has this revision.
+struct ProxyConflict {
+  std::uint64_t Revision = 0;
+};
 struct DirectoryFailure {
   std::string Message;
   bool NothingDone = false; ///< The store said that the call had no effect.
@@ -127,7 +148,7 @@
 struct DirectoryAnswer {
   CallId Call;
   std::variant<DirectoryListing, DirectoryChanges, DirectoryHistoryGone, ClaimStored, ClaimConflict,
-               DirectoryFailure>
+               ProxyStored, ProxyConflict, DirectoryFailure>
       Result;
 };
 
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -15,13 +15,17 @@
 public:
   Handler(State &state, Context &ctx)
       : S(state),
-        Ctx(ctx), Services{state.Catalog, state.Links}, Leaders{state.Catalog, state.Links, state.Sessions} {}
+        Ctx(ctx), Services{state.Catalog, state.Links, state.Fleet, state.Positions}, Leaders{state.Catalog, state.Links, state.Sessions} {}
 
-  void operator()(const Started &) { S.Directory.onStarted(Ctx); }
+  void operator()(const Started &) {
+    S.Directory.onStarted(Ctx);
+    S.Fleet.onStarted(Ctx);
+  }
 
   void operator()(const TimerFired &) {
     const auto changes = S.Catalog.changes();
     S.Directory.onTimer(Ctx, S.Catalog);
+    S.Fleet.onTimer(Ctx);
     S.Links.onTimer(Ctx, S.Catalog);
     S.Sessions.onTimer(Ctx, Services);
     if (const auto next = S.Leadership.nextTimer(); !next || Ctx.Now >= *next)
@@ -33,6 +37,7 @@
   void operator()(const ShutdownRequested &) {
     S.Sessions.startLeaving(Ctx, Services);
     S.Leadership.startLeaving();
+    S.Fleet.startLeaving(Ctx);
     checkDrain();
   }
 
@@ -71,7 +76,9 @@
 
   void operator()(const DirectoryAnswer &event) {
     const auto changes = S.Catalog.changes();
-    if (event.Call.Owner == Module::Leadership)
+    if (event.Call.Owner == Module::Positions)
+      S.Fleet.onAnswer(Ctx, event);
+    else if (event.Call.Owner == Module::Leadership)
       S.Leadership.onDirectoryAnswer(Ctx, Leaders, event);
     else
       S.Directory.onAnswer(Ctx, S.Catalog, event);
@@ -80,6 +87,14 @@
 
   void operator()(const PromotionAnswer &event) { S.Leadership.onPromotionAnswer(Ctx, Leaders, event); }
 
+  void operator()(const PeerReceived &event) {
+    if (const auto *request = std::get_if<PositionRequest>(&event.Message))
+      S.Sessions.onPositionRequest(Ctx, Services, event.From, *request);
+    else if (const auto *reply = std::get_if<PositionReply>(&event.Message))
+      S.Sessions.onPositionReply(Ctx, Services, event.From, *reply);
+  }
+  void operator()(const PeerLost &event) { S.Positions.onPeerLost(Ctx, event.Node); }
+
   template <typename T> void operator()(const T &) {}
 
 private:
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -134,6 +134,10 @@
 }
 
 void Dispatcher::operator()(const PeerReceived &event) {
+  if (S.Self.Interface == CallerInterface::Sessions) {
+    detail::onSessionEvent(S, Ctx, event);
+    return;
+  }
   const auto &message = event.Message;
   std::visit(Overloaded{
                  [&](const ForwardRequest &it) {
@@ -174,6 +178,10 @@
 }
 
 void Dispatcher::operator()(const PeerLost &event) {
+  if (S.Self.Interface == CallerInterface::Sessions) {
+    detail::onSessionEvent(S, Ctx, event);
+    return;
+  }
   auto services = this->services();
   S.Requests.onPeerLost(Ctx, services, event.Node);
 }
--- a/src/reducer/state.h
+++ b/src/reducer/state.h
@@ -11,6 +11,7 @@
 #include "leadership/leadershipmodule.h"
 #include "links/linkpool.h"
 #include "membership/membershipmodule.h"
+#include "positions/positionexchange.h"
 #include "protocol/rules.h"
 #include "request/requestmodule.h"
 #include "sessions/sessionsmodule.h"
@@ -45,6 +46,8 @@
   DirectoryModule Directory;
   rosemaryhinge::Catalog Catalog;
   LinkPool Links;
+  FleetMap Fleet;
+  PositionExchange Positions;
   SessionsModule Sessions;
   LeadershipModule Leadership;
 };
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -51,6 +51,7 @@
 }
 
 void SessionsModule::onCapacity(Context &ctx, SessionServices &services) {
+  proveForOthers(ctx, services);
   if (!Held.empty())
     admitHeld(ctx, services);
   for (auto &[service, queue] : Waiting) {
@@ -107,12 +108,19 @@
 }
 
 std::vector<TargetId> SessionsModule::candidates(Context &ctx, SessionServices &services,
-                                                 const Session &session, const Work &work,
+                                                 const Session &session, Work &work,
                                                  std::optional<Position> &after) {
   const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
   after = read ? proof(session, work) : std::nullopt;
-  if (!after)
+  if (!after) {
+    const bool provable = read && work.Route.Reads != Consistency::Primary && !work.PrimaryOnly && !work.Unshared &&
+                          !session.WrittenUnknown.contains(work.Route.Service);
+    if (provable && services.Exchange.request(ctx, services.Fleet, work.Route.Service))
+      return {};
+    // What others could tell did not come: the primary itself tells.
+    work.Unshared = work.Unshared || provable;
     return primaryCandidates(ctx, services, work);
+  }
   const auto primary = services.Catalog.primary(work.Route.Service);
   const auto &lagged = Services[work.Route.Service].LaggedAt;
   std::vector<std::pair<Duration, TargetId>> costs;
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -33,6 +33,12 @@
 
 void SessionsModule::onReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply,
                              const LinkReplied &event) {
+  if (auto &service = Services[reply.Service]; service.Proving == event.Link) {
+    if (reply.Step == LinkStep::Begin && std::holds_alternative<StatementResultRows>(event.Outcome) && event.At)
+      addSample(ctx, services, {reply.Service, *event.At, reply.SentAt});
+    if (reply.Last)
+      service.Proving.reset();
+  }
   const auto it = Sessions.find(reply.User.Session);
   if (it == Sessions.end() || !it->second.Current || it->second.Current->Link != event.Link)
     return;
@@ -60,7 +66,7 @@
     if (session.Transaction)
       session.Transaction->Begun = true;
     if (event.At && !work.After) {
-      Services[reply.Service].Positions.add(*event.At, reply.SentAt);
+      addSample(ctx, services, {reply.Service, *event.At, reply.SentAt});
       services.Catalog.confirmPrimary(reply.Target);
     }
     offer(ctx, services, reply.User.Session, session);
@@ -93,7 +99,7 @@
     if (event.At) {
       session.Written[reply.Service] = *event.At;
       session.WrittenUnknown.erase(reply.Service);
-      Services[reply.Service].Positions.add(*event.At, work.SentAt);
+      addSample(ctx, services, {reply.Service, *event.At, work.SentAt});
       services.Catalog.confirmPrimary(reply.Target);
     } else {
       session.WrittenUnknown.insert(reply.Service);
--- /dev/null
+++ b/src/sessions/internal/proofs.cpp
@@ -0,0 +1,51 @@
+// Proofs of freshness: positions from this proxy's own work, from other proxies, and for them.
+
+#include "sessions/sessionsmodule.h"
+
+namespace rosemaryhinge {
+
+void SessionsModule::addSample(Context &ctx, SessionServices &services, const PositionSample &sample) {
+  auto &service = Services[sample.Service];
+  service.Positions.add(sample.At, sample.SentAt);
+  if (!service.Own || sample.SentAt > service.Own->SentAt)
+    service.Own = sample;
+  services.Exchange.onSample(ctx, sample);
+}
+
+void SessionsModule::onPositionRequest(Context &ctx, SessionServices &services, const NodeId &from,
+                                       const PositionRequest &request) {
+  const auto it = Services.find(request.Service);
+  services.Exchange.onRequest(ctx, from, request, it == Services.end() ? std::nullopt : it->second.Own);
+  proveForOthers(ctx, services);
+}
+
+void SessionsModule::onPositionReply(Context &ctx, SessionServices &services, const NodeId &from,
+                                     const PositionReply &reply) {
+  const auto sample = services.Exchange.onReply(ctx, from, reply);
+  if (!sample)
+    return;
+  Services[sample->Service].Positions.add(sample->At, sample->SentAt);
+  onCapacity(ctx, services);
+}
+
+void SessionsModule::proveForOthers(Context &ctx, SessionServices &services) {
+  for (const auto &service : services.Exchange.owed(ctx.Now)) {
+    auto &proving = Services[service].Proving;
+    if (proving && services.Links.targetOf(*proving))
+      continue;
+    proving.reset();
+    const auto primary = services.Catalog.primary(service);
+    if (!primary || services.Links.health(*primary).suspect(ctx.Now))
+      continue;
+    const auto link = services.Links.acquire(*primary, {}, {}, ctx.Now);
+    if (!link) {
+      services.Links.want(ctx, services.Catalog, *primary, 1);
+      continue;
+    }
+    proving = link;
+    services.Links.send(ctx, *link, {BeginTransaction{}, RollbackTransaction{}});
+    services.Links.release(ctx, *link);
+  }
+}
+
+} // namespace rosemaryhinge
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -25,6 +25,7 @@
   TimePoint RetryAt; ///< Not to be sent before.
   int Tries = 0;     ///< Times that it was sent to a server.
   std::set<TargetId> Avoid;
+  bool Unshared = false;    ///< Other proxies are not asked for a proof any more.
   bool PrimaryOnly = false; ///< No replica is to be asked any more.
 
   // While a server works on it.
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -8,6 +8,7 @@
 #include "catalog/catalog.h"
 #include "freshness/positionhistory.h"
 #include "links/linkpool.h"
+#include "positions/positionexchange.h"
 #include "protocol/context.h"
 #include "sessions/internal/session.h"
 
@@ -21,6 +22,8 @@
 struct SessionServices {
   rosemaryhinge::Catalog &Catalog;
   LinkPool &Links;
+  const FleetMap &Fleet;
+  PositionExchange &Exchange;
 };
 
 class SessionsModule {
@@ -32,6 +35,9 @@
                const LinkReplied &event);
   void onLinkClosed(Context &ctx, SessionServices &services, const LinkPool::Closed &closed);
   void onTimer(Context &ctx, SessionServices &services);
+  /// Another proxy asks for a position, or has answered.
+  void onPositionRequest(Context &ctx, SessionServices &services, const NodeId &from, const PositionRequest &request);
+  void onPositionReply(Context &ctx, SessionServices &services, const NodeId &from, const PositionReply &reply);
   /// A link became idle, a primary was found, or servers changed: tries the statements that wait.
   void onCapacity(Context &ctx, SessionServices &services);
 
@@ -57,6 +63,8 @@
   using WaitKey = std::tuple<std::uint32_t, TimePoint, SessionId>;
   struct Service {
     PositionHistory Positions;
+    std::optional<PositionSample> Own; ///< Newest that this proxy got from the primary itself.
+    std::optional<LinkId> Proving;     ///< Link on which the primary is asked for others.
     std::map<TargetId, TimePoint> LaggedAt; ///< Last time that a replica lacked a position.
     std::map<TargetId, TimePoint> AskedAt;  ///< Last time that a server was asked whether it is the primary.
     /// When the first write was sent of those that were not answered since the last answered one.
@@ -91,6 +99,8 @@
   void offer(Context &ctx, SessionServices &services, SessionId id, Session &session);
   void wait(SessionId id, const Session &session);
   void unwait(SessionId id, const Session &session);
+  void addSample(Context &ctx, SessionServices &services, const PositionSample &sample);
+  void proveForOthers(Context &ctx, SessionServices &services);
   [[nodiscard]] std::optional<Position> proof(const Session &session, const Work &work);
   [[nodiscard]] std::vector<TargetId> candidates(Context &ctx, SessionServices &services,
                                                  const Session &session, const Work &work,
