--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -103,7 +103,7 @@
   void proveForOthers(Context &ctx, SessionServices &services);
   [[nodiscard]] std::optional<Position> proof(const Session &session, const Work &work);
   [[nodiscard]] std::vector<TargetId> candidates(Context &ctx, SessionServices &services,
-                                                 const Session &session, const Work &work,
+                                                 const Session &session, Work &work,
                                                  std::optional<Position> &after);
   [[nodiscard]] std::vector<TargetId> primaryCandidates(Context &ctx, SessionServices &services,
                                                         const Work &work);
