Keep idle links by the proxy's share of connections, and watch less often

Where a server has less than one connection for each proxy, an idle link now stays 40 ms; else up to 0.6 of the share is kept. Watches wait 4.2 s, and while the fleet starts the entries of many servers come as one change.

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -22,6 +22,7 @@
 } // namespace
 
 void DirectoryModule::onStarted(Context &ctx) {
+  StartedAt = ctx.Now;
   for (auto &it : Feeds)
     call(ctx, it);
 }
@@ -71,7 +72,11 @@
                  [](const auto &) {},
              },
              event.Result);
-  call(ctx, *feed);
+  const auto *changes = std::get_if<DirectoryChanges>(&event.Result);
+  if (changes && !changes->Objects.empty() && ctx.Now - StartedAt < StartTime)
+    feed->RetryAt = ctx.Now + StartPause;
+  else
+    call(ctx, *feed);
 }
 
 void DirectoryModule::applyList(Context &ctx, Catalog &catalog, Feed &feed) {
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -24,8 +24,11 @@
   /// back about two seconds after its return if the server lives.
   static constexpr Duration GoneAfter = 2500ms;
   /// A watch ends after this time, so that one on a connection that has gone silent is noticed.
-  static constexpr Duration WatchWait = 3s;
-  static constexpr Duration WatchGrace = 600ms;
+  static constexpr Duration WatchWait = 4200ms;
+  static constexpr Duration WatchGrace = 500ms;
+  /// Pause before the next watch while the fleet starts: the entries of many servers then come as one change.
+  static constexpr Duration StartPause = 700ms;
+  static constexpr Duration StartTime = 8s;
   static constexpr Duration ListTimeout = 1500ms;
 
 private:
@@ -48,6 +51,7 @@
   void failed(Context &ctx, Feed &feed, const std::string &why);
 
   std::array<Feed, 2> Feeds{Feed(DirectoryKind::Configuration), Feed(DirectoryKind::Servers)};
+  TimePoint StartedAt;
   std::map<TargetId, TimePoint> Vanishing; ///< Servers whose entries have ended, with the time of removal.
 };
 
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -14,9 +14,14 @@
 /// An answer to the proxy's own rollback that takes longer means that the link is stuck.
 constexpr Duration AnswerTimeout = 1500ms;
 constexpr Duration SweepInterval = 50ms;
-/// Idle links that are kept for each server, and for how long the ones beyond them stay at most.
-constexpr std::size_t KeptIdle = 2;
+/// Idle links of a proxy are kept up to this part of its even share of the server's connections, and up to a number;
+/// the ones beyond stay for a short time. A proxy that has links is never refused, so it cannot learn from refusals that
+/// others wait for them.
+constexpr double KeptPart = 0.6;
+constexpr std::size_t MaxKept = 3;
 constexpr Duration SpareIdleFor = 600ms;
+/// Where there is less than one connection for each proxy.
+constexpr Duration ScarceIdleFor = 40ms;
 /// The time for which idle links are kept is halved when the server has too many connections, since other proxies
 /// wait for them, and grows again while it has room. So it settles by the size of the fleet and the load.
 constexpr Duration LongestKeep = 8s;
@@ -262,8 +267,20 @@
   return out;
 }
 
-Duration LinkPool::idleLimit(const Server &server) {
-  return server.Idle > KeptIdle ? std::min(SpareIdleFor, server.KeepIdle) : server.KeepIdle;
+std::size_t LinkPool::kept(const Catalog &catalog, const TargetId &target) const {
+  const auto *view = catalog.server(target);
+  const auto *limits = view ? catalog.limits(view->Entry.Service) : nullptr;
+  if (!limits)
+    return MaxKept;
+  const auto share = static_cast<double>(limits->MaxConnections) / static_cast<double>(FleetSize);
+  return std::min(MaxKept, static_cast<std::size_t>(share * KeptPart));
+}
+
+Duration LinkPool::idleLimit(const Catalog &catalog, const TargetId &target, const Server &server) const {
+  const auto keep = kept(catalog, target);
+  if (server.Idle <= keep)
+    return server.KeepIdle;
+  return std::min(keep == 0 ? ScarceIdleFor : SpareIdleFor, server.KeepIdle);
 }
 
 void LinkPool::shortenKeep(Server &server, TimePoint now) {
@@ -290,7 +307,7 @@
       if (age >= OpenTimeout)
         closing.emplace_back(id, true);
     } else if (link.State == Phase::Idle) {
-      if (!catalog.server(link.Target) || age >= idleLimit(Servers.at(link.Target)))
+      if (!catalog.server(link.Target) || age >= idleLimit(catalog, link.Target, Servers.at(link.Target)))
         closing.emplace_back(id, false);
     } else if (!link.Lent && !link.Awaiting.empty() &&
                ctx.Now - link.Awaiting.front().SentAt >= AnswerTimeout) {
@@ -304,7 +321,7 @@
     auto &server = Servers.at(it->second.Target);
     // Each closing of a spare link may bring the server down to the links that are kept.
     if (it->second.State == Phase::Idle && catalog.server(it->second.Target) &&
-        ctx.Now - it->second.Since < idleLimit(server))
+        ctx.Now - it->second.Since < idleLimit(catalog, it->second.Target, server))
       continue;
     if (it->second.State == Phase::Opening)
       server.RetryAt = ctx.Now + FailurePause;
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -10,6 +10,7 @@
 #include "links/serverhealth.h"
 #include "protocol/context.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -48,6 +49,8 @@
                                               const SessionValues &values, TimePoint now);
   /// Opens a further link for waiting work, unless enough are being opened or the server has refused lately.
   void want(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting);
+  /// Tells how many proxies share the servers' connections, which decides how many idle links are kept.
+  void setFleetSize(std::size_t proxies) { FleetSize = std::max<std::size_t>(1, proxies); }
   /// Commands that make the link carry these values and this prepared statement.
   [[nodiscard]] std::vector<LinkCommand> prepare(LinkId link, const SessionValues &values,
                                                  const PreparedShape *shape);
@@ -125,7 +128,8 @@
 
   void setPhase(Link &link, LinkId id, Phase next, TimePoint now);
   void forget(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent);
-  [[nodiscard]] static Duration idleLimit(const Server &server);
+  [[nodiscard]] std::size_t kept(const Catalog &catalog, const TargetId &target) const;
+  [[nodiscard]] Duration idleLimit(const Catalog &catalog, const TargetId &target, const Server &server) const;
   static void shortenKeep(Server &server, TimePoint now);
   static void lengthenKeep(Server &server, TimePoint now);
 
@@ -133,6 +137,7 @@
   std::map<TargetId, Server> Servers;
   std::map<PreparedShape, std::string> Names;
   std::uint64_t NamesGiven = 0;
+  std::size_t FleetSize = 1;
   std::optional<TimePoint> NextSweep;
 };
 
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -25,6 +25,8 @@
   /// The proxies of an availability zone, this one included, in the order in which they are asked about a key.
   [[nodiscard]] std::vector<NodeId> order(const AvailabilityZone &zone, std::string_view key) const;
 
+  [[nodiscard]] std::size_t size() const { return Proxies.size(); }
+
 private:
   void announce(Context &ctx, std::uint64_t revision);
   void list(Context &ctx);
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -26,6 +26,7 @@
     const auto changes = S.Catalog.changes();
     S.Directory.onTimer(Ctx, S.Catalog);
     S.Fleet.onTimer(Ctx);
+    S.Links.setFleetSize(S.Fleet.size());
     S.Links.onTimer(Ctx, S.Catalog);
     S.Sessions.onTimer(Ctx, Services);
     if (const auto next = S.Leadership.nextTimer(); !next || Ctx.Now >= *next)
