Pause all replicas for one term, resume them after a change, and never promote past acknowledged commits

Commits were acknowledged by the former primary, which was leaving. When it had gone, writes hung, and the paused replica was promoted without 135 commits. Ruled out: a wrong comparison of logs; the survey shows 1.378 for the candidate while the primary was at 2.4xx. Now one term serves all orders of a change, paused replicas are resumed when it is over, and a candidate that lacks what this proxy has acknowledged is not promoted while the primary has it.

--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -23,8 +23,9 @@
   /// Time after which a server whose entry has ended is gone. Entries that end while the store is away are
   /// back about two seconds after its return if the server lives.
   static constexpr Duration GoneAfter = 2500ms;
-  /// A watch ends after this time, so that one on a connection that has gone silent is noticed.
-  static constexpr Duration WatchWait = 4200ms;
+  /// Each watch is priced, so it waits long; that its connection has gone silent is noticed by keep-alive
+  /// probes.
+  static constexpr Duration WatchWait = 25s;
   static constexpr Duration WatchGrace = 500ms;
   /// Pause before the next watch while the fleet starts: the entries of many servers then come as one change.
   static constexpr Duration StartPause = 700ms;
--- a/src/leadership/internal/reason.h
+++ b/src/leadership/internal/reason.h
@@ -15,7 +15,8 @@
   std::string Why;
   TargetId From;       ///< The primary to be replaced; empty if none is known.
   bool Urgent = false; ///< Nobody can write meanwhile.
-  /// The primary may be well, and only this proxy's way to it may be broken: replicas that receive from it tell.
+  /// The primary may be well, and only this proxy's way to it may be broken: replicas that receive from it
+  /// tell.
   bool Doubtful = false;
 };
 
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -21,8 +21,8 @@
 constexpr Duration OrderPatience = 600ms;
 /// Time for the candidate to receive what the paused replicas had, before it is paused, too.
 constexpr Duration CatchUp = 150ms;
-/// Replicas that receive nothing for this long, while commits wait, have lost the primary. Above the usual lag of
-/// the network between regions.
+/// Replicas that receive nothing for this long, while commits wait, have lost the primary. Above the usual
+/// lag of the network between regions.
 constexpr Duration CompareTime = 200ms;
 /// Without an answer of all replicas, the former primary is asked to step down.
 constexpr Duration StepDownAfter = 1500ms;
@@ -187,6 +187,7 @@
   change.Servers.clear();
   change.Orders.clear();
   change.PausedByUs.clear();
+  change.OrderTerm = 0;
   change.OthersPausedAt.reset();
   change.ComparedAt.reset();
   change.AskedAgain.clear();
@@ -248,7 +249,9 @@
   one.Sent = true;
   one.Pause = pause;
   one.SentAt = ctx.Now;
-  const auto term = detail::newestTerm(change.Servers) + 1;
+  if (pause && change.OrderTerm == 0)
+    change.OrderTerm = detail::newestTerm(change.Servers) + 1;
+  const auto term = change.OrderTerm;
   if (!pause)
     services.Links.send(ctx, one.Link, {ReadServerStatus{}});
   else if (change.Servers[target].Former)
@@ -300,6 +303,8 @@
     order(ctx, services, change, target, true);
   }
   if (detail::holdsAll(change.Servers, *candidate)) {
+    if (losesCommits(ctx, services, service, change, *candidate))
+      return;
     change.Chosen = *candidate;
     ctx.emit(Log{LogLevel::Warn,
                  "server chosen to lead",
@@ -318,6 +323,24 @@
   order(ctx, services, change, *candidate, ctx.Now - *change.OthersPausedAt >= CatchUp);
 }
 
+bool LeadershipModule::losesCommits(Context &ctx, LeadershipServices &services, const DatabaseId &service,
+                                    Change &change, const TargetId &candidate) {
+  const auto acknowledged = services.Sessions.acknowledgedUpTo(service);
+  const auto &from = change.Reason.From;
+  const bool present = services.Catalog.server(from) && !services.Links.health(from).suspect(ctx.Now);
+  if (!present || candidate == from || !acknowledged ||
+      change.Servers.at(candidate).Status->Log >= *acknowledged)
+    return false;
+  // The primary still has what the candidate lacks. A replica that was left paused catches up once it is
+  // resumed.
+  for (const auto &[target, it] : change.Servers)
+    if (!it.Former && !it.Missing)
+      change.PausedByUs.insert(target);
+  giveUp(ctx, services, service, change, "the candidate lacks acknowledged commits that the primary has",
+         MinChangeInterval);
+  return true;
+}
+
 bool LeadershipModule::doubtsRemain(Context &ctx, LeadershipServices &services, const DatabaseId &service,
                                     Change &change) {
   if (!change.ComparedAt)
@@ -442,7 +465,7 @@
                   {"server", change.Chosen.str()},
                   {"source", "this proxy"},
                   {"ms", std::to_string((ctx.Now - change.StartedAt) / 1ms)}}});
-    releaseOrders(ctx, services, change, false);
+    releaseOrders(ctx, services, change, true);
     change.NotBefore = ctx.Now + MinChangeInterval;
     putClaim(ctx, service, change, true);
     return;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -74,6 +74,9 @@
     detail::Survey Servers;
     std::map<TargetId, Order> Orders;
     std::set<TargetId> PausedByUs;
+    /// Of all orders of this change. A replica that is paused for a higher term than the promotion brings
+    /// would stay paused after it.
+    Term OrderTerm = 0;
     std::optional<TimePoint> OthersPausedAt;
     std::optional<TimePoint> ComparedAt; ///< When all replicas had told their logs for the first time.
     std::set<TargetId> AskedAgain;       ///< Replicas that have told their logs again since.
@@ -92,6 +95,8 @@
   void survey(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change);
   void refreshSurvey(LeadershipServices &services, const DatabaseId &service, Change &change, TimePoint now);
   void order(Context &ctx, LeadershipServices &services, Change &change, const TargetId &target, bool pause);
+  bool losesCommits(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change,
+                    const TargetId &candidate);
   bool doubtsRemain(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change);
   void promote(Context &ctx, const DatabaseId &service, Change &change);
   void settle(Context &ctx, LeadershipServices &services, const DatabaseId &service, Change &change);
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -14,23 +14,24 @@
 /// An answer to the proxy's own rollback that takes longer means that the link is stuck.
 constexpr Duration AnswerTimeout = 1500ms;
 constexpr Duration SweepInterval = 50ms;
-/// Idle links of a proxy are kept up to this part of its even share of the server's connections, and up to a number;
-/// the ones beyond stay for a short time. A proxy that has links is never refused, so it cannot learn from refusals that
-/// others wait for them.
+/// Idle links of a proxy are kept up to this part of its even share of the server's connections, and up to a
+/// number; the ones beyond stay for a short time. A proxy that has links is never refused, so it cannot learn
+/// from refusals that others wait for them.
 constexpr double KeptPart = 0.6;
 constexpr std::size_t MaxKept = 3;
 constexpr Duration SpareIdleFor = 600ms;
 /// Where there is less than one connection for each proxy.
 constexpr Duration ScarceIdleFor = 40ms;
-/// The time for which idle links are kept is halved when the server has too many connections, since other proxies
-/// wait for them, and grows again while it has room. So it settles by the size of the fleet and the load.
+/// The time for which idle links are kept is halved when the server has too many connections, since other
+/// proxies wait for them, and grows again while it has room. So it settles by the size of the fleet and the
+/// load.
 constexpr Duration LongestKeep = 8s;
 constexpr Duration ShortestKeep = 20ms;
 constexpr Duration KeepStep = 500ms;
 /// A server that had too many connections counts as full this long.
 constexpr Duration FullMemory = 3s;
-/// Pause before a server that was full is asked again, doubled with each refusal in a row, with as much again at
-/// random.
+/// Pause before a server that was full is asked again, doubled with each refusal in a row, with as much again
+/// at random.
 constexpr Duration FullPause = 25ms;
 constexpr int MaxFullDoublings = 4;
 constexpr Duration FailurePause = 200ms;
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -129,7 +129,8 @@
   void setPhase(Link &link, LinkId id, Phase next, TimePoint now);
   void forget(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent);
   [[nodiscard]] std::size_t kept(const Catalog &catalog, const TargetId &target) const;
-  [[nodiscard]] Duration idleLimit(const Catalog &catalog, const TargetId &target, const Server &server) const;
+  [[nodiscard]] Duration idleLimit(const Catalog &catalog, const TargetId &target,
+                                   const Server &server) const;
   static void shortenKeep(Server &server, TimePoint now);
   static void lengthenKeep(Server &server, TimePoint now);
 
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -12,8 +12,8 @@
 
 constexpr Duration CallTimeout = 1500ms;
 constexpr Duration RetryPause = 1s;
-/// Soon after the start, when the others have announced themselves; then at long intervals, since each call is
-/// priced.
+/// Soon after the start, when the others have announced themselves; then at long intervals, since each call
+/// is priced.
 constexpr Duration FirstList = 1500ms;
 constexpr Duration SecondList = 5s;
 constexpr Duration ListInterval = 15s;
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -22,7 +22,8 @@
   /// Takes back the announcement.
   void startLeaving(Context &ctx);
 
-  /// The proxies of an availability zone, this one included, in the order in which they are asked about a key.
+  /// The proxies of an availability zone, this one included, in the order in which they are asked about a
+  /// key.
   [[nodiscard]] std::vector<NodeId> order(const AvailabilityZone &zone, std::string_view key) const;
 
   [[nodiscard]] std::size_t size() const { return Proxies.size(); }
--- a/src/positions/positionexchange.cpp
+++ b/src/positions/positionexchange.cpp
@@ -42,7 +42,8 @@
   return false;
 }
 
-std::optional<PositionSample> PositionExchange::onReply(Context &, const NodeId &from, const PositionReply &reply) {
+std::optional<PositionSample> PositionExchange::onReply(Context &, const NodeId &from,
+                                                        const PositionReply &reply) {
   RestsUntil.erase(from);
   const auto it = Requests.find(reply.Service);
   if (it == Requests.end() || it->second.Number != reply.Number || it->second.To != from)
@@ -61,7 +62,8 @@
 void PositionExchange::onRequest(Context &ctx, const NodeId &from, const PositionRequest &request,
                                  const std::optional<PositionSample> &newest) {
   if (newest && ctx.Now - newest->SentAt <= FreshEnough) {
-    ctx.emit(SendToPeer{from, PositionReply{request.Number, request.Service, newest->At, ctx.Now - newest->SentAt}});
+    ctx.emit(SendToPeer{
+        from, PositionReply{request.Number, request.Service, newest->At, ctx.Now - newest->SentAt}});
     return;
   }
   auto &askers = Askers[request.Service];
@@ -77,7 +79,8 @@
   Askers.erase(it);
   for (const auto &one : askers)
     if (ctx.Now - one.At < AskerPatience)
-      ctx.emit(SendToPeer{one.Node, PositionReply{one.Number, sample.Service, sample.At, ctx.Now - sample.SentAt}});
+      ctx.emit(SendToPeer{one.Node,
+                          PositionReply{one.Number, sample.Service, sample.At, ctx.Now - sample.SentAt}});
 }
 
 std::vector<DatabaseId> PositionExchange::owed(TimePoint now) {
--- a/src/positions/positionexchange.h
+++ b/src/positions/positionexchange.h
@@ -1,7 +1,7 @@
 // Positions of primaries, shared among the proxies of an availability zone.
 //
-// For each service one proxy of the zone, the first in rendezvous order that answers, asks the primary; the others ask
-// that proxy. So a large fleet needs few connections to a primary for its proofs of freshness.
+// For each service one proxy of the zone, the first in rendezvous order that answers, asks the primary; the
+// others ask that proxy. So a large fleet needs few connections to a primary for its proofs of freshness.
 
 #pragma once
 
@@ -24,12 +24,13 @@
 
 class PositionExchange {
 public:
-  /// Asks for a position of a service, unless a request is on its way. False if this proxy has to ask the primary
-  /// itself.
+  /// Asks for a position of a service, unless a request is on its way. False if this proxy has to ask the
+  /// primary itself.
   bool request(Context &ctx, const FleetMap &fleet, const DatabaseId &service);
   /// Whether a request for the service is on its way.
   [[nodiscard]] bool waiting(const DatabaseId &service, TimePoint now) const;
-  [[nodiscard]] std::optional<PositionSample> onReply(Context &ctx, const NodeId &from, const PositionReply &reply);
+  [[nodiscard]] std::optional<PositionSample> onReply(Context &ctx, const NodeId &from,
+                                                      const PositionReply &reply);
   void onPeerLost(Context &ctx, const NodeId &node);
 
   /// Another proxy asks. Answered at once if a sample is young enough, else after the next one.
--- a/src/positions/tests/positionexchangetests.cpp
+++ b/src/positions/tests/positionexchangetests.cpp
@@ -24,7 +24,8 @@
     Now += 2s;
     Fleet.onTimer(ctx());
     for (const auto &it : std::exchange(Out, {}))
-      if (const auto *call = std::get_if<DirectoryCall>(&it); call && std::holds_alternative<ListDirectory>(call->Request))
+      if (const auto *call = std::get_if<DirectoryCall>(&it);
+          call && std::holds_alternative<ListDirectory>(call->Request))
         Fleet.onAnswer(ctx(), {call->Call, listing});
     Out.clear();
   }
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -168,8 +168,8 @@
   std::uint64_t Number = 0;
   DatabaseId Service;
 };
-/// The answer; none is given without a position. Age is the time, at the answer, since the position was asked for at the
-/// primary. So it was asked for no earlier than Age before the request of this number was sent.
+/// The answer; none is given without a position. Age is the time, at the answer, since the position was asked
+/// for at the primary. So it was asked for no earlier than Age before the request of this number was sent.
 struct PositionReply {
   std::uint64_t Number = 0;
   DatabaseId Service;
@@ -177,10 +177,10 @@
   Duration Age{};
 };
 
-using PeerMessage = std::variant<ForwardRequest, ForwardAnswer, Probe, ProbeAck, IndirectProbe,
-                                 MembersRequest, MembersReply, SettingsPush, SettingsAck, SettingsRequest,
-                                 TargetReports, PrimaryContactRequest, PrimaryContactReply, ObjectChanged,
-                                 JournalRecords, JournalAck, SettingsQuery, SettingsReport, JournalWritten,
-                                 PositionRequest, PositionReply>;
+using PeerMessage =
+    std::variant<ForwardRequest, ForwardAnswer, Probe, ProbeAck, IndirectProbe, MembersRequest, MembersReply,
+                 SettingsPush, SettingsAck, SettingsRequest, TargetReports, PrimaryContactRequest,
+                 PrimaryContactReply, ObjectChanged, JournalRecords, JournalAck, SettingsQuery,
+                 SettingsReport, JournalWritten, PositionRequest, PositionReply>;
 
 } // namespace rosemaryhinge
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -14,8 +14,8 @@
 class Handler {
 public:
   Handler(State &state, Context &ctx)
-      : S(state),
-        Ctx(ctx), Services{state.Catalog, state.Links, state.Fleet, state.Positions}, Leaders{state.Catalog, state.Links, state.Sessions} {}
+      : S(state), Ctx(ctx), Services{state.Catalog, state.Links, state.Fleet, state.Positions},
+        Leaders{state.Catalog, state.Links, state.Sessions} {}
 
   void operator()(const Started &) {
     S.Directory.onStarted(Ctx);
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
+
 using namespace rosemaryhinge;
 
 namespace {
@@ -46,8 +49,15 @@
   }
 }
 
+/// Orders that were sent to the servers.
+struct Orders {
+  std::map<std::string, Term> Paused; ///< Term of the pause, by server.
+  std::set<std::string> Resumed;
+};
+
 /// Lets the servers answer orders and status queries for a while; logs by server.
-void answerOrders(SessionHarness &proxy, const std::map<std::string, Lsn> &logs) {
+Orders answerOrders(SessionHarness &proxy, const std::map<std::string, Lsn> &logs) {
+  Orders out;
   std::map<LinkId, TargetId> links;
   for (int n = 0; n < 60; ++n) {
     while (const auto open = proxy.take<OpenLink>()) {
@@ -59,13 +69,19 @@
       const auto target = proxy.Logic.Links.targetOf(sent->Link).value_or(TargetId());
       if (!logs.contains(target.str()))
         continue;
-      TargetStatus status{TargetRole::Replica, 1, {1, logs.at(target.str())}, {}, false, {}};
+      if (const auto *pause = SessionHarness::command<PauseReplica>(*sent))
+        out.Paused[target.str()] = pause->Term;
+      if (SessionHarness::command<ResumeReplica>(*sent))
+        out.Resumed.insert(target.str());
+      const auto raised = std::max<Term>(1, out.Paused[target.str()]);
+      const TargetStatus status{TargetRole::Replica, raised, {1, logs.at(target.str())}, {}, false, {}};
       for (std::size_t one = 0; one < sent->Commands.size(); ++one)
         proxy.apply(
             LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
     }
     proxy.pass(20ms);
   }
+  return out;
 }
 
 } // namespace
@@ -140,3 +156,59 @@
   proxy.pass(5s);
   CHECK_FALSE(proxy.Logic.Sessions.writesUnansweredSince(Yard));
 }
+
+TEST_CASE("all replicas are paused for one term: one that holds a higher term than the new primary's would "
+          "stay paused") {
+  // Seen on openraad-portaal, mix seed 406977670671: commits were acknowledged by a replica that left, and
+  // the paused one was promoted without them.
+  SessionHarness proxy;
+  losePrimary(proxy, 41);
+  const auto orders = answerOrders(proxy, {{"a", 20}, {"b", 10}});
+  for (const auto &[server, term] : orders.Paused)
+    CHECK((term == 0 || term == 2));
+}
+
+TEST_CASE("replicas that were paused are resumed after the change") {
+  SessionHarness proxy;
+  losePrimary(proxy, 41);
+  answerOrders(proxy, {{"a", 20}, {"b", 10}});
+  const auto call = proxy.take<PromotionCall>();
+  REQUIRE(call);
+  proxy.apply(PromotionAnswer{call->Call, PromotionResult::Accepted, ""});
+  proxy.Logic.Catalog.confirmPrimary(TargetId("a"));
+  const auto orders = answerOrders(proxy, {{"a", 20}, {"b", 10}});
+  CHECK(orders.Resumed.contains("b"));
+}
+
+TEST_CASE("a replica that lacks acknowledged commits is not promoted while the primary still has them") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.write(session, "w0");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle, Position{1, 99});
+  // Commits hang from now on, but the primary answers reads.
+  for (int n = 0; n < 200 && !proxy.Logic.Leadership.changing(); ++n) {
+    const auto reader = proxy.open("settle");
+    proxy.read(reader, "r" + std::to_string(n));
+    if (n % 20 == 0) {
+      const auto writer = proxy.open("settle");
+      proxy.write(writer, "w" + std::to_string(n));
+    }
+    while (const auto open = proxy.take<OpenLink>())
+      proxy.apply(LinkOpened{open->Link});
+    while (const auto sent = proxy.take<SendOnLink>()) {
+      const bool write = SessionHarness::command<RunStatement>(*sent) && sent->Commands.size() == 1;
+      for (std::size_t one = 0; !write && one < sent->Commands.size(); ++one)
+        proxy.reply(sent->Link, SessionHarness::done(),
+                    SessionHarness::command<BeginTransaction>(*sent) ? TransactionState::Open
+                                                                     : TransactionState::Idle,
+                    Position{1, 99});
+    }
+    while (answerClaim(proxy, 41)) {
+    }
+    proxy.pass(20ms);
+  }
+  REQUIRE(proxy.Logic.Leadership.changing());
+  answerOrders(proxy, {{"a", 20}, {"b", 20}});
+  CHECK_FALSE(proxy.take<PromotionCall>());
+}
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -113,8 +113,8 @@
   const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
   after = read ? proof(session, work) : std::nullopt;
   if (!after) {
-    const bool provable = read && work.Route.Reads != Consistency::Primary && !work.PrimaryOnly && !work.Unshared &&
-                          !session.WrittenUnknown.contains(work.Route.Service);
+    const bool provable = read && work.Route.Reads != Consistency::Primary && !work.PrimaryOnly &&
+                          !work.Unshared && !session.WrittenUnknown.contains(work.Route.Service);
     if (provable && services.Exchange.request(ctx, services.Fleet, work.Route.Service))
       return {};
     // What others could tell did not come: the primary itself tells.
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -34,7 +34,8 @@
 void SessionsModule::onReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply,
                              const LinkReplied &event) {
   if (auto &service = Services[reply.Service]; service.Proving == event.Link) {
-    if (reply.Step == LinkStep::Begin && std::holds_alternative<StatementResultRows>(event.Outcome) && event.At)
+    if (reply.Step == LinkStep::Begin && std::holds_alternative<StatementResultRows>(event.Outcome) &&
+        event.At)
       addSample(ctx, services, {reply.Service, *event.At, reply.SentAt});
     if (reply.Last)
       service.Proving.reset();
@@ -98,6 +99,7 @@
   if (committed) {
     if (event.At) {
       session.Written[reply.Service] = *event.At;
+      Services[reply.Service].Acknowledged = *event.At;
       session.WrittenUnknown.erase(reply.Service);
       addSample(ctx, services, {reply.Service, *event.At, work.SentAt});
       services.Catalog.confirmPrimary(reply.Target);
@@ -245,7 +247,8 @@
   if (work.Link && timedOut) {
     services.Links.close(ctx, *work.Link, true);
     if (auto &service = Services[work.Route.Service]; sent && durable(session, work)) {
-      service.WritesUnansweredSince = std::min(service.WritesUnansweredSince.value_or(work.SentAt), work.SentAt);
+      service.WritesUnansweredSince =
+          std::min(service.WritesUnansweredSince.value_or(work.SentAt), work.SentAt);
       ++service.WritesUnanswered;
     }
   }
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -254,6 +254,11 @@
   return n >= 2 ? out : std::nullopt;
 }
 
+std::optional<Position> SessionsModule::acknowledgedUpTo(const DatabaseId &service) const {
+  const auto it = Services.find(service);
+  return it == Services.end() ? std::nullopt : it->second.Acknowledged;
+}
+
 std::optional<TimePoint> SessionsModule::primarySeen(const DatabaseId &service) const {
   const auto it = Services.find(service);
   return it == Services.end() ? std::nullopt : it->second.Positions.newest();
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -36,8 +36,10 @@
   void onLinkClosed(Context &ctx, SessionServices &services, const LinkPool::Closed &closed);
   void onTimer(Context &ctx, SessionServices &services);
   /// Another proxy asks for a position, or has answered.
-  void onPositionRequest(Context &ctx, SessionServices &services, const NodeId &from, const PositionRequest &request);
-  void onPositionReply(Context &ctx, SessionServices &services, const NodeId &from, const PositionReply &reply);
+  void onPositionRequest(Context &ctx, SessionServices &services, const NodeId &from,
+                         const PositionRequest &request);
+  void onPositionReply(Context &ctx, SessionServices &services, const NodeId &from,
+                       const PositionReply &reply);
   /// A link became idle, a primary was found, or servers changed: tries the statements that wait.
   void onCapacity(Context &ctx, SessionServices &services);
 
@@ -46,9 +48,11 @@
   [[nodiscard]] std::size_t size() const { return Sessions.size(); }
   [[nodiscard]] std::size_t waiting() const { return WaitingCount; }
   [[nodiscard]] std::size_t waitingAt(const DatabaseId &service) const;
-  /// Since when commits are sent to the primary of a service without any answer. None for a single one: its answer may
-  /// have been lost.
+  /// Since when commits are sent to the primary of a service without any answer. None for a single one: its
+  /// answer may have been lost.
   [[nodiscard]] std::optional<TimePoint> writesUnansweredSince(const DatabaseId &service) const;
+  /// End of the last commit at a service that this proxy has acknowledged.
+  [[nodiscard]] std::optional<Position> acknowledgedUpTo(const DatabaseId &service) const;
   /// When the newest proof of the primary's lead was asked for.
   [[nodiscard]] std::optional<TimePoint> primarySeen(const DatabaseId &service) const;
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
@@ -63,8 +67,9 @@
   using WaitKey = std::tuple<std::uint32_t, TimePoint, SessionId>;
   struct Service {
     PositionHistory Positions;
-    std::optional<PositionSample> Own; ///< Newest that this proxy got from the primary itself.
-    std::optional<LinkId> Proving;     ///< Link on which the primary is asked for others.
+    std::optional<Position> Acknowledged;   ///< End of the last acknowledged commit.
+    std::optional<PositionSample> Own;      ///< Newest that this proxy got from the primary itself.
+    std::optional<LinkId> Proving;          ///< Link on which the primary is asked for others.
     std::map<TargetId, TimePoint> LaggedAt; ///< Last time that a replica lacked a position.
     std::map<TargetId, TimePoint> AskedAt;  ///< Last time that a server was asked whether it is the primary.
     /// When the first write was sent of those that were not answered since the last answered one.
