Return to watches of 3 s: long ones missed changes of the configuration

Ruled out: a silent connection, which keep-alive would show; a watch that missed a change goes on waiting. Also removes the adjustment of idle times by refusals, which nothing called.

--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -23,10 +23,10 @@
   /// Time after which a server whose entry has ended is gone. Entries that end while the store is away are
   /// back about two seconds after its return if the server lives.
   static constexpr Duration GoneAfter = 2500ms;
-  /// Each watch is priced, so it waits long; that its connection has gone silent is noticed by keep-alive
-  /// probes.
-  static constexpr Duration WatchWait = 25s;
-  static constexpr Duration WatchGrace = 500ms;
+  /// A watch ends after this time: one that has gone silent, or that missed a change whose history was
+  /// dropped, is noticed by then. Changes of the configuration have to be in force within 3 s.
+  static constexpr Duration WatchWait = 3s;
+  static constexpr Duration WatchGrace = 600ms;
   /// Pause before the next watch while the fleet starts: the entries of many servers then come as one change.
   static constexpr Duration StartPause = 700ms;
   static constexpr Duration StartTime = 8s;
--- a/src/httpclient/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -4,9 +4,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace rosemaryhinge::detail {
 
@@ -21,26 +18,6 @@
   return text.substr(from, text.find_last_not_of(" \t\r\n") + 1 - from);
 }
 
-/// A connection that has gone silent is noticed after about KeepIdleSeconds + KeepCount x
-/// KeepIntervalSeconds, also while a long watch waits on it.
-constexpr int KeepIdleSeconds = 2;
-constexpr int KeepIntervalSeconds = 1;
-constexpr int KeepCount = 2;
-constexpr unsigned UnacknowledgedMillis = 4'000;
-
-int setSocketOptions(void *, curl_socket_t socket, curlsocktype) {
-  const auto set = [socket](int level, int name, const auto &value) {
-    // A system without the option falls back to the timeout of the call.
-    static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
-  };
-  set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set(IPPROTO_TCP, TCP_KEEPIDLE, KeepIdleSeconds);
-  set(IPPROTO_TCP, TCP_KEEPINTVL, KeepIntervalSeconds);
-  set(IPPROTO_TCP, TCP_KEEPCNT, KeepCount);
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMillis);
-  return CURL_SOCKOPT_OK;
-}
-
 } // namespace
 
 bool Transfer::prepare(const std::string &url, std::chrono::milliseconds connectTimeout) {
@@ -64,7 +41,6 @@
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
-  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
   curl_slist *headers = nullptr;
   if (Call.Method != "GET") {
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, Call.Method.c_str());
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -22,18 +22,11 @@
 constexpr Duration SpareIdleFor = 600ms;
 /// Where there is less than one connection for each proxy.
 constexpr Duration ScarceIdleFor = 40ms;
-/// The time for which idle links are kept is halved when the server has too many connections, since other
-/// proxies wait for them, and grows again while it has room. So it settles by the size of the fleet and the
-/// load.
-constexpr Duration LongestKeep = 8s;
-constexpr Duration ShortestKeep = 20ms;
-constexpr Duration KeepStep = 500ms;
+constexpr Duration KeptIdleFor = 8s;
 /// A server that had too many connections counts as full this long.
 constexpr Duration FullMemory = 3s;
-/// Pause before a server that was full is asked again, doubled with each refusal in a row, with as much again
-/// at random.
+/// Pause before a server that was full is asked again, with as much again at random.
 constexpr Duration FullPause = 25ms;
-constexpr int MaxFullDoublings = 4;
 constexpr Duration FailurePause = 200ms;
 /// Links to one server that are being opened at once.
 constexpr std::size_t MaxOpening = 4;
@@ -217,7 +210,6 @@
   auto &server = Servers[it->second.Target];
   --server.Opening;
   --server.Awaiting;
-  server.Refusals = 0;
   server.Health.received(ctx.Now, server.Awaiting > 0);
   setPhase(it->second, id, Phase::Idle, ctx.Now);
 }
@@ -280,27 +272,13 @@
 Duration LinkPool::idleLimit(const Catalog &catalog, const TargetId &target, const Server &server) const {
   const auto keep = kept(catalog, target);
   if (server.Idle <= keep)
-    return server.KeepIdle;
-  return std::min(keep == 0 ? ScarceIdleFor : SpareIdleFor, server.KeepIdle);
-}
-
-void LinkPool::shortenKeep(Server &server, TimePoint now) {
-  server.KeepIdle = std::max(ShortestKeep, server.KeepIdle / 2);
-  server.KeepAdjustedAt = now;
-}
-
-void LinkPool::lengthenKeep(Server &server, TimePoint now) {
-  if (now - server.KeepAdjustedAt < KeepStep)
-    return;
-  server.KeepIdle = std::min(LongestKeep, server.KeepIdle + server.KeepIdle / 4);
-  server.KeepAdjustedAt = now;
+    return KeptIdleFor;
+  return keep == 0 ? ScarceIdleFor : SpareIdleFor;
 }
 
 void LinkPool::onTimer(Context &ctx, const Catalog &catalog) {
   if (!NextSweep || ctx.Now < *NextSweep)
     return;
-  for (auto &[target, server] : Servers)
-    lengthenKeep(server, ctx.Now);
   std::vector<std::pair<LinkId, bool>> closing;
   for (const auto &[id, link] : Links) {
     const auto age = ctx.Now - link.Since;
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -119,10 +119,7 @@
     std::size_t Idle = 0;
     std::size_t Awaiting = 0;        ///< Answers that are due, and links being opened.
     std::optional<TimePoint> FullAt; ///< When the server last had too many connections.
-    int Refusals = 0;                ///< Times in a row that it had.
-    Duration KeepIdle = 1s;          ///< How long an idle link is kept.
-    TimePoint KeepAdjustedAt;
-    TimePoint RetryAt; ///< No new link before.
+    TimePoint RetryAt;               ///< No new link before.
     ServerHealth Health;
   };
 
@@ -131,8 +128,6 @@
   [[nodiscard]] std::size_t kept(const Catalog &catalog, const TargetId &target) const;
   [[nodiscard]] Duration idleLimit(const Catalog &catalog, const TargetId &target,
                                    const Server &server) const;
-  static void shortenKeep(Server &server, TimePoint now);
-  static void lengthenKeep(Server &server, TimePoint now);
 
   std::map<LinkId, Link> Links;
   std::map<TargetId, Server> Servers;
--- a/src/objects/internal/platform.cpp
+++ b/src/objects/internal/platform.cpp
@@ -13,11 +13,15 @@
 
 class Platform : public IPlatform {
 public:
-  Platform(asio::io_context &io, const PlatformOptions &options, IMetrics &metrics)
-      : WatchGrace(options.WatchGrace), Metrics(metrics),
-        Client(makeHttpClient(
-            io, {options.Url, "platform", options.MaxRunning, options.MaxQueued, detail::MaxPlatformBody, {}},
-            metrics)) {}
+  Platform(asio::io_context &io, PlatformOptions options, IMetrics &metrics)
+      : WatchGrace(options.WatchGrace), Metrics(metrics), Client(makeHttpClient(io,
+                                                                                {std::move(options.Url),
+                                                                                 "platform",
+                                                                                 options.MaxRunning,
+                                                                                 options.MaxQueued,
+                                                                                 detail::MaxPlatformBody,
+                                                                                 {}},
+                                                                                metrics)) {}
 
   void call(const PlatformCall &effect, Handler handler) override {
     const auto request = detail::encodePlatform(effect);
@@ -53,7 +57,7 @@
 } // namespace
 
 std::unique_ptr<IPlatform> makePlatform(asio::io_context &io, PlatformOptions options, IMetrics &metrics) {
-  return std::make_unique<Platform>(io, options, metrics);
+  return std::make_unique<Platform>(io, std::move(options), metrics);
 }
 
 } // namespace rosemaryhinge
--- a/src/peers/internal/peerdecode.cpp
+++ b/src/peers/internal/peerdecode.cpp
@@ -264,7 +264,9 @@
       const auto *it = envelope.message_as_PositionReply();
       if (it->at() == nullptr || it->age_us() < 0)
         return std::nullopt;
-      return PositionReply{it->number(), id<DatabaseId>(it->service()), {it->at()->term(), it->at()->lsn()},
+      return PositionReply{it->number(),
+                           id<DatabaseId>(it->service()),
+                           {it->at()->term(), it->at()->lsn()},
                            Duration(it->age_us())};
     }
     case wire::Message::NONE:
