--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -1,4 +1,4 @@
-// Reasons for refusals and retries. Each has a counter and a line in docs/operations.md.
+// Reasons for refusals and retries. Each has a counter and a line in docs/OPERATIONS.md.
 
 #pragma once
 
--- a/src/ctl/exitcode.h
+++ b/src/ctl/exitcode.h
@@ -1,4 +1,4 @@
-// Exit codes of rosemaryhingectl. docs/operations.md lists them.
+// Exit codes of rosemaryhingectl. docs/OPERATIONS.md lists them.
 
 #pragma once
 
--- a/src/settings/internal/adminsessions.cpp
+++ b/src/settings/internal/adminsessions.cpp
@@ -461,7 +461,7 @@
   } catch (const json::exception &e) {
     reply(ctx, request.Id, 400,
           failure("bad_request", std::string("the body is not as expected: ") + e.what() +
-                                     "; docs/operations.md describes the fields"));
+                                     "; docs/OPERATIONS.md describes the fields"));
     return;
   }
   if (session.What == AdminSession::Kind::Change && session.ChangeId.empty()) {
