Share what the sessions' modules wrote twice, and remove what nothing uses

One piece now serves both places: the rendezvous order of proxies and of members; the listener options and the random seed of the two daemons; finding the change of primary that a call answers; the random spread of retries (Context::spread); and whether a statement's answer waits for a replica (durable), which succeeded() worked out again. Removed: the unanswered steps of a closed link, an unused flag in the choice of servers, waitingAt, an option of the HTTP client and a parameter of setPhase. No change of behaviour is meant; tests and their assertions are as before.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "admin/admin.h"
 #include "callers/callers.h"
+#include "daemon/internal/wiring.h"
 #include "daemon/loop.h"
 #include "http/httpserver.h"
 #include "objects/platform.h"
@@ -14,7 +15,6 @@
 
 #include <chrono>
 #include <csignal>
-#include <random>
 
 namespace rosemaryhinge {
 
@@ -24,19 +24,6 @@
 constexpr std::chrono::milliseconds AdminTimeout{120'000};
 constexpr std::size_t AdminConnections = 256;
 
-HttpOptions httpOptions(const SocketAddress &address, const char *name) {
-  HttpOptions out;
-  out.Ip = address.Ip;
-  out.Port = address.Port;
-  out.Name = name;
-  return out;
-}
-
-std::uint64_t randomSeed() {
-  std::random_device source;
-  return (static_cast<std::uint64_t>(source()) << 32) | source();
-}
-
 void waitForSignals(asio::signal_set &signals, Loop &loop, ILogger &logger, bool again) {
   signals.async_wait([&, again](std::error_code ec, int number) {
     if (ec)
@@ -63,8 +50,9 @@
   Loop loop(io, reducer, metrics, logger);
   const auto sink = [&loop](Event event) { loop.post(std::move(event)); };
 
-  const auto callers = makeCallers(makeHttpServer(io, metrics, httpOptions(settings.Callers, "callers")),
-                                   sink, metrics, randomSeed());
+  const auto callers =
+      makeCallers(makeHttpServer(io, metrics, detail::httpOptions(settings.Callers, "callers")), sink,
+                  metrics, detail::randomSeed());
   PeerOptions peerOptions;
   peerOptions.Self = settings.Self.Node;
   peerOptions.Listen = settings.Peers;
@@ -76,7 +64,7 @@
   PlatformOptions platformOptions;
   platformOptions.Url = settings.PlatformUrl;
   const auto platform = makePlatform(io, platformOptions, metrics);
-  auto adminOptions = httpOptions(settings.Admin, "admin");
+  auto adminOptions = detail::httpOptions(settings.Admin, "admin");
   adminOptions.HandleTimeout = AdminTimeout;
   adminOptions.MaxConnections = AdminConnections;
   const auto admin = makeAdmin(makeHttpServer(io, metrics, adminOptions), sink, metrics,
@@ -99,7 +87,7 @@
   // The incarnation has to grow from one start of a node to the next.
   const auto incarnation =
       std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now()).time_since_epoch();
-  loop.run({randomSeed(), static_cast<std::uint64_t>(incarnation.count())});
+  loop.run({detail::randomSeed(), static_cast<std::uint64_t>(incarnation.count())});
   logger.log({LogLevel::Info, "ended", {}});
   return 0;
 }
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -3,6 +3,7 @@
 #include "daemon/sessiondaemon.h"
 
 #include "admin/admin.h"
+#include "daemon/internal/wiring.h"
 #include "daemon/loop.h"
 #include "http/httpserver.h"
 #include "peers/peers.h"
@@ -12,7 +13,6 @@
 
 #include <chrono>
 #include <csignal>
-#include <random>
 
 namespace rosemaryhinge {
 
@@ -20,16 +20,8 @@
 
 constexpr std::size_t AdminConnections = 64;
 
-std::uint64_t randomSeed() {
-  std::random_device source;
-  return (static_cast<std::uint64_t>(source()) << 32) | source();
-}
-
 HttpOptions adminOptions(const SocketAddress &address, const char *name) {
-  HttpOptions out;
-  out.Ip = address.Ip;
-  out.Port = address.Port;
-  out.Name = name;
+  auto out = detail::httpOptions(address, name);
   out.MaxConnections = AdminConnections;
   return out;
 }
@@ -132,7 +124,7 @@
                {"callers", std::to_string(sessions->port())},
                {"admin", std::to_string(admin->port())}}});
   // The incarnation has to differ from one start of a node to the next.
-  loop.run({randomSeed(), randomSeed()});
+  loop.run({detail::randomSeed(), detail::randomSeed()});
   links->stop();
   directory->stop();
   logger.log({LogLevel::Info, "ended", {}});
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -156,9 +156,7 @@
   ++feed.Failures;
   const int doublings = std::min(feed.Failures - 1, MaxDoublings);
   const auto pause = std::min(MaxRetry, FirstRetry * (1 << doublings));
-  feed.RetryAt =
-      ctx.Now + pause / 2 +
-      Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(pause.count() / 2)));
+  feed.RetryAt = ctx.Now + pause / 2 + ctx.spread(pause / 2);
   ctx.emit(Count{"directory_failures_total"});
   if (feed.Failures == 2)
     ctx.emit(Log{LogLevel::Warn, "store lost", {{"kind", nameOf(feed.Kind)}, {"why", why}}});
--- a/src/httpclient/httpclient.h
+++ b/src/httpclient/httpclient.h
@@ -20,8 +20,6 @@
   std::vector<std::string> Headers; ///< Whole lines, such as "If-Version: 3".
   std::string Body;                 ///< Sent if the method is not GET.
   std::chrono::milliseconds Timeout{1'000};
-  /// A connection that has carried a call without an answer is not used again.
-  bool FreshConnection = false;
 };
 
 struct HttpResult {
--- a/src/httpclient/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -33,8 +33,6 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(Call.Timeout.count()));
   if (connectTimeout.count() > 0)
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connectTimeout.count()));
-  if (Call.FreshConnection)
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, Error.data());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -46,6 +46,15 @@
   change.PhaseSince = now;
 }
 
+std::pair<const DatabaseId, LeadershipModule::Change> *LeadershipModule::answered(const CallId &call) {
+  const auto it =
+      std::find_if(Changes.begin(), Changes.end(), [&](const auto &one) { return one.second.Call == call; });
+  if (it == Changes.end())
+    return nullptr;
+  it->second.Call.reset();
+  return &*it;
+}
+
 void LeadershipModule::onTimer(Context &ctx, LeadershipServices &services) {
   bool active = false;
   for (const auto &service : services.Catalog.services()) {
@@ -115,13 +124,10 @@
 
 void LeadershipModule::onDirectoryAnswer(Context &ctx, LeadershipServices &services,
                                          const DirectoryAnswer &event) {
-  const auto it = std::find_if(Changes.begin(), Changes.end(),
-                               [&](const auto &one) { return one.second.Call == event.Call; });
-  if (it == Changes.end())
+  auto *it = answered(event.Call);
+  if (!it)
     return;
-  const auto &service = it->first;
-  auto &change = it->second;
-  change.Call.reset();
+  auto &[service, change] = *it;
   if (change.State == Phase::Recording) {
     enter(change, Phase::None, ctx.Now);
     return;
@@ -166,9 +172,7 @@
     }
   }
   enter(change, Phase::Waiting, ctx.Now);
-  change.ClaimAt =
-      ctx.Now +
-      Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(ClaimSpread.count())));
+  change.ClaimAt = ctx.Now + ctx.spread(ClaimSpread);
 }
 
 void LeadershipModule::putClaim(Context &ctx, const DatabaseId &service, Change &change, bool done) {
@@ -421,13 +425,10 @@
 
 void LeadershipModule::onPromotionAnswer(Context &ctx, LeadershipServices &services,
                                          const PromotionAnswer &event) {
-  const auto it = std::find_if(Changes.begin(), Changes.end(),
-                               [&](const auto &one) { return one.second.Call == event.Call; });
-  if (it == Changes.end())
+  auto *it = answered(event.Call);
+  if (!it)
     return;
-  const auto &service = it->first;
-  auto &change = it->second;
-  change.Call.reset();
+  auto &[service, change] = *it;
   ctx.emit(Log{LogLevel::Warn,
                "promotion answered",
                {{"service", service.str()},
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -104,6 +104,8 @@
               const std::string &why, Duration pause);
   void releaseOrders(Context &ctx, LeadershipServices &services, Change &change, bool resume);
   void enter(Change &change, Phase next, TimePoint now);
+  /// The change that waits for the answer to a call, which it then does not any more. Null if none does.
+  std::pair<const DatabaseId, Change> *answered(const CallId &call);
 
   std::map<DatabaseId, Change> Changes;
   std::optional<TimePoint> Next;
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -78,7 +78,7 @@
   auto &link = Links.at(*best);
   link.User = user;
   link.Lent = true;
-  setPhase(link, *best, Phase::Busy, now);
+  setPhase(link, Phase::Busy, now);
   return best;
 }
 
@@ -163,7 +163,7 @@
   if (link.InServer != TransactionState::Idle)
     send(ctx, id, {RollbackTransaction{}});
   else
-    setPhase(link, id, Phase::Idle, ctx.Now);
+    setPhase(link, Phase::Idle, ctx.Now);
 }
 
 void LinkPool::close(Context &ctx, LinkId id, bool silent) {
@@ -173,7 +173,7 @@
   ctx.emit(CloseLink{id});
 }
 
-void LinkPool::setPhase(Link &link, LinkId, Phase next, TimePoint now) {
+void LinkPool::setPhase(Link &link, Phase next, TimePoint now) {
   auto &server = Servers[link.Target];
   if (link.State == Phase::Idle)
     --server.Idle;
@@ -211,7 +211,7 @@
   --server.Opening;
   --server.Awaiting;
   server.Health.received(ctx.Now, server.Awaiting > 0);
-  setPhase(it->second, id, Phase::Idle, ctx.Now);
+  setPhase(it->second, Phase::Idle, ctx.Now);
 }
 
 std::optional<LinkPool::Reply> LinkPool::onReply(Context &ctx, const LinkReplied &event) {
@@ -241,15 +241,11 @@
   if (it == Links.end())
     return std::nullopt;
   auto &link = it->second;
-  Closed out{link.User, link.Target, link.Service, link.State != Phase::Opening, {}};
-  for (const auto &awaited : link.Awaiting)
-    out.Unanswered.push_back(awaited.Step);
+  Closed out{link.User, link.Target, link.Service, link.State != Phase::Opening};
   auto &server = Servers[link.Target];
   if (event.Why == LinkFailure::TooMany) {
     server.FullAt = ctx.Now;
-    server.RetryAt =
-        ctx.Now + FullPause +
-        Duration(static_cast<std::int64_t>(ctx.Random() % static_cast<std::uint64_t>(FullPause.count())));
+    server.RetryAt = ctx.Now + FullPause + ctx.spread(FullPause);
   } else if (!out.Opened) {
     server.RetryAt = ctx.Now + FailurePause;
   }
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -80,7 +80,6 @@
     TargetId Target;
     DatabaseId Service;
     bool Opened = false;
-    std::vector<LinkStep> Unanswered;
   };
   [[nodiscard]] std::optional<Closed> onClosed(Context &ctx, const LinkClosed &event);
   void onTimer(Context &ctx, const Catalog &catalog);
@@ -123,7 +122,7 @@
     ServerHealth Health;
   };
 
-  void setPhase(Link &link, LinkId id, Phase next, TimePoint now);
+  void setPhase(Link &link, Phase next, TimePoint now);
   void forget(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent);
   [[nodiscard]] std::size_t kept(const Catalog &catalog, const TargetId &target) const;
   [[nodiscard]] Duration idleLimit(const Catalog &catalog, const TargetId &target,
--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -3,6 +3,7 @@
 #include "membership/rendezvous.h"
 
 #include <algorithm>
+#include <span>
 #include <string>
 #include <utility>
 #include <xxhash.h>
@@ -14,12 +15,15 @@
   return XXH64(node.str().data(), node.str().size(), seed);
 }
 
-std::vector<NodeId> rendezvousFirst(std::string_view key, const std::vector<Member> &members,
-                                    std::size_t count) {
+namespace {
+
+/// The first count of the nodes, by weight.
+std::vector<NodeId> firstByWeight(std::string_view key, std::span<const NodeId *const> nodes,
+                                  std::size_t count) {
   std::vector<std::pair<std::uint64_t, const NodeId *>> order;
-  order.reserve(members.size());
-  for (const auto &it : members)
-    order.emplace_back(rendezvousWeight(key, it.Node), &it.Node);
+  order.reserve(nodes.size());
+  for (const auto *it : nodes)
+    order.emplace_back(rendezvousWeight(key, *it), it);
   auto first = [](const auto &a, const auto &b) {
     return a.first != b.first ? a.first > b.first : *a.second < *b.second;
   };
@@ -31,4 +35,23 @@
   return out;
 }
 
+} // namespace
+
+std::vector<NodeId> rendezvousOrder(std::string_view key, const std::vector<NodeId> &nodes) {
+  std::vector<const NodeId *> all;
+  all.reserve(nodes.size());
+  for (const auto &it : nodes)
+    all.push_back(&it);
+  return firstByWeight(key, all, all.size());
+}
+
+std::vector<NodeId> rendezvousFirst(std::string_view key, const std::vector<Member> &members,
+                                    std::size_t count) {
+  std::vector<const NodeId *> all;
+  all.reserve(members.size());
+  for (const auto &it : members)
+    all.push_back(&it.Node);
+  return firstByWeight(key, all, count);
+}
+
 } // namespace rosemaryhinge
--- a/src/membership/rendezvous.h
+++ b/src/membership/rendezvous.h
@@ -12,6 +12,8 @@
 
 /// Weight of a node for a key; the highest weight comes first.
 [[nodiscard]] std::uint64_t rendezvousWeight(std::string_view key, const NodeId &node);
+/// All nodes for a key, the highest weight first.
+[[nodiscard]] std::vector<NodeId> rendezvousOrder(std::string_view key, const std::vector<NodeId> &nodes);
 /// The first count of the members for a key, in order. Fewer if there are fewer members.
 [[nodiscard]] std::vector<NodeId> rendezvousFirst(std::string_view key, const std::vector<Member> &members,
                                                   std::size_t count);
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -110,14 +110,11 @@
 }
 
 std::vector<NodeId> FleetMap::order(const AvailabilityZone &zone, std::string_view key) const {
-  std::vector<NodeId> out;
+  std::vector<NodeId> nodes;
   for (const auto &[node, entry] : Proxies)
     if (entry.AvailabilityZone == zone)
-      out.push_back(node);
-  std::sort(out.begin(), out.end(), [&](const NodeId &a, const NodeId &b) {
-    return rendezvousWeight(key, a) > rendezvousWeight(key, b);
-  });
-  return out;
+      nodes.push_back(node);
+  return rendezvousOrder(key, nodes);
 }
 
 } // namespace rosemaryhinge
--- a/src/protocol/context.h
+++ b/src/protocol/context.h
@@ -42,6 +42,10 @@
   template <typename T> void emit(T effect) { Effects.emplace_back(std::move(effect)); }
   void record(JournalEntry entry) { Journal.push_back(std::move(entry)); }
   std::uint64_t number() { return ++NextNumber; }
+  /// A random time below a positive limit, so that proxies do not act at the same moment.
+  Duration spread(Duration below) {
+    return Duration(static_cast<std::int64_t>(Random() % static_cast<std::uint64_t>(below.count())));
+  }
   CallId call(Module owner) { return CallId{owner, number()}; }
 };
 
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -124,7 +124,6 @@
   const auto primary = services.Catalog.primary(work.Route.Service);
   const auto &lagged = Services[work.Route.Service].LaggedAt;
   std::vector<std::pair<Duration, TargetId>> costs;
-  bool fit = false;
   for (const auto &target : services.Catalog.servers(work.Route.Service)) {
     const auto *view = services.Catalog.server(target);
     if (view->LeavingSince && ctx.Now - *view->LeavingSince >= detail::LeavingUse)
@@ -132,7 +131,6 @@
     const auto lag = lagged.find(target);
     const bool lags = lag != lagged.end() && ctx.Now - lag->second < LaggingPause;
     const bool avoid = lags || work.Avoid.contains(target) || view->LeavingSince;
-    fit = fit || !avoid;
     const auto cost = detail::readCost(ctx.Self, *view, services.Links, primary == target, ctx.Now);
     costs.emplace_back(avoid ? cost + 1s : cost, target);
   }
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -94,9 +94,7 @@
     const auto rtt = detail::roundTrip(ctx.Self, view->Entry.AvailabilityZone);
     services.Links.took(reply.Target, std::max(Duration{}, ctx.Now - work.SentAt - rtt));
   }
-  const bool wrote = work.Commit ? session.Transaction->Wrote : work.Mode == AccessMode::Write;
-  const bool committed = wrote && (work.Commit || !session.Transaction);
-  if (committed) {
+  if (durable(session, work)) {
     if (event.At) {
       session.Written[reply.Service] = *event.At;
       Services[reply.Service].Acknowledged = *event.At;
@@ -110,12 +108,10 @@
   if (session.Transaction && work.Mode == AccessMode::Write && !work.Commit)
     session.Transaction->Wrote = true;
   const auto link = *work.Link;
-  if (work.Commit) {
+  if (work.Commit)
     session.Transaction.reset();
+  if (!session.Transaction)
     services.Links.release(ctx, link);
-  } else if (!session.Transaction) {
-    services.Links.release(ctx, link);
-  }
   finish(ctx, services, id, session, event.Outcome, event.At);
 }
 
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -264,9 +264,4 @@
   return it == Services.end() ? std::nullopt : it->second.Positions.newest();
 }
 
-std::size_t SessionsModule::waitingAt(const DatabaseId &service) const {
-  const auto it = Waiting.find(service);
-  return it == Waiting.end() ? 0 : it->second.size();
-}
-
 } // namespace rosemaryhinge
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -47,7 +47,6 @@
   void startLeaving(Context &ctx, SessionServices &services);
   [[nodiscard]] std::size_t size() const { return Sessions.size(); }
   [[nodiscard]] std::size_t waiting() const { return WaitingCount; }
-  [[nodiscard]] std::size_t waitingAt(const DatabaseId &service) const;
   /// Since when commits are sent to the primary of a service without any answer. None for a single one: its
   /// answer may have been lost.
   [[nodiscard]] std::optional<TimePoint> writesUnansweredSince(const DatabaseId &service) const;
