--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -117,11 +117,14 @@
   return best ? std::optional(best->Target) : std::nullopt;
 }
 
-void Catalog::confirmPrimary(const TargetId &target) {
+void Catalog::confirmPrimary(const TargetId &target, Term term) {
   const auto it = Servers.find(target);
   if (it == Servers.end())
     return;
   auto &group = Groups[it->second.Entry.Service];
+  if (term < group.ConfirmedTerm)
+    return;
+  group.ConfirmedTerm = term;
   if (group.ConfirmedPrimary == target)
     return;
   group.ConfirmedPrimary = target;
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -50,8 +50,9 @@
   /// The server last confirmed as the primary. Without one, the server with the newest entry that names it
   /// the primary, unless that entry was denied.
   [[nodiscard]] std::optional<TargetId> primary(const DatabaseId &service) const;
-  /// Records that the server answered as a primary.
-  void confirmPrimary(const TargetId &target);
+  /// Records that the server answered as the primary of a term. Ignored if a primary of a later term is
+  /// known: where promotions do not demote the former primary at once, it answers as one for a while.
+  void confirmPrimary(const TargetId &target, Term term);
   /// Records that the server refused a write because it is not the primary. Its entry is ignored by primary()
   /// until its revision changes.
   void denyPrimary(const TargetId &target);
@@ -63,6 +64,7 @@
     std::vector<TargetId> Servers; ///< Sorted.
     std::vector<MissingServer> Missing;
     std::optional<TargetId> ConfirmedPrimary;           ///< Answered as a primary and was not denied since.
+    Term ConfirmedTerm = 0;                             ///< Highest term of a confirmed primary.
     std::map<TargetId, std::uint64_t> DeniedAtRevision; ///< Entry revision at which the server was denied.
   };
 
--- a/src/catalog/tests/catalogtests.cpp
+++ b/src/catalog/tests/catalogtests.cpp
@@ -70,7 +70,7 @@
   Catalog catalog;
   catalog.updateServer(entry(A, TargetRole::Primary, 3), Start);
   catalog.updateServer(entry(B, TargetRole::Replica, 4), Start);
-  catalog.confirmPrimary(B);
+  catalog.confirmPrimary(B, 2);
   CHECK(catalog.primary(Yard) == B);
 }
 
@@ -94,3 +94,13 @@
   catalog.updateServer(entry(A, TargetRole::Replica, 3, true), Start + 2s);
   CHECK(catalog.server(A)->LeavingSince == Start + 1s);
 }
+
+TEST_CASE("a former primary that still answers as one does not displace the primary of a later term") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Primary, 3), Start);
+  catalog.updateServer(entry(B, TargetRole::Replica, 4), Start);
+  catalog.confirmPrimary(A, 1);
+  catalog.confirmPrimary(B, 2);
+  catalog.confirmPrimary(A, 1);
+  CHECK(catalog.primary(Yard) == B);
+}
--- a/src/daemon/internal/localsettings.cpp
+++ b/src/daemon/internal/localsettings.cpp
@@ -24,6 +24,7 @@
 constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn", "error"};
 constexpr std::array<std::string_view, 2> InterfaceNames = {"requests", "sessions"};
 constexpr std::array<std::string_view, 2> FormatNames = {"key_value", "json"};
+constexpr std::array<std::string_view, 2> SwitchNames = {"false", "true"};
 
 class Reader {
 public:
@@ -172,6 +173,7 @@
         out.Self.RegionByZone[AvailabilityZone(it.first.Scalar())] = Region(it.second.Scalar());
     }
   }
+  out.Self.PromotionFencing = in.choice(root, "", "promotion_fencing", SwitchNames, 0) == 1;
   YAML::Mark mark;
   if (const auto grace = in.text(root, "", "shutdown_grace_s", false, &mark); !grace.empty()) {
     double seconds = 0;
@@ -186,7 +188,7 @@
 void readRoot(Reader &in, const YAML::Node &root, LocalSettings &out) {
   if (!in.checkMap(root, "",
                    {"node", "region", "availability_zone", "interface", "addresses", "platform", "duties",
-                    "regions", "shutdown_grace_s", "seeds", "log"}))
+                    "regions", "shutdown_grace_s", "promotion_fencing", "seeds", "log"}))
     return;
   out.Self.Node = NodeId(in.name(root, "", "node"));
   out.Self.Region = Region(in.name(root, "", "region"));
@@ -272,6 +274,7 @@
     pair("duties", settings.DutiesUrl);
     pair("shutdown_grace_s",
          std::to_string(std::chrono::duration<double>(settings.Self.ShutdownGrace).count()));
+    pair("promotion_fencing", SwitchNames.at(settings.Self.PromotionFencing ? 1 : 0));
     out << YAML::Key << "regions" << YAML::Value << YAML::BeginMap;
     for (const auto &[zone, region] : settings.Self.RegionByZone)
       pair(zone.str().c_str(), region.str());
--- /dev/null
+++ b/src/leadership/internal/primarychange.h
@@ -0,0 +1,79 @@
+// State of the change of primary of one service.
+
+#pragma once
+
+#include "leadership/internal/claimstate.h"
+#include "leadership/internal/reason.h"
+#include "leadership/internal/serverstates.h"
+#include "links/linkpool.h"
+#include "protocol/callid.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace rosemaryhinge::detail {
+
+enum class ChangePhase : std::uint8_t {
+  Idle,
+  WaitingToClaim,     ///< Proxies that see the same fault claim one after the other.
+  ReadingClaim,       ///< Finds out who holds the claim, or whether a write without an answer was accepted.
+  Claiming,           ///< The claim is being written.
+  SelectingCandidate, ///< Servers are queried and stopped until a candidate holds every commit.
+  ConfirmingClaim,    ///< The claim is being written with the candidate, right before the order.
+  Promoting,          ///< The promotion is ordered.
+  AwaitingPrimary,    ///< The promotion was accepted; the new primary is not known to lead yet.
+  ResumingReplicas,   ///< Replicas that this proxy paused are being resumed.
+  EndingClaim,        ///< The claim is being marked as done.
+};
+
+enum class ServerOrder : std::uint8_t { ReadStatus, Pause, StepDown, Resume };
+
+/// A request to a server, on a link of its own.
+struct ServerRequest {
+  LinkId Link;
+  bool Sent = false; ///< An answer is outstanding.
+  ServerOrder Order = ServerOrder::ReadStatus;
+  TimePoint SentAt;
+};
+
+struct PrimaryChange {
+  ChangePhase State = ChangePhase::Idle;
+  TimePoint PhaseSince;
+  std::optional<TargetId> Primary; ///< As last seen in the catalogue.
+  TimePoint PrimarySince;          ///< When it was first seen, or the lack of one.
+  TimePoint NextAttemptAt;         ///< No attempt before.
+  std::optional<TimePoint> SuspectedSince;
+  ChangeReason Reason;
+
+  ClaimState Claim;
+  TimePoint ClaimAt;                ///< WaitingToClaim: when to write the claim.
+  std::optional<CallId> Call;       ///< Outstanding call to the store, or outstanding promotion.
+  std::optional<TimePoint> RenewAt; ///< Next attempt to renew the claim after one that failed.
+
+  // Selection of the candidate.
+  TimePoint StartedAt;
+  ServerStates Servers;
+  std::map<TargetId, ServerRequest> Requests;
+  std::set<TargetId> PausedByThisProxy;
+  /// Term of the orders. A replica that is paused for a higher term than the promotion brings would stay
+  /// paused after it.
+  Term OrderTerm = 0;
+  std::optional<TimePoint> OthersPausedAt;
+  std::optional<TimePoint> AllPausedAt;         ///< When the last replica was found to receive nothing more.
+  std::optional<TimePoint> AllPositionsKnownAt; ///< When all replicas had reported their positions.
+  std::set<TargetId> QueriedAgain;              ///< Replicas that have reported their positions again since.
+  bool StepDownSent = false;
+  std::optional<TimePoint> SteppedDownAt; ///< When the former primary confirmed that it leads no more.
+
+  // Promotion.
+  TargetId PreferredCandidate; ///< Of a claim that was taken over: its promotion may still be carried out.
+  TargetId Candidate;
+  int PromotionAttempts = 0;
+  bool PromotionUnanswered = false; ///< An order may still be carried out: nothing is resumed.
+
+  /// Replicas that this proxy paused and could not resume before its claim lapsed.
+  std::set<TargetId> LeftPaused;
+};
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/leadership/internal/promotion.cpp
@@ -0,0 +1,85 @@
+// The order that makes a server the primary, and the wait for its effect.
+
+#include "leadership/leadershipmodule.h"
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr Duration PromoteTimeout = 900ms;
+constexpr Duration RetryDelay = 400ms;
+constexpr Duration FencedPause = 1s;
+constexpr int MaxPromotionAttempts = 8;
+constexpr Duration NewPrimaryTimeout = 4s;
+/// An order is sent only if the store has confirmed the claim since this long.
+constexpr Duration MaxClaimAge = 900ms;
+
+} // namespace
+
+void LeadershipModule::confirmClaim(Run &run) {
+  enterPhase(run, Phase::ConfirmingClaim);
+  // Drops a renewal on its way: if it was accepted, this write conflicts with it and is repeated.
+  writeClaim(run, run.Change.Candidate, false);
+}
+
+void LeadershipModule::promote(Run &run) {
+  auto &change = run.Change;
+  if (change.Claim.age(run.Ctx.Now) >= MaxClaimAge) {
+    confirmClaim(run);
+    return;
+  }
+  enterPhase(run, Phase::Promoting);
+  ++change.PromotionAttempts;
+  change.Call = run.Ctx.call(Module::Leadership);
+  run.Ctx.emit(Count{"promotions_ordered_total"});
+  run.Ctx.emit(
+      PromotionCall{*change.Call, PromoteTimeout, run.Service, change.Candidate, change.Claim.token()});
+}
+
+void LeadershipModule::onPromotionAnswer(Context &ctx, LeadershipServices &services,
+                                         const PromotionAnswer &event) {
+  auto *it = completeCall(event.Call);
+  if (!it)
+    return;
+  Run run{ctx, services, it->first, it->second};
+  auto &change = run.Change;
+  ctx.emit(Log{LogLevel::Warn,
+               "promotion answered",
+               {{"service", run.Service.str()},
+                {"server", change.Candidate.str()},
+                {"token", std::to_string(change.Claim.token())},
+                {"result", event.Message}}});
+  switch (event.Result) {
+  case PromotionResult::Accepted:
+    if (!change.Reason.From.empty() && change.Reason.From != change.Candidate &&
+        (change.Reason.writesUnavailable() || change.SteppedDownAt))
+      services.Catalog.denyPrimary(change.Reason.From);
+    enterPhase(run, Phase::AwaitingPrimary);
+    return;
+  case PromotionResult::Fenced:
+    giveUp(run, "fenced, or the server is not running", FencedPause);
+    return;
+  case PromotionResult::Unknown:
+    change.PromotionUnanswered = true;
+    break;
+  case PromotionResult::Rejected:
+    break;
+  }
+  if (change.PromotionAttempts >= MaxPromotionAttempts)
+    giveUp(run, "the promotion was not accepted", RetryDelay);
+  else
+    change.NextAttemptAt = ctx.Now + RetryDelay;
+}
+
+void LeadershipModule::awaitPrimary(Run &run) {
+  const auto &change = run.Change;
+  if (run.Services.Catalog.primary(run.Service) == change.Candidate) {
+    complete(run);
+    return;
+  }
+  keepClaim(run);
+  if (change.State == Phase::AwaitingPrimary && run.Ctx.Now - change.PhaseSince >= NewPrimaryTimeout)
+    giveUp(run, "the promoted server does not lead", RetryDelay);
+}
+
+} // namespace rosemaryhinge
--- a/src/leadership/internal/reason.cpp
+++ b/src/leadership/internal/reason.cpp
@@ -23,27 +23,47 @@
 
 } // namespace
 
+std::string_view toString(ReasonKind kind) {
+  switch (kind) {
+  case ReasonKind::NoPrimary:
+    return "no_primary";
+  case ReasonKind::Refused:
+    return "refused";
+  case ReasonKind::Silent:
+    return "silent";
+  case ReasonKind::WritesUnanswered:
+    return "writes_unanswered";
+  case ReasonKind::Leaving:
+    return "leaving";
+  case ReasonKind::ReplicasPaused:
+    break;
+  }
+  return "replicas_paused";
+}
+
 std::optional<ChangeReason> reasonToChange(const DatabaseId &service, const Catalog &catalog,
                                            const LinkPool &links, const SessionsModule &sessions,
                                            TimePoint since, TimePoint now) {
   const auto primary = catalog.primary(service);
   if (!primary) {
     if (now - since >= NoPrimaryThreshold)
-      return ChangeReason{"no primary for " + formatMilliseconds(now - since), TargetId(), true};
+      return ChangeReason{ReasonKind::NoPrimary, "no primary for " + formatMilliseconds(now - since), {}};
     return std::nullopt;
   }
   const auto *view = catalog.server(*primary);
   const auto &health = links.health(*primary);
   if (const auto from = health.refusedSince(now); from && now - std::max(*from, since) >= RefusedThreshold)
-    return ChangeReason{"the primary refuses connections for " + formatMilliseconds(now - *from), *primary,
-                        true};
+    return ChangeReason{ReasonKind::Refused,
+                        "the primary refuses connections for " + formatMilliseconds(now - *from), *primary};
   if (const auto silence = std::min(health.silence(now), now - since); silence >= SilenceThreshold)
-    return ChangeReason{"the primary is silent for " + formatMilliseconds(silence), *primary, true, true};
+    return ChangeReason{ReasonKind::Silent, "the primary is silent for " + formatMilliseconds(silence),
+                        *primary};
   if (const auto from = sessions.writesUnansweredSince(service);
       from && now - std::max(*from, since) >= UnansweredWritesThreshold)
-    return ChangeReason{"no write is answered for " + formatMilliseconds(now - *from), *primary, true, true};
+    return ChangeReason{ReasonKind::WritesUnanswered,
+                        "no write is answered for " + formatMilliseconds(now - *from), *primary};
   if (view && view->LeavingSince)
-    return ChangeReason{"the primary is leaving", *primary, false};
+    return ChangeReason{ReasonKind::Leaving, "the primary is leaving", *primary};
   return std::nullopt;
 }
 
--- /dev/null
+++ b/src/leadership/internal/selection.cpp
@@ -0,0 +1,355 @@
+// Selection of the server to promote: queries the servers of the service and stops those that may acknowledge
+// commits which the candidate would lack.
+
+#include "freshness/primarylease.h"
+#include "leadership/leadershipmodule.h"
+
+namespace rosemaryhinge {
+
+namespace {
+
+constexpr Duration SelectionTimeout = 4s;
+constexpr Duration RetryDelay = 400ms;
+/// Pause after an attempt that proved needless.
+constexpr Duration NeedlessPause = 1s;
+constexpr Duration MinChangeInterval = 2s;
+/// A request to a server that has no answer is sent again on another link.
+constexpr Duration RequestTimeout = 600ms;
+/// Time for the candidate to receive what the paused replicas had, before it is paused, too.
+constexpr Duration CatchUpTime = 150ms;
+/// Replicas that receive nothing for this long, while commits wait, have lost the primary. Above the usual
+/// lag of the network between regions.
+constexpr Duration ReplicationStallTime = 200ms;
+/// Without an answer of all replicas, the former primary is asked to step down after this time.
+constexpr Duration StepDownDelay = 1500ms;
+/// Where promotions are not fenced: time for a primary that can be reached to step down, before its replicas
+/// are paused instead.
+constexpr Duration StepDownTime = 300ms;
+/// Time for the replicas to report what they received before the primary stepped down. Without the reports,
+/// the former primary itself is promoted again.
+constexpr Duration ReportTime = 800ms;
+/// A replica that was lost this long before the primary had no commit that the others did not receive.
+constexpr Duration MissingReplicaLookback = 3s;
+/// Added to the length of a lease, for differences between the rates of clocks.
+constexpr Duration ClockMargin = 30ms;
+
+} // namespace
+
+void LeadershipModule::selectCandidate(Run &run) {
+  auto &change = run.Change;
+  if (!keepClaim(run))
+    return;
+  if (change.Reason.Kind == detail::ReasonKind::ReplicasPaused) {
+    change.PausedByThisProxy = std::exchange(change.LeftPaused, {});
+    release(run);
+    return;
+  }
+  if (run.Ctx.Now - change.StartedAt > SelectionTimeout) {
+    giveUp(run, "the servers' logs could not be compared", RetryDelay);
+    return;
+  }
+  refreshServerStates(run);
+  if (const auto why = reasonRefuted(run)) {
+    giveUp(run, *why, NeedlessPause);
+    return;
+  }
+  const bool allKnown = queryServers(run);
+  if (run.Ctx.Self.PromotionFencing)
+    selectBesidePrimary(run, allKnown);
+  else
+    selectStopped(run, allKnown);
+}
+
+void LeadershipModule::refreshServerStates(Run &run) {
+  auto &change = run.Change;
+  const auto &catalog = run.Services.Catalog;
+  const auto &from = change.Reason.From;
+  for (const auto &target : catalog.servers(run.Service)) {
+    auto &it = change.Servers[target];
+    it.Leaving = catalog.server(target)->Entry.Leaving;
+    it.FormerPrimary = target == from;
+    it.Missing = false;
+  }
+  const auto seen = run.Services.Sessions.primaryConfirmedAt(run.Service).value_or(run.Ctx.Now);
+  for (const auto &it : catalog.missingServers(run.Service)) {
+    const bool irrelevant = it.WasPrimary || it.Target == from || seen - it.Since >= MissingReplicaLookback;
+    if (irrelevant)
+      change.Servers.erase(it.Target);
+    else
+      change.Servers[it.Target].Missing = true;
+  }
+  std::erase_if(change.Servers,
+                [&](const auto &it) { return !it.second.Missing && !catalog.server(it.first); });
+}
+
+std::optional<std::string> LeadershipModule::reasonRefuted(Run &run) {
+  auto &change = run.Change;
+  auto &catalog = run.Services.Catalog;
+  const auto &from = change.Reason.From;
+  if (const auto primary = catalog.primary(run.Service); primary && *primary != from)
+    return "another server is listed as the primary";
+  if (const auto leader = detail::newerPrimary(change.Servers)) {
+    catalog.confirmPrimary(*leader, change.Servers.at(*leader).Status->RaisedTerm);
+    return "another server leads already";
+  }
+  const auto reply = run.Services.Links.health(from).lastReplyAt();
+  if (change.Reason.refutedByAnswer() && !change.StepDownSent && reply && *reply > change.StartedAt)
+    return "the primary answers again";
+  return std::nullopt;
+}
+
+bool LeadershipModule::queryServers(Run &run) {
+  bool allKnown = true;
+  for (const auto &[target, it] : run.Change.Servers) {
+    if (it.Missing || it.FormerPrimary || it.Status)
+      continue;
+    allKnown = false;
+    sendRequest(run, target, Order::ReadStatus);
+  }
+  return allKnown;
+}
+
+void LeadershipModule::sendRequest(Run &run, const TargetId &target, Order order) {
+  auto &[ctx, services, service, change] = run;
+  auto it = change.Requests.find(target);
+  if (it != change.Requests.end() && it->second.Sent) {
+    if (ctx.Now - it->second.SentAt < RequestTimeout)
+      return;
+    ctx.emit(Count{"orders_unanswered_total"});
+    services.Links.close(ctx, it->second.Link, true);
+    change.Requests.erase(it);
+    it = change.Requests.end();
+  }
+  if (it == change.Requests.end()) {
+    const auto link = services.Links.acquire(target, {SessionId(), true}, {}, ctx.Now);
+    if (!link) {
+      services.Links.openLinks(ctx, services.Catalog, target, 1);
+      return;
+    }
+    it = change.Requests.emplace(target, detail::ServerRequest{*link, false, order, {}}).first;
+  }
+  auto &request = it->second;
+  request.Sent = true;
+  request.Order = order;
+  request.SentAt = ctx.Now;
+  ctx.emit(Count{order == Order::ReadStatus ? "status_queries_total" : "orders_total"});
+  if (order == Order::ReadStatus) {
+    services.Links.send(ctx, request.Link, {ReadServerStatus{}});
+    return;
+  }
+  if (order == Order::Resume) {
+    services.Links.send(ctx, request.Link, {ResumeReplica{}});
+    return;
+  }
+  if (change.OrderTerm == 0)
+    change.OrderTerm = detail::highestTerm(change.Servers) + 1;
+  if (order == Order::StepDown) {
+    change.StepDownSent = true;
+    services.Links.send(ctx, request.Link, {StepDownPrimary{change.OrderTerm}});
+    return;
+  }
+  change.PausedByThisProxy.insert(target);
+  services.Links.send(ctx, request.Link, {PauseReplica{change.OrderTerm}});
+}
+
+void LeadershipModule::onReply(Context &ctx, LeadershipServices &services, const LinkPool::Reply &reply,
+                               const LinkReplied &event) {
+  const auto it = Changes.find(reply.Service);
+  if (it == Changes.end())
+    return;
+  Run run{ctx, services, it->first, it->second};
+  auto &change = run.Change;
+  const auto found = change.Requests.find(reply.Target);
+  if (found == change.Requests.end() || found->second.Link != event.Link)
+    return;
+  auto &request = found->second;
+  request.Sent = false;
+  if (request.Order == Order::Resume) {
+    change.PausedByThisProxy.erase(reply.Target);
+    return;
+  }
+  if (change.State != Phase::SelectingCandidate)
+    return;
+  if (!event.Status) {
+    const auto *why = std::get_if<StatementRejection>(&event.Outcome);
+    // The term may have been too low. The next order gets a higher one.
+    change.OrderTerm = 0;
+    ctx.emit(
+        Log{LogLevel::Info,
+            "order refused",
+            {{"server", reply.Target.str()}, {"why", why ? std::string(toString(why->Code)) : "no status"}}});
+    return;
+  }
+  auto &server = change.Servers[reply.Target];
+  server.Status = *event.Status;
+  if (!server.FirstPosition)
+    server.FirstPosition = event.Status->Log;
+  if (change.AllPositionsKnownAt && ctx.Now - *change.AllPositionsKnownAt >= ReplicationStallTime)
+    change.QueriedAgain.insert(reply.Target);
+  const bool replica = event.Status->Role == TargetRole::Replica;
+  if (request.Order == Order::StepDown && server.FormerPrimary && replica && !server.SteppedDown) {
+    server.SteppedDown = true;
+    change.SteppedDownAt = ctx.Now;
+  }
+  if (request.Order == Order::Pause && replica)
+    server.Paused = true;
+  server.Settled = server.Settled || server.Paused ||
+                   (replica && change.SteppedDownAt && request.SentAt >= *change.SteppedDownAt);
+  ctx.emit(Log{LogLevel::Info,
+               "server surveyed",
+               {{"server", reply.Target.str()},
+                {"role", replica ? "replica" : "primary"},
+                {"term", std::to_string(event.Status->RaisedTerm)},
+                {"log", std::to_string(event.Status->Log.Term) + "." + std::to_string(event.Status->Log.Lsn)},
+                {"paused", server.Paused ? "yes" : "no"}}});
+  selectCandidate(run);
+}
+
+void LeadershipModule::onLinkClosed(const LinkPool::Closed &closed, LinkId link) {
+  const auto it = Changes.find(closed.Service);
+  if (it == Changes.end())
+    return;
+  const auto request = it->second.Requests.find(closed.Target);
+  if (request != it->second.Requests.end() && request->second.Link == link)
+    it->second.Requests.erase(request);
+}
+
+bool LeadershipModule::pauseReplicas(Run &run, const std::optional<TargetId> &except) {
+  bool allPaused = true;
+  for (const auto &[target, it] : run.Change.Servers) {
+    if (target == except || it.FormerPrimary || it.Missing || it.Paused)
+      continue;
+    allPaused = false;
+    sendRequest(run, target, Order::Pause);
+  }
+  return allPaused;
+}
+
+bool LeadershipModule::primaryLossUnconfirmed(Run &run) {
+  auto &change = run.Change;
+  if (!change.AllPositionsKnownAt) {
+    change.AllPositionsKnownAt = run.Ctx.Now;
+    change.QueriedAgain.clear();
+  }
+  if (detail::anyReplicaAdvances(change.Servers)) {
+    giveUp(run, "the replicas receive from the primary", MinChangeInterval);
+    return true;
+  }
+  if (run.Ctx.Now - *change.AllPositionsKnownAt < ReplicationStallTime)
+    return true;
+  bool all = true;
+  for (const auto &[target, it] : change.Servers) {
+    if (it.Missing || it.FormerPrimary || !it.Status || change.QueriedAgain.contains(target))
+      continue;
+    all = false;
+    sendRequest(run, target, Order::ReadStatus);
+  }
+  return !all;
+}
+
+/// The former primary goes on serving. Its commits are acknowledged through the candidate alone until the
+/// promotion ends its lead.
+void LeadershipModule::selectBesidePrimary(Run &run, bool allKnown) {
+  auto &change = run.Change;
+  const auto &from = change.Reason.From;
+  const auto former = change.Servers.find(from);
+  const bool reachable =
+      former != change.Servers.end() && !run.Services.Links.health(from).suspect(run.Ctx.Now);
+  const bool steppedDown = former != change.Servers.end() && former->second.SteppedDown;
+  if (reachable && !steppedDown && run.Ctx.Now - change.StartedAt >= StepDownDelay &&
+      detail::highestTerm(change.Servers) > 0)
+    sendRequest(run, from, Order::StepDown);
+  const auto candidate = detail::mostUpToDate(change.Servers, change.PreferredCandidate);
+  if (!candidate || (!allKnown && !steppedDown))
+    return;
+  if (change.Reason.needsConfirmation() && primaryLossUnconfirmed(run))
+    return;
+  const bool othersPaused = pauseReplicas(run, candidate);
+  if (detail::holdsAllCommits(change.Servers, *candidate)) {
+    if (!wouldLoseCommits(run, *candidate))
+      choose(run, *candidate);
+    return;
+  }
+  if (!othersPaused)
+    return;
+  if (!change.OthersPausedAt)
+    change.OthersPausedAt = run.Ctx.Now;
+  const bool caughtUp = run.Ctx.Now - *change.OthersPausedAt >= CatchUpTime;
+  sendRequest(run, *candidate, caughtUp ? Order::Pause : Order::ReadStatus);
+}
+
+/// The former primary leads until it learns of the promotion. It steps down first; if it cannot be reached,
+/// all replicas are paused and the leases of its reads run out.
+void LeadershipModule::selectStopped(Run &run, bool allKnown) {
+  auto &change = run.Change;
+  const auto &from = change.Reason.From;
+  const auto former = change.Servers.find(from);
+  const bool present = former != change.Servers.end();
+  const bool steppedDown = present && former->second.SteppedDown;
+  if (!steppedDown) {
+    const bool patient = run.Ctx.Now - change.StartedAt < StepDownDelay;
+    if (detail::highestTerm(change.Servers) == 0 || (!allKnown && (!present || patient)))
+      return;
+    const bool mayLead = change.Reason.needsConfirmation() || change.Reason.refutedByAnswer();
+    if (mayLead && primaryLossUnconfirmed(run))
+      return;
+    if (present)
+      sendRequest(run, from, Order::StepDown);
+  }
+  if (steppedDown) {
+    for (const auto &[target, it] : change.Servers)
+      if (!it.FormerPrimary && !it.Missing && !it.Settled)
+        sendRequest(run, target, Order::ReadStatus);
+    if (const auto best = detail::bestAfterStepDown(change.Servers, change.PreferredCandidate))
+      choose(run, *best);
+    else if (run.Ctx.Now - *change.SteppedDownAt >= ReportTime)
+      choose(run, from);
+    return;
+  }
+  const bool reachable = present && !run.Services.Links.health(from).suspect(run.Ctx.Now);
+  if (reachable && run.Ctx.Now - change.StartedAt < StepDownTime)
+    return;
+  if (!allKnown || !pauseReplicas(run, std::nullopt) || !detail::allReplicasPaused(change.Servers))
+    return;
+  if (!change.AllPausedAt)
+    change.AllPausedAt = run.Ctx.Now;
+  if (run.Ctx.Now - *change.AllPausedAt < PrimaryLease::Length + ClockMargin)
+    return;
+  if (const auto best = detail::mostUpToDate(change.Servers, change.PreferredCandidate))
+    choose(run, *best);
+}
+
+bool LeadershipModule::wouldLoseCommits(Run &run, const TargetId &candidate) {
+  auto &change = run.Change;
+  const auto acknowledged = run.Services.Sessions.acknowledgedUpTo(run.Service);
+  const auto &from = change.Reason.From;
+  const bool present =
+      run.Services.Catalog.server(from) && !run.Services.Links.health(from).suspect(run.Ctx.Now);
+  if (!present || candidate == from || !acknowledged ||
+      change.Servers.at(candidate).Status->Log >= *acknowledged)
+    return false;
+  // The primary still has what the candidate lacks. A replica that was left paused catches up once it is
+  // resumed.
+  for (const auto &[target, it] : change.Servers)
+    if (!it.FormerPrimary && !it.Missing)
+      change.PausedByThisProxy.insert(target);
+  giveUp(run, "the candidate lacks acknowledged commits that the primary has", MinChangeInterval);
+  return true;
+}
+
+void LeadershipModule::choose(Run &run, const TargetId &candidate) {
+  auto &change = run.Change;
+  const auto &log = change.Servers.at(candidate).Status->Log;
+  change.Candidate = candidate;
+  run.Ctx.emit(Log{LogLevel::Warn,
+                   "server chosen to lead",
+                   {{"service", run.Service.str()},
+                    {"server", candidate.str()},
+                    {"term", std::to_string(log.Term)},
+                    {"position", std::to_string(log.Lsn)},
+                    {"former_stepped_down", change.SteppedDownAt ? "yes" : "no"},
+                    {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
+  confirmClaim(run);
+}
+
+} // namespace rosemaryhinge
--- a/src/leadership/internal/serverstates.cpp
+++ b/src/leadership/internal/serverstates.cpp
@@ -14,22 +14,16 @@
   return out;
 }
 
-std::optional<TargetId> mostUpToDate(const ServerStates &servers) {
+std::optional<TargetId> mostUpToDate(const ServerStates &servers, const TargetId &preferred) {
   std::optional<TargetId> best;
+  const auto rank = [&](const TargetId &target) {
+    const auto &it = servers.at(target);
+    return std::tuple(it.Status->Log, !it.Leaving, !it.FormerPrimary, target == preferred);
+  };
   for (const auto &[target, it] : servers) {
-    const bool may = it.Status && !it.Missing && (!it.FormerPrimary || it.SteppedDown) &&
-                     (it.FormerPrimary || it.Status->Role == TargetRole::Replica);
-    if (!may)
-      continue;
-    if (!best) {
-      best = target;
-      continue;
-    }
-    const auto &other = servers.at(*best);
-    const auto rank = [](const ServerState &one) {
-      return std::tuple(one.Status->Log, !one.Leaving, !one.FormerPrimary);
-    };
-    if (rank(it) > rank(other))
+    const bool mayLead = it.Status && !it.Missing && (!it.FormerPrimary || it.SteppedDown) &&
+                         (it.FormerPrimary || it.Status->Role == TargetRole::Replica);
+    if (mayLead && (!best || rank(target) > rank(*best)))
       best = target;
   }
   return best;
@@ -51,6 +45,30 @@
   });
 }
 
+bool allReplicasPaused(const ServerStates &servers) {
+  return std::all_of(servers.begin(), servers.end(), [](const auto &one) {
+    const auto &it = one.second;
+    return it.FormerPrimary || (!it.Missing && it.Paused);
+  });
+}
+
+std::optional<TargetId> bestAfterStepDown(const ServerStates &servers, const TargetId &preferred) {
+  ServerStates settled;
+  std::optional<Position> formerLog;
+  bool all = true;
+  for (const auto &[target, it] : servers) {
+    if (it.FormerPrimary)
+      formerLog = it.Status ? std::optional(it.Status->Log) : std::nullopt;
+    else if (it.Settled && !it.Missing)
+      settled.emplace(target, it);
+    else
+      all = false;
+  }
+  const auto best = mostUpToDate(settled, preferred);
+  const bool holdsFormerLog = best && formerLog && settled.at(*best).Status->Log >= *formerLog;
+  return all || holdsFormerLog ? best : std::nullopt;
+}
+
 bool anyReplicaAdvances(const ServerStates &servers) {
   return std::any_of(servers.begin(), servers.end(), [](const auto &one) {
     const auto &it = one.second;
@@ -59,10 +77,17 @@
 }
 
 std::optional<TargetId> newerPrimary(const ServerStates &servers) {
-  const auto newest = highestTerm(servers);
+  Term newest = 0;
+  for (const auto &[target, it] : servers) {
+    if (!it.Status)
+      continue;
+    newest = std::max(newest, it.Status->Log.Term);
+    if (!it.Paused && !it.Status->Paused)
+      newest = std::max(newest, it.Status->RaisedTerm);
+  }
   for (const auto &[target, it] : servers)
     if (!it.FormerPrimary && it.Status && it.Status->Role == TargetRole::Primary &&
-        it.Status->Log.Term >= newest)
+        it.Status->RaisedTerm >= newest)
       return target;
   return std::nullopt;
 }
--- a/src/leadership/internal/serverstates.h
+++ b/src/leadership/internal/serverstates.h
@@ -2,7 +2,8 @@
 //
 // A commit is acknowledged once a replica has received it. A replica that is paused receives nothing more. So
 // once all replicas but one are paused and that one has everything that the others had when they were paused,
-// it holds every acknowledged commit, now and until it is promoted.
+// it holds every acknowledged commit, now and until it is promoted. The same holds for the longest log of all
+// replicas once they are all paused, or once the primary has stepped down.
 
 #pragma once
 
@@ -23,19 +24,30 @@
   std::optional<Position> FirstPosition; ///< Of the first answer.
   bool Paused = false;                   ///< Status was given by a replica that receives nothing any more.
   bool SteppedDown = false;              ///< The former primary has answered as a replica.
+  /// A replica whose Status was requested after the former primary had stepped down, or that is paused: it
+  /// has received every commit that it will acknowledge.
+  bool Settled = false;
 };
 using ServerStates = std::map<TargetId, ServerState>;
 
 /// The highest term that any server has told.
 [[nodiscard]] Term highestTerm(const ServerStates &servers);
-/// The server with the longest log among those that may lead. Prefers servers that stay, where their log is
-/// as long.
-[[nodiscard]] std::optional<TargetId> mostUpToDate(const ServerStates &servers);
+/// The server with the longest log among those that may lead. Prefers a server that stays, then the given
+/// one, where the log is as long.
+[[nodiscard]] std::optional<TargetId> mostUpToDate(const ServerStates &servers,
+                                                   const TargetId &preferred = {});
 /// Whether Candidate is certain to hold every acknowledged commit.
 [[nodiscard]] bool holdsAllCommits(const ServerStates &servers, const TargetId &candidate);
+/// Whether every server but the former primary is a replica that is paused.
+[[nodiscard]] bool allReplicasPaused(const ServerStates &servers);
+/// The replica to promote after the former primary has stepped down; nullopt while no replica is certain to
+/// hold every acknowledged commit. Prefers a server that stays, then the given one, where the log is as long.
+[[nodiscard]] std::optional<TargetId> bestAfterStepDown(const ServerStates &servers,
+                                                        const TargetId &preferred);
 /// A replica has received more since it was first asked: the primary serves on.
 [[nodiscard]] bool anyReplicaAdvances(const ServerStates &servers);
-/// A server other than the former primary that already leads the newest term.
+/// A server other than the former primary that leads: it reports itself as the primary, and no log has a
+/// later term. A replica may be paused for a later term that nobody leads.
 [[nodiscard]] std::optional<TargetId> newerPrimary(const ServerStates &servers);
 
 } // namespace rosemaryhinge::detail
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -1,21 +1,35 @@
-// Changes of primary: who carries one out, and its steps.
+// Changes of primary: when a service needs another primary, which proxy carries the change out, and its
+// steps.
 //
-// Steps: claim (a conditional update at the store, whose revision is the fencing token), survey (pause the
-// replicas and learn their logs), promote, settle (until the new primary is known). Each claim promotes one
-// server only, so that a promotion that is carried out late cannot undo a later one.
+//          reason               claim stored                  a candidate holds every commit
+//   Idle --------> WaitingToClaim --------> SelectingCandidate ------------> ConfirmingClaim
+//    ^              ^   |  (Claiming)            |        ^                        | stored
+//    |              |   v                        |        | order refused          v
+//    |            ReadingClaim                   |        +------------------- Promoting
+//    |                                           | given up                        | accepted
+//    |                                           v                                 v
+//    +----------- EndingClaim <---------- ResumingReplicas <---------------- AwaitingPrimary
+//
+// The claim is an object in the store, one for each service, that is written conditionally. Its revision is
+// the fencing token of the promotion. The claim is written once more with the candidate right before the
+// order, so that an order is sent only by the proxy that holds the claim, and each order has a token above
+// those of all earlier ones.
+//
+// Where the platform fences promotions, the primary serves on until the promotion. Elsewhere it goes on
+// leading until it learns of the promotion; there it has to step down first, or no proxy may trust it any
+// more (freshness/primarylease.h).
 
 #pragma once
 
 #include "catalog/catalog.h"
-#include "leadership/internal/reason.h"
-#include "leadership/internal/serverstates.h"
+#include "leadership/internal/primarychange.h"
 #include "links/linkpool.h"
+#include "positions/fleetmap.h"
 #include "protocol/context.h"
 #include "sessions/sessionsmodule.h"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace rosemaryhinge {
@@ -24,6 +38,7 @@
   rosemaryhinge::Catalog &Catalog;
   LinkPool &Links;
   const SessionsModule &Sessions;
+  const FleetMap &Fleet;
 };
 
 class LeadershipModule {
@@ -33,87 +48,71 @@
   void onPromotionAnswer(Context &ctx, LeadershipServices &services, const PromotionAnswer &event);
   void onReply(Context &ctx, LeadershipServices &services, const LinkPool::Reply &reply,
                const LinkReplied &event);
-  void onLinkClosed(Context &ctx, LeadershipServices &services, const LinkPool::Closed &closed, LinkId link);
+  void onLinkClosed(const LinkPool::Closed &closed, LinkId link);
   /// Takes no new claim any more; a change that has begun is carried to its end.
   void startLeaving() { Leaving = true; }
   [[nodiscard]] bool changeInProgress() const;
   [[nodiscard]] std::optional<TimePoint> nextTimer() const { return Next; }
 
 private:
-  enum class Phase : std::uint8_t {
-    Idle,
-    ReadingClaim,
-    WaitingToClaim,
-    Claiming,
-    SelectingCandidate,
-    Promoting,
-    AwaitingPrimary,
-    RecordingCompletion
-  };
-  struct ServerRequest {
-    LinkId Link;
-    bool Sent = false;
-    bool Pause = false; ///< The order that was sent: pause or, for the former primary, step down.
-    TimePoint SentAt;
-  };
-  struct PrimaryChange {
-    Phase State = Phase::Idle;
-    detail::ChangeReason Reason;
-    std::optional<TargetId> Primary; ///< As last seen in the catalogue.
-    TimePoint PrimarySince;          ///< When it was first seen, or the lack of one.
-    TimePoint NextAttemptAt;         ///< No attempt before.
-    std::uint64_t ClaimRevision = 0;
-    /// Claim of another proxy that is left to its work, and since when it is known.
-    std::uint64_t OtherClaimRevision = 0;
-    TimePoint OtherClaimSince;
-    TimePoint StartedAt; ///< Of the survey.
-    TimePoint PhaseSince;
-    TimePoint ClaimAt; ///< When the claim is to be written.
-    std::optional<CallId> Call;
-    std::string Nonce;
-    detail::ServerStates Servers;
-    std::map<TargetId, ServerRequest> Requests;
-    std::set<TargetId> PausedByThisProxy;
-    /// Of all orders of this change. A replica that is paused for a higher term than the promotion brings
-    /// would stay paused after it.
-    Term PauseTerm = 0;
-    std::optional<TimePoint> OthersPausedAt;
-    std::optional<TimePoint>
-        AllPositionsKnownAt;         ///< When all replicas had told their logs for the first time.
-    std::set<TargetId> QueriedAgain; ///< Replicas that have told their logs again since.
-    TargetId Candidate;
-    int PromotionAttempts = 0;
+  using Phase = detail::ChangePhase;
+  using PrimaryChange = detail::PrimaryChange;
+  using Order = detail::ServerOrder;
+  /// One service's change and what its steps work with.
+  struct Run {
+    Context &Ctx;
+    LeadershipServices &Services;
+    const DatabaseId &Service;
+    PrimaryChange &Change;
   };
 
-  void step(Context &ctx, LeadershipServices &services, const DatabaseId &service, PrimaryChange &change);
-  void startIfNeeded(Context &ctx, LeadershipServices &services, const DatabaseId &service,
-                     PrimaryChange &change);
-  void readClaim(Context &ctx, PrimaryChange &change);
-  void putClaim(Context &ctx, const DatabaseId &service, PrimaryChange &change, bool done);
-  void onClaimRead(Context &ctx, LeadershipServices &services, const DatabaseId &service,
-                   PrimaryChange &change, const Claim &claim);
-  void onClaimed(Context &ctx, LeadershipServices &services, const DatabaseId &service, PrimaryChange &change,
-                 std::uint64_t revision);
-  void selectCandidate(Context &ctx, LeadershipServices &services, const DatabaseId &service,
-                       PrimaryChange &change);
-  void refreshServerStates(LeadershipServices &services, const DatabaseId &service, PrimaryChange &change,
-                           TimePoint now);
-  void sendRequest(Context &ctx, LeadershipServices &services, PrimaryChange &change, const TargetId &target,
-                   bool pause);
-  bool wouldLoseCommits(Context &ctx, LeadershipServices &services, const DatabaseId &service,
-                        PrimaryChange &change, const TargetId &candidate);
-  bool primaryLossUnconfirmed(Context &ctx, LeadershipServices &services, const DatabaseId &service,
-                              PrimaryChange &change);
-  void promote(Context &ctx, const DatabaseId &service, PrimaryChange &change);
-  void awaitPrimary(Context &ctx, LeadershipServices &services, const DatabaseId &service,
-                    PrimaryChange &change);
-  void giveUp(Context &ctx, LeadershipServices &services, const DatabaseId &service, PrimaryChange &change,
-              const std::string &why, Duration pause);
-  void releaseRequests(Context &ctx, LeadershipServices &services, PrimaryChange &change, bool resume);
-  void enterPhase(PrimaryChange &change, Phase next, TimePoint now);
+  void step(Run &run);
+  void startIfNeeded(Run &run);
+  [[nodiscard]] std::optional<detail::ChangeReason> findReason(const Run &run) const;
+  static void logSuspicion(Run &run, const std::optional<detail::ChangeReason> &reason);
+  static void enterPhase(Run &run, Phase next);
+  /// Ends an attempt without a new primary.
+  void giveUp(Run &run, const std::string &why, Duration pause);
+  void complete(Run &run);
+  /// Resumes what this proxy has paused, if it still may, and ends its claim.
+  void release(Run &run);
+  void resumeReplicas(Run &run);
+  void endClaim(Run &run);
+  static void toIdle(Run &run);
   /// The change that waits for the answer to a call, which it then does not any more. Null if none does.
   std::pair<const DatabaseId, PrimaryChange> *completeCall(const CallId &call);
 
+  // The claim (internal/claims.cpp).
+  void claim(Run &run);
+  void readClaim(Run &run);
+  void writeClaim(Run &run, const TargetId &candidate, bool done);
+  void onClaimsListed(Run &run, const DirectoryListing &listing);
+  void onClaimStored(Run &run, const Claim &stored);
+  void onClaimConflict(Run &run, const Claim &current);
+  void onStoreFailure(Run &run, const DirectoryFailure &failure);
+  void awaitTakeover(Run &run);
+  void onClaimed(Run &run);
+  /// Renews the claim in time. False if this proxy may not act on it at present.
+  bool keepClaim(Run &run);
+
+  // Selection of the candidate (internal/selection.cpp).
+  void selectCandidate(Run &run);
+  void refreshServerStates(Run &run);
+  [[nodiscard]] std::optional<std::string> reasonRefuted(Run &run);
+  bool queryServers(Run &run);
+  bool primaryLossUnconfirmed(Run &run);
+  void selectBesidePrimary(Run &run, bool allKnown);
+  void selectStopped(Run &run, bool allKnown);
+  bool wouldLoseCommits(Run &run, const TargetId &candidate);
+  bool pauseReplicas(Run &run, const std::optional<TargetId> &except);
+  void choose(Run &run, const TargetId &candidate);
+  void sendRequest(Run &run, const TargetId &target, Order order);
+
+  // Promotion (internal/promotion.cpp).
+  void confirmClaim(Run &run);
+  void promote(Run &run);
+  void awaitPrimary(Run &run);
+
   std::map<DatabaseId, PrimaryChange> Changes;
   std::optional<TimePoint> Next;
   bool Leaving = false;
--- a/src/leadership/tests/leadershipmoduletests.cpp
+++ b/src/leadership/tests/leadershipmoduletests.cpp
@@ -83,3 +83,40 @@
   servers[B].Status->Log.Lsn = 21;
   CHECK(anyReplicaAdvances(servers));
 }
+
+TEST_CASE("a server that leads again under another id is recognised although replicas are paused for a later "
+          "term") {
+  // Guards against the loss of acknowledged commits: a primary crashed and came back under another id while a
+  // change was under way, and a replica that was paused for the next term hid that it led.
+  ServerStates servers{{A, replica(20, true)}, {B, replica(20, true)}};
+  servers[A].Status->RaisedTerm = 4;
+  servers[B].Status->RaisedTerm = 4;
+  servers[P].Status = TargetStatus{TargetRole::Primary, 3, {3, 25}, {}, false, {}};
+  CHECK(newerPrimary(servers) == P);
+}
+
+TEST_CASE("a former primary that has not learned of a later term does not lead") {
+  ServerStates servers{{A, replica(20, false)}, {B, replica(20, false)}};
+  servers[A].Status->RaisedTerm = 4;
+  servers[P].Status = TargetStatus{TargetRole::Primary, 3, {3, 25}, {}, false, {}};
+  CHECK_FALSE(newerPrimary(servers));
+}
+
+TEST_CASE("after the primary has stepped down, the longest log of all replicas holds every commit") {
+  ServerStates servers{{A, replica(20, false)}, {B, replica(22, false)}, {P, former(true, 25)}};
+  CHECK_FALSE(bestAfterStepDown(servers, {}));
+  servers[A].Settled = true;
+  servers[B].Settled = true;
+  CHECK(bestAfterStepDown(servers, {}) == B);
+  // Without the report of a replica, only the log of the former primary stands in for it.
+  servers[B].Settled = false;
+  CHECK_FALSE(bestAfterStepDown(servers, {}));
+  servers[A].Status->Log.Lsn = 25;
+  CHECK(bestAfterStepDown(servers, {}) == A);
+}
+
+TEST_CASE("a server whose promotion may have been ordered before is preferred among equal logs") {
+  ServerStates servers{{A, replica(20, true)}, {B, replica(20, true)}, {P, former(false)}};
+  CHECK(mostUpToDate(servers, A) == A);
+  CHECK(mostUpToDate(servers, B) == B);
+}
--- a/src/links/serverhealth.cpp
+++ b/src/links/serverhealth.cpp
@@ -19,6 +19,7 @@
 void ServerHealth::received(TimePoint now, bool outstanding) {
   FailingSince.reset();
   RefusedSince.reset();
+  LastReplyAt = now;
   if (outstanding)
     UnansweredSince = now;
   else
--- a/src/links/serverhealth.h
+++ b/src/links/serverhealth.h
@@ -28,6 +28,8 @@
   /// Time for which the server has sent no reply while one was pending, or for which attempts have failed.
   /// Zero if no reply is pending and no recent attempt has failed.
   [[nodiscard]] Duration silence(TimePoint now) const;
+  /// When the server last replied or accepted a link.
+  [[nodiscard]] std::optional<TimePoint> lastReplyAt() const { return LastReplyAt; }
   /// Whether the server should be avoided if another one can serve the request.
   [[nodiscard]] bool suspect(TimePoint now) const;
   /// Time since which the server's address has refused connections, which means that the server process is
@@ -52,6 +54,7 @@
   std::optional<TimePoint> FailingSince;
   TimePoint FailedAt; ///< Time of the last failed attempt; valid if FailingSince is set.
   std::optional<TimePoint> RefusedSince;
+  std::optional<TimePoint> LastReplyAt;
   std::optional<TimePoint> ReportedSilentAt;
   Duration SmoothedDuration = 15ms;
 };
--- a/src/peers/internal/peerdecode.cpp
+++ b/src/peers/internal/peerdecode.cpp
@@ -117,6 +117,7 @@
     out.Status.Log = position(status->log()).value_or(Position{});
     out.Status.SincePrimary = Duration(status->since_primary_us());
     out.Status.Leaving = status->leaving();
+    out.Status.Paused = status->paused();
     if (const auto *starts = status->history(); starts && spend(starts->size() * sizeof(TermStart)))
       for (const auto *one : *starts)
         out.Status.History.push_back({one->term(), one->start()});
@@ -215,12 +216,13 @@
     }
     case wire::Message::PositionReply: {
       const auto *it = envelope.message_as_PositionReply();
-      if (it->at() == nullptr || it->age_us() < 0)
+      if (it->at() == nullptr || it->age_us() < 0 || it->confirmation_age_us() < 0)
         return std::nullopt;
       return PositionReply{it->number(),
                            id<DatabaseId>(it->service()),
                            {it->at()->term(), it->at()->lsn()},
-                           Duration(it->age_us())};
+                           Duration(it->age_us()),
+                           Duration(it->confirmation_age_us())};
     }
     case wire::Message::ChangesRequest:
     case wire::Message::ChangesReply:
--- a/src/peers/internal/peerencode.cpp
+++ b/src/peers/internal/peerencode.cpp
@@ -139,7 +139,7 @@
 
   Offset<wire::TargetReport> report(const TargetReport &it) {
     const auto &[target, database, status, age] = it;
-    const auto &[role, raised, log, since, leaving, history] = status;
+    const auto &[role, raised, log, since, leaving, history, paused] = status;
     std::vector<wire::TermStart> starts;
     starts.reserve(history.size());
     for (const auto &one : history)
@@ -147,7 +147,7 @@
     const auto list = B.CreateVectorOfStructs(starts);
     const auto at = position(log);
     const auto state = wire::CreateTargetStatus(B, static_cast<std::uint8_t>(role), raised, &at,
-                                                since.count(), leaving, list);
+                                                since.count(), leaving, list, paused);
     const auto targetText = text(target);
     return wire::CreateTargetReport(B, targetText, text(database), state, age.count());
   }
@@ -266,7 +266,9 @@
   Offset<void> put(const PositionReply &it, wire::Message &type) {
     type = wire::Message::PositionReply;
     const wire::Position at(it.At.Term, it.At.Lsn);
-    return wire::CreatePositionReply(B, it.Number, text(it.Service), &at, it.Age.count()).Union();
+    return wire::CreatePositionReply(B, it.Number, text(it.Service), &at, it.Age.count(),
+                                     it.ConfirmationAge.count())
+        .Union();
   }
 
   FlatBufferBuilder B{FirstAllocation};
--- a/src/peers/tests/peercodectests.cpp
+++ b/src/peers/tests/peercodectests.cpp
@@ -95,7 +95,8 @@
             TargetStatus{static_cast<TargetRole>(Random() % 2), number(), position(), duration(), flag(),
                          list([&] {
                            return TermStart{number(), number()};
-                         })},
+                         }),
+                         flag()},
             duration()};
   }
   DirectoryKind kindOfObject() { return flag() ? DirectoryKind::Configuration : DirectoryKind::Servers; }
@@ -225,7 +226,8 @@
     case 19:
       return PositionRequest{number(), DatabaseId(text())};
     case 20:
-      return PositionReply{number(), DatabaseId(text()), Position{number(), number()}, duration()};
+      return PositionReply{number(), DatabaseId(text()), Position{number(), number()}, duration(),
+                           duration()};
     case 27:
       return ChangesRequest{number(), kindOfObject(), number(), duration()};
     case 28:
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -131,6 +131,14 @@
   return rendezvousOrder(key, nodes);
 }
 
+std::size_t FleetMap::rank(const NodeId &self, std::string_view key) const {
+  std::vector<NodeId> nodes;
+  for (const auto &[node, entry] : Proxies)
+    nodes.push_back(node);
+  const auto order = rendezvousOrder(key, nodes);
+  return static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
+}
+
 std::vector<NodeId> FleetMap::others(const NodeId &self, const AvailabilityZone &zone, std::string_view key,
                                      std::size_t nearbyCount) const {
   std::vector<NodeId> nodes;
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -27,6 +27,9 @@
   /// Returns the proxies of an availability zone, including this one, in rendezvous order for the key.
   [[nodiscard]] std::vector<NodeId> order(const AvailabilityZone &zone, std::string_view key) const;
 
+  /// Number of proxies that come before this one in rendezvous order for the key.
+  [[nodiscard]] std::size_t rank(const NodeId &self, std::string_view key) const;
+
   /// Returns all other proxies in rendezvous order for the key, with the first nearbyCount proxies of the
   /// given availability zone moved to the front.
   [[nodiscard]] std::vector<NodeId> others(const NodeId &self, const AvailabilityZone &zone,
--- a/src/positions/positionexchange.cpp
+++ b/src/positions/positionexchange.cpp
@@ -12,6 +12,10 @@
 constexpr Duration RequesterTimeout = 200ms;
 constexpr std::size_t MaxRequesters = 1'000;
 
+PositionReply replyTo(std::uint64_t number, const PositionSample &sample, TimePoint now) {
+  return {number, sample.Service, sample.At, now - sample.SentAt, now - sample.PrimaryConfirmedAt};
+}
+
 } // namespace
 
 bool PositionExchange::requestPending(const DatabaseId &service, TimePoint now) const {
@@ -50,7 +54,8 @@
     return std::nullopt;
   // The peer computed Age after this request was sent, so subtracting Age from the send time never makes the
   // sample appear newer than it is.
-  const PositionSample out{reply.Service, reply.At, it->second.SentAt - reply.Age};
+  const PositionSample out{reply.Service, reply.At, it->second.SentAt - reply.Age,
+                           it->second.SentAt - reply.ConfirmationAge};
   Requests.erase(it);
   return out;
 }
@@ -62,9 +67,8 @@
 
 void PositionExchange::onRequest(Context &ctx, const NodeId &from, const PositionRequest &request,
                                  const std::optional<PositionSample> &newest) {
-  if (newest && ctx.Now - newest->SentAt <= MaxSharedSampleAge) {
-    ctx.emit(SendToPeer{
-        from, PositionReply{request.Number, request.Service, newest->At, ctx.Now - newest->SentAt}});
+  if (newest && sharable(*newest, ctx.Now)) {
+    ctx.emit(SendToPeer{from, replyTo(request.Number, *newest, ctx.Now)});
     return;
   }
   auto &requesters = Requesters[request.Service];
@@ -80,8 +84,7 @@
   Requesters.erase(it);
   for (const auto &one : requesters)
     if (ctx.Now - one.At < RequesterTimeout)
-      ctx.emit(SendToPeer{one.Node,
-                          PositionReply{one.Number, sample.Service, sample.At, ctx.Now - sample.SentAt}});
+      ctx.emit(SendToPeer{one.Node, replyTo(one.Number, sample, ctx.Now)});
 }
 
 std::vector<DatabaseId> PositionExchange::servicesWithRequesters(TimePoint now) {
--- a/src/positions/positionexchange.h
+++ b/src/positions/positionexchange.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "freshness/primarylease.h"
 #include "positions/fleetmap.h"
 #include "protocol/context.h"
 
@@ -21,6 +22,7 @@
   DatabaseId Service;
   Position At;
   TimePoint SentAt;
+  TimePoint PrimaryConfirmedAt{}; ///< Newest time for which its lead was confirmed (PrimaryLease).
 };
 
 class PositionExchange {
@@ -34,6 +36,11 @@
                                                       const PositionReply &reply);
   void onPeerLost(Context &ctx, const NodeId &node);
 
+  /// Whether a sample is recent enough for other proxies.
+  [[nodiscard]] static bool sharable(const PositionSample &sample, TimePoint now) {
+    return now - sample.SentAt <= MaxSharedSampleAge && now - sample.PrimaryConfirmedAt <= MaxSharedLeaseAge;
+  }
+
   /// Handles a request from another proxy. Replies immediately if the newest sample is recent enough,
   /// otherwise when the next sample arrives.
   void onRequest(Context &ctx, const NodeId &from, const PositionRequest &request,
@@ -49,6 +56,8 @@
   static constexpr Duration PeerBackoff = 2s;
   /// Maximum age of a sample that is sent to other proxies without querying the primary again.
   static constexpr Duration MaxSharedSampleAge = 250ms;
+  /// Maximum age of a confirmation that is sent to other proxies: half of a lease is left to them.
+  static constexpr Duration MaxSharedLeaseAge = PrimaryLease::Length / 2;
 
 private:
   struct Request {
--- a/src/positions/tests/positionexchangetests.cpp
+++ b/src/positions/tests/positionexchangetests.cpp
@@ -126,11 +126,13 @@
 
 TEST_CASE("a young sample is passed on at once with its age, an old one is not") {
   auto it = holder();
-  it.Exchange.onRequest(it.ctx(), NodeId("n9"), {5, Yard}, PositionSample{Yard, {1, 9}, it.Now - 100ms});
+  it.Exchange.onRequest(it.ctx(), NodeId("n9"), {5, Yard},
+                        PositionSample{Yard, {1, 9}, it.Now - 100ms, it.Now - 120ms});
   const auto reply = it.sent<PositionReply>();
   REQUIRE(reply);
   CHECK((reply->second.Age == Duration(100ms)));
-  it.Exchange.onRequest(it.ctx(), NodeId("n9"), {6, Yard}, PositionSample{Yard, {1, 9}, it.Now - 1s});
+  CHECK((reply->second.ConfirmationAge == Duration(120ms)));
+  it.Exchange.onRequest(it.ctx(), NodeId("n9"), {6, Yard}, PositionSample{Yard, {1, 9}, it.Now - 1s, it.Now - 1s});
   CHECK_FALSE(it.sent<PositionReply>());
   CHECK(it.Exchange.servicesWithRequesters(it.Now).size() == 1);
   it.Exchange.onSample(it.ctx(), {Yard, {1, 12}, it.Now - 20ms});
@@ -139,3 +141,10 @@
   CHECK(late->second.Number == 6);
   CHECK(it.Exchange.servicesWithRequesters(it.Now).empty());
 }
+
+TEST_CASE("a sample of a primary that was not confirmed lately is not passed on") {
+  auto it = holder();
+  it.Exchange.onRequest(it.ctx(), NodeId("n9"), {5, Yard},
+                        PositionSample{Yard, {1, 9}, it.Now - 100ms, it.Now - PrimaryLease::Length});
+  CHECK_FALSE(it.sent<PositionReply>());
+}
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -60,9 +60,11 @@
 struct Claim {
   DatabaseId Service;
   NodeId Holder;
-  TargetId From; ///< The primary that is to be replaced; empty if none was known.
-  bool Done = false;
-  std::string Nonce;          ///< Distinguishes this claim from an earlier one of the same holder.
+  TargetId From;      ///< The primary that is to be replaced; empty if none was known.
+  TargetId Candidate; ///< The server whose promotion may have been ordered; empty before the first order.
+  bool Done = false;  ///< The change has ended, and no order of it is outstanding.
+  std::string Nonce;  ///< Distinguishes this claim from an earlier one of the same holder.
+  std::uint64_t Renewals = 0; ///< Number of times that the holder wrote the claim again.
   std::uint64_t Revision = 0; ///< 0: nobody has claimed it yet.
 };
 
--- a/src/protocol/nodeconfig.h
+++ b/src/protocol/nodeconfig.h
@@ -38,6 +38,10 @@
   std::map<rosemaryhinge::AvailabilityZone, rosemaryhinge::Region> RegionByZone;
   /// CallerInterface::Sessions only: time from the stop request until the process is killed.
   Duration ShutdownGrace = 6s;
+  /// CallerInterface::Sessions only: whether the platform rejects promotions with an old fencing token, and a
+  /// promotion demotes the former primary at once. Otherwise this proxy stops the former primary, or waits
+  /// until no proxy reads from it, before it orders a promotion.
+  bool PromotionFencing = false;
 };
 
 } // namespace rosemaryhinge
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -180,6 +180,7 @@
   DatabaseId Service;
   Position At;
   Duration Age{};
+  Duration ConfirmationAge{}; ///< Time since the primary's lead was last confirmed.
 };
 
 /// Asks for the changes to store objects after a revision that the receiver knows of. Answered immediately if
--- a/src/protocol/target.h
+++ b/src/protocol/target.h
@@ -27,6 +27,7 @@
   Duration SincePrimary{};
   bool Leaving = false;
   std::vector<TermStart> History; ///< Recent terms, oldest first.
+  bool Paused = false; ///< A replica that receives nothing until it is resumed or a server promoted.
 };
 
 /// Identifies one attempt to execute a write. Stored in the same transaction as the write.
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -16,8 +16,8 @@
   SessionEventHandler(State &state, Context &ctx)
       : S(state),
         Ctx(ctx), SessionDeps{state.Catalog, state.Links, state.Fleet, state.Positions, state.Lenders},
-        LeadershipDeps{state.Catalog, state.Links, state.Sessions}, LendingDeps{state.Catalog, state.Links},
-        DirectoryDeps{state.Catalog, state.Fleet} {}
+        LeadershipDeps{state.Catalog, state.Links, state.Sessions, state.Fleet},
+        LendingDeps{state.Catalog, state.Links}, DirectoryDeps{state.Catalog, state.Fleet} {}
 
   void operator()(const Started &) {
     S.Directory.onStarted(Ctx, DirectoryDeps);
@@ -61,7 +61,7 @@
     if (!closed)
       return;
     if (closed->User.ForPrimaryChange)
-      S.Leadership.onLinkClosed(Ctx, LeadershipDeps, *closed, event.Link);
+      S.Leadership.onLinkClosed(*closed, event.Link);
     else if (closed->User.Loan != 0)
       S.Lender.onLinkClosed(Ctx, *closed);
     else
--- /dev/null
+++ b/src/reducer/tests/leasetests.cpp
@@ -0,0 +1,133 @@
+// Tests of current reads where a former primary goes on answering after a promotion.
+
+#include "reducer/tests/sessionharness.h"
+
+#include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+
+namespace {
+
+/// Accepts links and answers BEGIN and status queries of a proxy without promotion fencing. Statements of
+/// callers are only counted.
+struct Servers {
+  Term PrimaryTerm = 1;
+  Term ReplicaTerm = 1;
+  bool Paused = false;
+  bool ReplicasAnswer = true;
+  int Statements = 0;
+  int StatusQueries = 0;
+
+  void run(SessionHarness &proxy, Duration time) {
+    for (Duration passed{}; passed < time; passed += 10ms) {
+      while (const auto open = proxy.take<OpenLink>())
+        proxy.apply(LinkOpened{open->Link});
+      while (const auto sent = proxy.take<SendOnLink>())
+        answer(proxy, *sent);
+      proxy.pass(10ms);
+    }
+  }
+
+private:
+  void answer(SessionHarness &proxy, const SendOnLink &sent) {
+    const auto target = proxy.Logic.Links.targetOf(sent.Link).value_or(TargetId());
+    for (const auto &it : sent.Commands) {
+      if (std::holds_alternative<BeginTransaction>(it)) {
+        proxy.reply(sent.Link, SessionHarness::done(), TransactionState::Open, Position{PrimaryTerm, 5});
+      } else if (std::holds_alternative<ReadServerStatus>(it)) {
+        ++StatusQueries;
+        if (!ReplicasAnswer)
+          continue;
+        const TargetStatus status{
+            TargetRole::Replica, ReplicaTerm + (Paused ? 1 : 0), {ReplicaTerm, 5}, {}, false, {}, Paused};
+        proxy.apply(LinkReplied{sent.Link, SessionHarness::done(), TransactionState::Idle,
+                                Position{ReplicaTerm, 5}, status});
+      } else if (std::holds_alternative<RollbackTransaction>(it)) {
+        proxy.reply(sent.Link, SessionHarness::done(), TransactionState::Idle, Position{PrimaryTerm, 5});
+      } else if (std::holds_alternative<RunStatement>(it)) {
+        CHECK(target.str() == "p");
+        ++Statements;
+        proxy.reply(sent.Link, SessionHarness::done(), TransactionState::Open, Position{PrimaryTerm, 5});
+      }
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("a current read runs once a replica confirms that the primary leads") {
+  SessionHarness proxy(false);
+  Servers servers;
+  proxy.read(proxy.open("settle"), "r1");
+  servers.run(proxy, 100ms);
+  CHECK(servers.Statements == 1);
+  CHECK(servers.StatusQueries >= 1);
+}
+
+TEST_CASE("a current read does not run while no replica confirms the primary, and is refused as not run") {
+  // Guards against stale reads: a former primary that does not know of the promotion answers BEGIN.
+  for (const bool paused : {true, false}) {
+    SessionHarness proxy(false);
+    Servers servers;
+    servers.Paused = paused;
+    servers.ReplicasAnswer = paused;
+    proxy.read(proxy.open("settle"), "r1");
+    servers.run(proxy, 1s);
+    CHECK(servers.Statements == 0);
+    const auto answer = proxy.take<AnswerStatement>();
+    REQUIRE(answer);
+    const auto *why = std::get_if<StatementRejection>(&answer->Outcome);
+    REQUIRE(why);
+    CHECK((why->Code == Rejection::Busy));
+  }
+}
+
+TEST_CASE("a current read does not run at a server of an earlier term than a replica follows") {
+  SessionHarness proxy(false);
+  Servers servers;
+  servers.ReplicaTerm = 2;
+  proxy.read(proxy.open("settle"), "r1");
+  servers.run(proxy, 300ms);
+  CHECK(servers.Statements == 0);
+}
+
+TEST_CASE("an acknowledged commit confirms the primary for the length of a lease") {
+  SessionHarness proxy(false);
+  Servers servers;
+  const auto writer = proxy.open("settle");
+  proxy.write(writer, "w1");
+  servers.run(proxy, 50ms);
+  servers.StatusQueries = 0;
+  servers.ReplicasAnswer = false;
+  proxy.read(writer, "r1");
+  servers.run(proxy, 50ms);
+  CHECK(servers.Statements == 2);
+  CHECK(servers.StatusQueries == 0);
+  servers.run(proxy, PrimaryLease::Length);
+  proxy.read(proxy.open("settle"), "r2");
+  servers.run(proxy, 100ms);
+  CHECK(servers.Statements == 2);
+}
+
+TEST_CASE("single writes need no confirmation") {
+  SessionHarness proxy(false);
+  Servers servers;
+  servers.ReplicasAnswer = false;
+  proxy.write(proxy.open("settle"), "w1");
+  servers.run(proxy, 50ms);
+  CHECK(servers.Statements == 1);
+}
+
+TEST_CASE("a read of bounded staleness runs at the primary within its bound after the last confirmation") {
+  SessionHarness proxy(false);
+  Servers servers;
+  proxy.read(proxy.open("settle"), "r1");
+  servers.run(proxy, 100ms);
+  servers.ReplicasAnswer = false;
+  servers.run(proxy, 1s);
+  const auto session = proxy.open("look");
+  proxy.send(session, "b", BeginStatement{});
+  proxy.read(session, "r2");
+  servers.run(proxy, 100ms);
+  CHECK(servers.Statements == 2);
+}
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -58,11 +58,13 @@
 };
 
 /// Answers commands and status queries for the servers in logs, which gives the log position of each, for 60
-/// rounds of 20 ms. Other servers do not respond.
-Orders answerOrders(SessionHarness &proxy, const std::map<std::string, Lsn> &logs) {
+/// rounds of 20 ms. Other servers do not respond. Writes of the claim get the given revision.
+Orders answerOrders(SessionHarness &proxy, const std::map<std::string, Lsn> &logs, std::uint64_t token = 41) {
   Orders out;
   std::map<LinkId, TargetId> links;
   for (int n = 0; n < 60; ++n) {
+    while (answerClaim(proxy, token)) {
+    }
     while (const auto open = proxy.take<OpenLink>()) {
       if (!logs.contains(open->Target.str()))
         continue;
@@ -181,7 +183,7 @@
   const auto call = proxy.take<PromotionCall>();
   REQUIRE(call);
   proxy.apply(PromotionAnswer{call->Call, PromotionResult::Accepted, ""});
-  proxy.Logic.Catalog.confirmPrimary(TargetId("a"));
+  proxy.Logic.Catalog.confirmPrimary(TargetId("a"), 2);
   const auto orders = answerOrders(proxy, {{"a", 20}, {"b", 10}});
   CHECK(orders.Resumed.contains("b"));
 }
@@ -218,3 +220,155 @@
   answerOrders(proxy, {{"a", 20}, {"b", 20}});
   CHECK_FALSE(proxy.take<PromotionCall>());
 }
+
+TEST_CASE("a primary that comes back under another id ends the change, and the paused replicas are resumed") {
+  // Guards against the loss of acknowledged commits: the change went on with the old id as the server to
+  // replace, while the same server led again and acknowledged commits under its new id.
+  SessionHarness proxy;
+  failPrimary(proxy, 41);
+  answerOrders(proxy, {{"a", 10}});
+  proxy.Logic.Catalog.removeServer(TargetId("p"), proxy.Now);
+  const auto reborn = SessionHarness::server("q", TargetRole::Primary, 30);
+  proxy.Logic.Catalog.updateServer(std::get<ServerEntry>(reborn.Value), proxy.Now);
+  answerOrders(proxy, {{"a", 10}, {"b", 10}, {"q", 12}});
+  CHECK_FALSE(proxy.take<PromotionCall>());
+  CHECK((proxy.Logic.Catalog.primary(Yard) == TargetId("q")));
+}
+
+TEST_CASE("each promotion is ordered with the revision of a write of the claim right before it") {
+  SessionHarness proxy;
+  failPrimary(proxy, 41);
+  answerOrders(proxy, {{"a", 10}, {"b", 20}}, 45);
+  const auto call = proxy.take<PromotionCall>();
+  REQUIRE(call);
+  CHECK(call->Token == 45);
+}
+
+TEST_CASE("a proxy whose claim was taken over neither promotes nor resumes what it has paused") {
+  // Guards against two proxies that change one primary: the one whose claim had been taken over resumed a
+  // replica on whose pause the other one relied.
+  SessionHarness proxy;
+  failPrimary(proxy, 41);
+  for (int n = 0; n < 60; ++n) {
+    while (const auto open = proxy.take<OpenLink>())
+      if (open->Target != TargetId("p"))
+        proxy.apply(LinkOpened{open->Link});
+    while (const auto sent = proxy.take<SendOnLink>()) {
+      CHECK_FALSE(SessionHarness::command<ResumeReplica>(*sent));
+      const auto target = proxy.Logic.Links.targetOf(sent->Link).value_or(TargetId());
+      const TargetStatus status{
+          TargetRole::Replica, 2, {1, target == TargetId("a") ? 10U : 20U}, {}, false, {}};
+      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
+        proxy.apply(
+            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+    }
+    while (const auto call = proxy.take<DirectoryCall>())
+      if (std::holds_alternative<PutClaim>(call->Request)) {
+        Claim other;
+        other.Service = Yard;
+        other.Holder = NodeId("n2");
+        other.Nonce = "8.1";
+        other.Revision = 50;
+        proxy.apply(DirectoryAnswer{call->Call, ClaimConflict{other}});
+      }
+    proxy.pass(20ms);
+  }
+  CHECK_FALSE(proxy.take<PromotionCall>());
+}
+
+TEST_CASE(
+    "a promotion without an answer is ordered again for the same server with a higher token, and nothing "
+    "is resumed meanwhile") {
+  SessionHarness proxy;
+  failPrimary(proxy, 41);
+  answerOrders(proxy, {{"a", 10}, {"b", 20}}, 45);
+  const auto first = proxy.take<PromotionCall>();
+  REQUIRE(first);
+  proxy.apply(PromotionAnswer{first->Call, PromotionResult::Unknown, "timeout"});
+  const auto orders = answerOrders(proxy, {{"a", 30}, {"b", 20}}, 47);
+  const auto second = proxy.take<PromotionCall>();
+  REQUIRE(second);
+  CHECK(second->Target == first->Target);
+  CHECK(second->Token == 47);
+  CHECK(orders.Resumed.empty());
+}
+
+TEST_CASE("an unanswered primary is logged as suspected once") {
+  SessionHarness proxy;
+  failPrimary(proxy, 41);
+  answerOrders(proxy, {{"a", 10}});
+  answerOrders(proxy, {{"a", 10}});
+  int n = 0;
+  while (const auto line = proxy.take<Log>())
+    n += line->Message == "primary suspected" ? 1 : 0;
+  CHECK(n == 1);
+}
+
+TEST_CASE(
+    "without fencing, an unreachable primary is replaced only after all replicas were paused for the length "
+    "of a lease") {
+  SessionHarness proxy(false);
+  failPrimary(proxy, 41);
+  std::map<std::string, TimePoint> pausedAt;
+  std::optional<PromotionCall> call;
+  for (int n = 0; n < 200 && !call; ++n) {
+    while (answerClaim(proxy, 45)) {
+    }
+    while (const auto open = proxy.take<OpenLink>())
+      if (open->Target != TargetId("p"))
+        proxy.apply(LinkOpened{open->Link});
+    while (const auto sent = proxy.take<SendOnLink>()) {
+      const auto target = proxy.Logic.Links.targetOf(sent->Link).value_or(TargetId());
+      const bool pause = SessionHarness::command<PauseReplica>(*sent) != nullptr;
+      if (pause)
+        pausedAt.try_emplace(target.str(), proxy.Now);
+      const TargetStatus status{TargetRole::Replica,
+                                pause ? 2U : 1U,
+                                {1, target == TargetId("a") ? 10U : 20U},
+                                {},
+                                false,
+                                {},
+                                pause};
+      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
+        proxy.apply(
+            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+    }
+    proxy.pass(20ms);
+    call = proxy.take<PromotionCall>();
+  }
+  REQUIRE(call);
+  CHECK(call->Target == TargetId("b"));
+  REQUIRE(pausedAt.size() == 2);
+  for (const auto &[server, at] : pausedAt)
+    CHECK((proxy.Now - at >= PrimaryLease::Length));
+}
+
+TEST_CASE("without fencing, a primary that is leaving steps down before another server is promoted") {
+  SessionHarness proxy(false);
+  proxy.answerWatch(DirectoryKind::Servers, {SessionHarness::server("p", TargetRole::Primary, 30, true)}, 30);
+  bool steppedDown = false;
+  std::optional<PromotionCall> call;
+  for (int n = 0; n < 100 && !call; ++n) {
+    while (answerClaim(proxy, 45)) {
+    }
+    while (const auto open = proxy.take<OpenLink>())
+      proxy.apply(LinkOpened{open->Link});
+    while (const auto sent = proxy.take<SendOnLink>()) {
+      const auto target = proxy.Logic.Links.targetOf(sent->Link).value_or(TargetId());
+      steppedDown = steppedDown || SessionHarness::command<StepDownPrimary>(*sent);
+      const bool leads = target == TargetId("p") && !steppedDown;
+      // The former primary has a commit that no replica received, and that was never acknowledged.
+      const Lsn log = target == TargetId("p") ? 25 : target == TargetId("a") ? 10 : 20;
+      const TargetStatus status{
+          leads ? TargetRole::Primary : TargetRole::Replica, 1, {1, log}, {}, false, {}};
+      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
+        proxy.apply(
+            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+    }
+    proxy.pass(20ms);
+    call = proxy.take<PromotionCall>();
+    CHECK((!call || steppedDown));
+  }
+  REQUIRE(call);
+  CHECK(call->Target == TargetId("b"));
+}
--- a/src/reducer/tests/sessionharness.h
+++ b/src/reducer/tests/sessionharness.h
@@ -15,7 +15,9 @@
 
 class SessionHarness {
 public:
-  SessionHarness() {
+  /// \param promotionFencing Whether a promotion demotes the former primary at once.
+  explicit SessionHarness(bool promotionFencing = true) {
+    Logic.Self.PromotionFencing = promotionFencing;
     Logic.Self.Node = NodeId("n1");
     Logic.Self.AvailabilityZone = AvailabilityZone("z1");
     Logic.Self.Region = Region("r1");
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -53,6 +53,9 @@
 
 void SessionsModule::onCapacity(Context &ctx, SessionServices &services) {
   queryPrimaryForRequesters(ctx, services);
+  for (const auto &[id, service] : Services)
+    if (!service.AwaitingLease.empty())
+      requestLease(ctx, services, id);
   if (!PendingSessions.empty())
     admitPendingSessions(ctx, services);
   for (auto &[service, queue] : Waiting) {
@@ -191,6 +194,7 @@
   work.Target = target;
   work.SentAt = ctx.Now;
   work.StatementSent = false;
+  work.LeaseTerm.reset();
   work.WrappedRead = false;
   ++work.SendCount;
   auto &transaction = session.Transaction;
@@ -215,6 +219,10 @@
       services.Links.prepare(link, session.Values, execute ? &session.Prepared.at(execute->Name) : nullptr);
   commands.emplace_back(BeginTransaction{replica, replica ? work.After : std::nullopt});
   services.Links.send(ctx, link, std::move(commands));
+  const auto confirmed = Services[work.Route.Service].Lease.confirmedAt();
+  const bool covered = confirmed && *confirmed + PrimaryLease::Length >= leaseTime(session, work);
+  if (!ctx.Self.PromotionFencing && !replica && !work.Commit && !covered)
+    requestLease(ctx, services, work.Route.Service);
   scheduleTimer(id, session);
 }
 
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -42,6 +42,10 @@
     if (reply.Last)
       service.PositionQueryLink.reset();
   }
+  if (reply.Step == LinkStep::Order) {
+    onLeaseReply(ctx, services, reply, event);
+    return;
+  }
   const auto it = Sessions.find(reply.User.Session);
   if (it == Sessions.end() || !it->second.Current || it->second.Current->Link != event.Link)
     return;
@@ -71,7 +75,9 @@
       session.Transaction->Begun = true;
     if (event.At && !work.After) {
       addSample(ctx, services, {reply.Service, *event.At, reply.SentAt});
-      services.Catalog.confirmPrimary(reply.Target);
+      services.Catalog.confirmPrimary(reply.Target, event.At->Term);
+      if (!work.Commit && !admitByLease(ctx, services, reply.User.Session, session, event.At->Term))
+        return;
     }
     sendStatement(ctx, services, reply.User.Session, session);
     return;
@@ -102,8 +108,11 @@
       session.WrittenUpTo[reply.Service] = *event.At;
       Services[reply.Service].Acknowledged = *event.At;
       session.WrittenAtUnknownPosition.erase(reply.Service);
+      // A replica has received the commit, so no other server had been promoted when it was sent.
+      if (const auto *limits = services.Catalog.limits(reply.Service); limits && limits->SyncReplicas > 0)
+        confirmLease(ctx, services, reply.Service, event.At->Term, work.SentAt);
       addSample(ctx, services, {reply.Service, *event.At, work.SentAt});
-      services.Catalog.confirmPrimary(reply.Target);
+      services.Catalog.confirmPrimary(reply.Target, event.At->Term);
     } else {
       session.WrittenAtUnknownPosition.insert(reply.Service);
     }
--- a/src/sessions/internal/positions.cpp
+++ b/src/sessions/internal/positions.cpp
@@ -3,14 +3,26 @@
 
 #include "sessions/sessionsmodule.h"
 
+#include <algorithm>
+
 namespace rosemaryhinge {
 
-void SessionsModule::addSample(Context &ctx, SessionServices &services, const PositionSample &sample) {
+void SessionsModule::addSample(Context &ctx, SessionServices &services, PositionSample sample) {
   auto &service = Services[sample.Service];
+  if (ctx.Self.PromotionFencing)
+    service.Lease.confirm(sample.At.Term, sample.SentAt);
+  const auto proven = service.Lease.provenUntil(sample.At.Term);
+  if (!proven || *proven < sample.SentAt)
+    service.UnprovenSample = sample;
+  if (!proven)
+    return;
+  sample.SentAt = std::min(sample.SentAt, *proven);
+  sample.PrimaryConfirmedAt = service.Lease.confirmedAt().value_or(sample.SentAt);
   service.Positions.add(sample.At, sample.SentAt);
-  if (!service.OwnSample || sample.SentAt > service.OwnSample->SentAt)
+  if (!service.OwnSample || sample.SentAt >= service.OwnSample->SentAt)
     service.OwnSample = sample;
-  services.Exchange.onSample(ctx, sample);
+  if (ctx.Self.PromotionFencing || PositionExchange::sharable(sample, ctx.Now))
+    services.Exchange.onSample(ctx, sample);
 }
 
 void SessionsModule::onPositionRequest(Context &ctx, SessionServices &services, const NodeId &from,
@@ -25,12 +37,17 @@
   const auto sample = services.Exchange.onReply(ctx, from, reply);
   if (!sample)
     return;
-  Services[sample->Service].Positions.add(sample->At, sample->SentAt);
+  confirmLease(ctx, services, sample->Service, sample->At.Term, sample->PrimaryConfirmedAt);
+  auto &service = Services[sample->Service];
+  if (const auto proven = service.Lease.provenUntil(sample->At.Term))
+    service.Positions.add(sample->At, std::min(sample->SentAt, *proven));
   onCapacity(ctx, services);
 }
 
 void SessionsModule::queryPrimaryForRequesters(Context &ctx, SessionServices &services) {
   for (const auto &service : services.Exchange.servicesWithRequesters(ctx.Now)) {
+    if (!ctx.Self.PromotionFencing)
+      queryReplica(ctx, services, service);
     auto &proving = Services[service].PositionQueryLink;
     if (proving && services.Links.targetOf(*proving))
       continue;
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -34,7 +34,10 @@
   TimePoint SentAt;
   std::optional<Position> After;
   bool StatementSent = false; ///< The statement itself was sent, not only BEGIN.
-  bool WrappedRead = false;   ///< A single read that the proxy wraps in a transaction to get a position.
+  /// Set while the statement waits for the lease of the primary of this term.
+  std::optional<Term> LeaseTerm;
+  TimePoint LeaseRetryAt;
+  bool WrappedRead = false; ///< A single read that the proxy wraps in a transaction to get a position.
 };
 
 /// A transaction, from BEGIN to the answer to the statement that ends it. It holds a server connection from
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -147,7 +147,9 @@
   const auto earlier = [&at](TimePoint it) { at = at ? std::min(*at, it) : it; };
   if (const auto &work = session.Current) {
     earlier(work->Deadline);
-    if (work->Link && !session.Transaction && work->Mode == AccessMode::Read)
+    if (work->LeaseTerm)
+      earlier(work->LeaseRetryAt);
+    else if (work->Link && !session.Transaction && work->Mode == AccessMode::Read)
       earlier(work->SentAt + ReadResendTimeout);
     if (!work->Link)
       earlier(std::max(work->RetryAt, work->ArrivedAt) + WaitRetryInterval);
@@ -187,8 +189,11 @@
       handleNoAnswer(ctx, services, id, session, true);
       return;
     }
-    if (sent && !session.Transaction && work.Mode == AccessMode::Read &&
-        ctx.Now >= work.SentAt + ReadResendTimeout) {
+    if (work.LeaseTerm) {
+      work.LeaseRetryAt = ctx.Now + WaitRetryInterval;
+      requestLease(ctx, services, work.Route.Service);
+    } else if (sent && !session.Transaction && work.Mode == AccessMode::Read &&
+               ctx.Now >= work.SentAt + ReadResendTimeout) {
       resendRead(ctx, services, id, session);
       return;
     }
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -8,6 +8,7 @@
 
 #include "catalog/catalog.h"
 #include "freshness/positionhistory.h"
+#include "freshness/primarylease.h"
 #include "lending/lenderchoice.h"
 #include "links/linkpool.h"
 #include "positions/positionexchange.h"
@@ -70,8 +71,19 @@
   using PendingStatement = detail::PendingStatement;
   /// Orders waiting statements by priority, then by arrival.
   using WaitKey = std::tuple<std::uint32_t, TimePoint, SessionId>;
+  /// A status query to a replica that is to confirm the lease of the primary.
+  struct LeaseQuery {
+    LinkId Link;
+    TargetId Target;
+    TimePoint SentAt;
+  };
   struct Service {
     PositionHistory Positions;
+    PrimaryLease Lease;
+    std::optional<LeaseQuery> PendingLeaseQuery;
+    std::map<TargetId, TimePoint> LeaseRefusedAt;  ///< When a server last did not confirm the lease.
+    std::set<SessionId> AwaitingLease;             ///< Sessions whose statement waits for a confirmation.
+    std::optional<PositionSample> UnprovenSample;  ///< Newest one that the lease does not cover yet.
     std::optional<Position> Acknowledged;          ///< Log position of the last acknowledged commit.
     std::optional<PositionSample> OwnSample;       ///< Newest one received directly from the primary.
     std::optional<LinkId> PositionQueryLink;       ///< Link with an open position query for other proxies.
@@ -113,7 +125,8 @@
                            std::size_t waiting, const PendingStatement &work);
   void enqueueWaiting(SessionId id, const Session &session);
   void removeWaiting(SessionId id, const Session &session);
-  void addSample(Context &ctx, SessionServices &services, const PositionSample &sample);
+  /// Records a position that the primary returned, as far as its lease proves that it led.
+  void addSample(Context &ctx, SessionServices &services, PositionSample sample);
   void queryPrimaryForRequesters(Context &ctx, SessionServices &services);
   [[nodiscard]] std::optional<Position> requiredPosition(const Session &session,
                                                          const PendingStatement &work);
@@ -123,6 +136,21 @@
   [[nodiscard]] std::vector<TargetId> primaryCandidates(Context &ctx, SessionServices &services,
                                                         const PendingStatement &work);
 
+  // Leases of primaries (internal/leases.cpp).
+  [[nodiscard]] static TimePoint leaseTime(const Session &session, const PendingStatement &work);
+  /// Whether the statement may be sent to the primary of the term that has begun its transaction. Otherwise
+  /// it waits for a confirmation, or is rejected as not run.
+  bool admitByLease(Context &ctx, SessionServices &services, SessionId id, Session &session, Term term);
+  void confirmLease(Context &ctx, SessionServices &services, const DatabaseId &id, Term term, TimePoint at);
+  /// Asks another proxy or a replica to confirm the lease, unless a request is pending.
+  void requestLease(Context &ctx, SessionServices &services, const DatabaseId &id);
+  void queryReplica(Context &ctx, SessionServices &services, const DatabaseId &id);
+  [[nodiscard]] static std::vector<TargetId> leaseWitnesses(Context &ctx, SessionServices &services,
+                                                            const DatabaseId &id, const Service &service);
+  void onLeaseReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply,
+                    const LinkReplied &event);
+  void resumeAfterLease(Context &ctx, SessionServices &services, const DatabaseId &id);
+
   // Replies, retries and failures (internal/outcomes.cpp).
   void handleSuccess(Context &ctx, SessionServices &services, SessionId id, Session &session,
                      const LinkPool::Reply &reply, const LinkReplied &event);
