Divide scarce connections among zones, and keep no timer for each waiting statement

Change: the holder of a zone opens the zone's share at most; waiting statements are tried again in one pass; the rendezvous orders of the fleet are kept until the fleet changes.

--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -123,7 +123,7 @@
   if (it == change.Requests.end()) {
     const auto link = services.Links.acquire(target, {SessionId(), true}, {}, ctx.Now);
     if (!link) {
-      services.Links.openLinks(ctx, services.Catalog, target, 1);
+      services.Links.openLinks(ctx, services.Catalog, target, 1, LinkPurpose::Control);
       return;
     }
     it = change.Requests.emplace(target, detail::ServerRequest{*link, false, order, {}}).first;
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -38,6 +38,8 @@
 /// Delay before opening a link to a server that was full. Random jitter of up to the same length is added.
 constexpr Duration FullRetryDelay = 25ms;
 constexpr Duration FailureRetryDelay = 200ms;
+/// Links for queries and orders beyond the share of an availability zone.
+constexpr std::size_t MaxControlLinks = 2;
 /// Maximum number of links to one server being opened concurrently.
 constexpr std::size_t MaxOpening = 4;
 /// Number of prepared statements on one link at which the session state of the link is discarded.
@@ -100,13 +102,25 @@
   return best;
 }
 
-void LinkPool::openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting) {
+std::size_t LinkPool::maxOpenLinks(const Catalog &catalog, const DatabaseId &service,
+                                   LinkPurpose purpose) const {
+  const auto *limits = catalog.limits(service);
+  const std::size_t all = limits && limits->MaxConnections > 0 ? limits->MaxConnections : 1;
+  if (!needsLending(catalog, service))
+    return all;
+  // The zones' lenders divide the connections. Without a division, a zone that comes late, as after a
+  // restart, gets none: those in use never become idle for long.
+  const std::size_t share = (all + Zones - 1) / Zones;
+  return share + (purpose == LinkPurpose::Control ? MaxControlLinks : 0);
+}
+
+void LinkPool::openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
+                         LinkPurpose purpose) {
   const auto *view = catalog.server(target);
   if (!view)
     return;
   auto &server = Servers[target];
-  const auto *limits = catalog.limits(view->Entry.Service);
-  const std::size_t cap = limits && limits->MaxConnections > 0 ? limits->MaxConnections : 1;
+  const std::size_t cap = maxOpenLinks(catalog, view->Entry.Service, purpose);
   if (server.Idle > 0 && atConcurrencyLimit(target))
     return;
   while (server.Opening < std::min(waiting, MaxOpening) && server.Links.size() < cap &&
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -44,6 +44,12 @@
   std::uint64_t Loan = 0; ///< The lender's number for the loan; zero if the link is not lent.
 };
 
+/// What a link is opened for.
+enum class LinkPurpose : std::uint8_t {
+  Statements,
+  Control, ///< Queries and orders of this proxy's own, which must not wait behind callers' work.
+};
+
 class LinkPool {
 public:
   /// Assigns an idle link to a user, preferring one that already has the session's values set. Returns
@@ -52,7 +58,8 @@
                                               const SessionValues &values, TimePoint now);
   /// Opens links for waiting work, unless enough are being opened, the connection limit is reached, or the
   /// server is in a retry delay after a refusal or failure.
-  void openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting);
+  void openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
+                 LinkPurpose purpose = LinkPurpose::Statements);
   /// Like openLinks, but requests connections that another proxy lends for one transaction each.
   void borrowLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
                    const LoanParameters &wish);
@@ -171,6 +178,8 @@
   void setPhase(Link &link, Phase next, TimePoint now);
   void scheduleSweep(TimePoint now);
   void removeLink(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent);
+  [[nodiscard]] std::size_t maxOpenLinks(const Catalog &catalog, const DatabaseId &service,
+                                         LinkPurpose purpose) const;
   [[nodiscard]] std::size_t maxIdleLinks(const Catalog &catalog, const TargetId &target) const;
   [[nodiscard]] Duration idleTimeout(const Catalog &catalog, const TargetId &target,
                                      const Server &server) const;
--- a/src/links/tests/linkpooltests.cpp
+++ b/src/links/tests/linkpooltests.cpp
@@ -192,14 +192,26 @@
 
 TEST_CASE("where proxies are many, the one that holds a zone's connections keeps the zone's share") {
   Pool pool;
-  pool.Links.setFleet(6, 3);
   pool.openLinks(3);
   pool.accept();
+  pool.Links.setFleet(6, 3);
   REQUIRE(pool.Links.idle(A) == 3);
   pool.pass(1s);
   CHECK(pool.Links.idle(A) == 1);
 }
 
+TEST_CASE("where connections are few, the holder of a zone opens no more than the zone's share") {
+  // Guards against a zone without connections: after a restart, the proxies that came first had opened all of
+  // them and kept them in use, and a proxy of another zone served nothing for 7 s.
+  Pool pool(7);
+  pool.Links.setFleet(6, 3);
+  pool.openLinks(4);
+  pool.accept();
+  pool.openLinks(4);
+  pool.accept();
+  CHECK(pool.Links.open(A) == 3);
+}
+
 TEST_CASE("a server that refuses work as busy gets less at once, and more again with its answers") {
   // Guards against overloading a busy server: on openraad-portaal-grown at scale-1, 62,689 of 129,679
   // statements were rejected as busy, eight times each.
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -22,6 +22,8 @@
 /// Above this number of proxies, the listing interval grows in proportion to the fleet size, because the cost
 /// of a full listing for each proxy grows with it.
 constexpr std::size_t ProxiesPerListInterval = 100;
+/// Bound on the orders that are kept; there is one for each service.
+constexpr std::size_t MaxOrders = 20'000;
 
 } // namespace
 
@@ -52,6 +54,7 @@
   const auto it = Proxies.find(entry.Node);
   const bool known = it != Proxies.end() && it->second.Address == entry.Address;
   Proxies[entry.Node] = entry;
+  onProxiesChanged();
   if (!known && entry.Node != ctx.Self.Node)
     ctx.emit(PeerAddress{entry.Node, entry.Address});
 }
@@ -90,6 +93,7 @@
       if (entry->Node != ctx.Self.Node)
         addProxy(ctx, *entry);
     }
+  onProxiesChanged();
   const auto times =
       static_cast<std::int64_t>(std::max<std::size_t>(1, Proxies.size() / ProxiesPerListInterval));
   ListAt = ctx.Now + (first ? SecondList : Duration(ListInterval * times));
@@ -116,19 +120,26 @@
   ctx.emit(DirectoryCall{ctx.call(Module::Positions), CallTimeout, DeleteProxy{ctx.Self.Node}});
 }
 
-std::size_t FleetMap::zones() const {
-  std::set<AvailabilityZone> out;
+void FleetMap::onProxiesChanged() {
+  Orders.clear();
+  std::set<AvailabilityZone> zones;
   for (const auto &[node, entry] : Proxies)
-    out.insert(entry.AvailabilityZone);
-  return out.size();
+    zones.insert(entry.AvailabilityZone);
+  ZoneCount = zones.size();
 }
 
-std::vector<NodeId> FleetMap::order(const AvailabilityZone &zone, std::string_view key) const {
+const std::vector<NodeId> &FleetMap::order(const AvailabilityZone &zone, std::string_view key) const {
+  if (Orders.size() >= MaxOrders)
+    Orders.clear();
+  const auto [it, added] = Orders.try_emplace({zone, std::string(key)});
+  if (!added)
+    return it->second;
   std::vector<NodeId> nodes;
   for (const auto &[node, entry] : Proxies)
     if (entry.AvailabilityZone == zone)
       nodes.push_back(node);
-  return rendezvousOrder(key, nodes);
+  it->second = rendezvousOrder(key, nodes);
+  return it->second;
 }
 
 std::size_t FleetMap::rank(const NodeId &self, std::string_view key) const {
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -10,7 +10,9 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace rosemaryhinge {
@@ -24,8 +26,9 @@
   /// Deletes this proxy's entry from the store.
   void startLeaving(Context &ctx);
 
-  /// Returns the proxies of an availability zone, including this one, in rendezvous order for the key.
-  [[nodiscard]] std::vector<NodeId> order(const AvailabilityZone &zone, std::string_view key) const;
+  /// Returns the proxies of an availability zone, including this one, in rendezvous order for the key. Valid
+  /// until the next call of a member function.
+  [[nodiscard]] const std::vector<NodeId> &order(const AvailabilityZone &zone, std::string_view key) const;
 
   /// Number of proxies that come before this one in rendezvous order for the key.
   [[nodiscard]] std::size_t rank(const NodeId &self, std::string_view key) const;
@@ -37,14 +40,19 @@
 
   [[nodiscard]] std::size_t size() const { return Proxies.size(); }
   /// Number of availability zones that have at least one proxy.
-  [[nodiscard]] std::size_t zones() const;
+  [[nodiscard]] std::size_t zones() const { return ZoneCount; }
 
 private:
   void announce(Context &ctx, std::uint64_t revision);
   void list(Context &ctx);
   void addProxy(Context &ctx, const ProxyEntry &entry);
 
+  void onProxiesChanged();
+
   std::map<NodeId, ProxyEntry> Proxies;
+  std::size_t ZoneCount = 0;
+  /// Orders that were asked for since the proxies last changed.
+  mutable std::map<std::pair<AvailabilityZone, std::string>, std::vector<NodeId>, std::less<>> Orders;
   std::vector<DirectoryObject> PartialListing; ///< Pages received so far of a paginated listing.
   std::optional<CallId> AnnounceCall;
   std::optional<CallId> ListCall;
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -33,6 +33,8 @@
                     {Rejection::Busy, "too many statements wait; retry in 500 ms"}, TransactionState::Idle);
     return;
   }
+  if (WaitingCount == 0)
+    NextWaitingPass = ctx.Now + WaitRetryInterval;
   enqueueWaiting(id, session);
   scheduleTimer(id, session);
 }
@@ -161,6 +163,8 @@
 bool SessionsModule::tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session,
                               DispatchPass &attempt) {
   auto &work = *session.Current;
+  if (requestIfExhausted(ctx, services, session, work, attempt))
+    return false;
   std::optional<Position> after;
   const auto targets = candidates(ctx, services, session, work, after);
   for (const auto &target : targets) {
@@ -182,11 +186,33 @@
     send(ctx, services, id, session, *link, target);
     return true;
   }
-  if (!targets.empty())
-    requestLinks(ctx, services, targets.front(), ++attempt.LinksWanted[targets.front()], work);
+  if (targets.empty())
+    return false;
+  if (after)
+    attempt.WantedReplica = targets.front();
+  requestLinks(ctx, services, targets.front(), ++attempt.LinksWanted[targets.front()], work);
   return false;
 }
 
+bool SessionsModule::requestIfExhausted(Context &ctx, SessionServices &services, const Session &session,
+                                        const PendingStatement &work, DispatchPass &attempt) {
+  if (attempt.Exhausted.empty())
+    return false;
+  const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
+  std::optional<TargetId> wanted;
+  if (!read || work.Route.Reads == Consistency::Primary || work.PrimaryOnly) {
+    if (const auto primary = services.Catalog.primary(work.Route.Service);
+        primary && attempt.Exhausted.contains(*primary))
+      wanted = primary;
+  } else if (attempt.Exhausted.size() >= services.Catalog.servers(work.Route.Service).size()) {
+    wanted = attempt.WantedReplica;
+  }
+  if (!wanted)
+    return false;
+  requestLinks(ctx, services, *wanted, ++attempt.LinksWanted[*wanted], work);
+  return true;
+}
+
 void SessionsModule::send(Context &ctx, SessionServices &services, SessionId id, Session &session,
                           LinkId link, const TargetId &target) {
   auto &work = *session.Current;
--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -121,7 +121,7 @@
     return;
   }
   if (!witnesses.empty())
-    services.Links.openLinks(ctx, services.Catalog, witnesses.front(), 1);
+    services.Links.openLinks(ctx, services.Catalog, witnesses.front(), 1, LinkPurpose::Control);
 }
 
 void SessionsModule::onLeaseReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply,
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -143,6 +143,7 @@
   case Rejection::ReadOnly:
     services.Catalog.denyPrimary(work.Target);
     work.RetryAt = ctx.Now + PrimaryRetryDelay;
+    work.RetryPending = true;
     break;
   case Rejection::Lagging:
     Services[work.Route.Service].LaggedAt[work.Target] = ctx.Now;
@@ -151,6 +152,7 @@
     break;
   case Rejection::Busy:
     work.RetryAt = ctx.Now + BusyRetryDelay;
+    work.RetryPending = true;
     work.Avoid.insert(work.Target);
     break;
   default:
@@ -191,6 +193,7 @@
     WritesInFlight[work.Route.Service].erase({work.SentAt, id});
     work.Link.reset();
     work.RetryAt = ctx.Now + BusyRetryDelay;
+    work.RetryPending = true;
     scheduleTimer(id, session);
     return;
   }
--- a/src/sessions/internal/positions.cpp
+++ b/src/sessions/internal/positions.cpp
@@ -57,7 +57,7 @@
       continue;
     const auto link = services.Links.acquire(*primary, {}, {}, ctx.Now);
     if (!link) {
-      services.Links.openLinks(ctx, services.Catalog, *primary, 1);
+      services.Links.openLinks(ctx, services.Catalog, *primary, 1, LinkPurpose::Control);
       continue;
     }
     proving = link;
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -22,8 +22,9 @@
   DatabaseRoute Route; ///< As of the start of the statement or its transaction.
   TimePoint ArrivedAt;
   TimePoint Deadline;
-  TimePoint RetryAt; ///< Not sent before this time.
-  int SendCount = 0; ///< Number of times it was sent to a server.
+  TimePoint RetryAt;         ///< Not sent before this time.
+  bool RetryPending = false; ///< Has a timer of its own at RetryAt.
+  int SendCount = 0;         ///< Number of times it was sent to a server.
   std::set<TargetId> Avoid;
   bool ExchangeTried = false; ///< No other proxy supplied a log position, so the primary is used instead.
   bool PrimaryOnly = false;   ///< Replicas are no longer considered.
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -123,6 +123,8 @@
     out = Timers.begin()->first;
   for (const auto &[id, it] : PendingSessions)
     out = out ? std::min(*out, it.Until) : it.Until;
+  if (WaitingCount > 0)
+    out = out ? std::min(*out, NextWaitingPass) : NextWaitingPass;
   return out;
 }
 
@@ -140,6 +142,10 @@
     it->second.TimerAt.reset();
     onSessionTimer(ctx, services, id, it->second);
   }
+  if (WaitingCount > 0 && ctx.Now >= NextWaitingPass) {
+    NextWaitingPass = ctx.Now + WaitRetryInterval;
+    onCapacity(ctx, services);
+  }
 }
 
 void SessionsModule::scheduleTimer(SessionId id, Session &session) {
@@ -151,8 +157,8 @@
       earlier(work->LeaseRetryAt);
     else if (work->Link && !session.Transaction && work->Mode == AccessMode::Read)
       earlier(work->SentAt + ReadResendTimeout);
-    if (!work->Link)
-      earlier(std::max(work->RetryAt, work->ArrivedAt) + WaitRetryInterval);
+    if (!work->Link && work->RetryPending)
+      earlier(work->RetryAt);
   } else if (session.Transaction && !session.Transaction->Failed && session.Transaction->Link) {
     earlier(session.Transaction->IdleSince + TransactionIdle);
   }
@@ -197,8 +203,8 @@
       resendRead(ctx, services, id, session);
       return;
     }
-    if (!sent && ctx.Now >= work.RetryAt) {
-      work.RetryAt = ctx.Now;
+    if (!sent && work.RetryPending && ctx.Now >= work.RetryAt) {
+      work.RetryPending = false;
       DispatchPass attempt;
       if (session.Transaction && session.Transaction->Link) {
         dispatch(ctx, services, id, session);
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -111,7 +111,11 @@
   struct DispatchPass {
     std::set<TargetId> Exhausted; ///< Servers found without an idle link in this pass.
     std::map<TargetId, std::size_t> LinksWanted;
+    std::optional<TargetId> WantedReplica; ///< The server that the last read without a link preferred.
   };
+  /// Whether this pass has found that no server has an idle link for the statement. Then asks for one.
+  static bool requestIfExhausted(Context &ctx, SessionServices &services, const Session &session,
+                                 const PendingStatement &work, DispatchPass &attempt);
   void dispatch(Context &ctx, SessionServices &services, SessionId id, Session &session);
   bool tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session,
                 DispatchPass &attempt);
@@ -185,6 +189,7 @@
   std::map<SessionId, PendingSession> PendingSessions; ///< Opened before the first configuration was read.
   std::map<DatabaseId, std::set<WaitKey>> Waiting;
   std::size_t WaitingCount = 0;
+  TimePoint NextWaitingPass; ///< When waiting statements are tried again without an event.
   std::map<DatabaseId, Service> Services;
   std::map<DatabaseId, std::set<std::pair<TimePoint, SessionId>>> WritesInFlight;
   std::set<std::pair<TimePoint, SessionId>> Timers;
@@ -196,7 +201,7 @@
   static constexpr Duration ReadResendTimeout = 400ms;
   /// How long a session may wait for the first configuration; below the 2 s after which callers give up.
   static constexpr Duration ConfigurationTimeout = 1800ms;
-  /// Interval at which a waiting statement is tried again.
+  /// Interval at which waiting statements are tried again.
   static constexpr Duration WaitRetryInterval = 25ms;
 };
 
