Bound the work of a dispatch pass, and believe a confirmed primary over a newer entry

A former primary that came back with a newer entry drew the proxies to itself again, and the survey of a change waited a second for a link to a busy replica. Change: statements that need the primary and those that any server can run wait in queues of their own, and a pass ends after four without a link; the entry of a second primary is not believed while the lease of the first holds; a change of primary gets the next idle link.

--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -46,7 +46,8 @@
   if (at == group.Servers.end() || *at != entry.Target)
     group.Servers.insert(at, entry.Target);
   std::erase_if(group.Missing, [&](const MissingServer &it) { return it.Target == entry.Target; });
-  if (group.ConfirmedPrimary && entry.Role == TargetRole::Primary && *group.ConfirmedPrimary != entry.Target)
+  if (group.ConfirmedPrimary && entry.Role == TargetRole::Primary &&
+      *group.ConfirmedPrimary != entry.Target && now >= group.ConfirmedUntil)
     group.ConfirmedPrimary.reset();
   auto &view = Servers[entry.Target];
   if (!entry.Leaving)
@@ -117,7 +118,7 @@
   return best ? std::optional(best->Target) : std::nullopt;
 }
 
-void Catalog::confirmPrimary(const TargetId &target, Term term) {
+void Catalog::confirmPrimary(const TargetId &target, Term term, TimePoint validUntil) {
   const auto it = Servers.find(target);
   if (it == Servers.end())
     return;
@@ -125,6 +126,7 @@
   if (term < group.ConfirmedTerm)
     return;
   group.ConfirmedTerm = term;
+  group.ConfirmedUntil = validUntil;
   if (group.ConfirmedPrimary == target)
     return;
   group.ConfirmedPrimary = target;
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -52,7 +52,8 @@
   [[nodiscard]] std::optional<TargetId> primary(const DatabaseId &service) const;
   /// Records that the server answered as the primary of a term. Ignored if a primary of a later term is
   /// known: where promotions do not demote the former primary at once, it answers as one for a while.
-  void confirmPrimary(const TargetId &target, Term term);
+  /// \param validUntil Until then the entry of another server that names itself the primary is not believed.
+  void confirmPrimary(const TargetId &target, Term term, TimePoint validUntil = {});
   /// Records that the server refused a write because it is not the primary. Its entry is ignored by primary()
   /// until its revision changes.
   void denyPrimary(const TargetId &target);
@@ -63,8 +64,9 @@
   struct Group {
     std::vector<TargetId> Servers; ///< Sorted.
     std::vector<MissingServer> Missing;
-    std::optional<TargetId> ConfirmedPrimary;           ///< Answered as a primary and was not denied since.
-    Term ConfirmedTerm = 0;                             ///< Highest term of a confirmed primary.
+    std::optional<TargetId> ConfirmedPrimary; ///< Answered as a primary and was not denied since.
+    Term ConfirmedTerm = 0;                   ///< Highest term of a confirmed primary.
+    TimePoint ConfirmedUntil;
     std::map<TargetId, std::uint64_t> DeniedAtRevision; ///< Entry revision at which the server was denied.
   };
 
--- a/src/catalog/tests/catalogtests.cpp
+++ b/src/catalog/tests/catalogtests.cpp
@@ -104,3 +104,16 @@
   catalog.confirmPrimary(A, 1);
   CHECK(catalog.primary(Yard) == B);
 }
+
+TEST_CASE(
+    "a former primary that comes back is not believed while the confirmation of the present one holds") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Primary, 3), Start);
+  catalog.updateServer(entry(B, TargetRole::Primary, 4), Start);
+  catalog.confirmPrimary(B, 2, Start + 1s);
+  catalog.updateServer(entry(A, TargetRole::Primary, 7), Start + 500ms);
+  CHECK(catalog.primary(Yard) == B);
+  // Without a later confirmation, the newer entry tells of a later change.
+  catalog.updateServer(entry(A, TargetRole::Primary, 8), Start + 1s);
+  CHECK(catalog.primary(Yard) == A);
+}
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -123,6 +123,7 @@
   if (it == change.Requests.end()) {
     const auto link = services.Links.acquire(target, {SessionId(), true}, {}, ctx.Now);
     if (!link) {
+      services.Links.reserveForChange(target, ctx.Now);
       services.Links.openLinks(ctx, services.Catalog, target, 1, LinkPurpose::Control);
       return;
     }
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -78,7 +78,8 @@
   const auto server = Servers.find(target);
   if (server == Servers.end() || server->second.Idle == 0)
     return std::nullopt;
-  if (!user.ForPrimaryChange && atConcurrencyLimit(target))
+  if (!user.ForPrimaryChange &&
+      (atConcurrencyLimit(target) || (now < server->second.ReservedUntil && server->second.Idle <= 1)))
     return std::nullopt;
   std::optional<LinkId> best;
   int bestRank = -1;
@@ -95,6 +96,8 @@
   }
   if (!best)
     return std::nullopt;
+  if (user.ForPrimaryChange)
+    server->second.ReservedUntil = TimePoint();
   auto &link = Links.at(*best);
   link.User = user;
   link.InUse = true;
@@ -102,6 +105,10 @@
   return best;
 }
 
+void LinkPool::reserveForChange(const TargetId &target, TimePoint now) {
+  Servers[target].ReservedUntil = now + ReservationTime;
+}
+
 std::size_t LinkPool::maxOpenLinks(const Catalog &catalog, const DatabaseId &service,
                                    LinkPurpose purpose) const {
   const auto *limits = catalog.limits(service);
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -60,6 +60,8 @@
   /// server is in a retry delay after a refusal or failure.
   void openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
                  LinkPurpose purpose = LinkPurpose::Statements);
+  /// Keeps the next link that becomes idle for a primary change, for ReservationTime.
+  void reserveForChange(const TargetId &target, TimePoint now);
   /// Like openLinks, but requests connections that another proxy lends for one transaction each.
   void borrowLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
                    const LoanParameters &wish);
@@ -131,6 +133,7 @@
   [[nodiscard]] std::optional<TargetId> targetOf(LinkId link) const;
   [[nodiscard]] std::size_t size() const { return Links.size(); }
 
+  static constexpr Duration ReservationTime = 100ms;
   /// Initial and maximum limit on links with pending replies at one server.
   static constexpr double InitialConcurrencyLimit = 64;
 
@@ -170,6 +173,7 @@
     std::optional<TimePoint> LimitLoweredAt;
     std::optional<TimePoint> FullAt; ///< When the server last refused a connection as one too many.
     TimePoint RetryAt;               ///< Earliest time to open a new link.
+    TimePoint ReservedUntil;         ///< One idle link is kept for a primary change until then.
     ServerHealth Health;
   };
 
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -12,6 +12,8 @@
 /// A read without an idle link to the cheapest server goes to another one if that costs at most this much
 /// more.
 constexpr Duration MaxExtraCost = 30ms;
+/// Statements without a link after which the rest of a queue is left for the next pass.
+constexpr std::size_t MaxFailuresInPass = 4;
 /// How long a replica that rejected a read as lagging is avoided.
 constexpr Duration LaggingBackoff = 400ms;
 /// Minimum interval between attempts to use the same server as the primary while none is known.
@@ -39,9 +41,16 @@
   scheduleTimer(id, session);
 }
 
+bool SessionsModule::needsPrimary(const Session &session, const PendingStatement &work) {
+  const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
+  return !read || work.Route.Reads == Consistency::Primary || work.PrimaryOnly;
+}
+
 void SessionsModule::enqueueWaiting(SessionId id, const Session &session) {
   const auto &work = *session.Current;
-  if (Waiting[work.Route.Service].insert({work.Route.Priority, work.ArrivedAt, id}).second)
+  auto &queue = Waiting[work.Route.Service];
+  auto &part = needsPrimary(session, work) ? queue.ForPrimary : queue.ForAnyServer;
+  if (part.insert({work.Route.Priority, work.ArrivedAt, id}).second)
     ++WaitingCount;
 }
 
@@ -49,8 +58,9 @@
   if (!session.Current)
     return;
   const auto &work = *session.Current;
-  if (Waiting[work.Route.Service].erase({work.Route.Priority, work.ArrivedAt, id}) > 0)
-    --WaitingCount;
+  const WaitKey key{work.Route.Priority, work.ArrivedAt, id};
+  auto &queue = Waiting[work.Route.Service];
+  WaitingCount -= queue.ForPrimary.erase(key) + queue.ForAnyServer.erase(key);
 }
 
 void SessionsModule::onCapacity(Context &ctx, SessionServices &services) {
@@ -60,19 +70,35 @@
       requestLease(ctx, services, id);
   if (!PendingSessions.empty())
     admitPendingSessions(ctx, services);
-  for (auto &[service, queue] : Waiting) {
-    if (queue.empty())
-      continue;
+  for (const auto &[service, queue] : Waiting) {
     DispatchPass attempt;
-    const std::vector<WaitKey> keys(queue.begin(), queue.end());
-    for (const auto &key : keys) {
-      const auto id = std::get<SessionId>(key);
-      const auto it = Sessions.find(id);
-      if (it == Sessions.end() || !it->second.Current || it->second.Current->RetryAt > ctx.Now)
-        continue;
-      tryStart(ctx, services, id, it->second, attempt);
-    }
+    startWaiting(ctx, services, queue.ForPrimary, attempt);
+    startWaiting(ctx, services, queue.ForAnyServer, attempt);
+  }
+}
+
+void SessionsModule::startWaiting(Context &ctx, SessionServices &services, const std::set<WaitKey> &queue,
+                                  DispatchPass &attempt) {
+  std::size_t failures = 0;
+  std::size_t left = queue.size();
+  attempt.Wanted.reset();
+  for (auto it = queue.begin(); it != queue.end() && failures < MaxFailuresInPass; --left) {
+    const auto key = *it;
+    const auto id = std::get<SessionId>(key);
+    const auto session = Sessions.find(id);
+    const bool due =
+        session != Sessions.end() && session->second.Current && session->second.Current->RetryAt <= ctx.Now;
+    if (due && !tryStart(ctx, services, id, session->second, attempt))
+      ++failures;
+    it = queue.upper_bound(key);
   }
+  if (failures < MaxFailuresInPass || left == 0 || !attempt.Wanted)
+    return;
+  // The statements behind those that found no link would not find one either.
+  const auto session = Sessions.find(std::get<SessionId>(*queue.begin()));
+  if (session != Sessions.end() && session->second.Current)
+    requestLinks(ctx, services, *attempt.Wanted, attempt.LinksWanted[*attempt.Wanted] + left,
+                 *session->second.Current);
 }
 
 std::optional<Position> SessionsModule::requiredPosition(const Session &session,
@@ -163,8 +189,6 @@
 bool SessionsModule::tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session,
                               DispatchPass &attempt) {
   auto &work = *session.Current;
-  if (requestIfExhausted(ctx, services, session, work, attempt))
-    return false;
   std::optional<Position> after;
   const auto targets = candidates(ctx, services, session, work, after);
   for (const auto &target : targets) {
@@ -188,31 +212,11 @@
   }
   if (targets.empty())
     return false;
-  if (after)
-    attempt.WantedReplica = targets.front();
+  attempt.Wanted = targets.front();
   requestLinks(ctx, services, targets.front(), ++attempt.LinksWanted[targets.front()], work);
   return false;
 }
 
-bool SessionsModule::requestIfExhausted(Context &ctx, SessionServices &services, const Session &session,
-                                        const PendingStatement &work, DispatchPass &attempt) {
-  if (attempt.Exhausted.empty())
-    return false;
-  const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
-  std::optional<TargetId> wanted;
-  if (!read || work.Route.Reads == Consistency::Primary || work.PrimaryOnly) {
-    if (const auto primary = services.Catalog.primary(work.Route.Service);
-        primary && attempt.Exhausted.contains(*primary))
-      wanted = primary;
-  } else if (attempt.Exhausted.size() >= services.Catalog.servers(work.Route.Service).size()) {
-    wanted = attempt.WantedReplica;
-  }
-  if (!wanted)
-    return false;
-  requestLinks(ctx, services, *wanted, ++attempt.LinksWanted[*wanted], work);
-  return true;
-}
-
 void SessionsModule::send(Context &ctx, SessionServices &services, SessionId id, Session &session,
                           LinkId link, const TargetId &target) {
   auto &work = *session.Current;
--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -49,6 +49,15 @@
   return false;
 }
 
+void SessionsModule::confirmPrimary(Context &ctx, SessionServices &services, const DatabaseId &id,
+                                    const TargetId &target, Term term) {
+  const auto proven = Services[id].Lease.provenUntil(term);
+  if (ctx.Self.PromotionFencing)
+    services.Catalog.confirmPrimary(target, term);
+  else if (proven && *proven >= ctx.Now)
+    services.Catalog.confirmPrimary(target, term, *proven);
+}
+
 void SessionsModule::confirmLease(Context &ctx, SessionServices &services, const DatabaseId &id, Term term,
                                   TimePoint at) {
   auto &service = Services[id];
@@ -63,8 +72,11 @@
     const auto it = Sessions.find(waiting);
     if (it == Sessions.end() || !it->second.Current || !it->second.Current->LeaseTerm)
       continue;
-    if (admitByLease(ctx, services, waiting, it->second, *it->second.Current->LeaseTerm))
-      sendStatement(ctx, services, waiting, it->second);
+    const auto term = *it->second.Current->LeaseTerm;
+    if (!admitByLease(ctx, services, waiting, it->second, term))
+      continue;
+    confirmPrimary(ctx, services, id, it->second.Current->Target, term);
+    sendStatement(ctx, services, waiting, it->second);
   }
 }
 
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -75,7 +75,7 @@
       session.Transaction->Begun = true;
     if (event.At && !work.After) {
       addSample(ctx, services, {reply.Service, *event.At, reply.SentAt});
-      services.Catalog.confirmPrimary(reply.Target, event.At->Term);
+      confirmPrimary(ctx, services, reply.Service, reply.Target, event.At->Term);
       if (!work.Commit && !admitByLease(ctx, services, reply.User.Session, session, event.At->Term))
         return;
     }
@@ -112,7 +112,7 @@
       if (const auto *limits = services.Catalog.limits(reply.Service); limits && limits->SyncReplicas > 0)
         confirmLease(ctx, services, reply.Service, event.At->Term, work.SentAt);
       addSample(ctx, services, {reply.Service, *event.At, work.SentAt});
-      services.Catalog.confirmPrimary(reply.Target, event.At->Term);
+      confirmPrimary(ctx, services, reply.Service, reply.Target, event.At->Term);
     } else {
       session.WrittenAtUnknownPosition.insert(reply.Service);
     }
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -71,6 +71,12 @@
   using PendingStatement = detail::PendingStatement;
   /// Orders waiting statements by priority, then by arrival.
   using WaitKey = std::tuple<std::uint32_t, TimePoint, SessionId>;
+  /// Statements of one service that wait for a link, by the servers that can run them. One that needs the
+  /// primary does not hold up a read that any server can run.
+  struct WaitQueue {
+    std::set<WaitKey> ForPrimary;
+    std::set<WaitKey> ForAnyServer;
+  };
   /// A status query to a replica that is to confirm the lease of the primary.
   struct LeaseQuery {
     LinkId Link;
@@ -111,11 +117,13 @@
   struct DispatchPass {
     std::set<TargetId> Exhausted; ///< Servers found without an idle link in this pass.
     std::map<TargetId, std::size_t> LinksWanted;
-    std::optional<TargetId> WantedReplica; ///< The server that the last read without a link preferred.
+    std::optional<TargetId> Wanted; ///< The server that the last statement without a link preferred.
   };
-  /// Whether this pass has found that no server has an idle link for the statement. Then asks for one.
-  static bool requestIfExhausted(Context &ctx, SessionServices &services, const Session &session,
-                                 const PendingStatement &work, DispatchPass &attempt);
+  /// Whether only the primary can run the statement.
+  [[nodiscard]] static bool needsPrimary(const Session &session, const PendingStatement &work);
+  /// Starts waiting statements in order until there is no link for the next ones.
+  void startWaiting(Context &ctx, SessionServices &services, const std::set<WaitKey> &queue,
+                    DispatchPass &attempt);
   void dispatch(Context &ctx, SessionServices &services, SessionId id, Session &session);
   bool tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session,
                 DispatchPass &attempt);
@@ -145,6 +153,9 @@
   /// Whether the statement may be sent to the primary of the term that has begun its transaction. Otherwise
   /// it waits for a confirmation, or is rejected as not run.
   bool admitByLease(Context &ctx, SessionServices &services, SessionId id, Session &session, Term term);
+  /// Records that a server answered as the primary, as far as the lease proves that it led.
+  void confirmPrimary(Context &ctx, SessionServices &services, const DatabaseId &id, const TargetId &target,
+                      Term term);
   void confirmLease(Context &ctx, SessionServices &services, const DatabaseId &id, Term term, TimePoint at);
   /// Asks another proxy or a replica to confirm the lease, unless a request is pending.
   void requestLease(Context &ctx, SessionServices &services, const DatabaseId &id);
@@ -187,7 +198,7 @@
 
   std::map<SessionId, Session> Sessions;
   std::map<SessionId, PendingSession> PendingSessions; ///< Opened before the first configuration was read.
-  std::map<DatabaseId, std::set<WaitKey>> Waiting;
+  std::map<DatabaseId, WaitQueue> Waiting;
   std::size_t WaitingCount = 0;
   TimePoint NextWaitingPass; ///< When waiting statements are tried again without an event.
   std::map<DatabaseId, Service> Services;
