Do not let a former primary confirm its own lease

Change: a replica's report confirms a term only if another server is known to have led that term; reports of later terms end the leases of earlier ones. A test that failed first stands in leasetests.

--- a/src/freshness/primarylease.cpp
+++ b/src/freshness/primarylease.cpp
@@ -6,13 +6,17 @@
 
 namespace rosemaryhinge {
 
+void PrimaryLease::onTerm(Term term) {
+  if (term <= Newest)
+    return;
+  Newest = term;
+  ConfirmedAt.reset();
+}
+
 void PrimaryLease::confirm(Term term, TimePoint at) {
   if (term < Newest)
     return;
-  if (term > Newest) {
-    Newest = term;
-    ConfirmedAt.reset();
-  }
+  onTerm(term);
   ConfirmedAt = std::max(ConfirmedAt.value_or(at), at);
 }
 
--- a/src/freshness/primarylease.h
+++ b/src/freshness/primarylease.h
@@ -20,6 +20,8 @@
 public:
   /// Records that the primary of a term led at a time. Terms below the newest are ignored.
   void confirm(Term term, TimePoint at);
+  /// Records that a term has begun, whoever leads it: leases of earlier terms end.
+  void onTerm(Term term);
   /// Until when the primary of this term is certain to lead; nullopt if that is not known.
   [[nodiscard]] std::optional<TimePoint> provenUntil(Term term) const;
   /// Whether the primary of this term certainly led at a time.
--- a/src/reducer/tests/leasetests.cpp
+++ b/src/reducer/tests/leasetests.cpp
@@ -15,6 +15,7 @@
   Term ReplicaTerm = 1;
   bool Paused = false;
   bool ReplicasAnswer = true;
+  std::string Only; ///< If set, only this server answers.
   int Statements = 0;
   int StatusQueries = 0;
 
@@ -31,6 +32,8 @@
 private:
   void answer(SessionHarness &proxy, const SendOnLink &sent) {
     const auto target = proxy.Logic.Links.targetOf(sent.Link).value_or(TargetId());
+    if (!Only.empty() && target.str() != Only)
+      return;
     for (const auto &it : sent.Commands) {
       if (std::holds_alternative<BeginTransaction>(it)) {
         proxy.reply(sent.Link, SessionHarness::done(), TransactionState::Open, Position{PrimaryTerm, 5});
@@ -131,3 +134,20 @@
   servers.run(proxy, 100ms);
   CHECK(servers.Statements == 2);
 }
+
+TEST_CASE("a former primary that reports itself as a replica of its own term does not confirm its lease") {
+  // Guards against stale reads: after a partition, the former primary had become a replica and did not know
+  // of the next term yet. Its report made old positions count as recent.
+  SessionHarness proxy(false);
+  Servers servers;
+  servers.Only = "p";
+  proxy.read(proxy.open("settle"), "r1");
+  servers.run(proxy, 100ms);
+  CHECK(servers.Statements == 0);
+  // Its entry changes, and the other servers do not answer.
+  const auto a = SessionHarness::server("a", TargetRole::Primary, 30);
+  proxy.Logic.Catalog.updateServer(std::get<ServerEntry>(a.Value), proxy.Now);
+  proxy.read(proxy.open("look"), "r2");
+  servers.run(proxy, 1500ms);
+  CHECK(servers.Statements == 0);
+}
--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -58,6 +58,33 @@
     services.Catalog.confirmPrimary(target, term, *proven);
 }
 
+void SessionsModule::recordLeader(Context &ctx, SessionServices &services, const DatabaseId &id,
+                                  const TargetId &target, Term term) {
+  auto &service = Services[id];
+  if (term <= service.LeaderTerm)
+    return;
+  service.Leader = target;
+  service.LeaderTerm = term;
+  applyWitness(ctx, services, id);
+}
+
+void SessionsModule::applyWitness(Context &ctx, SessionServices &services, const DatabaseId &id) {
+  auto &service = Services[id];
+  if (!service.Witness)
+    return;
+  const auto witness = *service.Witness;
+  // A server that led the term may report itself as a replica of it before it knows of the next one.
+  if (witness.FollowedTerm == service.LeaderTerm && witness.Target != service.Leader) {
+    confirmLease(ctx, services, id, witness.FollowedTerm, witness.AskedAt);
+    return;
+  }
+  service.LeaseRefusedAt[witness.Target] = ctx.Now;
+  if (!service.Lease.superseded(witness.FollowedTerm)) {
+    service.Lease.onTerm(witness.FollowedTerm);
+    resumeAfterLease(ctx, services, id);
+  }
+}
+
 void SessionsModule::confirmLease(Context &ctx, SessionServices &services, const DatabaseId &id, Term term,
                                   TimePoint at) {
   auto &service = Services[id];
@@ -144,7 +171,8 @@
   service.PendingLeaseQuery.reset();
   const auto &status = event.Status;
   if (status && status->Role == TargetRole::Replica && !status->Paused) {
-    confirmLease(ctx, services, reply.Service, status->RaisedTerm, reply.SentAt);
+    service.Witness = LeaseWitness{reply.Target, status->RaisedTerm, reply.SentAt};
+    applyWitness(ctx, services, reply.Service);
     return;
   }
   ctx.emit(Count{"lease_queries_refused_total"});
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -37,8 +37,10 @@
                              const LinkReplied &event) {
   if (auto &service = Services[reply.Service]; service.PositionQueryLink == event.Link) {
     if (reply.Step == LinkStep::Begin && std::holds_alternative<StatementResultRows>(event.Outcome) &&
-        event.At)
+        event.At) {
+      recordLeader(ctx, services, reply.Service, reply.Target, event.At->Term);
       addSample(ctx, services, {reply.Service, *event.At, reply.SentAt});
+    }
     if (reply.Last)
       service.PositionQueryLink.reset();
   }
@@ -74,6 +76,7 @@
     if (session.Transaction)
       session.Transaction->Begun = true;
     if (event.At && !work.After) {
+      recordLeader(ctx, services, reply.Service, reply.Target, event.At->Term);
       addSample(ctx, services, {reply.Service, *event.At, reply.SentAt});
       confirmPrimary(ctx, services, reply.Service, reply.Target, event.At->Term);
       if (!work.Commit && !admitByLease(ctx, services, reply.User.Session, session, event.At->Term))
@@ -108,6 +111,7 @@
       session.WrittenUpTo[reply.Service] = *event.At;
       Services[reply.Service].Acknowledged = *event.At;
       session.WrittenAtUnknownPosition.erase(reply.Service);
+      recordLeader(ctx, services, reply.Service, reply.Target, event.At->Term);
       // A replica has received the commit, so no other server had been promoted when it was sent.
       if (const auto *limits = services.Catalog.limits(reply.Service); limits && limits->SyncReplicas > 0)
         confirmLease(ctx, services, reply.Service, event.At->Term, work.SentAt);
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -83,9 +83,20 @@
     TargetId Target;
     TimePoint SentAt;
   };
+  /// A replica's report that it follows a term.
+  struct LeaseWitness {
+    TargetId Target;
+    Term FollowedTerm = 0;
+    TimePoint AskedAt;
+  };
   struct Service {
     PositionHistory Positions;
     PrimaryLease Lease;
+    /// The server that answered as the primary of the newest such term. Its own report as a replica does not
+    /// confirm its lease.
+    TargetId Leader;
+    Term LeaderTerm = 0;
+    std::optional<LeaseWitness> Witness; ///< Last report.
     std::optional<LeaseQuery> PendingLeaseQuery;
     std::map<TargetId, TimePoint> LeaseRefusedAt;  ///< When a server last did not confirm the lease.
     std::set<SessionId> AwaitingLease;             ///< Sessions whose statement waits for a confirmation.
@@ -156,6 +167,11 @@
   /// Records that a server answered as the primary, as far as the lease proves that it led.
   void confirmPrimary(Context &ctx, SessionServices &services, const DatabaseId &id, const TargetId &target,
                       Term term);
+  /// Records that a server answered as the primary of a term.
+  void recordLeader(Context &ctx, SessionServices &services, const DatabaseId &id, const TargetId &target,
+                    Term term);
+  /// Confirms the lease by the last report of a replica, if that proves the lead of another server.
+  void applyWitness(Context &ctx, SessionServices &services, const DatabaseId &id);
   void confirmLease(Context &ctx, SessionServices &services, const DatabaseId &id, Term term, TimePoint at);
   /// Asks another proxy or a replica to confirm the lease, unless a request is pending.
   void requestLease(Context &ctx, SessionServices &services, const DatabaseId &id);
