Let one proxy of a zone watch the store, and start from its list

Change: a proxy first lists the other proxies (at the very first start after they have registered) and reads its first list from the proxy that watches for its zone; one proxy a zone watches, in waits of half of the bound for configurations (setting propagation_ms), and the next one takes its place if it does not answer.

--- a/src/daemon/internal/localsettings.cpp
+++ b/src/daemon/internal/localsettings.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t MaxName = 64;
 constexpr double MinGrace = 1;
 constexpr double MaxGrace = 600;
+constexpr Duration MinPropagation = 2s;
+constexpr Duration MaxPropagation = 60s;
 
 constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn", "error"};
 constexpr std::array<std::string_view, 2> InterfaceNames = {"requests", "sessions"};
@@ -162,6 +164,21 @@
   return out;
 }
 
+void readPropagation(Reader &in, const YAML::Node &root, LocalSettings &out) {
+  YAML::Mark mark;
+  const auto text = in.text(root, "", "propagation_ms", false, &mark);
+  if (text.empty())
+    return;
+  std::int64_t value = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+  const auto bound = std::chrono::milliseconds(value);
+  if (ec != std::errc() || end != text.data() + text.size() || bound < MinPropagation ||
+      bound > MaxPropagation)
+    in.report(mark, "propagation_ms: expected milliseconds from 2000 to 60000");
+  else
+    out.Self.PropagationBound = bound;
+}
+
 /// Settings that only proxies with sessions have.
 void readSessions(Reader &in, const YAML::Node &root, LocalSettings &out) {
   out.DutiesUrl = readUrl(in, root, "duties");
@@ -173,6 +190,8 @@
         out.Self.RegionByZone[AvailabilityZone(it.first.Scalar())] = Region(it.second.Scalar());
     }
   }
+  out.Self.FirstStart = in.choice(root, "", "first_start", SwitchNames, 0) == 1;
+  readPropagation(in, root, out);
   out.Self.PromotionFencing = in.choice(root, "", "promotion_fencing", SwitchNames, 0) == 1;
   YAML::Mark mark;
   if (const auto grace = in.text(root, "", "shutdown_grace_s", false, &mark); !grace.empty()) {
@@ -188,7 +207,8 @@
 void readRoot(Reader &in, const YAML::Node &root, LocalSettings &out) {
   if (!in.checkMap(root, "",
                    {"node", "region", "availability_zone", "interface", "addresses", "platform", "duties",
-                    "regions", "shutdown_grace_s", "promotion_fencing", "seeds", "log"}))
+                    "regions", "shutdown_grace_s", "promotion_fencing", "first_start", "propagation_ms",
+                    "seeds", "log"}))
     return;
   out.Self.Node = NodeId(in.name(root, "", "node"));
   out.Self.Region = Region(in.name(root, "", "region"));
@@ -274,6 +294,8 @@
     pair("duties", settings.DutiesUrl);
     pair("shutdown_grace_s",
          std::to_string(std::chrono::duration<double>(settings.Self.ShutdownGrace).count()));
+    pair("first_start", SwitchNames.at(settings.Self.FirstStart ? 1 : 0));
+    pair("propagation_ms", std::to_string(settings.Self.PropagationBound / 1ms));
     pair("promotion_fencing", SwitchNames.at(settings.Self.PromotionFencing ? 1 : 0));
     out << YAML::Key << "regions" << YAML::Value << YAML::BeginMap;
     for (const auto &[zone, region] : settings.Self.RegionByZone)
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -14,6 +14,8 @@
 constexpr Duration FirstRetry = 100ms;
 constexpr Duration MaxRetry = 800ms;
 constexpr int MaxDoublings = 3;
+/// Added to the time of a watch and its grace before a watcher counts as having lost the store.
+constexpr Duration RelayMargin = 100ms;
 /// Knowledge of a proxy that watches the store in the long rhythm is younger than this.
 constexpr Duration MaxPeerConfirmationAge = DirectoryModule::WatchDuration + DirectoryModule::WatchGrace;
 /// Key of the rendezvous order in which proxies watch the store.
@@ -34,11 +36,23 @@
 
 void DirectoryModule::onStarted(Context &ctx, DirectoryServices &services) {
   StartedAt = ctx.Now;
+  Relay.setMaxConfirmationAge(followedWatchDuration(ctx) + WatchGrace + RelayMargin);
+  if (services.Fleet.listed()) {
+    for (auto &it : Feeds)
+      requestChanges(ctx, services, it);
+    return;
+  }
+  const auto listedBy = ctx.Now + FleetMap::firstListDelay(ctx.Self) + FleetListWait;
   for (auto &it : Feeds)
-    requestChanges(ctx, services, it);
+    it.RetryAt = listedBy;
+}
+
+Duration DirectoryModule::followedWatchDuration(const Context &ctx) {
+  return ctx.Self.PropagationBound / FollowedWatchDivisor;
 }
 
 void DirectoryModule::requestChanges(Context &ctx, DirectoryServices &services, Feed &feed) {
+  feed.Started = true;
   if (const auto peer = selectPeer(ctx, services.Fleet, feed))
     queryPeer(ctx, feed, *peer);
   else
@@ -59,16 +73,14 @@
   if (feed.StoreFailures > 0) {
     if (feed.StalePeerReplies >= MaxStalePeerReplies || ctx.Now - feed.StoreCalledAt >= StoreRetryInterval)
       return std::nullopt;
-    return firstAvailable(ctx, fleet.others(self.Node, self.AvailabilityZone, WatcherKey, WatchersPerZone));
+    return firstAvailable(ctx, fleet.others(self.Node, self.AvailabilityZone, WatcherKey, NearbyPeers));
   }
-  const auto zone = fleet.order(self.AvailabilityZone, WatcherKey);
+  const auto &zone = fleet.order(self.AvailabilityZone, WatcherKey);
   const auto at = static_cast<std::size_t>(std::find(zone.begin(), zone.end(), self.Node) - zone.begin());
-  if (feed.Listing || !isLargeZone(zone) || at < WatchersPerZone)
+  const bool gaveUp = feed.Listing && feed.UnansweredPeerRequests > 0;
+  if (gaveUp || !isLargeZone(zone))
     return std::nullopt;
-  std::vector<NodeId> watchers(zone.begin(), zone.begin() + WatchersPerZone);
-  std::rotate(watchers.begin(), watchers.begin() + static_cast<std::ptrdiff_t>(at % WatchersPerZone),
-              watchers.end());
-  return firstAvailable(ctx, watchers);
+  return firstAvailable(ctx, std::span(zone).first(std::min(at, MaxFollowedPerZone)));
 }
 
 void DirectoryModule::queryStore(Context &ctx, DirectoryServices &services, Feed &feed) {
@@ -81,7 +93,7 @@
     return;
   }
   const bool followed = isLargeZone(services.Fleet.order(ctx.Self.AvailabilityZone, WatcherKey));
-  const auto wait = followed ? FollowedWatchDuration : WatchDuration;
+  const auto wait = followed ? followedWatchDuration(ctx) : WatchDuration;
   ctx.emit(DirectoryCall{*feed.Call, wait + WatchGrace, WatchDirectory{feed.Kind, feed.Sync.Revision, wait}});
 }
 
@@ -89,9 +101,10 @@
   feed.PendingPeer = peer;
   feed.PeerRequestNumber = ctx.nextNumber();
   feed.PeerRequestSentAt = ctx.Now;
+  feed.PeerRequestWait = feed.Listing ? FirstListWait : PeerRequestWait;
   ctx.emit(Count{"directory_peer_requests_total"});
   ctx.emit(SendToPeer{
-      peer, ChangesRequest{feed.PeerRequestNumber, feed.Kind, feed.Sync.Revision, PeerRequestWait}});
+      peer, ChangesRequest{feed.PeerRequestNumber, feed.Kind, feed.Sync.Revision, feed.PeerRequestWait}});
 }
 
 void DirectoryModule::onReply(Context &ctx, DirectoryServices &services, const NodeId &from,
@@ -117,7 +130,7 @@
   feed->Listing = feed->Listing && known.Revision == 0;
   Relay.answerPending(ctx, services.Catalog, feed->Kind, known);
   const bool large = isLargeZone(services.Fleet.order(ctx.Self.AvailabilityZone, WatcherKey));
-  if (reply.Age >= (large ? detail::ChangeRelay::MaxConfirmationAge : MaxPeerConfirmationAge)) {
+  if (reply.Age >= (large ? Relay.maxConfirmationAge() : MaxPeerConfirmationAge)) {
     BackoffUntil[from] = ctx.Now + PeerBackoff;
     ++feed->StalePeerReplies;
   }
@@ -309,9 +322,10 @@
 void DirectoryModule::onTimer(Context &ctx, DirectoryServices &services) {
   for (auto &it : Feeds) {
     Relay.answerPending(ctx, services.Catalog, it.Kind, it.Sync);
-    if (!it.PendingPeer.empty() && ctx.Now - it.PeerRequestSentAt >= PeerRequestWait + PeerRequestGrace)
+    const bool due = ctx.Now >= it.RetryAt || (!it.Started && services.Fleet.listed());
+    if (!it.PendingPeer.empty() && ctx.Now - it.PeerRequestSentAt >= it.PeerRequestWait + PeerRequestGrace)
       onPeerFailure(ctx, services, it);
-    else if (!it.Call && it.PendingPeer.empty() && ctx.Now >= it.RetryAt)
+    else if (!it.Call && it.PendingPeer.empty() && due)
       requestChanges(ctx, services, it);
   }
   for (auto it = PendingRemovals.begin(); it != PendingRemovals.end();) {
@@ -332,7 +346,7 @@
     if (const auto at = Relay.nextTimer(it.Kind, it.Sync))
       earlier(*at);
     if (!it.PendingPeer.empty())
-      earlier(it.PeerRequestSentAt + PeerRequestWait + PeerRequestGrace);
+      earlier(it.PeerRequestSentAt + it.PeerRequestWait + PeerRequestGrace);
     else if (!it.Call)
       earlier(it.RetryAt);
   }
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -1,8 +1,8 @@
 // Keeps the catalogue in step with the platform's store: lists a kind once, then follows what changes.
 //
-// In a large availability zone two proxies watch the store and the others follow one of them, so that the
-// calls to the store grow with the zones and not with the proxies. A proxy that the store does not answer
-// asks others.
+// In a large availability zone one proxy watches the store and the others follow it, so that the calls to the
+// store grow with the zones and not with the proxies. If it does not answer, the next one in rendezvous order
+// takes its place. A proxy that the store does not answer asks others.
 
 #pragma once
 
@@ -47,15 +47,22 @@
   /// dropped, is noticed by then. Changes of the configuration have to be in force within 3 s.
   static constexpr Duration WatchDuration = 3s;
   static constexpr Duration WatchGrace = 600ms;
-  /// The same where other proxies follow: what they know is older by the time until they notice.
-  static constexpr Duration FollowedWatchDuration = 1500ms;
-  /// Proxies of an availability zone that watch the store, and the size of a zone from which the others
-  /// follow.
-  static constexpr std::size_t WatchersPerZone = 2;
+  /// The same where other proxies follow, as a part of the bound for configurations: they notice a watcher
+  /// that has lost the store later than the watcher itself.
+  static constexpr int FollowedWatchDivisor = 2;
+  /// Proxies of an availability zone that one may follow, in rendezvous order, and the size of a zone from
+  /// which all but the first follow.
+  static constexpr std::size_t MaxFollowedPerZone = 2;
+  /// Proxies of its own zone that a proxy asks before those of other zones if the store does not answer it.
+  static constexpr std::size_t NearbyPeers = 2;
   static constexpr std::size_t MinZoneSizeToFollow = 4;
   /// A proxy that is followed answers after this time, also without news, and is left alone for a while if it
   /// does not, or if it has lost the store itself.
   static constexpr Duration PeerRequestWait = 1s;
+  /// The same for a proxy that starts and waits for its first list.
+  static constexpr Duration FirstListWait = 250ms;
+  /// Longest wait at the start for the list of proxies, after it was asked for.
+  static constexpr Duration FleetListWait = 250ms;
   static constexpr Duration PeerRequestGrace = 250ms;
   static constexpr Duration PeerBackoff = 2s;
   /// A proxy that the store does not answer tries again after this time while others have news.
@@ -87,11 +94,14 @@
     NodeId PendingPeer;                  ///< Asked and not answered yet; empty if none is.
     std::uint64_t PeerRequestNumber = 0; ///< Number of that request.
     TimePoint PeerRequestSentAt;
+    Duration PeerRequestWait{};
+    bool Started = false; ///< A first request was sent.
   };
 
   void requestChanges(Context &ctx, DirectoryServices &services, Feed &feed);
   void queryStore(Context &ctx, DirectoryServices &services, Feed &feed);
   void queryPeer(Context &ctx, Feed &feed, const NodeId &peer);
+  [[nodiscard]] static Duration followedWatchDuration(const Context &ctx);
   void onPeerFailure(Context &ctx, DirectoryServices &services, Feed &feed);
   [[nodiscard]] std::optional<NodeId> selectPeer(const Context &ctx, const FleetMap &fleet,
                                                  const Feed &feed) const;
--- a/src/directory/internal/changerelay.cpp
+++ b/src/directory/internal/changerelay.cpp
@@ -36,9 +36,9 @@
 
 void ChangeRelay::onRequest(Context &ctx, const Catalog &catalog, const SyncState &known, const NodeId &from,
                             const ChangesRequest &request) {
-  const bool changed =
-      known.LastChangeRevision > request.Revision || request.Revision < known.CompactedBefore;
-  const bool old = ctx.Now - known.ConfirmedAt >= MaxConfirmationAge;
+  const bool changed = known.Revision > 0 && (known.LastChangeRevision > request.Revision ||
+                                              request.Revision < known.CompactedBefore);
+  const bool old = outdated(known, ctx.Now);
   if (changed || old || PendingRequests.size() >= MaxPendingRequests)
     answer(ctx, catalog, known, from, request);
   else
@@ -47,7 +47,7 @@
 
 void ChangeRelay::answerPending(Context &ctx, const Catalog &catalog, DirectoryKind kind,
                                 const SyncState &known) {
-  const bool old = ctx.Now - known.ConfirmedAt >= MaxConfirmationAge;
+  const bool old = outdated(known, ctx.Now);
   std::erase_if(PendingRequests, [&](const PendingRequest &it) {
     if (it.Request.Kind != kind ||
         (!old && ctx.Now < it.Deadline && known.LastChangeRevision <= it.Request.Revision))
--- a/src/directory/internal/changerelay.h
+++ b/src/directory/internal/changerelay.h
@@ -34,7 +34,8 @@
 
   /// Knowledge that the store has not confirmed for this long is told at once, so that those who follow this
   /// proxy go elsewhere. Above the time of a watch at the store with its grace.
-  static constexpr Duration MaxConfirmationAge = 2200ms;
+  [[nodiscard]] Duration maxConfirmationAge() const { return MaxConfirmationAge; }
+  void setMaxConfirmationAge(Duration value) { MaxConfirmationAge = value; }
   /// Bound on requests that wait.
   static constexpr std::size_t MaxPendingRequests = 4'096;
 
@@ -47,6 +48,13 @@
   static void answer(Context &ctx, const Catalog &catalog, const SyncState &known, const NodeId &to,
                      const ChangesRequest &request);
 
+  /// Whether the store has not confirmed the knowledge for long. A proxy that has read nothing yet is asked
+  /// to wait.
+  [[nodiscard]] bool outdated(const SyncState &known, TimePoint now) const {
+    return known.Revision > 0 && now - known.ConfirmedAt >= MaxConfirmationAge;
+  }
+
+  Duration MaxConfirmationAge = 2200ms;
   std::vector<PendingRequest> PendingRequests;
 };
 
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -366,3 +366,44 @@
     CHECK_FALSE(store.Module.isolated());
   }
 }
+
+TEST_CASE("a proxy that starts in a large zone reads the first list from the one that it follows") {
+  Follower it;
+  it.Module = DirectoryModule();
+  it.Known = Catalog();
+  it.Out.clear();
+  it.Module.onStarted(it.ctx(), it.Services);
+  CHECK_FALSE(it.take(DirectoryKind::Servers));
+  auto asked = it.takeSent<ChangesRequest>();
+  while (asked && asked->second.Kind != DirectoryKind::Servers)
+    asked = it.takeSent<ChangesRequest>();
+  REQUIRE(asked);
+  CHECK(asked->second.Revision == 0);
+  it.Module.onReply(
+      it.ctx(), it.Services, asked->first,
+      {asked->second.Number, DirectoryKind::Servers, 12, 50ms, true, {Fixture::server("a", 12)}});
+  CHECK(it.Known.serversLoaded());
+}
+
+TEST_CASE("a proxy that starts asks the store if the one that it follows does not answer") {
+  Follower it;
+  it.Module = DirectoryModule();
+  it.Known = Catalog();
+  it.Out.clear();
+  it.Module.onStarted(it.ctx(), it.Services);
+  it.advance(600ms);
+  const auto call = it.take(DirectoryKind::Servers);
+  REQUIRE(call);
+  CHECK(std::holds_alternative<ListDirectory>(call->Request));
+}
+
+TEST_CASE("a proxy that has read nothing yet answers those that follow it once it has") {
+  Fixture store;
+  store.Module.onRequest(store.ctx(), store.Services, NodeId("n2"), {5, DirectoryKind::Servers, 0, 250ms});
+  CHECK_FALSE(store.takeSent<ChangesReply>());
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryListing{{Fixture::server("a", 1)}, false, 9});
+  const auto reply = store.takeSent<ChangesReply>();
+  REQUIRE(reply);
+  CHECK(reply->second.Complete);
+  CHECK(reply->second.Objects.size() == 1);
+}
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -13,10 +13,10 @@
 
 constexpr Duration CallTimeout = 1500ms;
 constexpr Duration RetryPause = 1s;
-/// The first listing, soon after start, finds proxies that already run or ran before. The second finds
-/// proxies that started at the same time. Later listings are infrequent because each call to the store is
-/// billed.
-constexpr Duration FirstList = 300ms;
+/// The first listing finds proxies that already run or ran before. At the first start of the fleet it waits
+/// until the others have registered themselves. The second finds proxies that started at the same time. Later
+/// listings are infrequent because each call to the store is billed.
+constexpr Duration FirstStartList = 1200ms;
 constexpr Duration SecondList = 1500ms;
 constexpr Duration ListInterval = 30s;
 /// Above this number of proxies, the listing interval grows in proportion to the fleet size, because the cost
@@ -33,7 +33,11 @@
     return;
   addProxy(ctx, {ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress});
   announce(ctx, 0);
-  ListAt = ctx.Now + FirstList;
+  ListAt = ctx.Now + firstListDelay(ctx.Self);
+}
+
+Duration FleetMap::firstListDelay(const NodeConfig &self) {
+  return self.FirstStart ? FirstStartList : Duration{};
 }
 
 void FleetMap::announce(Context &ctx, std::uint64_t revision) {
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -20,6 +20,8 @@
 class FleetMap {
 public:
   void onStarted(Context &ctx);
+  /// Time from the start to the first listing.
+  [[nodiscard]] static Duration firstListDelay(const NodeConfig &self);
   void onAnswer(Context &ctx, const DirectoryAnswer &event);
   void onTimer(Context &ctx);
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
@@ -38,6 +40,8 @@
   [[nodiscard]] std::vector<NodeId> others(const NodeId &self, const AvailabilityZone &zone,
                                            std::string_view key, std::size_t nearbyCount) const;
 
+  /// Whether the other proxies were listed at least once, or there is no need to.
+  [[nodiscard]] bool listed() const { return HasListedOnce || !Enabled; }
   [[nodiscard]] std::size_t size() const { return Proxies.size(); }
   /// Number of availability zones that have at least one proxy.
   [[nodiscard]] std::size_t zones() const { return ZoneCount; }
--- a/src/protocol/nodeconfig.h
+++ b/src/protocol/nodeconfig.h
@@ -42,6 +42,11 @@
   /// promotion demotes the former primary at once. Otherwise this proxy stops the former primary, or waits
   /// until no proxy reads from it, before it orders a promotion.
   bool PromotionFencing = false;
+  /// CallerInterface::Sessions only: time within which a configuration has to be in effect at every proxy.
+  Duration PropagationBound = 3s;
+  /// CallerInterface::Sessions only: the whole fleet starts for the first time, so that no other proxy can be
+  /// asked before it has started, too.
+  bool FirstStart = false;
 };
 
 } // namespace rosemaryhinge
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -20,8 +20,8 @@
         LendingDeps{state.Catalog, state.Links}, DirectoryDeps{state.Catalog, state.Fleet} {}
 
   void operator()(const Started &) {
-    S.Directory.onStarted(Ctx, DirectoryDeps);
     S.Fleet.onStarted(Ctx);
+    S.Directory.onStarted(Ctx, DirectoryDeps);
   }
 
   void operator()(const TimerFired &) {
@@ -86,12 +86,15 @@
 
   void operator()(const DirectoryAnswer &event) {
     const auto changes = S.Catalog.changeCount();
-    if (event.Call.Owner == Module::Positions)
+    if (event.Call.Owner == Module::Positions) {
       S.Fleet.onAnswer(Ctx, event);
-    else if (event.Call.Owner == Module::Leadership)
+      // The directory waits for the first list of proxies.
+      S.Directory.onTimer(Ctx, DirectoryDeps);
+    } else if (event.Call.Owner == Module::Leadership) {
       S.Leadership.onDirectoryAnswer(Ctx, LeadershipDeps, event);
-    else
+    } else {
       S.Directory.onAnswer(Ctx, DirectoryDeps, event);
+    }
     notifySessionsIfCatalogChanged(changes);
   }
 
