Forget old durations of a server without new ones

Change: without measurements the duration returns to its initial value; the statement log says why a statement was last sent again.

--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -121,8 +121,8 @@
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
 
   [[nodiscard]] const ServerHealth &health(const TargetId &target) const;
-  void recordDuration(const TargetId &target, Duration value) {
-    Servers[target].Health.recordDuration(value);
+  void recordDuration(const TargetId &target, Duration value, TimePoint now) {
+    Servers[target].Health.recordDuration(value, now);
   }
   [[nodiscard]] std::size_t open(const TargetId &target) const;
   [[nodiscard]] std::size_t busy(const TargetId &target) const;
--- a/src/links/serverhealth.cpp
+++ b/src/links/serverhealth.cpp
@@ -2,6 +2,9 @@
 
 #include "links/serverhealth.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace rosemaryhinge {
 
 namespace {
@@ -53,8 +56,16 @@
   UnansweredSince.reset();
 }
 
-void ServerHealth::recordDuration(Duration value) {
+void ServerHealth::recordDuration(Duration value, TimePoint now) {
   SmoothedDuration += (value - SmoothedDuration) / Smoothing;
+  MeasuredAt = now;
+}
+
+Duration ServerHealth::smoothedDuration(TimePoint now) const {
+  const auto unmeasured = std::max(Duration{}, now - MeasuredAt - DurationValidity);
+  const auto halfLives = std::chrono::duration<double>(unmeasured) / DurationHalfLife;
+  const auto excess = static_cast<double>((SmoothedDuration - InitialDuration).count());
+  return InitialDuration + Duration(std::llround(excess * std::exp2(-halfLives)));
 }
 
 Duration ServerHealth::silence(TimePoint now) const {
--- a/src/links/serverhealth.h
+++ b/src/links/serverhealth.h
@@ -23,7 +23,7 @@
   /// Records a lender's report that the server does not reply to it.
   void onReportedSilent(TimePoint now) { ReportedSilentAt = now; }
   /// Records the duration of a statement, excluding network time.
-  void recordDuration(Duration value);
+  void recordDuration(Duration value, TimePoint now);
 
   /// Time for which the server has sent no reply while one was pending, or for which attempts have failed.
   /// Zero if no reply is pending and no recent attempt has failed.
@@ -35,7 +35,9 @@
   /// Time since which the server's address has refused connections, which means that the server process is
   /// down.
   [[nodiscard]] std::optional<TimePoint> refusedSince(TimePoint now) const;
-  [[nodiscard]] Duration smoothedDuration() const { return SmoothedDuration; }
+  /// Smoothed duration of statements. Without new measurements it returns to InitialDuration, so that a
+  /// server that was slow gets work again.
+  [[nodiscard]] Duration smoothedDuration(TimePoint now) const;
 
   /// Time without a reply after which a server is suspect. Exceeds the longest statement in the deployments,
   /// 270 ms, with its queueing time.
@@ -44,6 +46,11 @@
   static constexpr Duration FailureValidity = 2s;
   /// Time for which a lender's report about the server counts.
   static constexpr Duration SilenceReportValidity = 200ms;
+  static constexpr Duration InitialDuration = 15ms;
+  /// Without measurements for DurationValidity, half of the difference to InitialDuration is forgotten in
+  /// each DurationHalfLife.
+  static constexpr Duration DurationValidity = 300ms;
+  static constexpr Duration DurationHalfLife = 400ms;
 
 private:
   [[nodiscard]] bool failedRecently(TimePoint now) const {
@@ -56,7 +63,8 @@
   std::optional<TimePoint> RefusedSince;
   std::optional<TimePoint> LastReplyAt;
   std::optional<TimePoint> ReportedSilentAt;
-  Duration SmoothedDuration = 15ms;
+  Duration SmoothedDuration = InitialDuration; ///< As of MeasuredAt.
+  TimePoint MeasuredAt;
 };
 
 } // namespace rosemaryhinge
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -104,7 +104,7 @@
   auto &work = *session.Current;
   if (const auto *view = services.Catalog.server(reply.Target)) {
     const auto rtt = detail::roundTrip(ctx.Self, view->Entry.AvailabilityZone);
-    services.Links.recordDuration(reply.Target, std::max(Duration{}, ctx.Now - work.SentAt - rtt));
+    services.Links.recordDuration(reply.Target, std::max(Duration{}, ctx.Now - work.SentAt - rtt), ctx.Now);
   }
   if (isWriteCommit(session, work)) {
     if (event.At) {
@@ -143,6 +143,7 @@
   if (work.SendCount >= (failedRead ? MaxReadSends : MaxSends) || ctx.Now >= work.Deadline)
     return false;
   ctx.emit(Count{"statement_retries_total{reason=\"" + std::string(toString(why.Code)) + "\"}"});
+  work.RetriedAfter = why.Code;
   switch (why.Code) {
   case Rejection::ReadOnly:
     services.Catalog.denyPrimary(work.Target);
@@ -345,6 +346,8 @@
                  {"tries", std::to_string(work.SendCount)},
                  {"ms", millis(ctx.Now - work.ArrivedAt)},
                  {"outcome", why ? std::string(toString(why->Code)) : "done"}};
+  if (work.RetriedAfter)
+    line.Fields.push_back({"retried_after", std::string(toString(*work.RetriedAfter))});
   if (work.After)
     line.Fields.push_back(
         {"after", std::to_string(work.After->Term) + "." + std::to_string(work.After->Lsn)});
--- a/src/sessions/internal/serverchoice.cpp
+++ b/src/sessions/internal/serverchoice.cpp
@@ -31,7 +31,7 @@
   const auto &target = server.Entry.Target;
   const auto &health = links.health(target);
   const auto rtt = roundTrip(self, server.Entry.AvailabilityZone);
-  auto out = rtt + health.smoothedDuration() * static_cast<int>(links.busy(target) + ServerConcurrency) /
+  auto out = rtt + health.smoothedDuration(now) * static_cast<int>(links.busy(target) + ServerConcurrency) /
                        ServerConcurrency;
   if (primary)
     out += PrimaryPenalty;
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -26,6 +26,7 @@
   bool RetryPending = false; ///< Has a timer of its own at RetryAt.
   int SendCount = 0;         ///< Number of times it was sent to a server.
   std::set<TargetId> Avoid;
+  std::optional<Rejection> RetriedAfter; ///< Why it was last sent again.
   bool ExchangeTried = false; ///< No other proxy supplied a log position, so the primary is used instead.
   bool PrimaryOnly = false;   ///< Replicas are no longer considered.
 
