Refuse on arrival what would wait too long

Change: a queue estimates the wait of a new statement from the rate at which earlier ones were started; beyond 60 % of the timeout it is refused at once, with the expected wait as the time to come back. A waiting statement is given up when too little time is left to run it.

--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -12,6 +12,8 @@
 /// A read without an idle link to the cheapest server goes to another one if that costs at most this much
 /// more.
 constexpr Duration MaxExtraCost = 30ms;
+/// A statement that would wait longer than this part of its timeout is refused on arrival.
+constexpr int MaxWaitPercent = 60;
 /// Statements without a link after which the rest of a queue is left for the next pass.
 constexpr std::size_t MaxFailuresInPass = 4;
 /// How long a replica that rejected a read as lagging is avoided.
@@ -35,9 +37,9 @@
                     {Rejection::Busy, "too many statements wait; retry in 500 ms"}, TransactionState::Idle);
     return;
   }
-  if (WaitingCount == 0)
-    NextWaitingPass = ctx.Now + WaitRetryInterval;
-  enqueueWaiting(id, session);
+  if (refuseLongWait(ctx, services, id, session))
+    return;
+  enqueueWaiting(ctx, services, id, session);
   scheduleTimer(id, session);
 }
 
@@ -46,12 +48,38 @@
   return !read || work.Route.Reads == Consistency::Primary || work.PrimaryOnly;
 }
 
-void SessionsModule::enqueueWaiting(SessionId id, const Session &session) {
+SessionsModule::WaitQueue &SessionsModule::queueOf(const Session &session) {
+  auto &queues = Waiting[session.Current->Route.Service];
+  return needsPrimary(session, *session.Current) ? queues.ForPrimary : queues.ForAnyServer;
+}
+
+bool SessionsModule::refuseLongWait(Context &ctx, SessionServices &services, SessionId id, Session &session) {
   const auto &work = *session.Current;
-  auto &queue = Waiting[work.Route.Service];
-  auto &part = needsPrimary(session, work) ? queue.ForPrimary : queue.ForAnyServer;
-  if (part.insert({work.Route.Priority, work.ArrivedAt, id}).second)
-    ++WaitingCount;
+  const auto wait = queueOf(session).Estimator.expected(work.Route.Priority, ctx.Now);
+  if (wait <= work.Route.StatementTimeout * MaxWaitPercent / 100)
+    return false;
+  ctx.emit(Count{"statements_refused_early_total"});
+  const auto retryAfter = (wait + ctx.jitter(wait)) / 1ms;
+  handleRejection(ctx, services, id, session,
+                  {Rejection::Busy, "the queue is too long; retry in " + std::to_string(retryAfter) + " ms"},
+                  TransactionState::Idle);
+  return true;
+}
+
+void SessionsModule::enqueueWaiting(Context &ctx, SessionServices &services, SessionId id, Session &session) {
+  auto &work = *session.Current;
+  auto &queue = queueOf(session);
+  const WaitKey key{work.Route.Priority, work.ArrivedAt, id};
+  if (!queue.Statements.insert(key).second)
+    return;
+  queue.Estimator.onQueued(work.Route.Priority, ctx.Now);
+  if (WaitingCount++ == 0)
+    NextWaitingPass = ctx.Now + WaitRetryInterval;
+  // It is not sent when too little time is left for a server to finish it.
+  const auto primary = services.Catalog.primary(work.Route.Service);
+  const auto needed =
+      primary ? services.Links.health(*primary).smoothedDuration(ctx.Now) : ServerHealth::InitialDuration;
+  work.LatestStart = std::max(work.Deadline - needed, work.ArrivedAt + work.Route.StatementTimeout / 2);
 }
 
 void SessionsModule::removeWaiting(SessionId id, const Session &session) {
@@ -59,8 +87,12 @@
     return;
   const auto &work = *session.Current;
   const WaitKey key{work.Route.Priority, work.ArrivedAt, id};
-  auto &queue = Waiting[work.Route.Service];
-  WaitingCount -= queue.ForPrimary.erase(key) + queue.ForAnyServer.erase(key);
+  auto &queues = Waiting[work.Route.Service];
+  for (auto *queue : {&queues.ForPrimary, &queues.ForAnyServer})
+    if (queue->Statements.erase(key) > 0) {
+      queue->Estimator.onRemoved(work.Route.Priority);
+      --WaitingCount;
+    }
 }
 
 void SessionsModule::onCapacity(Context &ctx, SessionServices &services) {
@@ -70,32 +102,35 @@
       requestLease(ctx, services, id);
   if (!PendingSessions.empty())
     admitPendingSessions(ctx, services);
-  for (const auto &[service, queue] : Waiting) {
+  for (auto &[service, queues] : Waiting) {
     DispatchPass attempt;
-    startWaiting(ctx, services, queue.ForPrimary, attempt);
-    startWaiting(ctx, services, queue.ForAnyServer, attempt);
+    startWaiting(ctx, services, queues.ForPrimary, attempt);
+    startWaiting(ctx, services, queues.ForAnyServer, attempt);
   }
 }
 
-void SessionsModule::startWaiting(Context &ctx, SessionServices &services, const std::set<WaitKey> &queue,
+void SessionsModule::startWaiting(Context &ctx, SessionServices &services, WaitQueue &queue,
                                   DispatchPass &attempt) {
+  const auto &statements = queue.Statements;
   std::size_t failures = 0;
-  std::size_t left = queue.size();
+  std::size_t left = statements.size();
   attempt.Wanted.reset();
-  for (auto it = queue.begin(); it != queue.end() && failures < MaxFailuresInPass; --left) {
+  for (auto it = statements.begin(); it != statements.end() && failures < MaxFailuresInPass; --left) {
     const auto key = *it;
     const auto id = std::get<SessionId>(key);
     const auto session = Sessions.find(id);
     const bool due =
         session != Sessions.end() && session->second.Current && session->second.Current->RetryAt <= ctx.Now;
-    if (due && !tryStart(ctx, services, id, session->second, attempt))
+    if (due && tryStart(ctx, services, id, session->second, attempt))
+      queue.Estimator.onStarted(ctx.Now);
+    else if (due)
       ++failures;
-    it = queue.upper_bound(key);
+    it = statements.upper_bound(key);
   }
   if (failures < MaxFailuresInPass || left == 0 || !attempt.Wanted)
     return;
   // The statements behind those that found no link would not find one either.
-  const auto session = Sessions.find(std::get<SessionId>(*queue.begin()));
+  const auto session = Sessions.find(std::get<SessionId>(*statements.begin()));
   if (session != Sessions.end() && session->second.Current)
     requestLinks(ctx, services, *attempt.Wanted, attempt.LinksWanted[*attempt.Wanted] + left,
                  *session->second.Current);
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -22,7 +22,8 @@
   DatabaseRoute Route; ///< As of the start of the statement or its transaction.
   TimePoint ArrivedAt;
   TimePoint Deadline;
-  TimePoint RetryAt;         ///< Not sent before this time.
+  TimePoint LatestStart; ///< While it waits for a link: not sent after this time, since it could not finish.
+  TimePoint RetryAt;     ///< Not sent before this time.
   bool RetryPending = false; ///< Has a timer of its own at RetryAt.
   int SendCount = 0;         ///< Number of times it was sent to a server.
   std::set<TargetId> Avoid;
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -143,6 +143,7 @@
   work.Route = *route;
   work.ArrivedAt = ctx.Now;
   work.Deadline = ctx.Now + route->StatementTimeout;
+  work.LatestStart = work.Deadline;
   session.Current = std::move(work);
   dispatch(ctx, services, id, session);
 }
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -152,7 +152,8 @@
   std::optional<TimePoint> at;
   const auto earlier = [&at](TimePoint it) { at = at ? std::min(*at, it) : it; };
   if (const auto &work = session.Current) {
-    earlier(work->Deadline);
+    const bool waits = !work->Link && !(session.Transaction && session.Transaction->Link);
+    earlier(waits ? work->LatestStart : work->Deadline);
     if (work->LeaseTerm)
       earlier(work->LeaseRetryAt);
     else if (work->Link && !session.Transaction && work->Mode == AccessMode::Read)
@@ -191,7 +192,8 @@
   if (session.Current) {
     auto &work = *session.Current;
     const bool sent = work.Link.has_value();
-    if (ctx.Now >= work.Deadline) {
+    const bool waits = !sent && !(session.Transaction && session.Transaction->Link);
+    if (ctx.Now >= (waits ? work.LatestStart : work.Deadline)) {
       handleNoAnswer(ctx, services, id, session, true);
       return;
     }
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -14,6 +14,7 @@
 #include "positions/positionexchange.h"
 #include "protocol/context.h"
 #include "sessions/internal/session.h"
+#include "sessions/internal/waitestimator.h"
 
 #include <map>
 #include <set>
@@ -74,8 +75,12 @@
   /// Statements of one service that wait for a link, by the servers that can run them. One that needs the
   /// primary does not hold up a read that any server can run.
   struct WaitQueue {
-    std::set<WaitKey> ForPrimary;
-    std::set<WaitKey> ForAnyServer;
+    std::set<WaitKey> Statements;
+    detail::WaitEstimator Estimator;
+  };
+  struct WaitQueues {
+    WaitQueue ForPrimary;
+    WaitQueue ForAnyServer;
   };
   /// A status query to a replica that is to confirm the lease of the primary.
   struct LeaseQuery {
@@ -133,8 +138,7 @@
   /// Whether only the primary can run the statement.
   [[nodiscard]] static bool needsPrimary(const Session &session, const PendingStatement &work);
   /// Starts waiting statements in order until there is no link for the next ones.
-  void startWaiting(Context &ctx, SessionServices &services, const std::set<WaitKey> &queue,
-                    DispatchPass &attempt);
+  void startWaiting(Context &ctx, SessionServices &services, WaitQueue &queue, DispatchPass &attempt);
   void dispatch(Context &ctx, SessionServices &services, SessionId id, Session &session);
   bool tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session,
                 DispatchPass &attempt);
@@ -146,7 +150,10 @@
   /// Opens links for waiting statements, or borrows them from the lender if there is one.
   static void requestLinks(Context &ctx, SessionServices &services, const TargetId &target,
                            std::size_t waiting, const PendingStatement &work);
-  void enqueueWaiting(SessionId id, const Session &session);
+  void enqueueWaiting(Context &ctx, SessionServices &services, SessionId id, Session &session);
+  /// Refuses a statement that would wait too long. Returns whether it did.
+  bool refuseLongWait(Context &ctx, SessionServices &services, SessionId id, Session &session);
+  [[nodiscard]] WaitQueue &queueOf(const Session &session);
   void removeWaiting(SessionId id, const Session &session);
   /// Records a position that the primary returned, as far as its lease proves that it led.
   void addSample(Context &ctx, SessionServices &services, PositionSample sample);
@@ -214,7 +221,7 @@
 
   std::map<SessionId, Session> Sessions;
   std::map<SessionId, PendingSession> PendingSessions; ///< Opened before the first configuration was read.
-  std::map<DatabaseId, WaitQueue> Waiting;
+  std::map<DatabaseId, WaitQueues> Waiting;
   std::size_t WaitingCount = 0;
   TimePoint NextWaitingPass; ///< When waiting statements are tried again without an event.
   std::map<DatabaseId, Service> Services;
