--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -293,9 +293,23 @@
   --server.Opening;
   --server.PendingReplies;
   server.Health.received(ctx.Now, server.PendingReplies > 0);
+  if (const auto since = std::exchange(server.LostAt, std::nullopt))
+    ctx.emit(
+        Log{LogLevel::Info,
+            "server regained",
+            {{"server", it->second.Target.str()}, {"after_ms", std::to_string((ctx.Now - *since) / 1ms)}}});
   setPhase(it->second, Phase::Idle, ctx.Now);
 }
 
+void LinkPool::onOpenFailed(Context &ctx, const TargetId &target, Server &server, LinkFailure why) {
+  if (server.LostAt)
+    return;
+  server.LostAt = ctx.Now;
+  ctx.emit(Log{LogLevel::Warn,
+               "server accepts no connection",
+               {{"server", target.str()}, {"why", std::string(toString(why))}}});
+}
+
 std::optional<LinkPool::Reply> LinkPool::onReply(Context &ctx, const LinkReplied &event) {
   const auto it = Links.find(event.Link);
   if (it == Links.end() || it->second.PendingReplies.empty())
@@ -346,6 +360,8 @@
   } else if (!out.Opened) {
     server.RetryAt = ctx.Now + FailureRetryDelay;
   }
+  if (!out.Opened)
+    onOpenFailed(ctx, link.Target, server, event.Why);
   // Servers close idle connections routinely, so only the loss of a busy or opening link counts as a failure.
   const bool telling = !out.Opened || link.State == Phase::Busy;
   ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(event.Why)) + "\"}"});
@@ -414,6 +430,8 @@
     if (it->second.State == Phase::Opening)
       server.RetryAt = ctx.Now + FailureRetryDelay;
     const bool opening = it->second.State == Phase::Opening;
+    if (opening)
+      onOpenFailed(ctx, it->second.Target, server, LinkFailure::Timeout);
     if (opening)
       ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(LinkFailure::Timeout)) + "\"}"});
     removeLink(ctx, id, opening ? std::optional(LinkFailure::Timeout) : std::nullopt, silent);
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -173,6 +173,7 @@
     std::optional<TimePoint> LimitLoweredAt;
     std::optional<TimePoint> FullAt; ///< When the server last refused a connection as one too many.
     TimePoint RetryAt;               ///< Earliest time to open a new link.
+    std::optional<TimePoint> LostAt; ///< Since when no link could be opened.
     TimePoint ReservedUntil;         ///< One idle link is kept for a primary change until then.
     ServerHealth Health;
   };
@@ -180,6 +181,7 @@
   void adjustConcurrencyLimit(Server &server, const StatementOutcome &outcome, LinkStep step, TimePoint now);
   void endLoan(Context &ctx, LinkId id, const Link &link, LoanEndReason why);
   void setPhase(Link &link, Phase next, TimePoint now);
+  static void onOpenFailed(Context &ctx, const TargetId &target, Server &server, LinkFailure why);
   void scheduleSweep(TimePoint now);
   void removeLink(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent);
   [[nodiscard]] std::size_t maxOpenLinks(const Catalog &catalog, const DatabaseId &service,
