Ignore an entry whose address answers as another server

Change: such an entry is ignored until its revision changes. The log of a server that started again under another id is not missing.

--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -9,6 +9,7 @@
 /// Bound on the missing servers recorded for a service; higher than the number of its servers that can fail
 /// at once.
 constexpr std::size_t MaxMissing = 16;
+constexpr std::size_t MaxMisrouted = 1'000;
 
 } // namespace
 
@@ -35,6 +36,11 @@
 }
 
 void Catalog::updateServer(ServerEntry entry, TimePoint now) {
+  if (const auto it = MisroutedAtRevision.find(entry.Target); it != MisroutedAtRevision.end()) {
+    if (it->second >= entry.Revision)
+      return;
+    MisroutedAtRevision.erase(it);
+  }
   const auto known = Servers.find(entry.Target);
   if (known != Servers.end() && known->second.Entry.Revision >= entry.Revision)
     return;
@@ -75,6 +81,23 @@
   Servers.erase(it);
 }
 
+void Catalog::onMisrouted(const TargetId &target, TimePoint now) {
+  const auto it = Servers.find(target);
+  if (it == Servers.end())
+    return;
+  const auto entry = it->second.Entry;
+  if (MisroutedAtRevision.size() >= MaxMisrouted)
+    MisroutedAtRevision.clear();
+  MisroutedAtRevision[target] = entry.Revision;
+  removeServer(target, now);
+  // A server that started again under another id has the log of the one before.
+  const bool startedAgain = std::any_of(Servers.begin(), Servers.end(), [&](const auto &one) {
+    return one.second.Entry.Address == entry.Address && one.second.Entry.Service == entry.Service;
+  });
+  if (startedAgain)
+    std::erase_if(Groups[entry.Service].Missing, [&](const auto &one) { return one.Target == target; });
+}
+
 const ServerView *Catalog::server(const TargetId &target) const {
   const auto it = Servers.find(target);
   return it == Servers.end() ? nullptr : &it->second;
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -39,6 +39,9 @@
 
   void updateServer(ServerEntry entry, TimePoint now);
   void removeServer(const TargetId &target, TimePoint now);
+  /// Records that another server answered at the address of this one. Its entry is out of date, and ignored
+  /// until its revision changes.
+  void onMisrouted(const TargetId &target, TimePoint now);
   /// Whether all server entries in the store have been read at least once.
   [[nodiscard]] bool serversLoaded() const { return ServersLoaded; }
   void setServersLoaded() { ServersLoaded = true; }
@@ -73,6 +76,7 @@
   Configuration Current;
   std::map<std::string, std::size_t, std::less<>> RouteByDatabase;
   std::map<TargetId, ServerView> Servers;
+  std::map<TargetId, std::uint64_t> MisroutedAtRevision; ///< Entries that are ignored.
   std::map<DatabaseId, Group> Groups;
   bool ServersLoaded = false;
   std::uint64_t ChangeCount = 0;
--- a/src/catalog/tests/catalogtests.cpp
+++ b/src/catalog/tests/catalogtests.cpp
@@ -117,3 +117,30 @@
   catalog.updateServer(entry(A, TargetRole::Primary, 8), Start + 1s);
   CHECK(catalog.primary(Yard) == A);
 }
+
+TEST_CASE("an entry whose address answers as another server is ignored until it changes") {
+  // Guards against a service without a primary: the entry of a server that had started again under another id
+  // came back with a newer revision, and named a primary that nobody could reach any more.
+  Catalog catalog;
+  auto dead = entry(A, TargetRole::Primary, 36);
+  auto reborn = entry(B, TargetRole::Primary, 32);
+  dead.Address = reborn.Address = "10.0.0.1:5000";
+  catalog.updateServer(reborn, Start);
+  catalog.updateServer(dead, Start);
+  REQUIRE(catalog.primary(Yard) == A);
+  catalog.onMisrouted(A, Start);
+  CHECK(catalog.primary(Yard) == B);
+  CHECK(catalog.missingServers(Yard).empty());
+  catalog.updateServer(dead, Start);
+  CHECK_FALSE(catalog.server(A));
+  dead.Revision = 40;
+  catalog.updateServer(dead, Start);
+  CHECK(catalog.server(A));
+}
+
+TEST_CASE("a server whose address another service has taken may have held commits") {
+  Catalog catalog;
+  catalog.updateServer(entry(A, TargetRole::Replica, 3), Start);
+  catalog.onMisrouted(A, Start);
+  CHECK(catalog.missingServers(Yard).size() == 1);
+}
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -302,7 +302,7 @@
 }
 
 void LinkPool::onOpenFailed(Context &ctx, const TargetId &target, Server &server, LinkFailure why) {
-  if (server.LostAt)
+  if (server.LostAt || why == LinkFailure::TooMany)
     return;
   server.LostAt = ctx.Now;
   ctx.emit(Log{LogLevel::Warn,
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -60,12 +60,16 @@
     const auto closed = S.Links.onClosed(Ctx, event);
     if (!closed)
       return;
+    const auto changes = S.Catalog.changeCount();
+    if (event.Why == LinkFailure::Misrouted)
+      S.Catalog.onMisrouted(closed->Target, Ctx.Now);
     if (closed->User.ForPrimaryChange)
       S.Leadership.onLinkClosed(*closed, event.Link);
     else if (closed->User.Loan != 0)
       S.Lender.onLinkClosed(Ctx, *closed);
     else
       S.Sessions.onLinkClosed(Ctx, SessionDeps, *closed);
+    notifySessionsIfCatalogChanged(changes);
   }
 
   void operator()(const LinkReplied &event) {
