--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -24,6 +24,10 @@
 
 void LeadershipModule::promote(Run &run) {
   auto &change = run.Change;
+  if (!change.PromotionUnanswered && !stopped(run)) {
+    enterPhase(run, Phase::SelectingCandidate);
+    return;
+  }
   if (change.Claim.age(run.Ctx.Now) >= MaxClaimAge) {
     confirmClaim(run);
     return;
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -4,6 +4,8 @@
 #include "freshness/primarylease.h"
 #include "leadership/leadershipmodule.h"
 
+#include <utility>
+
 namespace rosemaryhinge {
 
 namespace {
@@ -119,6 +121,7 @@
     services.Links.close(ctx, it->second.Link, true);
     change.Requests.erase(it);
     it = change.Requests.end();
+    forgetState(change, target);
   }
   if (it == change.Requests.end()) {
     const auto link = services.Links.acquire(target, {SessionId(), true}, {}, ctx.Now);
@@ -211,8 +214,31 @@
   if (it == Changes.end())
     return;
   const auto request = it->second.Requests.find(closed.Target);
-  if (request != it->second.Requests.end() && request->second.Link == link)
-    it->second.Requests.erase(request);
+  if (request == it->second.Requests.end() || request->second.Link != link)
+    return;
+  it->second.Requests.erase(request);
+  forgetState(it->second, closed.Target);
+}
+
+/// A server that starts again is neither paused nor stepped down any more. So what it reported counts only as
+/// long as the link on which it did is open.
+void LeadershipModule::forgetState(PrimaryChange &change, const TargetId &target) {
+  const auto it = change.Servers.find(target);
+  if (it == change.Servers.end())
+    return;
+  auto &server = it->second;
+  if (std::exchange(server.SteppedDown, false))
+    change.SteppedDownAt.reset();
+  server.Paused = false;
+  server.Settled = false;
+  server.Status.reset();
+  change.OthersPausedAt.reset();
+  change.AllPausedAt.reset();
+}
+
+bool LeadershipModule::stopped(const Run &run) {
+  const auto &change = run.Change;
+  return run.Ctx.Self.PromotionFencing || change.SteppedDownAt || detail::allReplicasPaused(change.Servers);
 }
 
 bool LeadershipModule::pauseReplicas(Run &run, const std::optional<TargetId> &except) {
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -103,6 +103,9 @@
   bool primaryLossUnconfirmed(Run &run);
   void selectBesidePrimary(Run &run, bool allKnown);
   void selectStopped(Run &run, bool allKnown);
+  static void forgetState(PrimaryChange &change, const TargetId &target);
+  /// Whether the former primary acknowledges nothing any more, where it must not.
+  [[nodiscard]] static bool stopped(const Run &run);
   bool wouldLoseCommits(Run &run, const TargetId &candidate);
   bool pauseReplicas(Run &run, const std::optional<TargetId> &except);
   void choose(Run &run, const TargetId &candidate);
--- a/src/positions/tests/positionexchangetests.cpp
+++ b/src/positions/tests/positionexchangetests.cpp
@@ -132,7 +132,8 @@
   REQUIRE(reply);
   CHECK((reply->second.Age == Duration(100ms)));
   CHECK((reply->second.ConfirmationAge == Duration(120ms)));
-  it.Exchange.onRequest(it.ctx(), NodeId("n9"), {6, Yard}, PositionSample{Yard, {1, 9}, it.Now - 1s, it.Now - 1s});
+  it.Exchange.onRequest(it.ctx(), NodeId("n9"), {6, Yard},
+                        PositionSample{Yard, {1, 9}, it.Now - 1s, it.Now - 1s});
   CHECK_FALSE(it.sent<PositionReply>());
   CHECK(it.Exchange.servicesWithRequesters(it.Now).size() == 1);
   it.Exchange.onSample(it.ctx(), {Yard, {1, 12}, it.Now - 20ms});
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -372,3 +372,39 @@
   REQUIRE(call);
   CHECK(call->Target == TargetId("b"));
 }
+
+TEST_CASE("a paused replica whose link closes has to be paused again before a promotion") {
+  // Guards against stale reads: a replica that was paused started again, which ended its pause, and confirmed
+  // the former primary while another server was promoted (rakang-toll, reborn-behind-cut, varied with seed
+  // 577641363789).
+  SessionHarness proxy(false);
+  failPrimary(proxy, 41);
+  std::optional<PromotionCall> call;
+  std::optional<LinkId> paused;
+  int pauses = 0;
+  for (int n = 0; n < 200 && !call; ++n) {
+    while (answerClaim(proxy, 45)) {
+    }
+    while (const auto open = proxy.take<OpenLink>())
+      if (open->Target != TargetId("p"))
+        proxy.apply(LinkOpened{open->Link});
+    while (const auto sent = proxy.take<SendOnLink>()) {
+      const auto target = proxy.Logic.Links.targetOf(sent->Link).value_or(TargetId());
+      const bool pause = SessionHarness::command<PauseReplica>(*sent) != nullptr;
+      if (pause && target == TargetId("a")) {
+        ++pauses;
+        paused = sent->Link;
+      }
+      const TargetStatus status{TargetRole::Replica, pause ? 2U : 1U, {1, 10}, {}, false, {}, pause};
+      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
+        proxy.apply(
+            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+    }
+    proxy.pass(20ms);
+    if (paused && pauses == 1)
+      proxy.apply(LinkClosed{*paused, LinkFailure::Lost});
+    call = proxy.take<PromotionCall>();
+  }
+  REQUIRE(call);
+  CHECK(pauses >= 2);
+}
--- /dev/null
+++ b/testing/sessionworld/dbcluster.cpp
@@ -0,0 +1,260 @@
+// Simulated database servers of one service.
+
+#include "sessionworld/dbcluster.h"
+
+#include "base/overloaded.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge::sessionworld {
+
+namespace {
+
+constexpr Duration TickInterval = 10ms;
+constexpr std::size_t ServerCount = 3;
+
+StatementOutcome done() { return StatementResultRows{{}, "signed"}; }
+StatementOutcome rejected(Rejection code) { return StatementRejection{code, ""}; }
+
+} // namespace
+
+bool DbServer::holds(const std::string &write) const {
+  return std::any_of(Log.begin(), Log.end(), [&](const LogEntry &it) { return it.Write == write; });
+}
+
+DbCluster::DbCluster(fakes::EventQueue &queue, bool fencing) : Queue(queue), Fencing(fencing) {
+  for (std::size_t n = 0; n < ServerCount; ++n) {
+    DbServer server;
+    server.Id = TargetId("s" + std::to_string(n));
+    server.Address = "10.0.0." + std::to_string(n + 1) + ":5000";
+    server.Role = n == 0 ? TargetRole::Primary : TargetRole::Replica;
+    Servers.push_back(std::move(server));
+  }
+  Queue.after(TickInterval, [this] { tick(); });
+}
+
+DbServer *DbCluster::find(const TargetId &target) {
+  const auto it =
+      std::find_if(Servers.begin(), Servers.end(), [&](const DbServer &one) { return one.Id == target; });
+  return it == Servers.end() ? nullptr : &*it;
+}
+
+std::size_t DbCluster::leader() const {
+  std::size_t best = 0;
+  for (std::size_t n = 0; n < Servers.size(); ++n)
+    if (Servers[n].Role == TargetRole::Primary &&
+        (Servers[best].Role != TargetRole::Primary || Servers[n].CurrentTerm > Servers[best].CurrentTerm))
+      best = n;
+  return best;
+}
+
+bool DbCluster::reachable(const DbServer &a, const DbServer &b) const {
+  return a.Up && b.Up && !Cuts.contains(std::minmax(indexOf(a), indexOf(b)));
+}
+
+void DbCluster::cut(std::size_t a, std::size_t b, bool on) {
+  if (on)
+    Cuts.insert(std::minmax(a, b));
+  else
+    Cuts.erase(std::minmax(a, b));
+}
+
+void DbCluster::crash(std::size_t index) {
+  auto &server = Servers[index];
+  server.Up = false;
+  server.PausedFor = 0;
+  std::erase_if(Pending, [&](const PendingCommit &it) { return it.Primary == server.Id; });
+}
+
+void DbCluster::start(std::size_t index, TargetId id) {
+  auto &server = Servers[index];
+  server.Up = true;
+  server.Leaving = false;
+  server.Id = std::move(id);
+  if (const auto &newest = Servers[leader()]; newest.CurrentTerm > server.CurrentTerm)
+    demote(server);
+  OnEntryChanged();
+}
+
+void DbCluster::demote(DbServer &server) {
+  server.Role = TargetRole::Replica;
+  server.ReachesLeaderSince.reset();
+  std::erase_if(Pending, [&](const PendingCommit &it) { return it.Primary == server.Id; });
+  OnEntryChanged();
+}
+
+void DbCluster::tick() {
+  const auto newest = leader();
+  for (auto &it : Servers) {
+    const auto &lead = Servers[newest];
+    if (!it.Up || &it == &lead)
+      continue;
+    if (it.Role == TargetRole::Replica) {
+      replicate(it);
+      continue;
+    }
+    if (!reachable(it, lead))
+      it.ReachesLeaderSince.reset();
+    else if (!it.ReachesLeaderSince)
+      it.ReachesLeaderSince = Queue.now();
+    else if (Queue.now() - *it.ReachesLeaderSince >= DemotionDelay)
+      demote(it);
+  }
+  acknowledge();
+  Queue.after(TickInterval, [this] { tick(); });
+}
+
+void DbCluster::replicate(DbServer &replica) {
+  if (replica.PausedFor > 0)
+    return;
+  const DbServer *source = nullptr;
+  for (const auto &it : Servers)
+    if (it.Role == TargetRole::Primary && reachable(it, replica) && it.CurrentTerm >= replica.CurrentTerm &&
+        (!source || it.CurrentTerm > source->CurrentTerm))
+      source = &it;
+  if (!source)
+    return;
+  replica.CurrentTerm = source->CurrentTerm;
+  std::vector<LogEntry> received;
+  for (const auto &it : source->Log)
+    if (it.AppendedAt <= Queue.now() - replica.ReplicationLag)
+      received.push_back(it);
+  const bool same = received.size() <= replica.Log.size() && !received.empty() &&
+                    replica.Log[received.size() - 1].At == received.back().At;
+  if (!same)
+    replica.Log = std::move(received);
+}
+
+void DbCluster::acknowledge() {
+  for (auto it = Pending.begin(); it != Pending.end();) {
+    const auto *primary = find(it->Primary);
+    const bool leads = primary && primary->Up && primary->Role == TargetRole::Primary;
+    const bool received = std::any_of(Servers.begin(), Servers.end(), [&](const DbServer &one) {
+      return one.Role == TargetRole::Replica && one.holds(it->Write);
+    });
+    if (!leads || !received) {
+      ++it;
+      continue;
+    }
+    if (Servers[leader()].CurrentTerm > primary->CurrentTerm)
+      Violations.push_back("a former primary acknowledged " + it->Write);
+    it->Answer({it->Link, done(), TransactionState::Idle, it->At, std::nullopt});
+    it = Pending.erase(it);
+  }
+}
+
+void DbCluster::commit(DbServer &server, LinkId link, const std::string &write, const Reply &reply) {
+  if (server.holds(write))
+    Violations.push_back("write " + write + " took effect twice");
+  const Position at{server.CurrentTerm, server.end().Lsn + 1};
+  server.Log.push_back({at, write, Queue.now()});
+  Pending.push_back({server.Id, at, write, link, reply});
+}
+
+void DbCluster::execute(const TargetId &target, LinkId link, const LinkCommand &command, const Reply &reply) {
+  auto *server = find(target);
+  if (!server || !server->Up)
+    return;
+  const bool leads = server->Role == TargetRole::Primary;
+  const auto answer = [&](StatementOutcome outcome, TransactionState state, bool status = false) {
+    LinkReplied out{link, std::move(outcome), state, server->end(), std::nullopt};
+    if (!leads)
+      out.At = server->end();
+    else
+      out.At = Position{server->CurrentTerm, server->end().Lsn};
+    if (status)
+      out.Status = TargetStatus{server->Role,         std::max(server->CurrentTerm, server->PausedFor),
+                                server->end(),        {},
+                                server->Leaving,      {},
+                                server->PausedFor > 0};
+    reply(std::move(out));
+  };
+  std::visit(Overloaded{
+                 [&](const BeginTransaction &it) {
+                   if (!it.ReadOnly && !leads) {
+                     answer(rejected(Rejection::ReadOnly), TransactionState::Idle);
+                     return;
+                   }
+                   OpenTransactions[link] = !it.ReadOnly;
+                   answer(done(), TransactionState::Open);
+                 },
+                 [&](const RollbackTransaction &) {
+                   OpenTransactions.erase(link);
+                   answer(done(), TransactionState::Idle);
+                 },
+                 [&](const RunStatement &it) {
+                   const auto open = OpenTransactions.find(link);
+                   const bool write = it.StatementId.front() == 'w';
+                   if ((write || (open != OpenTransactions.end() && open->second)) && !leads)
+                     answer(rejected(Rejection::ReadOnly), TransactionState::Failed);
+                   else if (write)
+                     commit(*server, link, it.StatementId, reply);
+                   else if (it.After && server->end() < *it.After)
+                     answer(rejected(Rejection::Lagging), TransactionState::Idle);
+                   else
+                     answer(done(),
+                            open == OpenTransactions.end() ? TransactionState::Idle : TransactionState::Open);
+                 },
+                 [&](const PauseReplica &it) {
+                   if (!leads && it.Term > std::max(server->CurrentTerm, server->PausedFor)) {
+                     server->PausedFor = it.Term;
+                     answer(done(), TransactionState::Idle, true);
+                   } else {
+                     answer(rejected(Rejection::Failed), TransactionState::Idle);
+                   }
+                 },
+                 [&](const ResumeReplica &) {
+                   server->PausedFor = 0;
+                   answer(done(), TransactionState::Idle, true);
+                 },
+                 [&](const StepDownPrimary &it) {
+                   if (server->Role == TargetRole::Primary && it.Term > server->CurrentTerm)
+                     demote(*server);
+                   answer(done(), TransactionState::Idle, true);
+                 },
+                 [&](const ReadServerStatus &) { answer(done(), TransactionState::Idle, true); },
+                 [&](const auto &) { answer(done(), TransactionState::Idle); },
+             },
+             command);
+}
+
+bool DbCluster::promote(const TargetId &target, std::uint64_t token) {
+  if (token < HighestToken) {
+    if (!Fencing)
+      Violations.push_back("an order had a lower token than an earlier one");
+    return false;
+  }
+  HighestToken = token;
+  const auto *server = find(target);
+  if (!server || !server->Up)
+    return false;
+  if (server->Role != TargetRole::Primary)
+    Queue.after(PromoteTime, [this, target] {
+      if (auto *it = find(target); it && it->Up && it->Role != TargetRole::Primary)
+        takeLead(*it);
+    });
+  return true;
+}
+
+void DbCluster::takeLead(DbServer &server) {
+  for (const auto &write : Acknowledged)
+    if (!server.holds(write))
+      Violations.push_back("acknowledged write " + write + " is not at the promoted server " +
+                           server.Id.str());
+  Term newest = 0;
+  for (auto &it : Servers) {
+    newest = std::max(newest, it.CurrentTerm);
+    it.PausedFor = 0;
+  }
+  for (auto &it : Servers)
+    if (Fencing && &it != &server && it.Role == TargetRole::Primary)
+      demote(it);
+  server.Role = TargetRole::Primary;
+  server.CurrentTerm = newest + 1;
+  for (auto &it : Servers)
+    if (it.Role == TargetRole::Replica && reachable(it, server))
+      it.CurrentTerm = server.CurrentTerm;
+  OnEntryChanged();
+}
+
+} // namespace rosemaryhinge::sessionworld
--- /dev/null
+++ b/testing/sessionworld/dbcluster.h
@@ -0,0 +1,105 @@
+// Simulated database servers of one service: logs, replication, pauses and promotions.
+//
+// Follows the platform's description of its servers. A commit is acknowledged once a replica has received it.
+// A promoted server leads with what it has received. Without fencing the former primary goes on leading until
+// it steps down or has reached the new one for DemotionDelay.
+
+#pragma once
+
+#include "fakes/dice.h"
+#include "fakes/eventqueue.h"
+#include "protocol/link.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rosemaryhinge::sessionworld {
+
+struct LogEntry {
+  Position At;
+  std::string Write; ///< Id of the statement.
+  TimePoint AppendedAt;
+};
+
+struct DbServer {
+  TargetId Id;
+  std::string Address;
+  bool Up = true;
+  bool Leaving = false;
+  TargetRole Role = TargetRole::Replica;
+  Term CurrentTerm = 1; ///< The term that it leads or follows.
+  Term PausedFor = 0;   ///< Zero unless it is paused.
+  std::vector<LogEntry> Log;
+  Duration ReplicationLag = 20ms;
+  std::optional<TimePoint> ReachesLeaderSince; ///< Of a former primary.
+
+  [[nodiscard]] Position end() const { return Log.empty() ? Position{CurrentTerm, 0} : Log.back().At; }
+  [[nodiscard]] bool holds(const std::string &write) const;
+};
+
+class DbCluster {
+public:
+  using Reply = std::function<void(LinkReplied)>;
+
+  DbCluster(fakes::EventQueue &queue, bool fencing);
+
+  /// Runs a command that arrived on a link. A commit is answered later.
+  void execute(const TargetId &target, LinkId link, const LinkCommand &command, const Reply &reply);
+  void closeLink(LinkId link) { OpenTransactions.erase(link); }
+  /// \returns false if the order is refused.
+  bool promote(const TargetId &target, std::uint64_t token);
+
+  void crash(std::size_t index);
+  /// Starts a server again, with its log. \param id A new id, or the former one.
+  void start(std::size_t index, TargetId id);
+  void cut(std::size_t a, std::size_t b, bool on);
+  [[nodiscard]] std::size_t leader() const;
+  [[nodiscard]] std::vector<DbServer> &servers() { return Servers; }
+  [[nodiscard]] DbServer *find(const TargetId &target);
+
+  /// A caller got a success for a write.
+  void onAcknowledged(const std::string &write) { Acknowledged.insert(write); }
+  [[nodiscard]] const std::set<std::string> &acknowledged() const { return Acknowledged; }
+
+  std::function<void()> OnEntryChanged;
+  std::vector<std::string> Violations;
+
+  static constexpr Duration PromoteTime = 300ms;
+  static constexpr Duration DemotionDelay = 1s;
+
+private:
+  struct PendingCommit {
+    TargetId Primary;
+    Position At;
+    std::string Write;
+    LinkId Link;
+    Reply Answer;
+  };
+
+  void tick();
+  void replicate(DbServer &replica);
+  void acknowledge();
+  void demote(DbServer &server);
+  void takeLead(DbServer &server);
+  void commit(DbServer &server, LinkId link, const std::string &write, const Reply &reply);
+  [[nodiscard]] bool reachable(const DbServer &a, const DbServer &b) const;
+  [[nodiscard]] std::size_t indexOf(const DbServer &server) const {
+    return static_cast<std::size_t>(&server - Servers.data());
+  }
+
+  fakes::EventQueue &Queue;
+  bool Fencing;
+  std::vector<DbServer> Servers;
+  std::map<LinkId, bool> OpenTransactions; ///< Whether the transaction of a link is read-write.
+  std::vector<PendingCommit> Pending;
+  std::set<std::pair<std::size_t, std::size_t>> Cuts;
+  std::set<std::string> Acknowledged;
+  std::uint64_t HighestToken = 0;
+};
+
+} // namespace rosemaryhinge::sessionworld
--- /dev/null
+++ b/testing/sessionworld/world.cpp
@@ -0,0 +1,303 @@
+// Simulated platform with proxies that keep sessions.
+
+#include "sessionworld/world.h"
+
+#include "base/overloaded.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge::sessionworld {
+
+namespace {
+
+constexpr std::size_t ProxyCount = 3;
+constexpr Duration RequestInterval = 8ms;
+constexpr Duration FaultInterval = 2500ms;
+constexpr Duration QuietTime = 14s;
+constexpr Duration StartTime = 2s;
+constexpr Duration MaxStaleness = 1500ms;
+
+bool isPromise(Rejection code) {
+  return code == Rejection::Busy || code == Rejection::Aborted || code == Rejection::Lagging ||
+         code == Rejection::ReadOnly || code == Rejection::Misrouted || code == Rejection::TooMany;
+}
+
+} // namespace
+
+World::World(const WorldOptions &options)
+    : Options(options), Random(options.Seed), Cluster(Queue, options.Fencing), Store(Queue, Cluster) {
+  Cluster.OnEntryChanged = [this] { Store.publishServers(); };
+  Store.publishServers();
+  for (std::size_t n = 0; n < ProxyCount; ++n) {
+    Proxies.push_back(std::make_unique<Proxy>());
+    auto &self = Proxies.back()->Logic.Self;
+    self.Node = NodeId("n" + std::to_string(n));
+    self.AvailabilityZone = AvailabilityZone("z1");
+    self.Region = Region("r1");
+    self.Interface = CallerInterface::Sessions;
+    self.PromotionFencing = options.ProxiesExpectFencing;
+    self.RegionByZone = {{AvailabilityZone("z1"), Region("r1")}};
+    start(n);
+  }
+}
+
+void World::start(std::size_t proxy) { apply(proxy, Started{Random.next(), proxy + 1}); }
+
+void World::deliver(std::size_t proxy, const Event &event) {
+  auto &it = *Proxies[proxy];
+  if (it.Paused)
+    it.Held.push_back(event);
+  else
+    apply(proxy, event);
+}
+
+void World::apply(std::size_t proxy, const Event &event) {
+  for (const auto &effect : reduce(Proxies[proxy]->Logic, event, Queue.now()))
+    carryOut(proxy, effect);
+  scheduleTimer(proxy);
+}
+
+void World::scheduleTimer(std::size_t proxy) {
+  auto &it = *Proxies[proxy];
+  const auto next = nextTimer(it.Logic);
+  if (!next || (it.TimerAt && *it.TimerAt <= *next && *it.TimerAt > Queue.now()))
+    return;
+  const auto at = std::max(*next, Queue.now() + 1ms);
+  it.TimerAt = at;
+  Queue.at(at, [this, proxy, at] {
+    auto &one = *Proxies[proxy];
+    if (one.TimerAt != at || one.Paused)
+      return;
+    one.TimerAt.reset();
+    apply(proxy, TimerFired{});
+  });
+}
+
+void World::carryOut(std::size_t proxy, const Effect &effect) {
+  std::visit(Overloaded{
+                 [&](const OpenLink &it) { open(proxy, it); },
+                 [&](const SendOnLink &it) { send(proxy, it); },
+                 [&](const CloseLink &it) {
+                   Cluster.closeLink(it.Link);
+                   Links.erase({proxy, it.Link});
+                 },
+                 [&](const DirectoryCall &it) {
+                   Store.call(it, [this, proxy](const DirectoryAnswer &answer) { deliver(proxy, answer); });
+                 },
+                 [&](const PromotionCall &it) {
+                   ++Result.Promotions;
+                   // An order may reach the platform late, and its answer may be lost.
+                   const auto delay = Random.chance(0.1) ? Random.between(1s, 3s) : Duration(10ms);
+                   Queue.after(delay, [this, proxy, it, delay] {
+                     const bool taken = Cluster.promote(it.Target, it.Token);
+                     if (delay < it.Timeout)
+                       deliver(proxy,
+                               PromotionAnswer{
+                                   it.Call, taken ? PromotionResult::Accepted : PromotionResult::Fenced, ""});
+                   });
+                   if (delay >= it.Timeout)
+                     Queue.after(it.Timeout, [this, proxy, it] {
+                       deliver(proxy, PromotionAnswer{it.Call, PromotionResult::Unknown, ""});
+                     });
+                 },
+                 [&](const AnswerStatement &it) {
+                   onAnswer(it);
+                   Queue.after(1ms, [this, proxy, id = it.Session] { deliver(proxy, SessionClosed{id}); });
+                 },
+                 [](const auto &) {},
+             },
+             effect);
+}
+
+void World::open(std::size_t proxy, const OpenLink &effect) {
+  std::size_t index = 0;
+  while (index < Cluster.servers().size() && Cluster.servers()[index].Address != effect.Address)
+    ++index;
+  Queue.after(5ms, [this, proxy, effect, index] {
+    if (index >= Cluster.servers().size() || cutOff(proxy, index))
+      return;
+    const auto &server = Cluster.servers()[index];
+    if (!server.Up) {
+      deliver(proxy, LinkClosed{effect.Link, LinkFailure::Refused});
+    } else if (server.Id != effect.Target) {
+      deliver(proxy, LinkClosed{effect.Link, LinkFailure::Misrouted});
+    } else {
+      Links[{proxy, effect.Link}] = {proxy, effect.Target, index};
+      deliver(proxy, LinkOpened{effect.Link});
+    }
+  });
+}
+
+void World::send(std::size_t proxy, const SendOnLink &effect) {
+  Queue.after(Random.between(1ms, 4ms), [this, proxy, effect] {
+    for (const auto &command : effect.Commands)
+      runOne(proxy, effect.Link, command);
+  });
+}
+
+void World::runOne(std::size_t proxy, LinkId link, const LinkCommand &command) {
+  const auto it = Links.find({proxy, link});
+  if (it == Links.end() || cutOff(proxy, it->second.Server))
+    return;
+  const auto server = it->second.Server;
+  // Link numbers of different proxies must differ at the servers.
+  const LinkId unique{link.Value * ProxyCount + proxy};
+  Cluster.execute(it->second.Target, unique, command,
+                  [this, proxy, server, link, command](LinkReplied reply) {
+                    reply.Link = link;
+                    const bool success = std::holds_alternative<StatementResultRows>(reply.Outcome);
+                    if (const auto *run = std::get_if<RunStatement>(&command); run && success)
+                      checkRead(*run, Cluster.servers()[server]);
+                    Queue.after(2ms, [this, proxy, server, reply] {
+                      if (Links.contains({proxy, reply.Link}) && !cutOff(proxy, server))
+                        deliver(proxy, reply);
+                    });
+                  });
+}
+
+void World::checkRead(const RunStatement &statement, const DbServer &server) {
+  const auto it = Running.find(statement.StatementId);
+  if (it == Running.end() || it->second.Write)
+    return;
+  const auto &read = it->second;
+  const auto bound = read.Current ? read.SentAt : read.SentAt - MaxStaleness;
+  for (const auto &[write, at] : AcknowledgedAt)
+    if (at < bound && !server.holds(write)) {
+      Result.Violations.push_back("read " + read.Statement + " ran at " + server.Id.str() + " without " +
+                                  write);
+      return;
+    }
+}
+
+void World::onAnswer(const AnswerStatement &answer) {
+  const auto it = Running.find(answer.StatementId);
+  if (it == Running.end())
+    return;
+  const auto &operation = it->second;
+  const auto *why = std::get_if<StatementRejection>(&answer.Outcome);
+  if (!why && operation.Write) {
+    AcknowledgedAt[operation.Statement] = Queue.now();
+    Cluster.onAcknowledged(operation.Statement);
+    LastWriteAt = Queue.now();
+    ++Result.Writes;
+  } else if (!why) {
+    ++Result.Reads;
+  } else if (operation.Write && isPromise(why->Code)) {
+    RefusedWrites.push_back(operation.Statement);
+  }
+  Running.erase(it);
+}
+
+void World::request() {
+  Queue.after(RequestInterval, [this] { request(); });
+  const auto proxy = Random.below(ProxyCount);
+  const bool write = Random.chance(0.3);
+  const bool current = write || Random.chance(0.5);
+  const auto number = ++LastNumber;
+  Operation operation{(write ? "w" : "r") + std::to_string(number), write, current, Queue.now()};
+  Running[operation.Statement] = operation;
+  const SessionId session{number};
+  deliver(proxy, SessionOpened{session, current ? "settle" : "look", "caller"});
+  deliver(proxy, StatementArrived{session,
+                                  {operation.Statement, operation.Statement,
+                                   DataStatement{write ? AccessMode::Write : AccessMode::Read}}});
+}
+
+void World::breakLinks(std::size_t server) {
+  std::vector<std::pair<std::size_t, LinkId>> broken;
+  for (const auto &[key, link] : Links)
+    if (link.Server == server)
+      broken.push_back(key);
+  for (const auto &[proxy, link] : broken) {
+    Links.erase({proxy, link});
+    Cluster.closeLink(LinkId{link.Value * ProxyCount + proxy});
+    if (!cutOff(proxy, server))
+      deliver(proxy, LinkClosed{link, LinkFailure::Lost});
+  }
+}
+
+void World::injectFault() {
+  const auto lead = Cluster.leader();
+  const auto length = Random.between(500ms, 5s);
+  const auto victim = Random.below(ProxyCount);
+  const auto crash = [&](std::size_t server, bool reborn) {
+    if (!Cluster.servers()[server].Up)
+      return;
+    Cluster.crash(server);
+    breakLinks(server);
+    const auto id = reborn ? TargetId("t" + std::to_string(++Reborn)) : Cluster.servers()[server].Id;
+    Queue.after(length, [this, server, id] { Cluster.start(server, id); });
+  };
+  switch (Random.below(8)) {
+  case 0:
+    crash(lead, false);
+    break;
+  case 1:
+    crash(lead, true);
+    break;
+  case 2:
+    crash((lead + 1) % 3, Random.chance(0.5));
+    break;
+  case 3:
+    for (std::size_t other = 0; other < 3; ++other)
+      if (other != lead) {
+        Cluster.cut(lead, other, true);
+        Queue.after(length, [this, lead, other] { Cluster.cut(lead, other, false); });
+      }
+    break;
+  case 4:
+    for (std::size_t proxy = 0; proxy < ProxyCount; ++proxy)
+      if (Random.chance(0.6)) {
+        Cuts.insert({proxy, lead});
+        Queue.after(length, [this, proxy, lead] { Cuts.erase({proxy, lead}); });
+      }
+    break;
+  case 5:
+    Proxies[victim]->Paused = true;
+    Queue.after(length, [this, victim] {
+      auto &it = *Proxies[victim];
+      it.Paused = false;
+      for (const auto &event : std::exchange(it.Held, {}))
+        apply(victim, event);
+      apply(victim, TimerFired{});
+    });
+    break;
+  case 6:
+    (Random.chance(0.5) ? Store.Down : Store.LoseAnswers) = true;
+    Queue.after(length, [this] { Store.Down = Store.LoseAnswers = false; });
+    break;
+  default:
+    for (auto &it : Cluster.servers())
+      it.ReplicationLag = Random.between(20ms, 800ms);
+    Cluster.servers()[lead].Leaving = true;
+    Cluster.OnEntryChanged();
+    Queue.after(length, [this] {
+      for (auto &it : Cluster.servers()) {
+        it.ReplicationLag = 20ms;
+        it.Leaving = false;
+      }
+      Cluster.OnEntryChanged();
+    });
+    break;
+  }
+}
+
+WorldResult World::run() {
+  Queue.runUntil(TimePoint{} + StartTime);
+  request();
+  auto end = Queue.now();
+  for (std::size_t n = 0; n < Options.Faults; ++n) {
+    end += Random.between(200ms, FaultInterval);
+    Queue.at(end, [this] { injectFault(); });
+  }
+  end += QuietTime;
+  Queue.runUntil(end);
+  for (const auto &write : RefusedWrites)
+    if (Cluster.servers()[Cluster.leader()].holds(write))
+      Result.Violations.push_back("write " + write + " was refused as not run, and ran");
+  Result.Violations.insert(Result.Violations.end(), Cluster.Violations.begin(), Cluster.Violations.end());
+  Result.RecoveredWrites = LastWriteAt && end - *LastWriteAt < 1s;
+  return Result;
+}
+
+} // namespace rosemaryhinge::sessionworld
--- /dev/null
+++ b/testing/sessionworld/world.h
@@ -0,0 +1,98 @@
+// Simulated platform with proxies that keep sessions, their callers, and faults drawn from a seed.
+//
+// Everything is judged by what callers and servers see: reads must run on logs that hold every commit
+// acknowledged in time, acknowledged writes must survive, a write runs at most once, and one that is refused
+// as not run does not run.
+
+#pragma once
+
+#include "reducer/reducer.h"
+#include "sessionworld/dbcluster.h"
+#include "sessionworld/directorystore.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rosemaryhinge::sessionworld {
+
+struct WorldOptions {
+  std::uint64_t Seed = 1;
+  bool Fencing = true;
+  /// What the proxies are told; other than Fencing, it breaks the rule that the difference stands for.
+  bool ProxiesExpectFencing = true;
+  std::size_t Faults = 5;
+};
+
+struct WorldResult {
+  std::vector<std::string> Violations;
+  std::size_t Reads = 0;
+  std::size_t Writes = 0;
+  std::size_t Promotions = 0;
+  bool RecoveredWrites = false; ///< Writes were served in the last second, after all faults had ended.
+};
+
+class World {
+public:
+  explicit World(const WorldOptions &options);
+  /// Plays the faults, and some seconds without any after them.
+  WorldResult run();
+
+private:
+  struct Proxy {
+    State Logic;
+    bool Paused = false;
+    std::deque<Event> Held; ///< Events that arrived while the process was paused.
+    std::optional<TimePoint> TimerAt;
+  };
+  struct Link {
+    std::size_t Proxy = 0;
+    TargetId Target;
+    std::size_t Server = 0;
+  };
+  struct Operation {
+    std::string Statement;
+    bool Write = false;
+    bool Current = false; ///< A read of the newest data.
+    TimePoint SentAt;
+  };
+
+  void start(std::size_t proxy);
+  void deliver(std::size_t proxy, const Event &event);
+  void apply(std::size_t proxy, const Event &event);
+  void scheduleTimer(std::size_t proxy);
+  void carryOut(std::size_t proxy, const Effect &effect);
+  void open(std::size_t proxy, const OpenLink &effect);
+  void send(std::size_t proxy, const SendOnLink &effect);
+  void runOne(std::size_t proxy, LinkId link, const LinkCommand &command);
+  void checkRead(const RunStatement &statement, const DbServer &server);
+  void onAnswer(const AnswerStatement &answer);
+  void request();
+  void injectFault();
+  void breakLinks(std::size_t server);
+  [[nodiscard]] bool cutOff(std::size_t proxy, std::size_t server) const {
+    return Cuts.contains({proxy, server});
+  }
+
+  WorldOptions Options;
+  fakes::EventQueue Queue;
+  fakes::Dice Random;
+  DbCluster Cluster;
+  DirectoryStore Store;
+  std::vector<std::unique_ptr<Proxy>> Proxies;
+  std::map<std::pair<std::size_t, LinkId>, Link> Links;
+  std::set<std::pair<std::size_t, std::size_t>> Cuts; ///< Proxy and server.
+  std::map<std::pair<std::size_t, SessionId>, Operation> Sessions;
+  std::map<std::string, Operation> Running; ///< By statement.
+  std::map<std::string, TimePoint> AcknowledgedAt;
+  std::vector<std::string> RefusedWrites;
+  std::uint64_t LastNumber = 0;
+  std::uint64_t Reborn = 0;
+  std::optional<TimePoint> LastWriteAt;
+  WorldResult Result;
+};
+
+} // namespace rosemaryhinge::sessionworld
