Remember who led last, for services where nobody leads

The service stayed without a primary. Change: the claim names the server that leads when it ends; a change without a known primary takes it from there, unless another log has a later term.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -27,7 +27,11 @@
     return;
   }
   change.Claim.start(std::to_string(run.Ctx.Incarnation) + "." + std::to_string(run.Ctx.nextNumber()));
-  change.PreferredCandidate = change.Claim.known().Done ? TargetId() : change.Claim.known().Candidate;
+  const auto &known = change.Claim.known();
+  change.PreferredCandidate = known.Done ? TargetId() : known.Candidate;
+  // Where nobody leads, the server that led last has every acknowledged commit.
+  if (change.Reason.From.empty() && run.Services.Catalog.server(known.From))
+    change.Reason.From = known.From;
   enterPhase(run, Phase::Claiming);
   writeClaim(run, change.PreferredCandidate, false);
 }
@@ -40,7 +44,9 @@
 
 void LeadershipModule::writeClaim(Run &run, const TargetId &candidate, bool done) {
   auto &change = run.Change;
-  auto next = change.Claim.next(run.Service, run.Ctx.Self.Node, change.Reason.From, run.Ctx.Now);
+  const auto leader = run.Services.Catalog.primary(run.Service).value_or(change.Reason.From);
+  auto next =
+      change.Claim.next(run.Service, run.Ctx.Self.Node, done ? leader : change.Reason.From, run.Ctx.Now);
   next.Candidate = candidate;
   next.Done = done;
   change.Call = run.Ctx.call(Module::Leadership);
--- a/src/leadership/internal/serverstates.cpp
+++ b/src/leadership/internal/serverstates.cpp
@@ -14,6 +14,18 @@
   return out;
 }
 
+namespace {
+
+Term highestLogTerm(const ServerStates &servers) {
+  Term out = 0;
+  for (const auto &[target, it] : servers)
+    if (it.Status)
+      out = std::max(out, it.Status->Log.Term);
+  return out;
+}
+
+} // namespace
+
 std::optional<TargetId> mostUpToDate(const ServerStates &servers, const TargetId &preferred) {
   std::optional<TargetId> best;
   const auto rank = [&](const TargetId &target) {
@@ -36,7 +48,8 @@
   const auto at = self->second.Status->Log;
   // The former primary's own log has everything that it acknowledged, once it acknowledges nothing more.
   for (const auto &[target, it] : servers)
-    if (it.FormerPrimary && it.SteppedDown && it.Status && it.Status->Log <= at)
+    if (it.FormerPrimary && it.SteppedDown && it.Status && it.Status->Log <= at &&
+        it.Status->Log.Term >= highestLogTerm(servers))
       return true;
   return std::all_of(servers.begin(), servers.end(), [&](const auto &one) {
     const auto &[target, it] = one;
@@ -65,7 +78,8 @@
       all = false;
   }
   const auto best = mostUpToDate(settled, preferred);
-  const bool holdsFormerLog = best && formerLog && settled.at(*best).Status->Log >= *formerLog;
+  const bool holdsFormerLog = best && formerLog && settled.at(*best).Status->Log >= *formerLog &&
+                              formerLog->Term >= highestLogTerm(servers);
   return all || holdsFormerLog ? best : std::nullopt;
 }
 
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -60,7 +60,9 @@
 struct Claim {
   DatabaseId Service;
   NodeId Holder;
-  TargetId From;      ///< The primary that is to be replaced; empty if none was known.
+  /// The primary that is to be replaced, or, once the change has ended, the one that leads; empty if none is
+  /// known.
+  TargetId From;
   TargetId Candidate; ///< The server whose promotion may have been ordered; empty before the first order.
   bool Done = false;  ///< The change has ended, and no order of it is outstanding.
   std::string Nonce;  ///< Distinguishes this claim from an earlier one of the same holder.
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -86,6 +86,9 @@
                  },
                  [&](const PromotionCall &it) {
                    ++Result.Promotions;
+                   if (it.Token < HighestToken)
+                     Result.Violations.push_back("an order was sent with a lower token than an earlier one");
+                   HighestToken = std::max(HighestToken, it.Token);
                    // An order may reach the platform late, and its answer may be lost.
                    const auto delay = Random.chance(0.1) ? Random.between(1s, 3s) : Duration(10ms);
                    Queue.after(delay, [this, proxy, it, delay] {
@@ -104,6 +107,15 @@
                    onAnswer(it);
                    Queue.after(1ms, [this, proxy, id = it.Session] { deliver(proxy, SessionClosed{id}); });
                  },
+                 [&](const Log &it) {
+                   if (it.Level < LogLevel::Warn)
+                     return;
+                   auto line = std::to_string(Queue.now().time_since_epoch() / 1ms) + " n" +
+                               std::to_string(proxy) + " " + it.Message;
+                   for (const auto &[key, value] : it.Fields)
+                     line += " " + key + "=" + value;
+                   Result.Log.push_back(std::move(line));
+                 },
                  [](const auto &) {},
              },
              effect);
@@ -296,6 +308,11 @@
     if (Cluster.servers()[Cluster.leader()].holds(write))
       Result.Violations.push_back("write " + write + " was refused as not run, and ran");
   Result.Violations.insert(Result.Violations.end(), Cluster.Violations.begin(), Cluster.Violations.end());
+  for (const auto &it : Cluster.servers())
+    Result.Servers += it.Id.str() + (it.Up ? " up" : " down") +
+                      (it.Role == TargetRole::Primary ? " primary" : " replica") + " term " +
+                      std::to_string(it.CurrentTerm) + " paused " + std::to_string(it.PausedFor) + " log " +
+                      std::to_string(it.Log.size()) + "; ";
   Result.RecoveredWrites = LastWriteAt && end - *LastWriteAt < 1s;
   return Result;
 }
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -33,6 +33,8 @@
   std::size_t Writes = 0;
   std::size_t Promotions = 0;
   bool RecoveredWrites = false; ///< Writes were served in the last second, after all faults had ended.
+  std::string Servers;          ///< State of the servers at the end.
+  std::vector<std::string> Log; ///< Warnings of the proxies.
 };
 
 class World {
@@ -90,6 +92,7 @@
   std::map<std::string, TimePoint> AcknowledgedAt;
   std::vector<std::string> RefusedWrites;
   std::uint64_t LastNumber = 0;
+  std::uint64_t HighestToken = 0; ///< Of the orders sent.
   std::uint64_t Reborn = 0;
   std::optional<TimePoint> LastWriteAt;
   WorldResult Result;
