Test the new local settings

Cause: promotion_fencing, first_start and propagation_ms had no test of their own. Change: one that reads, prints and refuses them.

--- a/src/daemon/tests/localsettingstests.cpp
+++ b/src/daemon/tests/localsettingstests.cpp
@@ -84,6 +84,24 @@
   CHECK(std::get<Diagnostics>(loadLocalSettings("/nonexistent/f.yaml")).size() == 1);
 }
 
+TEST_CASE("what the platform promises of promotions and configurations is read, with the cautious values as "
+          "defaults") {
+  const std::string sessions = Good + "interface: sessions\nduties: http://127.0.0.1:7001\n";
+  const auto plain = std::get<LocalSettings>(parseLocalSettings(sessions, "f"));
+  CHECK_FALSE(plain.Self.PromotionFencing);
+  CHECK_FALSE(plain.Self.FirstStart);
+  CHECK((plain.Self.PropagationBound == 3s));
+  const auto set = std::get<LocalSettings>(parseLocalSettings(
+      sessions + "promotion_fencing: true\nfirst_start: true\npropagation_ms: 6000\n", "f"));
+  CHECK(set.Self.PromotionFencing);
+  CHECK(set.Self.FirstStart);
+  CHECK((set.Self.PropagationBound == 6s));
+  const auto text = formatLocalSettings(set);
+  CHECK(formatLocalSettings(std::get<LocalSettings>(parseLocalSettings(text, "f"))) == text);
+  CHECK(findings(sessions + "propagation_ms: 100\n").size() == 1);
+  CHECK(findings(sessions + "promotion_fencing: maybe\n").size() == 1);
+}
+
 TEST_CASE("damaged files give settings or findings") {
   std::mt19937_64 random(61);
   for (int n = 0; n < 3'000; ++n) {
