--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -131,6 +131,7 @@
   }
   std::sort(found.begin(), found.end());
   std::vector<TargetId> out;
+  out.reserve(found.size());
   for (const auto &[rtt, target] : found)
     out.push_back(target);
   return out;
