--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -113,7 +113,7 @@
                    auto line = std::to_string(Queue.now().time_since_epoch() / 1ms) + " n" +
                                std::to_string(proxy) + " " + it.Message;
                    for (const auto &[key, value] : it.Fields)
-                     line += " " + key + "=" + value;
+                     line.append(" ").append(key).append("=").append(value);
                    Result.Log.push_back(std::move(line));
                  },
                  [](const auto &) {},
