--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -53,17 +53,17 @@
   /// Proxies of an availability zone that one may follow, in rendezvous order, and the size of a zone from
   /// which all but the first follow.
   static constexpr std::size_t MaxFollowedPerZone = 2;
+  static constexpr std::size_t MinZoneSizeToFollow = 4;
   /// Proxies of its own zone that a proxy asks before those of other zones if the store does not answer it.
   static constexpr std::size_t NearbyPeers = 2;
-  static constexpr std::size_t MinZoneSizeToFollow = 4;
   /// A proxy that is followed answers after this time, also without news, and is left alone for a while if it
   /// does not, or if it has lost the store itself.
   static constexpr Duration PeerRequestWait = 1s;
   /// The same for a proxy that starts and waits for its first list.
   static constexpr Duration FirstListWait = 250ms;
+  static constexpr Duration PeerRequestGrace = 250ms;
   /// Longest wait at the start for the list of proxies, after it was asked for.
   static constexpr Duration FleetListWait = 250ms;
-  static constexpr Duration PeerRequestGrace = 250ms;
   static constexpr Duration PeerBackoff = 2s;
   /// A proxy that the store does not answer tries again after this time while others have news.
   static constexpr Duration StoreRetryInterval = 2s;
--- a/src/directory/internal/changerelay.h
+++ b/src/directory/internal/changerelay.h
@@ -54,7 +54,7 @@
     return known.Revision > 0 && now - known.ConfirmedAt >= MaxConfirmationAge;
   }
 
-  Duration MaxConfirmationAge = 2200ms;
+  Duration MaxConfirmationAge{}; ///< Set at the start of the proxy.
   std::vector<PendingRequest> PendingRequests;
 };
 
--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -1,5 +1,6 @@
 // Claims of changes of primary: reading, writing, renewing and taking over.
 
+#include "leadership/internal/pauses.h"
 #include "leadership/leadershipmodule.h"
 
 namespace rosemaryhinge {
@@ -7,7 +8,6 @@
 namespace {
 
 constexpr Duration CallTimeout = 800ms;
-constexpr Duration RetryDelay = 400ms;
 constexpr Duration RenewRetryDelay = 150ms;
 /// Interval at which a claim of another proxy is read again.
 constexpr Duration RereadInterval = 1s;
@@ -147,7 +147,7 @@
   }
   run.Ctx.emit(Count{"claims_lost_total"});
   change.Claim.reset();
-  giveUp(run, "another proxy has taken over the claim", RetryDelay);
+  giveUp(run, "another proxy has taken over the claim", detail::RetryDelay);
 }
 
 void LeadershipModule::onStoreFailure(Run &run, const DirectoryFailure &failure) {
@@ -164,7 +164,7 @@
     run.Ctx.emit(Log{LogLevel::Info,
                      "claim not written",
                      {{"service", run.Service.str()}, {"why", "store: " + failure.Message}}});
-    change.NextAttemptAt = run.Ctx.Now + RetryDelay;
+    change.NextAttemptAt = run.Ctx.Now + detail::RetryDelay;
     toIdle(run);
     return;
   case Phase::ConfirmingClaim:
@@ -215,7 +215,7 @@
   const auto now = run.Ctx.Now;
   if (change.Claim.lapsed(now)) {
     run.Ctx.emit(Count{"claims_lost_total"});
-    giveUp(run, "the claim could not be renewed", RetryDelay);
+    giveUp(run, "the claim could not be renewed", detail::RetryDelay);
     return false;
   }
   if (!change.Call && change.Claim.renewalDue(now) && now >= change.RenewAt.value_or(now)) {
--- /dev/null
+++ b/src/leadership/internal/pauses.h
@@ -0,0 +1,14 @@
+// Pauses between attempts to change a primary that several steps share.
+
+#pragma once
+
+#include "base/time.h"
+
+namespace rosemaryhinge::detail {
+
+/// Pause before an attempt is repeated.
+inline constexpr Duration RetryDelay = 400ms;
+/// Pause after a change, or an attempt that proved needless, before the next one of the same service.
+inline constexpr Duration MinChangeInterval = 2s;
+
+} // namespace rosemaryhinge::detail
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -1,5 +1,6 @@
 // The order that makes a server the primary, and the wait for its effect.
 
+#include "leadership/internal/pauses.h"
 #include "leadership/leadershipmodule.h"
 
 namespace rosemaryhinge {
@@ -7,7 +8,6 @@
 namespace {
 
 constexpr Duration PromoteTimeout = 900ms;
-constexpr Duration RetryDelay = 400ms;
 constexpr Duration FencedPause = 1s;
 constexpr int MaxPromotionAttempts = 8;
 constexpr Duration NewPrimaryTimeout = 4s;
@@ -70,9 +70,9 @@
     break;
   }
   if (change.PromotionAttempts >= MaxPromotionAttempts)
-    giveUp(run, "the promotion was not accepted", RetryDelay);
+    giveUp(run, "the promotion was not accepted", detail::RetryDelay);
   else
-    change.NextAttemptAt = ctx.Now + RetryDelay;
+    change.NextAttemptAt = ctx.Now + detail::RetryDelay;
 }
 
 void LeadershipModule::awaitPrimary(Run &run) {
@@ -83,7 +83,7 @@
   }
   keepClaim(run);
   if (change.State == Phase::AwaitingPrimary && run.Ctx.Now - change.PhaseSince >= NewPrimaryTimeout)
-    giveUp(run, "the promoted server does not lead", RetryDelay);
+    giveUp(run, "the promoted server does not lead", detail::RetryDelay);
 }
 
 } // namespace rosemaryhinge
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -2,6 +2,7 @@
 // commits which the candidate would lack.
 
 #include "freshness/primarylease.h"
+#include "leadership/internal/pauses.h"
 #include "leadership/leadershipmodule.h"
 
 #include <utility>
@@ -11,10 +12,8 @@
 namespace {
 
 constexpr Duration SelectionTimeout = 4s;
-constexpr Duration RetryDelay = 400ms;
 /// Pause after an attempt that proved needless.
 constexpr Duration NeedlessPause = 1s;
-constexpr Duration MinChangeInterval = 2s;
 /// A request to a server that has no answer is sent again on another link.
 constexpr Duration RequestTimeout = 600ms;
 /// Time for the candidate to receive what the paused replicas had, before it is paused, too.
@@ -47,7 +46,7 @@
     return;
   }
   if (run.Ctx.Now - change.StartedAt > SelectionTimeout) {
-    giveUp(run, "the servers' logs could not be compared", RetryDelay);
+    giveUp(run, "the servers' logs could not be compared", detail::RetryDelay);
     return;
   }
   refreshServerStates(run);
@@ -259,7 +258,7 @@
     change.QueriedAgain.clear();
   }
   if (detail::anyReplicaAdvances(change.Servers)) {
-    giveUp(run, "the replicas receive from the primary", MinChangeInterval);
+    giveUp(run, "the replicas receive from the primary", detail::MinChangeInterval);
     return true;
   }
   if (run.Ctx.Now - *change.AllPositionsKnownAt < ReplicationStallTime)
@@ -360,7 +359,7 @@
   for (const auto &[target, it] : change.Servers)
     if (!it.FormerPrimary && !it.Missing)
       change.PausedByThisProxy.insert(target);
-  giveUp(run, "the candidate lacks acknowledged commits that the primary has", MinChangeInterval);
+  giveUp(run, "the candidate lacks acknowledged commits that the primary has", detail::MinChangeInterval);
   return true;
 }
 
--- a/src/leadership/internal/serverstates.cpp
+++ b/src/leadership/internal/serverstates.cpp
@@ -6,14 +6,6 @@
 
 namespace rosemaryhinge::detail {
 
-Term highestTerm(const ServerStates &servers) {
-  Term out = 0;
-  for (const auto &[target, it] : servers)
-    if (it.Status)
-      out = std::max({out, it.Status->RaisedTerm, it.Status->Log.Term});
-  return out;
-}
-
 namespace {
 
 Term highestLogTerm(const ServerStates &servers) {
@@ -26,6 +18,14 @@
 
 } // namespace
 
+Term highestTerm(const ServerStates &servers) {
+  Term out = highestLogTerm(servers);
+  for (const auto &[target, it] : servers)
+    if (it.Status)
+      out = std::max(out, it.Status->RaisedTerm);
+  return out;
+}
+
 std::optional<TargetId> mostUpToDate(const ServerStates &servers, const TargetId &preferred) {
   std::optional<TargetId> best;
   const auto rank = [&](const TargetId &target) {
@@ -91,14 +91,10 @@
 }
 
 std::optional<TargetId> newerPrimary(const ServerStates &servers) {
-  Term newest = 0;
-  for (const auto &[target, it] : servers) {
-    if (!it.Status)
-      continue;
-    newest = std::max(newest, it.Status->Log.Term);
-    if (!it.Paused && !it.Status->Paused)
+  Term newest = highestLogTerm(servers);
+  for (const auto &[target, it] : servers)
+    if (it.Status && !it.Paused && !it.Status->Paused)
       newest = std::max(newest, it.Status->RaisedTerm);
-  }
   for (const auto &[target, it] : servers)
     if (!it.FormerPrimary && it.Status && it.Status->Role == TargetRole::Primary &&
         it.Status->RaisedTerm >= newest)
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -2,6 +2,8 @@
 
 #include "leadership/leadershipmodule.h"
 
+#include "leadership/internal/pauses.h"
+
 #include <algorithm>
 
 namespace rosemaryhinge {
@@ -10,8 +12,6 @@
 
 constexpr Duration IdleInterval = 200ms;
 constexpr Duration ActiveInterval = 20ms;
-/// Pause after a change before the next one of the same service.
-constexpr Duration MinChangeInterval = 2s;
 constexpr Duration RepairInterval = 1s;
 /// Limit on resuming replicas; one that does not answer until then is resumed under a later claim.
 constexpr Duration ResumeTimeout = 900ms;
@@ -154,7 +154,7 @@
                     {"source", "this proxy"},
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
   change.PromotionUnanswered = false;
-  change.NextAttemptAt = run.Ctx.Now + MinChangeInterval;
+  change.NextAttemptAt = run.Ctx.Now + detail::MinChangeInterval;
   release(run);
 }
 
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -430,10 +430,10 @@
     if (it->second.State == Phase::Opening)
       server.RetryAt = ctx.Now + FailureRetryDelay;
     const bool opening = it->second.State == Phase::Opening;
-    if (opening)
+    if (opening) {
       onOpenFailed(ctx, it->second.Target, server, LinkFailure::Timeout);
-    if (opening)
       ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(LinkFailure::Timeout)) + "\"}"});
+    }
     removeLink(ctx, id, opening ? std::optional(LinkFailure::Timeout) : std::nullopt, silent);
     ctx.emit(CloseLink{id});
   }
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -32,6 +32,7 @@
   if (!Enabled)
     return;
   addProxy(ctx, {ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress});
+  onProxiesChanged();
   announce(ctx, 0);
   ListAt = ctx.Now + firstListDelay(ctx.Self);
 }
@@ -58,7 +59,6 @@
   const auto it = Proxies.find(entry.Node);
   const bool known = it != Proxies.end() && it->second.Address == entry.Address;
   Proxies[entry.Node] = entry;
-  onProxiesChanged();
   if (!known && entry.Node != ctx.Self.Node)
     ctx.emit(PeerAddress{entry.Node, entry.Address});
 }
@@ -146,20 +146,22 @@
   return it->second;
 }
 
-std::size_t FleetMap::rank(const NodeId &self, std::string_view key) const {
+std::vector<NodeId> FleetMap::fleetOrder(std::string_view key) const {
   std::vector<NodeId> nodes;
+  nodes.reserve(Proxies.size());
   for (const auto &[node, entry] : Proxies)
     nodes.push_back(node);
-  const auto order = rendezvousOrder(key, nodes);
+  return rendezvousOrder(key, nodes);
+}
+
+std::size_t FleetMap::rank(const NodeId &self, std::string_view key) const {
+  const auto order = fleetOrder(key);
   return static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
 }
 
 std::vector<NodeId> FleetMap::others(const NodeId &self, const AvailabilityZone &zone, std::string_view key,
                                      std::size_t nearbyCount) const {
-  std::vector<NodeId> nodes;
-  for (const auto &[node, entry] : Proxies)
-    nodes.push_back(node);
-  auto out = rendezvousOrder(key, nodes);
+  auto out = fleetOrder(key);
   std::erase(out, self);
   std::stable_partition(out.begin(), out.end(), [&, found = std::size_t{0}](const NodeId &it) mutable {
     return Proxies.at(it).AvailabilityZone == zone && found++ < nearbyCount;
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -52,6 +52,8 @@
   void addProxy(Context &ctx, const ProxyEntry &entry);
 
   void onProxiesChanged();
+  /// All proxies, including this one, in rendezvous order for the key.
+  [[nodiscard]] std::vector<NodeId> fleetOrder(std::string_view key) const;
 
   std::map<NodeId, ProxyEntry> Proxies;
   std::size_t ZoneCount = 0;
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -51,6 +51,13 @@
   }
 }
 
+/// Answers each command of a batch with a status of the server.
+void answerCommands(SessionHarness &proxy, const SendOnLink &sent, const TargetStatus &status) {
+  for (std::size_t n = 0; n < sent.Commands.size(); ++n)
+    proxy.apply(
+        LinkReplied{sent.Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+}
+
 /// Pause and resume commands sent to the servers.
 struct Orders {
   std::map<std::string, Term> Paused; ///< Term of the pause command, by server.
@@ -80,9 +87,7 @@
         out.Resumed.insert(target.str());
       const auto raised = std::max<Term>(1, out.Paused[target.str()]);
       const TargetStatus status{TargetRole::Replica, raised, {1, logs.at(target.str())}, {}, false, {}};
-      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
-        proxy.apply(
-            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+      answerCommands(proxy, *sent, status);
     }
     proxy.pass(20ms);
   }
@@ -258,9 +263,7 @@
       const auto target = proxy.Logic.Links.targetOf(sent->Link).value_or(TargetId());
       const TargetStatus status{
           TargetRole::Replica, 2, {1, target == TargetId("a") ? 10U : 20U}, {}, false, {}};
-      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
-        proxy.apply(
-            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+      answerCommands(proxy, *sent, status);
     }
     while (const auto call = proxy.take<DirectoryCall>())
       if (std::holds_alternative<PutClaim>(call->Request)) {
@@ -329,9 +332,7 @@
                                 false,
                                 {},
                                 pause};
-      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
-        proxy.apply(
-            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+      answerCommands(proxy, *sent, status);
     }
     proxy.pass(20ms);
     call = proxy.take<PromotionCall>();
@@ -361,9 +362,7 @@
       const Lsn log = target == TargetId("p") ? 25 : target == TargetId("a") ? 10 : 20;
       const TargetStatus status{
           leads ? TargetRole::Primary : TargetRole::Replica, 1, {1, log}, {}, false, {}};
-      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
-        proxy.apply(
-            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+      answerCommands(proxy, *sent, status);
     }
     proxy.pass(20ms);
     call = proxy.take<PromotionCall>();
@@ -396,9 +395,7 @@
         paused = sent->Link;
       }
       const TargetStatus status{TargetRole::Replica, pause ? 2U : 1U, {1, 10}, {}, false, {}, pause};
-      for (std::size_t one = 0; one < sent->Commands.size(); ++one)
-        proxy.apply(
-            LinkReplied{sent->Link, SessionHarness::done(), TransactionState::Idle, Position{1, 1}, status});
+      answerCommands(proxy, *sent, status);
     }
     proxy.pass(20ms);
     if (paused && pauses == 1)
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -44,8 +44,7 @@
 }
 
 bool SessionsModule::needsPrimary(const Session &session, const PendingStatement &work) {
-  const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
-  return !read || work.Route.Reads == Consistency::Primary || work.PrimaryOnly;
+  return !detail::isRead(session, work) || work.Route.Reads == Consistency::Primary || work.PrimaryOnly;
 }
 
 SessionsModule::WaitQueue &SessionsModule::queueOf(const Session &session) {
@@ -140,7 +139,7 @@
                                                          const PendingStatement &work) {
   if (work.Route.Reads == Consistency::Primary || work.PrimaryOnly)
     return std::nullopt;
-  const auto began = session.Transaction ? session.Transaction->BeganAt : work.ArrivedAt;
+  const auto began = detail::readTime(session, work);
   auto out = Services[work.Route.Service].Positions.smallestCovering(began - work.Route.MaxStaleness);
   if (!out || session.WrittenAtUnknownPosition.contains(work.Route.Service))
     return std::nullopt;
@@ -178,7 +177,7 @@
 std::vector<TargetId> SessionsModule::candidates(Context &ctx, SessionServices &services,
                                                  const Session &session, PendingStatement &work,
                                                  std::optional<Position> &after) {
-  const bool read = session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
+  const bool read = detail::isRead(session, work);
   after = read ? requiredPosition(session, work) : std::nullopt;
   if (!after) {
     const bool provable = read && work.Route.Reads != Consistency::Primary && !work.PrimaryOnly &&
--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 TimePoint SessionsModule::leaseTime(const Session &session, const PendingStatement &work) {
-  const auto began = session.Transaction ? session.Transaction->BeganAt : work.ArrivedAt;
+  const auto began = detail::readTime(session, work);
   return work.Route.Reads == Consistency::Primary ? began : began - work.Route.MaxStaleness;
 }
 
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -74,4 +74,18 @@
   TimePoint IdleSince;            ///< Idle since: when it was opened or last answered.
 };
 
+/// Whether the statement, or the transaction that it belongs to, only reads.
+[[nodiscard]] inline bool isRead(const Session &session, const PendingStatement &work) {
+  return session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
+}
+/// The time to which the consistency of a read refers: its arrival, or the start of its transaction.
+[[nodiscard]] inline TimePoint readTime(const Session &session, const PendingStatement &work) {
+  return session.Transaction ? session.Transaction->BeganAt : work.ArrivedAt;
+}
+/// When the statement is given up: earlier while it waits for a link than when a server works on it.
+[[nodiscard]] inline TimePoint giveUpTime(const Session &session, const PendingStatement &work) {
+  const bool waits = !work.Link && !(session.Transaction && session.Transaction->Link);
+  return waits ? work.LatestStart : work.Deadline;
+}
+
 } // namespace rosemaryhinge::detail
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -152,8 +152,7 @@
   std::optional<TimePoint> at;
   const auto earlier = [&at](TimePoint it) { at = at ? std::min(*at, it) : it; };
   if (const auto &work = session.Current) {
-    const bool waits = !work->Link && !(session.Transaction && session.Transaction->Link);
-    earlier(waits ? work->LatestStart : work->Deadline);
+    earlier(detail::giveUpTime(session, *work));
     if (work->LeaseTerm)
       earlier(work->LeaseRetryAt);
     else if (work->Link && !session.Transaction && work->Mode == AccessMode::Read)
@@ -192,8 +191,7 @@
   if (session.Current) {
     auto &work = *session.Current;
     const bool sent = work.Link.has_value();
-    const bool waits = !sent && !(session.Transaction && session.Transaction->Link);
-    if (ctx.Now >= (waits ? work.LatestStart : work.Deadline)) {
+    if (ctx.Now >= detail::giveUpTime(session, work)) {
       handleNoAnswer(ctx, services, id, session, true);
       return;
     }
--- a/testing/sessionworld/dbcluster.cpp
+++ b/testing/sessionworld/dbcluster.cpp
@@ -157,11 +157,9 @@
     return;
   const bool leads = server->Role == TargetRole::Primary;
   const auto answer = [&](StatementOutcome outcome, TransactionState state, bool status = false) {
-    LinkReplied out{link, std::move(outcome), state, server->end(), std::nullopt};
-    if (!leads)
-      out.At = server->end();
-    else
-      out.At = Position{server->CurrentTerm, server->end().Lsn};
+    const auto end = server->end();
+    LinkReplied out{link, std::move(outcome), state, leads ? Position{server->CurrentTerm, end.Lsn} : end,
+                    std::nullopt};
     if (status)
       out.Status = TargetStatus{server->Role,         std::max(server->CurrentTerm, server->PausedFor),
                                 server->end(),        {},
