Review: statements are sent again after a superseded lease

Cause: a statement that was put back into the queue with its lease state is answered as not run without leaving the queue; later statements of the session are then sent more than once. Change: review/3 holds a script that shows it; the stand-in takes ports outside of those of outgoing connections. Nothing is fixed.

--- a/review/standin/crash.cpp
+++ b/review/standin/crash.cpp
@@ -37,7 +37,9 @@
 int crashCase(const std::string &folder, Record &record, bool trouble) {
   FleetOptions options;
   options.StatusMs = 40;
-  Fleet fleet(options, folder, record);
+  // Never destroyed: threads of its servers may still run at the end.
+  Fleet &fleet = *new Fleet(options, folder, record);
+  const ProxyEnd end{fleet};
   if (!fleet.start())
     return 2;
   sleepMs(3'000);
--- a/review/standin/shutdown.cpp
+++ b/review/standin/shutdown.cpp
@@ -27,7 +27,9 @@
   options.Proxies = 3;
   options.Services = 1;
   options.WorkMs = 40;
-  Fleet fleet(options, folder, record);
+  // Never destroyed: threads of its servers may still run at the end.
+  Fleet &fleet = *new Fleet(options, folder, record);
+  const ProxyEnd end{fleet};
   if (!fleet.start())
     return 2;
   sleepMs(3'000);
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -79,10 +79,15 @@
 }
 
 int freePort() {
-  const int fd = listenOn(0);
-  const int out = portOf(fd);
-  ::close(fd);
-  return out;
+  // Below the ports that the system gives to outgoing connections.
+  static std::mt19937 random(std::random_device{}());
+  for (;;) {
+    const int port = std::uniform_int_distribution<int>(12'000, 30'000)(random);
+    if (const int fd = listenOn(port); fd >= 0) {
+      ::close(fd);
+      return port;
+    }
+  }
 }
 
 int connectTo(int port, int timeoutMs) {
@@ -896,11 +901,6 @@
   }
 }
 
-Fleet::~Fleet() {
-  Proxies.clear();
-  Services.clear();
-}
-
 HttpReply Fleet::duty(const HttpRequest &request) {
   const auto body = Json::parse(request.Body);
   const auto service = body.at("service").get<std::string>();
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -240,7 +240,6 @@
 class Fleet {
 public:
   Fleet(const FleetOptions &options, const std::string &folder, Record &record);
-  ~Fleet();
   /// Starts the proxies and waits until all are ready.
   bool start(int timeoutMs = 20'000);
   bool waitReady(int timeoutMs);
@@ -257,6 +256,12 @@
   std::unique_ptr<HttpServer> Duties;
 };
 
+/// Ends the proxies with its scope.
+struct ProxyEnd {
+  Fleet &Of;
+  ~ProxyEnd() { Of.Proxies.clear(); }
+};
+
 /// A client's session. Requests are sent one after the other.
 class Client {
 public:
