Review: a service for each round of the script on repeated statements

Cause: repeated statements use up a proxy's connections, which disturbed the later rounds; two scripts at the same time could pick the same port.

--- a/review/standin/twice.cpp
+++ b/review/standin/twice.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr int Rounds = 4;
+/// Each with a service of its own.
+constexpr int Rounds = 6;
 constexpr int Sessions = 18;
 /// Between a session's operations.
 constexpr int PauseMs = 600;
@@ -24,7 +25,7 @@
 
 int twiceCase(const std::string &folder, Record &record, bool trouble) {
   FleetOptions options;
-  options.Services = 1;
+  options.Services = Rounds;
   options.WorkMs = 40;
   // Never destroyed: threads of its servers may still run at the end.
   Fleet &fleet = *new Fleet(options, folder, record);
@@ -32,9 +33,10 @@
   if (!fleet.start())
     return 2;
   sleepMs(3'000);
-  auto &service = *fleet.Services[0];
   std::atomic<int> written{0};
   for (int round = 0; round < Rounds; ++round) {
+    auto &service = *fleet.Services[static_cast<std::size_t>(round)];
+    const auto database = "p" + std::to_string(round);
     std::atomic<bool> over{false};
     std::atomic<bool> writes{false};
     std::vector<std::thread> clients;
@@ -43,7 +45,7 @@
       clients.emplace_back([&, n] {
         Client client(record, "cut" + std::to_string(round) + "-" + std::to_string(n));
         while (!over) {
-          if (client.isOpen() || client.open(fleet.Proxies[CutProxy]->port(), "p0"))
+          if (client.isOpen() || client.open(fleet.Proxies[CutProxy]->port(), database))
             client.query("READ k1", 2'000);
           sleepMs(100);
         }
@@ -56,7 +58,7 @@
         sleepMs(PauseMs * n / Sessions);
         int operation = 0;
         while (!over) {
-          if (client.isOpen() || client.open(fleet.Proxies[0]->port(), "p0")) {
+          if (client.isOpen() || client.open(fleet.Proxies[0]->port(), database)) {
             const bool write = writes && operation++ % WriteEvery == 0;
             const auto answer = client.query(write ? "WRITE k" + std::to_string(n) + " v" : "READ k2", 2'000);
             written += write && answer.Complete && answer.Error.empty() ? 1 : 0;
@@ -103,11 +105,12 @@
     sleepMs(2'000);
   }
   int twice = 0;
-  for (const auto &[id, times] : service.commitCounts())
-    if (times > 1) {
-      record.line("write " + id + " was committed " + std::to_string(times) + " times");
-      ++twice;
-    }
+  for (auto &service : fleet.Services)
+    for (const auto &[id, times] : service->commitCounts())
+      if (times > 1) {
+        record.line("write " + id + " was committed " + std::to_string(times) + " times");
+        ++twice;
+      }
   record.line(std::to_string(written) + " writes answered, " + std::to_string(twice) + " committed more than once");
   return twice > 0 ? 1 : 0;
 }
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -78,18 +78,40 @@
   return ntohs(at.sin_port);
 }
 
+namespace {
+
+/// Listeners that keep the ports given out from other programs until they are used.
+std::map<int, int> &heldPorts() {
+  static std::map<int, int> held;
+  return held;
+}
+
+} // namespace
+
 int freePort() {
   // Below the ports that the system gives to outgoing connections.
   static std::mt19937 random(std::random_device{}());
   for (;;) {
     const int port = std::uniform_int_distribution<int>(12'000, 30'000)(random);
+    if (heldPorts().contains(port))
+      continue;
     if (const int fd = listenOn(port); fd >= 0) {
-      ::close(fd);
+      heldPorts()[port] = fd;
       return port;
     }
   }
 }
 
+void releasePort(int port) {
+  if (const auto it = heldPorts().find(port); it != heldPorts().end() && it->second >= 0)
+    ::close(std::exchange(it->second, -1));
+}
+
+void releasePorts() {
+  for (auto &[port, fd] : heldPorts())
+    releasePort(port);
+}
+
 int connectTo(int port, int timeoutMs) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -400,8 +422,10 @@
 
 void Service::start(Server &server) {
   server.ListenFds.clear();
-  for (const auto &port : server.Ports)
+  for (const auto &port : server.Ports) {
+    releasePort(port);
     server.ListenFds.push_back(listenOn(port));
+  }
   server.Up = true;
   server.Born = unixMs();
   server.Sequence = 0;
@@ -928,6 +952,7 @@
 }
 
 bool Fleet::start(int timeoutMs) {
+  releasePorts();
   for (auto &it : Proxies)
     it->start();
   return waitReady(timeoutMs);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -45,6 +45,9 @@
 int listenOn(int port);
 int portOf(int fd);
 int freePort();
+/// Ports that were given out are kept from other programs until then.
+void releasePort(int port);
+void releasePorts();
 int connectTo(int port, int timeoutMs = 2'000);
 bool sendAll(int fd, const std::string &bytes);
 /// Ends a connection with a reset, like the end of a process with unread data.
