Review: the stand-in's sources lie beside build.sh

Cause: review/standin was a folder that is no case. Change: its files lie in review/; build.sh builds them from there.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-"${CXX:-g++}" -std=c++20 -O1 -g -Wall -Wextra -pthread -o target/review/standin review/standin/*.cpp
+"${CXX:-g++}" -std=c++20 -O1 -g -Wall -Wextra -pthread -o target/review/standin review/*.cpp
