Take a statement out of its queue wherever it is answered

Cause: a statement left the queue of waiting statements on each path of its own, and the answer to a read whose lease was superseded had none. Its key stayed for as long as the session lived, and each change of capacity sent whatever statement the session had in progress once more. Change: the answer and the end of a session take the statement out of its queue, in one place each; the other calls are gone.

--- a/src/reducer/tests/leasetests.cpp
+++ b/src/reducer/tests/leasetests.cpp
@@ -16,8 +16,11 @@
   bool Paused = false;
   bool ReplicasAnswer = true;
   std::string Only; ///< If set, only this server answers.
+  bool StatementsAnswer = true;
   int Statements = 0;
   int StatusQueries = 0;
+  LinkId LastBegin;       ///< Link on which a transaction was last begun.
+  LinkId LastStatusQuery; ///< Link on which a replica was last asked for its status.
 
   void run(SessionHarness &proxy, Duration time) {
     for (Duration passed{}; passed < time; passed += 10ms) {
@@ -29,28 +32,41 @@
     }
   }
 
+  /// Answers the last status query for a replica that follows a term.
+  void answerStatus(SessionHarness &proxy, Term term) {
+    ReplicaTerm = term;
+    ReplicasAnswer = true;
+    reportStatus(proxy, LastStatusQuery);
+  }
+
 private:
+  void reportStatus(SessionHarness &proxy, LinkId link) const {
+    const TargetStatus status{
+        TargetRole::Replica, ReplicaTerm + (Paused ? 1 : 0), {ReplicaTerm, 5}, {}, false, {}, Paused};
+    proxy.apply(
+        LinkReplied{link, SessionHarness::done(), TransactionState::Idle, Position{ReplicaTerm, 5}, status});
+  }
+
   void answer(SessionHarness &proxy, const SendOnLink &sent) {
     const auto target = proxy.Logic.Links.targetOf(sent.Link).value_or(TargetId());
     if (!Only.empty() && target.str() != Only)
       return;
     for (const auto &it : sent.Commands) {
       if (std::holds_alternative<BeginTransaction>(it)) {
+        LastBegin = sent.Link;
         proxy.reply(sent.Link, SessionHarness::done(), TransactionState::Open, Position{PrimaryTerm, 5});
       } else if (std::holds_alternative<ReadServerStatus>(it)) {
         ++StatusQueries;
-        if (!ReplicasAnswer)
-          continue;
-        const TargetStatus status{
-            TargetRole::Replica, ReplicaTerm + (Paused ? 1 : 0), {ReplicaTerm, 5}, {}, false, {}, Paused};
-        proxy.apply(LinkReplied{sent.Link, SessionHarness::done(), TransactionState::Idle,
-                                Position{ReplicaTerm, 5}, status});
+        LastStatusQuery = sent.Link;
+        if (ReplicasAnswer)
+          reportStatus(proxy, sent.Link);
       } else if (std::holds_alternative<RollbackTransaction>(it)) {
         proxy.reply(sent.Link, SessionHarness::done(), TransactionState::Idle, Position{PrimaryTerm, 5});
       } else if (std::holds_alternative<RunStatement>(it)) {
         CHECK(target.str() == "p");
         ++Statements;
-        proxy.reply(sent.Link, SessionHarness::done(), TransactionState::Open, Position{PrimaryTerm, 5});
+        if (StatementsAnswer)
+          proxy.reply(sent.Link, SessionHarness::done(), TransactionState::Open, Position{PrimaryTerm, 5});
       }
     }
   }
@@ -151,3 +167,25 @@
   servers.run(proxy, 1500ms);
   CHECK(servers.Statements == 0);
 }
+
+TEST_CASE("a write is sent once after a read of its session has lost its link and its lease") {
+  // Guards against writes that take effect twice: the read was answered, but stayed in the queue of waiting
+  // statements, from which the session's next statement was sent again and again.
+  SessionHarness proxy(false);
+  Servers servers;
+  servers.ReplicasAnswer = false;
+  const auto session = proxy.open("settle");
+  proxy.read(session, "r1");
+  servers.run(proxy, 50ms);
+  REQUIRE(servers.StatusQueries == 1);
+  proxy.apply(LinkClosed{servers.LastBegin, LinkFailure::Lost});
+  servers.answerStatus(proxy, 2);
+  servers.PrimaryTerm = 2;
+  servers.run(proxy, 300ms);
+  REQUIRE(proxy.take<AnswerStatement>());
+  servers.Statements = 0;
+  servers.StatementsAnswer = false;
+  proxy.write(session, "w1");
+  servers.run(proxy, 500ms);
+  CHECK(servers.Statements == 1);
+}
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -268,7 +268,6 @@
   session.Transaction->Link.reset();
   session.Transaction->Failed = true;
   if (session.Current) {
-    removeWaiting(id, session);
     finish(ctx, services, id, session,
            StatementRejection{Rejection::Aborted, "the server's connection ended"});
   } else {
@@ -292,7 +291,6 @@
                                     detail::NoAnswer cause) {
   auto &work = *session.Current;
   const bool sent = work.Link.has_value() && work.StatementSent;
-  removeWaiting(id, session);
   const bool linkLost = cause == detail::NoAnswer::LinkLost;
   if (work.Link && !linkLost) {
     const bool timedOut = cause == detail::NoAnswer::DeadlineExceeded;
@@ -341,6 +339,7 @@
 
 void SessionsModule::finish(Context &ctx, SessionServices &services, SessionId id, Session &session,
                             StatementOutcome outcome, std::optional<Position> at) {
+  removeWaiting(id, session);
   const auto work = *std::exchange(session.Current, std::nullopt);
   WritesInFlight[work.Route.Service].erase({work.SentAt, id});
   logOutcome(ctx, id, session, work, outcome);
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -100,7 +100,6 @@
   if (it == Sessions.end())
     return;
   auto &session = it->second;
-  removeWaiting(event.Session, session);
   if (session.Transaction && session.Transaction->Link) {
     services.Links.release(ctx, *session.Transaction->Link);
   } else if (session.Current && session.Current->Link) {
@@ -112,6 +111,7 @@
 
 void SessionsModule::erase(SessionId id) {
   const auto it = Sessions.find(id);
+  removeWaiting(id, it->second);
   if (it->second.TimerAt)
     Timers.erase({*it->second.TimerAt, id});
   if (const auto &work = it->second.Current; work && work->Link)
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -78,7 +78,7 @@
   /// Statements of one service that wait for a link, by the servers that can run them. One that needs the
   /// primary does not hold up a read that any server can run.
   struct WaitQueue {
-    std::set<WaitKey> Statements;
+    std::set<WaitKey> Statements; ///< Not sent and not answered.
     detail::WaitEstimator Estimator;
   };
   struct WaitQueues {
@@ -162,6 +162,7 @@
   /// Refuses a statement that would wait too long. Returns whether it did.
   bool refuseLongWait(Context &ctx, SessionServices &services, SessionId id, Session &session);
   [[nodiscard]] WaitQueue &queueOf(const Session &session);
+  /// Takes the session's statement out of its queue, if it is in one.
   void removeWaiting(SessionId id, const Session &session);
   /// Records a position that the primary returned, as far as its lease proves that it led.
   void addSample(Context &ctx, SessionServices &services, PositionSample sample);
