End what holds only for a link together with the attempt that uses it

Cause: the lease that a statement awaits, the link and what was sent on it were members of their own, and each path that gave up a link reset some of them. When the link of a read that awaited its lease was lost, the read was queued again and still counted as waiting for the lease; the confirmation then sent it on a link that it did not have. Change: a statement holds one optional attempt with the link and all that belongs to it. A lease can only be admitted for a statement that has an attempt, and only by its own service. On the same path, BEGIN of a transaction no longer counts as answered once its link is lost.

--- a/src/reducer/tests/leasetests.cpp
+++ b/src/reducer/tests/leasetests.cpp
@@ -168,6 +168,24 @@
   CHECK(servers.Statements == 0);
 }
 
+TEST_CASE("a read whose link is lost while it awaits a lease is sent on another link") {
+  // Guards against the end of the whole proxy: the confirmation sent the read on the link that was lost.
+  SessionHarness proxy(false);
+  Servers servers;
+  servers.ReplicasAnswer = false;
+  proxy.read(proxy.open("settle"), "r1");
+  servers.run(proxy, 50ms);
+  REQUIRE(servers.StatusQueries == 1);
+  proxy.apply(LinkClosed{servers.LastBegin, LinkFailure::Lost});
+  servers.answerStatus(proxy, 1);
+  CHECK(servers.Statements == 0);
+  servers.run(proxy, 300ms);
+  CHECK(servers.Statements == 1);
+  const auto answer = proxy.take<AnswerStatement>();
+  REQUIRE(answer);
+  CHECK(std::holds_alternative<StatementResultRows>(answer->Outcome));
+}
+
 TEST_CASE("a write is sent once after a read of its session has lost its link and its lease") {
   // Guards against writes that take effect twice: the read was answered, but stayed in the queue of waiting
   // statements, from which the session's next statement was sent again and again.
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -260,12 +260,9 @@
 void SessionsModule::send(Context &ctx, SessionServices &services, SessionId id, Session &session,
                           LinkId link, const TargetId &target) {
   auto &work = *session.Current;
-  work.Link = link;
+  work.Attempt.emplace().Link = link;
   work.Target = target;
   work.SentAt = ctx.Now;
-  work.StatementSent = false;
-  work.LeaseTerm.reset();
-  work.WrappedRead = false;
   ++work.SendCount;
   auto &transaction = session.Transaction;
   if (transaction && transaction->Link) {
@@ -283,7 +280,7 @@
   if (transaction)
     transaction->Link = link;
   else
-    work.WrappedRead = true;
+    work.Attempt->WrappedRead = true;
   const auto *execute = std::get_if<ExecuteStatement>(&work.Statement.Parsed);
   auto commands =
       services.Links.prepare(link, session.Values, execute ? &session.Prepared.at(execute->Name) : nullptr);
@@ -312,15 +309,15 @@
   }
   if (!session.Transaction && work.Mode == AccessMode::Read)
     run.After = work.After;
-  auto commands = services.Links.prepare(*work.Link, session.Values, shape);
+  auto commands = services.Links.prepare(work.Attempt->Link, session.Values, shape);
   commands.emplace_back(std::move(run));
-  if (work.WrappedRead)
+  if (work.Attempt->WrappedRead)
     commands.emplace_back(RollbackTransaction{});
-  work.StatementSent = true;
+  work.Attempt->StatementSent = true;
   work.SentAt = ctx.Now;
   if (isWriteCommit(session, work))
     WritesInFlight[work.Route.Service].insert({work.SentAt, id});
-  services.Links.send(ctx, *work.Link, std::move(commands));
+  services.Links.send(ctx, work.Attempt->Link, std::move(commands));
   scheduleTimer(id, session);
 }
 
--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -28,21 +28,22 @@
 bool SessionsModule::admitByLease(Context &ctx, SessionServices &services, SessionId id, Session &session,
                                   Term term) {
   auto &work = *session.Current;
+  auto &attempt = *work.Attempt;
   auto &service = Services[work.Route.Service];
   if (service.Lease.superseded(term)) {
-    work.LeaseTerm.reset();
+    attempt.LeaseTerm.reset();
     handleRejection(ctx, services, id, session,
                     {Rejection::ReadOnly, "a server of a later term is the primary"}, TransactionState::Open);
     return false;
   }
   if (service.Lease.covers(term, leaseTime(session, work))) {
-    work.LeaseTerm.reset();
+    attempt.LeaseTerm.reset();
     return true;
   }
-  if (!work.LeaseTerm)
+  if (!attempt.LeaseTerm)
     ctx.emit(Count{"statements_awaiting_lease_total"});
-  work.LeaseTerm = term;
-  work.LeaseRetryAt = ctx.Now + WaitRetryInterval;
+  attempt.LeaseTerm = term;
+  attempt.LeaseRetryAt = ctx.Now + WaitRetryInterval;
   service.AwaitingLease.insert(id);
   requestLease(ctx, services, work.Route.Service);
   scheduleTimer(id, session);
@@ -97,12 +98,15 @@
 void SessionsModule::resumeAfterLease(Context &ctx, SessionServices &services, const DatabaseId &id) {
   for (const auto &waiting : std::exchange(Services[id].AwaitingLease, {})) {
     const auto it = Sessions.find(waiting);
-    if (it == Sessions.end() || !it->second.Current || !it->second.Current->LeaseTerm)
+    if (it == Sessions.end() || !it->second.Current)
       continue;
-    const auto term = *it->second.Current->LeaseTerm;
+    const auto &work = *it->second.Current;
+    if (work.Route.Service != id || !work.Attempt || !work.Attempt->LeaseTerm)
+      continue;
+    const auto term = *work.Attempt->LeaseTerm;
     if (!admitByLease(ctx, services, waiting, it->second, term))
       continue;
-    confirmPrimary(ctx, services, id, it->second.Current->Target, term);
+    confirmPrimary(ctx, services, id, work.Target, term);
     sendStatement(ctx, services, waiting, it->second);
   }
 }
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -47,7 +47,7 @@
 StatementRejection noAnswerRejection(const detail::Session &session, const detail::PendingStatement &work,
                                      detail::NoAnswer cause) {
   const bool leaving = cause == detail::NoAnswer::ShuttingDown;
-  const bool sent = work.Link.has_value() && work.StatementSent;
+  const bool sent = work.Attempt && work.Attempt->StatementSent;
   const auto text = noAnswerText(cause);
   if (!sent)
     return leaving
@@ -81,10 +81,12 @@
     return;
   }
   const auto it = Sessions.find(reply.User.Session);
-  if (it == Sessions.end() || !it->second.Current || it->second.Current->Link != event.Link)
+  if (it == Sessions.end() || !it->second.Current)
     return;
   auto &session = it->second;
   auto &work = *session.Current;
+  if (!work.Attempt || work.Attempt->Link != event.Link)
+    return;
   const auto *why = std::get_if<StatementRejection>(&event.Outcome);
   switch (reply.Step) {
   case LinkStep::Prepare:
@@ -155,7 +157,7 @@
   }
   if (session.Transaction && work.Mode == AccessMode::Write && !work.Commit)
     session.Transaction->Wrote = true;
-  const auto link = *work.Link;
+  const auto link = work.Attempt->Link;
   if (work.Commit)
     session.Transaction.reset();
   if (!session.Transaction)
@@ -196,13 +198,13 @@
     work.Avoid.insert(work.Target);
     break;
   }
-  const auto link = *work.Link;
+  const auto link = work.Attempt->Link;
   if (session.Transaction) {
     session.Transaction->Link.reset();
     session.Transaction->Begun = false;
   }
   WritesInFlight[work.Route.Service].erase({work.SentAt, id});
-  work.Link.reset();
+  work.Attempt.reset();
   if (why.Code == Rejection::NoStatement || why.Code == Rejection::Misrouted)
     services.Links.close(ctx, link, false);
   else
@@ -214,27 +216,27 @@
 void SessionsModule::handleRejection(Context &ctx, SessionServices &services, SessionId id, Session &session,
                                      const StatementRejection &why, TransactionState state) {
   auto &work = *session.Current;
-  if (work.Link && retry(ctx, services, id, session, why))
+  if (work.Attempt && retry(ctx, services, id, session, why))
     return;
   auto told = why;
   if (!session.Transaction) {
-    if (work.Link)
-      services.Links.release(ctx, *work.Link);
+    if (work.Attempt)
+      services.Links.release(ctx, work.Attempt->Link);
     finish(ctx, services, id, session, told);
     return;
   }
-  if (work.Link && why.Code == Rejection::Busy && state == TransactionState::Open &&
+  if (work.Attempt && why.Code == Rejection::Busy && state == TransactionState::Open &&
       ctx.Now < work.Deadline) {
     // The transaction is still open at the server, so the statement can be resent on the same link.
     ctx.emit(Count{"statement_retries_total{reason=\"busy\"}"});
     WritesInFlight[work.Route.Service].erase({work.SentAt, id});
-    work.Link.reset();
+    work.Attempt.reset();
     work.RetryAt = ctx.Now + BusyRetryDelay;
     work.RetryPending = true;
     scheduleTimer(id, session);
     return;
   }
-  if (why.Code == Rejection::ReadOnly && work.Link)
+  if (why.Code == Rejection::ReadOnly && work.Attempt)
     services.Catalog.denyPrimary(work.Target);
   if (work.Commit) {
     const bool undecided =
@@ -258,7 +260,7 @@
   if (it == Sessions.end())
     return;
   auto &session = it->second;
-  const bool working = session.Current && session.Current->Link;
+  const bool working = session.Current && session.Current->Attempt;
   if (working) {
     handleNoAnswer(ctx, services, id, session, detail::NoAnswer::LinkLost);
     return;
@@ -279,10 +281,10 @@
 
 void SessionsModule::resendRead(Context &ctx, SessionServices &services, SessionId id, Session &session) {
   auto &work = *session.Current;
-  const auto link = *work.Link;
+  const auto link = work.Attempt->Link;
   ctx.emit(Count{"statement_retries_total{reason=\"no_answer\"}"});
   work.Avoid.insert(work.Target);
-  work.Link.reset();
+  work.Attempt.reset();
   services.Links.close(ctx, link, true);
   dispatch(ctx, services, id, session);
 }
@@ -290,11 +292,11 @@
 void SessionsModule::handleNoAnswer(Context &ctx, SessionServices &services, SessionId id, Session &session,
                                     detail::NoAnswer cause) {
   auto &work = *session.Current;
-  const bool sent = work.Link.has_value() && work.StatementSent;
+  const bool sent = work.Attempt && work.Attempt->StatementSent;
   const bool linkLost = cause == detail::NoAnswer::LinkLost;
-  if (work.Link && !linkLost) {
+  if (work.Attempt && !linkLost) {
     const bool timedOut = cause == detail::NoAnswer::DeadlineExceeded;
-    services.Links.close(ctx, *work.Link, timedOut);
+    services.Links.close(ctx, work.Attempt->Link, timedOut);
     if (auto &service = Services[work.Route.Service]; timedOut && sent && isWriteCommit(session, work)) {
       service.WritesUnansweredSince =
           std::min(service.WritesUnansweredSince.value_or(work.SentAt), work.SentAt);
@@ -303,18 +305,20 @@
   }
   const bool single = !session.Transaction;
   const bool again = !sent || (single && work.Mode == AccessMode::Read);
-  if (work.Link && again && linkLost && work.SendCount < MaxReadSends) {
-    if (session.Transaction)
+  if (work.Attempt && again && linkLost && work.SendCount < MaxReadSends) {
+    if (session.Transaction) {
       session.Transaction->Link.reset();
+      session.Transaction->Begun = false;
+    }
     ctx.emit(Count{"statement_retries_total{reason=\"link_lost\"}"});
     work.Avoid.insert(work.Target);
-    work.Link.reset();
+    work.Attempt.reset();
     dispatch(ctx, services, id, session);
     return;
   }
   const auto why = noAnswerRejection(session, work, cause);
   if (!single) {
-    if (work.Link)
+    if (work.Attempt)
       session.Transaction->Link.reset();
     if (work.Commit && sent)
       session.Transaction.reset();
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -21,6 +21,17 @@
   ShuttingDown, ///< The shutdown grace ends before the server has replied.
 };
 
+/// One attempt to run a statement at a server, from the choice of a link to the answer or the loss of the
+/// link. What holds only for that link ends with it.
+struct SendAttempt {
+  LinkId Link;
+  bool StatementSent = false; ///< The statement itself was sent, not only BEGIN.
+  /// Set while the statement waits for the lease of the primary of this term.
+  std::optional<Term> LeaseTerm;
+  TimePoint LeaseRetryAt;
+  bool WrappedRead = false; ///< A single read that the proxy wraps in a transaction to get a position.
+};
+
 /// A statement in progress, from its arrival to its answer.
 struct PendingStatement {
   SessionStatement Statement;
@@ -38,16 +49,12 @@
   bool ExchangeTried = false; ///< No other proxy supplied a log position, so the primary is used instead.
   bool PrimaryOnly = false;   ///< Replicas are no longer considered.
 
-  // Set while a server processes it.
-  std::optional<LinkId> Link;
+  std::optional<SendAttempt> Attempt; ///< Set while a server processes it.
+
+  // Of the present attempt, or of the last one.
   TargetId Target;
   TimePoint SentAt;
   std::optional<Position> After;
-  bool StatementSent = false; ///< The statement itself was sent, not only BEGIN.
-  /// Set while the statement waits for the lease of the primary of this term.
-  std::optional<Term> LeaseTerm;
-  TimePoint LeaseRetryAt;
-  bool WrappedRead = false; ///< A single read that the proxy wraps in a transaction to get a position.
 };
 
 /// A transaction, from BEGIN to the answer to the statement that ends it. It holds a server connection from
@@ -98,7 +105,7 @@
 }
 /// When the statement is given up: earlier while it waits for a link than when a server works on it.
 [[nodiscard]] inline TimePoint giveUpTime(const Session &session, const PendingStatement &work) {
-  const bool waits = !work.Link && !(session.Transaction && session.Transaction->Link);
+  const bool waits = !work.Attempt && !(session.Transaction && session.Transaction->Link);
   return waits ? work.LatestStart : work.Deadline;
 }
 
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -102,8 +102,8 @@
   auto &session = it->second;
   if (session.Transaction && session.Transaction->Link) {
     services.Links.release(ctx, *session.Transaction->Link);
-  } else if (session.Current && session.Current->Link) {
-    services.Links.release(ctx, *session.Current->Link);
+  } else if (session.Current && session.Current->Attempt) {
+    services.Links.release(ctx, session.Current->Attempt->Link);
   }
   erase(event.Session);
   onCapacity(ctx, services);
@@ -114,7 +114,7 @@
   removeWaiting(id, it->second);
   if (it->second.TimerAt)
     Timers.erase({*it->second.TimerAt, id});
-  if (const auto &work = it->second.Current; work && work->Link)
+  if (const auto &work = it->second.Current; work && work->Attempt)
     WritesInFlight[work->Route.Service].erase({work->SentAt, id});
   Sessions.erase(it);
 }
@@ -155,11 +155,11 @@
   const auto earlier = [&at](TimePoint it) { at = at ? std::min(*at, it) : it; };
   if (const auto &work = session.Current) {
     earlier(detail::giveUpTime(session, *work));
-    if (work->LeaseTerm)
-      earlier(work->LeaseRetryAt);
-    else if (work->Link && !session.Transaction && work->Mode == AccessMode::Read)
+    if (work->Attempt && work->Attempt->LeaseTerm)
+      earlier(work->Attempt->LeaseRetryAt);
+    else if (work->Attempt && !session.Transaction && work->Mode == AccessMode::Read)
       earlier(work->SentAt + ReadResendTimeout);
-    if (!work->Link && work->RetryPending)
+    if (!work->Attempt && work->RetryPending)
       earlier(work->RetryAt);
   } else if (session.Transaction && !session.Transaction->Failed && session.Transaction->Link) {
     earlier(session.Transaction->IdleSince + TransactionIdle);
@@ -187,13 +187,13 @@
   }
   if (session.Current) {
     auto &work = *session.Current;
-    const bool sent = work.Link.has_value();
+    const bool sent = work.Attempt.has_value();
     if (ctx.Now >= detail::giveUpTime(session, work)) {
       handleNoAnswer(ctx, services, id, session, detail::NoAnswer::DeadlineExceeded);
       return;
     }
-    if (work.LeaseTerm) {
-      work.LeaseRetryAt = ctx.Now + WaitRetryInterval;
+    if (sent && work.Attempt->LeaseTerm) {
+      work.Attempt->LeaseRetryAt = ctx.Now + WaitRetryInterval;
       requestLease(ctx, services, work.Route.Service);
     } else if (sent && !session.Transaction && work.Mode == AccessMode::Read &&
                ctx.Now >= work.SentAt + ReadResendTimeout) {
