Let a second SIGTERM change nothing

Cause: a second SIGTERM ended the process at once, with all statements in progress. Both daemons had a handler of their own with the same fault. The new test failed before. Change: one handler for both daemons. A further SIGTERM is logged; SIGINT during a shutdown ends the process at once.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "admin/admin.h"
 #include "callers/callers.h"
+#include "daemon/internal/shutdownsignals.h"
 #include "daemon/internal/wiring.h"
 #include "daemon/loop.h"
 #include "http/httpserver.h"
@@ -11,8 +12,6 @@
 #include "peers/peers.h"
 #include "targets/targets.h"
 
-#include <asio/signal_set.hpp>
-
 #include <chrono>
 #include <csignal>
 
@@ -24,22 +23,6 @@
 constexpr std::chrono::milliseconds AdminTimeout{120'000};
 constexpr std::size_t AdminConnections = 256;
 
-void waitForSignals(asio::signal_set &signals, Loop &loop, ILogger &logger, bool again) {
-  signals.async_wait([&, again](std::error_code ec, int number) {
-    if (ec)
-      return;
-    logger.log({LogLevel::Info,
-                again ? "ending at once" : "shutdown requested",
-                {{"signal", std::to_string(number)}}});
-    if (again) {
-      loop.stop();
-      return;
-    }
-    loop.post(ShutdownRequested{});
-    waitForSignals(signals, loop, logger, true);
-  });
-}
-
 } // namespace
 
 int runDaemon(const LocalSettings &settings, IReducer &reducer, ILogger &logger,
@@ -73,8 +56,7 @@
 
   callers->start();
   admin->start();
-  asio::signal_set signals(io, SIGTERM, SIGINT);
-  waitForSignals(signals, loop, logger, false);
+  const detail::ShutdownSignals signals(io, loop, logger);
   const DaemonPorts ports{callers->port(), peers->port(), admin->port()};
   logger.log({LogLevel::Info,
               "listening",
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -3,6 +3,7 @@
 #include "daemon/sessiondaemon.h"
 
 #include "admin/admin.h"
+#include "daemon/internal/shutdownsignals.h"
 #include "daemon/internal/wiring.h"
 #include "daemon/loop.h"
 #include "http/httpserver.h"
@@ -39,44 +40,28 @@
       {LogLevel::Info, "settings file read", {{"change", same ? "none" : "in force after a restart"}}});
 }
 
-class Signals {
+/// Reports what a changed settings file holds, on each SIGHUP.
+class ReloadSignal {
 public:
-  Signals(asio::io_context &io, Loop &loop, const LocalSettings &settings, std::string file, ILogger &logger)
-      : Set(io, SIGTERM, SIGINT, SIGHUP), Events(loop), Settings(settings), File(std::move(file)),
-        Logger(logger) {
+  ReloadSignal(asio::io_context &io, const LocalSettings &settings, std::string file, ILogger &logger)
+      : Set(io, SIGHUP), Settings(settings), File(std::move(file)), Logger(logger) {
     wait();
   }
 
 private:
   void wait() {
-    Set.async_wait([this](std::error_code ec, int number) {
+    Set.async_wait([this](std::error_code ec, int) {
       if (ec)
         return;
-      take(number);
+      reload(Settings, File, Logger);
       wait();
     });
   }
 
-  void take(int number) {
-    if (number == SIGHUP) {
-      reload(Settings, File, Logger);
-      return;
-    }
-    Logger.log({LogLevel::Info,
-                Stopping ? "ending at once" : "shutdown requested",
-                {{"signal", std::to_string(number)}}});
-    if (std::exchange(Stopping, true))
-      Events.stop();
-    else
-      Events.post(ShutdownRequested{});
-  }
-
   asio::signal_set Set;
-  Loop &Events;
   const LocalSettings &Settings;
   std::string File;
   ILogger &Logger;
-  bool Stopping = false;
 };
 
 } // namespace
@@ -116,7 +101,8 @@
                      metrics, ready);
     more->start();
   }
-  const Signals signals(io, loop, settings, file, logger);
+  const detail::ShutdownSignals signals(io, loop, logger);
+  const ReloadSignal reloads(io, settings, file, logger);
   logger.log({LogLevel::Info,
               "started",
               {{"release", settings.Self.Release},
--- /dev/null
+++ b/src/daemon/internal/shutdownsignals.h
@@ -0,0 +1,32 @@
+// Signals that ask the process to shut down.
+//
+// The first SIGTERM or SIGINT starts a graceful shutdown. Service managers and scripts may send SIGTERM more
+// than once, also to a process that is already shutting down, so a further one changes nothing. A SIGINT
+// during the shutdown, such as a second Ctrl-C, ends the process at once.
+
+#pragma once
+
+#include "daemon/logger.h"
+#include "daemon/loop.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+namespace rosemaryhinge::detail {
+
+class ShutdownSignals {
+public:
+  /// All three must outlive the object.
+  ShutdownSignals(asio::io_context &io, Loop &loop, ILogger &logger);
+
+private:
+  void wait();
+  void onSignal(int number);
+
+  asio::signal_set Set;
+  Loop &Events;
+  ILogger &Logger;
+  bool Stopping = false; ///< The graceful shutdown has been requested.
+};
+
+} // namespace rosemaryhinge::detail
--- a/src/daemon/tests/looptests.cpp
+++ b/src/daemon/tests/looptests.cpp
@@ -1,9 +1,11 @@
 // Tests of the event loop with a small decision logic, and of log lines.
 
+#include "daemon/internal/shutdownsignals.h"
 #include "daemon/logger.h"
 #include "daemon/loop.h"
 #include "net/bootclock.h"
 
+#include <csignal>
 #include <doctest/doctest.h>
 #include <functional>
 
@@ -232,3 +234,27 @@
       "{\"time\":\"2023-11-14T22:13:20.123Z\",\"level\":\"warn\",\"message\":\"two\\nlines\",\"db\":\"a b\","
       "\"n\":\"1\",\"bad\":\"\xef\xbf\xbd\"}");
 }
+
+TEST_CASE("a second SIGTERM does not end a process that is shutting down") {
+  // Guards against statements that are cut off without an answer before the shutdown grace has ended.
+  asio::io_context io;
+  TestReducer reducer;
+  std::size_t requested = 0;
+  reducer.Rule = [&](const Event &event, TimePoint) {
+    requested += std::holds_alternative<ShutdownRequested>(event) ? 1 : 0;
+    return Effects{};
+  };
+  Metrics metrics;
+  TestLogger logger;
+  Loop loop(io, reducer, metrics, logger);
+  const detail::ShutdownSignals signals(io, loop, logger);
+  for (int n = 0; n < 3; ++n) {
+    std::raise(SIGTERM);
+    io.run_for(20ms);
+  }
+  CHECK(requested == 1);
+  CHECK_FALSE(io.stopped());
+  std::raise(SIGINT);
+  io.run_for(20ms);
+  CHECK(io.stopped());
+}
