Order the store's revisions by its eras

Cause: revisions were compared as if the store never forgot one. After a list the higher of the old and the new revision was kept. The watch from it got 410 and led to a list, without end; once the store had passed it, the watch was answered without what had been written again below it. The same held for entries of servers, for what proxies tell each other, and for claims and their fencing tokens. A watch or a list that spans a restoration is read again, and late answers from before it count as failed. An entry from the copy undoes nothing that its server has reported since. Claims are forgotten, and none is made before earlier ones have lapsed. Proxies announce themselves again. The HTTP client keeps the value of one response header of choice.

--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -1,5 +1,7 @@
 #include "catalog/catalog.h"
 
+#include "protocol/storerevision.h"
+
 #include <algorithm>
 
 namespace rosemaryhinge {
@@ -11,6 +13,13 @@
 constexpr std::size_t MaxMissing = 16;
 constexpr std::size_t MaxMisrouted = 1'000;
 
+/// Whether an entry is older than the known one although its revision is higher: the store has come back from
+/// an older copy, and the server has not written again yet.
+bool isFromOlderCopy(const ServerEntry &entry, const ServerEntry &known) {
+  return storeEra(entry.Revision) > storeEra(known.Revision) && entry.StartedAt == known.StartedAt &&
+         entry.Sequence < known.Sequence;
+}
+
 } // namespace
 
 bool Catalog::accept(Configuration next) {
@@ -42,7 +51,8 @@
     MisroutedAtRevision.erase(it);
   }
   const auto known = Servers.find(entry.Target);
-  if (known != Servers.end() && known->second.Entry.Revision >= entry.Revision)
+  if (known != Servers.end() &&
+      (known->second.Entry.Revision >= entry.Revision || isFromOlderCopy(entry, known->second.Entry)))
     return;
   ++ChangeCount;
   if (known != Servers.end() && known->second.Entry.Service != entry.Service)
--- a/src/catalog/tests/catalogtests.cpp
+++ b/src/catalog/tests/catalogtests.cpp
@@ -1,6 +1,7 @@
 // Unit tests of Catalog.
 
 #include "catalog/catalog.h"
+#include "protocol/storerevision.h"
 
 #include <doctest/doctest.h>
 
@@ -144,3 +145,24 @@
   catalog.onMisrouted(A, Start);
   CHECK(catalog.missingServers(Yard).size() == 1);
 }
+
+TEST_CASE("an entry from an older copy of the store undoes nothing that its server has reported since") {
+  // Guards against a leaving server that is used again after a restoration of the store.
+  Catalog catalog;
+  const auto reported = [](std::uint64_t revision, std::uint64_t sequence, bool leaving) {
+    auto out = entry(A, TargetRole::Replica, revision, leaving);
+    out.StartedAt = 5'000;
+    out.Sequence = sequence;
+    return out;
+  };
+  catalog.updateServer(reported(storeRevision(1, 90), 12, true), Start);
+  catalog.updateServer(reported(storeRevision(2, 40), 9, false), Start + 1s);
+  CHECK(catalog.server(A)->Entry.Leaving);
+  catalog.updateServer(reported(storeRevision(2, 44), 13, false), Start + 2s);
+  CHECK_FALSE(catalog.server(A)->Entry.Leaving);
+  // A server that has started again counts its reports anew.
+  auto restarted = reported(storeRevision(3, 20), 1, true);
+  restarted.StartedAt = 9'000;
+  catalog.updateServer(restarted, Start + 3s);
+  CHECK(catalog.server(A)->Entry.Leaving);
+}
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -3,6 +3,7 @@
 #include "directory/directorymodule.h"
 
 #include "base/overloaded.h"
+#include "protocol/storerevision.h"
 
 #include <algorithm>
 #include <set>
@@ -116,12 +117,15 @@
   feed->PendingPeer = NodeId();
   feed->UnansweredPeerRequests = 0;
   auto &known = feed->Sync;
+  // A proxy that has not learnt of a restoration of the store knows entries that are gone.
+  const bool current = storeEra(reply.Revision) >= storeEra(known.Revision);
   known.Revision = std::max(known.Revision, reply.Revision);
-  known.ConfirmedAt = std::max(known.ConfirmedAt, ctx.Now - reply.Age);
-  if (reply.Complete) {
+  if (current)
+    known.ConfirmedAt = std::max(known.ConfirmedAt, ctx.Now - reply.Age);
+  if (current && reply.Complete) {
     known.CompactedBefore = known.Revision;
     applyList(ctx, services.Catalog, *feed, reply.Objects);
-  } else {
+  } else if (current) {
     for (const auto &it : reply.Objects)
       applyObject(ctx, services.Catalog, *feed, it);
   }
@@ -129,7 +133,7 @@
   feed->Listing = feed->Listing && known.Revision == 0;
   Relay.answerPending(ctx, services.Catalog, feed->Kind, known);
   const bool large = isLargeZone(services.Fleet.order(ctx.Self.AvailabilityZone, WatcherKey));
-  if (reply.Age >= (large ? Relay.maxConfirmationAge() : MaxPeerConfirmationAge)) {
+  if (!current || reply.Age >= (large ? Relay.maxConfirmationAge() : MaxPeerConfirmationAge)) {
     BackoffUntil[from] = ctx.Now + PeerBackoff;
     ++feed->StalePeerReplies;
   }
@@ -189,6 +193,11 @@
   auto &known = feed->Sync;
   std::visit(Overloaded{
                  [&](const DirectoryListing &it) {
+                   if (storeEra(std::exchange(feed->PageRevision, it.Revision)) != storeEra(it.Revision) &&
+                       !feed->PartialList.empty()) {
+                     startListing(ctx, *feed);
+                     return;
+                   }
                    feed->PartialList.insert(feed->PartialList.end(), it.Objects.begin(), it.Objects.end());
                    if (it.More && !lastName(it.Objects).empty())
                      return;
@@ -199,6 +208,11 @@
                    applyList(ctx, services.Catalog, *feed, std::exchange(feed->PartialList, {}));
                  },
                  [&](const DirectoryChanges &it) {
+                   if (storeEra(it.Revision) != storeEra(known.Revision)) {
+                     // The store has been restored, and tells of none of the changes that it has forgotten.
+                     startListing(ctx, *feed);
+                     return;
+                   }
                    known.Revision = std::max(known.Revision, it.Revision);
                    known.ConfirmedAt = ctx.Now;
                    for (const auto &object : it.Objects)
@@ -271,7 +285,7 @@
                      {"service", it.Service.str()},
                      {"role", it.Role ? (*it.Role == TargetRole::Primary ? "primary" : "replica") : "none"},
                      {"leaving", it.Leaving ? "yes" : "no"},
-                     {"revision", std::to_string(it.Revision)}}});
+                     {"revision", std::to_string(storeNumber(it.Revision))}}});
             if (const auto after = catalog.primary(it.Service); after && after != before)
               ctx.emit(Log{LogLevel::Info,
                            "primary changed",
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -1,6 +1,7 @@
 // Tests of how the catalogue follows the store.
 
 #include "directory/directorymodule.h"
+#include "protocol/storerevision.h"
 
 #include <doctest/doctest.h>
 
@@ -53,6 +54,11 @@
     out.Revision = revision;
     return {name, false, out};
   }
+  static DirectoryObject configuration(std::uint64_t version) {
+    Configuration out;
+    out.Version = version;
+    return {"main", false, out};
+  }
   static DirectoryObject deletedEntry(const std::string &name) { return {name, true, UnreadableObject{}}; }
 
   /// Makes a proxy known, in this zone or another one.
@@ -452,3 +458,55 @@
   CHECK(reply->second.Complete);
   CHECK(reply->second.Objects.size() == 1);
 }
+
+TEST_CASE("after a restoration of the store, a watch goes on from the revision of the new list") {
+  // Guards against changes that are missed: the store gives the revisions that it has forgotten out again.
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Servers),
+               DirectoryListing{{Fixture::server("a", storeRevision(1, 90))}, false, storeRevision(1, 100)});
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryHistoryCompacted{});
+  store.answer(*store.take(DirectoryKind::Servers),
+               DirectoryListing{{Fixture::server("a", storeRevision(2, 60))}, false, storeRevision(2, 61)});
+  const auto call = store.take(DirectoryKind::Servers);
+  REQUIRE(call);
+  CHECK(storeNumber(std::get<WatchDirectory>(call->Request).Revision) == 61);
+  store.answer(*call,
+               DirectoryChanges{{Fixture::server("a", storeRevision(2, 62), true)}, storeRevision(2, 62)});
+  CHECK(store.Known.server(TargetId("a"))->Entry.Leaving);
+}
+
+TEST_CASE("a watch that a restored store answers is replaced by a list") {
+  // Guards against a configuration that is never in force: it was written again below the watched revision.
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryListing{{Fixture::configuration(7)}, false, storeRevision(1, 100)});
+  store.answer(*store.take(DirectoryKind::Configuration), DirectoryChanges{{}, storeRevision(2, 105)});
+  const auto call = store.take(DirectoryKind::Configuration);
+  REQUIRE(call);
+  REQUIRE(std::holds_alternative<ListDirectory>(call->Request));
+  store.answer(*call, DirectoryListing{{Fixture::configuration(8)}, false, storeRevision(2, 105)});
+  CHECK(store.Known.configuration().Version == 8);
+}
+
+TEST_CASE("a list whose pages come from before and after a restoration is read again") {
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Servers),
+               DirectoryListing{{Fixture::server("a", storeRevision(1, 90))}, true, storeRevision(1, 100)});
+  store.answer(*store.take(DirectoryKind::Servers),
+               DirectoryListing{{Fixture::server("b", storeRevision(2, 60))}, false, storeRevision(2, 61)});
+  CHECK_FALSE(store.Known.serversLoaded());
+  const auto call = store.take(DirectoryKind::Servers);
+  REQUIRE(call);
+  CHECK(std::get<ListDirectory>(call->Request).After.empty());
+}
+
+TEST_CASE("a followed proxy that knows nothing of a restoration ends no entries and is left for the next") {
+  Follower it;
+  const auto first = it.Of;
+  it.reply({0, {}, storeRevision(2, 40), 100ms, true, {Fixture::server("a", storeRevision(2, 30))}});
+  CHECK(it.Asked.Revision == storeRevision(2, 40));
+  it.reply({0, {}, storeRevision(1, 90), 100ms, true, {}});
+  it.advance(3s);
+  CHECK(it.Known.server(TargetId("a")));
+  CHECK(it.Of != first);
+}
--- a/src/httpclient/httpclient.cpp
+++ b/src/httpclient/httpclient.cpp
@@ -49,7 +49,8 @@
   void call(HttpCall call, Handler handler) override {
     Metrics.count(Options.MetricPrefix + "_calls_total");
     const auto timeout = call.Timeout;
-    auto transfer = std::make_unique<detail::Transfer>(std::move(call), std::move(handler), Options.MaxBody);
+    auto transfer = std::make_unique<detail::Transfer>(std::move(call), std::move(handler), Options.MaxBody,
+                                                       Options.ResponseHeader);
     if (Stopped)
       return;
     if (Running.size() < Options.MaxRunning) {
--- a/src/httpclient/httpclient.h
+++ b/src/httpclient/httpclient.h
@@ -27,14 +27,15 @@
   bool Connected = true; ///< False if no connection could be made: nothing was sent.
   bool TooLarge = false; ///< The body of the response exceeds MaxBody.
   int Status = 0;
-  std::string VersionHeader; ///< X-Version; empty if absent.
+  std::string HeaderValue; ///< Of HttpClientOptions::ResponseHeader; empty if absent.
   std::string Body;
   std::string Error; ///< Why there is no response.
 };
 
 struct HttpClientOptions {
-  std::string Url;          ///< Without a path, such as http://10.0.0.1:7000.
-  std::string MetricPrefix; ///< Of the counters <prefix>_calls_total and so on.
+  std::string Url;            ///< Without a path, such as http://10.0.0.1:7000.
+  std::string MetricPrefix;   ///< Of the counters <prefix>_calls_total and so on.
+  std::string ResponseHeader; ///< Name of a response header whose value is kept, in lower case.
   std::size_t MaxRunning = 256;
   std::size_t MaxQueued = 4'096;
   std::size_t MaxBody = std::size_t{2} << 20;
--- a/src/httpclient/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::string_view VersionHeader = "x-version:";
-
 std::string_view trim(std::string_view text) {
   const auto from = text.find_first_not_of(" \t\r\n");
   if (from == std::string_view::npos)
@@ -84,12 +82,14 @@
 }
 
 std::size_t Transfer::onHeader(char *data, std::size_t size, std::size_t count, void *self) {
+  auto *it = static_cast<Transfer *>(self);
   const std::string_view line(data, size * count);
+  const auto colon = line.find(':');
   const auto same = [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; };
-  if (line.size() > VersionHeader.size() &&
-      std::equal(VersionHeader.begin(), VersionHeader.end(), line.begin(),
-                 [&](char a, char b) { return same(b, a); }))
-    static_cast<Transfer *>(self)->Response.VersionHeader = trim(line.substr(VersionHeader.size()));
+  if (colon != std::string_view::npos && !it->ResponseHeader.empty() &&
+      std::equal(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), it->ResponseHeader.begin(),
+                 it->ResponseHeader.end(), same))
+    it->Response.HeaderValue = trim(line.substr(colon + 1));
   return size * count;
 }
 
--- a/src/httpclient/internal/transfer.h
+++ b/src/httpclient/internal/transfer.h
@@ -20,8 +20,10 @@
 
 class Transfer {
 public:
-  Transfer(HttpCall call, IHttpClient::Handler handler, std::size_t maxBody)
-      : Call(std::move(call)), Handler(std::move(handler)), MaxBody(maxBody) {}
+  /// \param responseHeader As in HttpClientOptions.
+  Transfer(HttpCall call, IHttpClient::Handler handler, std::size_t maxBody, std::string responseHeader)
+      : Call(std::move(call)), Handler(std::move(handler)), MaxBody(maxBody),
+        ResponseHeader(std::move(responseHeader)) {}
 
   /// Prepares the handle. Url is without a path.
   [[nodiscard]] bool prepare(const std::string &url, std::chrono::milliseconds connectTimeout);
@@ -38,6 +40,7 @@
   HttpCall Call;
   IHttpClient::Handler Handler;
   std::size_t MaxBody;
+  std::string ResponseHeader;
   std::unique_ptr<CURL, EasyDeleter> Easy;
   std::unique_ptr<curl_slist, HeadersDeleter> Headers;
   HttpResult Response;
--- a/src/leadership/internal/claimstate.cpp
+++ b/src/leadership/internal/claimstate.cpp
@@ -40,4 +40,9 @@
   ConfirmedAt.reset();
 }
 
+void ClaimState::forget(TimePoint now) {
+  reset();
+  observe({}, now);
+}
+
 } // namespace rosemaryhinge::detail
--- a/src/leadership/internal/claimstate.h
+++ b/src/leadership/internal/claimstate.h
@@ -39,6 +39,8 @@
   [[nodiscard]] bool isOwn(const Claim &claim, const NodeId &self) const;
   /// Ends this proxy's claim; it acts on it no more.
   void reset();
+  /// Also forgets what the store has held: it has come back from an older copy.
+  void forget(TimePoint now);
 
   /// Whether this proxy may act on its claim.
   [[nodiscard]] bool held(TimePoint now) const { return ConfirmedAt && now - *ConfirmedAt < ActPeriod; }
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -131,7 +131,8 @@
   const auto &catalog = run.Services.Catalog;
   // A primary that is the only server left cannot be replaced.
   const std::size_t others = catalog.servers(run.Service).size() - (change.Primary ? 1 : 0);
-  if (!reason || Leaving || run.Ctx.Now < change.NextAttemptAt || others == 0)
+  const bool settled = run.Services.Era.knownFor(detail::ClaimState::TakeoverDelay, run.Ctx.Now);
+  if (!reason || Leaving || !settled || run.Ctx.Now < change.NextAttemptAt || others == 0)
     return;
   change.Reason = std::move(*reason);
   change.ClaimAt =
@@ -147,6 +148,18 @@
   release(run);
 }
 
+void LeadershipModule::onStoreRestored(Context &ctx, LeadershipServices &services) {
+  for (auto &[service, change] : Changes) {
+    Run run{ctx, services, service, change};
+    change.Call.reset();
+    change.Claim.forget(ctx.Now);
+    if (change.State >= Phase::SelectingCandidate)
+      giveUp(run, "the store was restored, and the claim may be gone", detail::RetryDelay);
+    else if (change.State != Phase::Idle)
+      toIdle(run);
+  }
+}
+
 void LeadershipModule::complete(Run &run) {
   auto &change = run.Change;
   run.Ctx.emit(Count{"primary_changes_total"});
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -22,6 +22,7 @@
 #pragma once
 
 #include "catalog/catalog.h"
+#include "catalog/storeera.h"
 #include "leadership/internal/primarychange.h"
 #include "links/linkpool.h"
 #include "positions/fleetmap.h"
@@ -39,6 +40,7 @@
   LinkPool &Links;
   const SessionsModule &Sessions;
   const FleetMap &Fleet;
+  const StoreEra &Era;
 };
 
 class LeadershipModule {
@@ -48,6 +50,9 @@
   void onPromotionAnswer(Context &ctx, LeadershipServices &services, const PromotionAnswer &event);
   void onReply(Context &ctx, LeadershipServices &services, const LinkPool::Reply &reply,
                const LinkReplied &event);
+  /// The store has come back from an older copy: this proxy's claims may be gone, and their revisions given
+  /// out again. Changes in progress are given up.
+  void onStoreRestored(Context &ctx, LeadershipServices &services);
   void onLinkClosed(const LinkPool::Closed &closed, LinkId link);
   /// Takes no new claim any more; a change that has begun is carried to its end.
   void startLeaving() { Leaving = true; }
--- a/src/leadership/tests/claimstatetests.cpp
+++ b/src/leadership/tests/claimstatetests.cpp
@@ -70,3 +70,15 @@
   const auto second = state.next(Yard, Self, TargetId("p"), Start);
   CHECK(first.Renewals != second.Renewals);
 }
+
+TEST_CASE("a claim of before a restoration of the store is not acted on") {
+  ClaimState state;
+  state.start("1.1");
+  auto write = state.next(Yard, Self, TargetId("p"), Start);
+  write.Revision = 40;
+  state.onStored(write, Start);
+  CHECK(state.held(Start + 100ms));
+  state.forget(Start + 200ms);
+  CHECK_FALSE(state.held(Start + 200ms));
+  CHECK(state.next(Yard, Self, TargetId("p"), Start + 300ms).Revision == 0);
+}
--- a/src/objects/internal/platform.cpp
+++ b/src/objects/internal/platform.cpp
@@ -17,6 +17,7 @@
       : WatchGrace(options.WatchGrace), Metrics(metrics), Client(makeHttpClient(io,
                                                                                 {std::move(options.Url),
                                                                                  "platform",
+                                                                                 "x-version",
                                                                                  options.MaxRunning,
                                                                                  options.MaxQueued,
                                                                                  detail::MaxPlatformBody,
@@ -39,7 +40,7 @@
     Client->call(std::move(call), [this, effect, handler = std::move(handler)](const HttpResult &result) {
       PlatformAnswer answer{effect.Call, PlatformFailure{result.Error}};
       if (result.Answered)
-        answer.Result = detail::decodePlatform(effect, {result.Status, result.VersionHeader, result.Body});
+        answer.Result = detail::decodePlatform(effect, {result.Status, result.HeaderValue, result.Body});
       if (std::holds_alternative<PlatformFailure>(answer.Result))
         Metrics.count("platform_failures_total");
       handler(std::move(answer));
--- a/src/peers/internal/changescodec.cpp
+++ b/src/peers/internal/changescodec.cpp
@@ -33,14 +33,14 @@
 }
 
 Offset<wire::ServerEntry> encodeServer(FlatBufferBuilder &builder, const ServerEntry &it) {
-  const auto &[target, service, address, zone, role, leaving, revision] = it;
+  const auto &[target, service, address, zone, role, leaving, revision, startedAt, sequence] = it;
   const auto targetText = builder.CreateString(target.str());
   const auto serviceText = builder.CreateString(service.str());
   const auto addressText = builder.CreateString(address);
   const auto zoneText = builder.CreateString(zone.str());
   const auto roleValue = static_cast<std::uint8_t>(role ? static_cast<std::uint8_t>(*role) + 1 : 0);
   return wire::CreateServerEntry(builder, targetText, serviceText, addressText, zoneText, roleValue, leaving,
-                                 revision);
+                                 revision, startedAt, sequence);
 }
 
 Offset<wire::DirectoryObject> encodeObject(FlatBufferBuilder &builder, const DirectoryObject &it) {
@@ -97,6 +97,8 @@
       out.Role = In.value(static_cast<std::uint8_t>(it.role() - 1), TargetRole::Replica);
     out.Leaving = it.leaving();
     out.Revision = it.revision();
+    out.StartedAt = it.started_at_ms();
+    out.Sequence = it.sequence();
     return out;
   }
 
--- a/src/peers/tests/peercodectests.cpp
+++ b/src/peers/tests/peercodectests.cpp
@@ -126,8 +126,8 @@
     }
     case 1: {
       ServerEntry out{
-          TargetId(text()), DatabaseId(text()), text(), AvailabilityZone(text()), std::nullopt, flag(),
-          number()};
+          TargetId(text()), DatabaseId(text()), text(),  AvailabilityZone(text()), std::nullopt, flag(),
+          number(),         number(),           number()};
       if (flag())
         out.Role = flag() ? TargetRole::Primary : TargetRole::Replica;
       return {text(), false, out};
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -19,6 +19,8 @@
 constexpr Duration FirstStartList = 1200ms;
 constexpr Duration SecondList = 1500ms;
 constexpr Duration ListInterval = 30s;
+/// After a restoration of the store, the proxies announce themselves again within this time.
+constexpr Duration MaxAnnounceDelay = 500ms;
 /// Above this number of proxies, the listing interval grows in proportion to the fleet size, because the cost
 /// of a full listing for each proxy grows with it.
 constexpr std::size_t ProxiesPerListInterval = 100;
@@ -120,6 +122,15 @@
   return AnnounceAt ? AnnounceAt : ListAt;
 }
 
+void FleetMap::onStoreRestored(Context &ctx) {
+  if (!Enabled || Leaving)
+    return;
+  AnnounceAt = ctx.Now + ctx.jitter(MaxAnnounceDelay);
+  ListAt = ctx.Now + MaxAnnounceDelay + SecondList;
+  PartialListing.clear();
+  ListCall.reset();
+}
+
 void FleetMap::startLeaving(Context &ctx) {
   if (!Enabled || std::exchange(Leaving, true))
     return;
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -25,6 +25,8 @@
   void onAnswer(Context &ctx, const DirectoryAnswer &event);
   void onTimer(Context &ctx);
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
+  /// The store has come back from an older copy, which may lack this proxy's entry and those of others.
+  void onStoreRestored(Context &ctx);
   /// Deletes this proxy's entry from the store.
   void startLeaving(Context &ctx);
 
--- a/src/positions/tests/positionexchangetests.cpp
+++ b/src/positions/tests/positionexchangetests.cpp
@@ -149,3 +149,23 @@
                         PositionSample{Yard, {1, 9}, it.Now - 100ms, it.Now - PrimaryLease::Length});
   CHECK_FALSE(it.sent<PositionReply>());
 }
+
+TEST_CASE("a proxy announces itself and lists the others again after a restoration of the store") {
+  // Guards against proxies that others no longer find: the older copy lacks the entries written since.
+  Proxy proxy("n1");
+  proxy.Now += 10s;
+  proxy.Fleet.onStoreRestored(proxy.ctx());
+  bool announced = false;
+  bool listed = false;
+  for (int n = 0; n < 30; ++n) {
+    proxy.Now += 100ms;
+    proxy.Fleet.onTimer(proxy.ctx());
+    for (const auto &it : std::exchange(proxy.Out, {})) {
+      const auto *call = std::get_if<DirectoryCall>(&it);
+      announced = announced || (call && std::holds_alternative<PutProxy>(call->Request));
+      listed = listed || (call && std::holds_alternative<ListDirectory>(call->Request));
+    }
+  }
+  CHECK(announced);
+  CHECK(listed);
+}
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -55,7 +55,9 @@
   rosemaryhinge::AvailabilityZone AvailabilityZone;
   std::optional<TargetRole> Role;
   bool Leaving = false;
-  std::uint64_t Revision = 0; ///< Grows with each change of any object.
+  std::uint64_t Revision = 0;  ///< Grows with each change of any object (storerevision.h).
+  std::uint64_t StartedAt = 0; ///< Unix time in ms at which the server says that it started; 0 if unknown.
+  std::uint64_t Sequence = 0;  ///< Number of the server's report since its start.
 };
 
 /// The right of one proxy to carry out a change of primary. Revision is the fencing token.
@@ -164,6 +166,7 @@
   std::variant<DirectoryListing, DirectoryChanges, DirectoryHistoryCompacted, ClaimStored, ClaimConflict,
                ProxyStored, ProxyConflict, DirectoryFailure>
       Result;
+  std::uint64_t Era = 0; ///< Era of the store that has answered; 0 if none is known.
 };
 
 /// Asks the platform to make a server the primary of its service.
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -3,6 +3,7 @@
 #include "reducer/internal/sessionevents.h"
 
 #include "base/overloaded.h"
+#include "protocol/storerevision.h"
 
 #include <algorithm>
 #include <array>
@@ -16,7 +17,7 @@
   SessionEventHandler(State &state, Context &ctx)
       : S(state),
         Ctx(ctx), SessionDeps{state.Catalog, state.Links, state.Fleet, state.Positions, state.Lenders},
-        LeadershipDeps{state.Catalog, state.Links, state.Sessions, state.Fleet},
+        LeadershipDeps{state.Catalog, state.Links, state.Sessions, state.Fleet, state.Era},
         LendingDeps{state.Catalog, state.Links}, DirectoryDeps{state.Catalog, state.Fleet} {}
 
   void operator()(const Started &) {
@@ -89,6 +90,12 @@
   }
 
   void operator()(const DirectoryAnswer &event) {
+    observeEra(event.Era);
+    if (event.Era > 0 && event.Era < S.Era.current()) {
+      // What it tells was forgotten by the store since.
+      (*this)(DirectoryAnswer{event.Call, DirectoryFailure{"the store was restored meanwhile"}});
+      return;
+    }
     const auto changes = S.Catalog.changeCount();
     if (event.Call.Owner == Module::Positions) {
       S.Fleet.onAnswer(Ctx, event);
@@ -131,6 +138,7 @@
     S.Directory.onRequest(Ctx, DirectoryDeps, from, message);
   }
   void onMessage(const NodeId &from, const ChangesReply &message) {
+    observeEra(storeEra(message.Revision));
     const auto changes = S.Catalog.changeCount();
     S.Directory.onReply(Ctx, DirectoryDeps, from, message);
     notifySessionsIfCatalogChanged(changes);
@@ -186,6 +194,19 @@
     return own ? std::optional(link) : std::nullopt;
   }
 
+  /// Handles a restoration of the store if an answer names a later era than the known one.
+  void observeEra(std::uint64_t era) {
+    const auto before = S.Era.current();
+    if (!S.Era.observe(era, Ctx.Now))
+      return;
+    Ctx.emit(Count{"store_restorations_total"});
+    Ctx.emit(Log{LogLevel::Warn,
+                 "store restored",
+                 {{"era", std::to_string(era)}, {"era_before", std::to_string(before)}}});
+    S.Fleet.onStoreRestored(Ctx);
+    S.Leadership.onStoreRestored(Ctx, LeadershipDeps);
+  }
+
   void backOffFromSilentLenders() {
     const auto silent = S.Links.abandonUnansweredRequests(Ctx);
     for (const auto &it : silent) {
--- a/src/reducer/state.h
+++ b/src/reducer/state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "catalog/catalog.h"
+#include "catalog/storeera.h"
 #include "directory/directorymodule.h"
 #include "drain/drainmodule.h"
 #include "failover/failovermodule.h"
@@ -47,6 +48,7 @@
   // For callers with sessions (CallerInterface::Sessions). Their events go to these modules and to Drain, not
   // to the other modules above.
   DirectoryModule Directory;
+  StoreEra Era;
   rosemaryhinge::Catalog Catalog;
   LinkPool Links;
   FleetMap Fleet;
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -1,5 +1,6 @@
 // Tests of changes of primary by a proxy with sessions.
 
+#include "protocol/storerevision.h"
 #include "reducer/tests/sessionharness.h"
 
 #include <doctest/doctest.h>
@@ -421,3 +422,55 @@
   REQUIRE(call);
   CHECK(pauses >= 2);
 }
+
+namespace {
+
+/// Makes the proxy learn the era of the store, by an answer to the oldest pending call.
+void answerInEra(SessionHarness &proxy, std::uint64_t era) {
+  const auto call = proxy.take<DirectoryCall>();
+  REQUIRE(call);
+  proxy.apply(DirectoryAnswer{call->Call, DirectoryFailure{"HTTP status 503", true}, era});
+}
+
+} // namespace
+
+TEST_CASE("a change whose claim the store has forgotten is given up, and orders nothing") {
+  // Guards against two proxies that both act: the restored store lets another one claim the same change.
+  SessionHarness proxy;
+  answerInEra(proxy, 1);
+  proxy.pass(4s);
+  failPrimary(proxy, storeRevision(1, 41));
+  REQUIRE(proxy.Logic.Leadership.changeInProgress());
+  proxy.pass(20ms);
+  proxy.apply(DirectoryAnswer{{}, DirectoryFailure{"HTTP status 503", true}, 2});
+  CHECK_FALSE(proxy.Logic.Leadership.changeInProgress());
+  proxy.Out.clear();
+  answerOrders(proxy, {{"a", 10}, {"b", 20}}, storeRevision(2, 30));
+  CHECK_FALSE(proxy.take<PromotionCall>());
+}
+
+TEST_CASE("a change that is claimed after a restoration waits for earlier claims and has a higher token") {
+  // Guards against promotions that the platform refuses because an earlier era had higher revisions.
+  SessionHarness proxy;
+  answerInEra(proxy, 1);
+  answerInEra(proxy, 2);
+  const auto restoredAt = proxy.Now;
+  for (int n = 0; n < 5 && !proxy.Logic.Leadership.changeInProgress(); ++n)
+    failPrimary(proxy, storeRevision(2, 30));
+  REQUIRE(proxy.Logic.Leadership.changeInProgress());
+  CHECK(proxy.Now - restoredAt >= 3s);
+  answerOrders(proxy, {{"a", 10}, {"b", 20}}, storeRevision(2, 31));
+  const auto call = proxy.take<PromotionCall>();
+  REQUIRE(call);
+  CHECK(call->Token > storeRevision(1, 500));
+}
+
+TEST_CASE("an answer that the store gave before its restoration is not believed") {
+  SessionHarness proxy;
+  answerInEra(proxy, 2);
+  const auto call = proxy.take<DirectoryCall>();
+  REQUIRE(call);
+  const DirectoryObject late = SessionHarness::server("x", TargetRole::Replica, storeRevision(1, 90));
+  proxy.apply(DirectoryAnswer{call->Call, DirectoryChanges{{late}, storeRevision(1, 90)}, 1});
+  CHECK_FALSE(proxy.Logic.Catalog.server(TargetId("x")));
+}
