Keep to an order without an answer when the store has forgotten its claim

Cause: an order to promote whose answer is outstanding may still be carried out. The claim names its server, so that whoever takes the claim over orders the same one, and nothing is resumed before. After a restoration of the store the claim is gone, and the proxy that had ordered chose anew. Evidence: the new test orders the other of two replicas on the code before. Change: such an order counts as unanswered after a restoration, and a proxy's next claim prefers the server of its own unanswered order.

--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -151,6 +151,8 @@
 void LeadershipModule::onStoreRestored(Context &ctx, LeadershipServices &services) {
   for (auto &[service, change] : Changes) {
     Run run{ctx, services, service, change};
+    if (change.State == Phase::Promoting && change.Call)
+      change.PromotionUnanswered = true;
     change.Call.reset();
     change.Claim.forget(ctx.Now);
     if (change.State >= Phase::SelectingCandidate)
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -449,6 +449,27 @@
   CHECK_FALSE(proxy.take<PromotionCall>());
 }
 
+TEST_CASE("an order without an answer is repeated for the same server after a restoration of the store") {
+  // Guards against lost commits: the order may still be carried out, and the store has forgotten it.
+  SessionHarness proxy;
+  answerInEra(proxy, 1);
+  proxy.pass(4s);
+  failPrimary(proxy, storeRevision(1, 41));
+  answerOrders(proxy, {{"a", 10}, {"b", 20}}, storeRevision(1, 42));
+  const auto first = proxy.take<PromotionCall>();
+  REQUIRE(first);
+  REQUIRE(first->Target == TargetId("b"));
+  proxy.apply(DirectoryAnswer{{}, DirectoryFailure{"HTTP status 503", true}, 2});
+  for (int n = 0; n < 5 && !proxy.Logic.Leadership.changeInProgress(); ++n)
+    failPrimary(proxy, storeRevision(2, 30));
+  const auto orders = answerOrders(proxy, {{"a", 20}, {"b", 20}}, storeRevision(2, 31));
+  CHECK(orders.Resumed.empty());
+  const auto second = proxy.take<PromotionCall>();
+  REQUIRE(second);
+  CHECK(second->Target == TargetId("b"));
+  CHECK(second->Token > first->Token);
+}
+
 TEST_CASE("a change that is claimed after a restoration waits for earlier claims and has a higher token") {
   // Guards against promotions that the platform refuses because an earlier era had higher revisions.
   SessionHarness proxy;
