--- a/testing/sessionworld/directorystore.cpp
+++ b/testing/sessionworld/directorystore.cpp
@@ -24,47 +24,96 @@
 
 DirectoryStore::DirectoryStore(fakes::EventQueue &queue, DbCluster &cluster)
     : Queue(queue), Cluster(cluster) {
-  Current.Version = 1;
-  Current.Routes = {route("settle", Consistency::Primary), route("look", Consistency::BoundedStaleness)};
-  Current.Services = {{Yard, 1'000, 1}};
+  Published.Version = 1;
+  Published.Routes = {route("settle", Consistency::Primary), route("look", Consistency::BoundedStaleness)};
+  Published.Services = {{Yard, 1'000, 1}};
+  writeConfiguration();
+  takeCopy();
 }
 
-void DirectoryStore::publishServers() {
+void DirectoryStore::publishServers(bool unchanged) {
   for (const auto &it : Cluster.servers()) {
     if (!it.Up)
       continue;
     ServerEntry entry{it.Id, Yard, it.Address, AvailabilityZone("z1"), it.Role, it.Leaving, 0};
-    const auto known = Entries.find(it.Id);
-    const auto *before = known == Entries.end() ? nullptr : std::get_if<ServerEntry>(&known->second.Value);
-    if (before && before->Role == entry.Role && before->Leaving == entry.Leaving && !known->second.Deleted)
+    entry.Sequence = ++Sequence[it.Id];
+    const auto known = Now.Entries.find(it.Id);
+    const auto *before =
+        known == Now.Entries.end() ? nullptr : std::get_if<ServerEntry>(&known->second.Value);
+    if (!unchanged && before && before->Role == entry.Role && before->Leaving == entry.Leaving &&
+        !known->second.Deleted)
       continue;
-    entry.Revision = ++Revision;
-    Entries[it.Id] = {it.Id.str(), false, entry};
-    EntryRevisions[it.Id] = entry.Revision;
+    entry.Revision = nextRevision();
+    Now.Entries[it.Id] = {it.Id.str(), false, entry};
+    Now.EntryRevisions[it.Id] = entry.Revision;
   }
-  for (const auto &[target, object] : Entries)
+  for (const auto &[target, object] : Now.Entries)
     Queue.after(EntryLifetime, [this, target = target] {
       const auto *server = Cluster.find(target);
-      auto &object = Entries.at(target);
-      if (object.Deleted || (server && server->Up))
+      const auto it = Now.Entries.find(target);
+      if (it == Now.Entries.end() || it->second.Deleted || (server && server->Up))
         return;
-      object.Deleted = true;
-      EntryRevisions[target] = ++Revision;
+      it->second.Deleted = true;
+      Now.EntryRevisions[target] = nextRevision();
       answerWatches();
     });
   answerWatches();
 }
 
+void DirectoryStore::publishConfiguration() {
+  ++Published.Version;
+  Published.Routes.push_back(route("route" + std::to_string(Published.Version), Consistency::Primary));
+  writeConfiguration();
+}
+
+void DirectoryStore::writeConfiguration() {
+  Now.Current = Published;
+  Now.ConfigurationRevision = nextRevision();
+  answerWatches();
+}
+
+void DirectoryStore::takeCopy() {
+  if (!Down)
+    Copies.push_back({Queue.now(), Now});
+  while (Queue.now() - Copies.front().TakenAt > MaxCopyAge)
+    Copies.pop_front();
+  Queue.after(CopyInterval, [this] { takeCopy(); });
+}
+
+void DirectoryStore::restore(Duration age) {
+  while (Copies.size() > 1 && Queue.now() - Copies.back().TakenAt < age)
+    Copies.pop_back();
+  Now = Copies.back().Of;
+  ++Era;
+  // Objects keep their numbers.
+  const auto inThisEra = [this](std::uint64_t it) { return storeRevision(Era, storeNumber(it)); };
+  Now.ConfigurationRevision = inThisEra(Now.ConfigurationRevision);
+  for (auto &[target, object] : Now.Entries) {
+    Now.EntryRevisions[target] = inThisEra(Now.EntryRevisions[target]);
+    if (auto *entry = std::get_if<ServerEntry>(&object.Value))
+      entry->Revision = inThisEra(entry->Revision);
+  }
+  for (auto &[service, claim] : Now.Claims)
+    claim.Revision = inThisEra(claim.Revision);
+  for (const auto &it : std::exchange(Watches, {}))
+    it.Answer({it.Call.Call, DirectoryFailure{"connection reset", false}});
+  Queue.after(RewriteTime, [this] {
+    publishServers(true);
+    if (Now.Current.Version < Published.Version)
+      writeConfiguration();
+  });
+}
+
 std::vector<DirectoryObject> DirectoryStore::objects(DirectoryKind kind, std::uint64_t after) const {
   std::vector<DirectoryObject> out;
-  if (kind == DirectoryKind::Configuration && after == 0)
-    out.push_back({"main", false, Current});
+  if (kind == DirectoryKind::Configuration && Now.ConfigurationRevision > after)
+    out.push_back({"main", false, Now.Current});
   if (kind == DirectoryKind::Servers)
-    for (const auto &[target, object] : Entries)
-      if (EntryRevisions.at(target) > after && (after > 0 || !object.Deleted))
+    for (const auto &[target, object] : Now.Entries)
+      if (Now.EntryRevisions.at(target) > after && (after > 0 || !object.Deleted))
         out.push_back(object);
   if (kind == DirectoryKind::Claims)
-    for (const auto &[service, claim] : Claims)
+    for (const auto &[service, claim] : Now.Claims)
       out.push_back({service.str(), false, claim});
   return out;
 }
@@ -72,28 +121,30 @@
 void DirectoryStore::answerWatches() {
   for (auto &it : std::exchange(Watches, {})) {
     const auto &watch = std::get<WatchDirectory>(it.Call.Request);
-    auto found = objects(watch.Kind, watch.Revision);
+    // The store knows the number only, of whichever era it is.
+    const auto after = storeRevision(Era, storeNumber(watch.Revision));
+    auto found = objects(watch.Kind, after);
     if (found.empty() || Down) {
       Watches.push_back(std::move(it));
       continue;
     }
-    Queue.after(Delay, [it, found, revision = Revision] {
-      it.Answer({it.Call.Call, DirectoryChanges{found, revision}});
+    Queue.after(Delay, [it, found, revision = revision(), era = Era] {
+      it.Answer({it.Call.Call, DirectoryChanges{found, revision}, era});
     });
   }
 }
 
 DirectoryAnswer DirectoryStore::apply(const DirectoryCall &call) {
-  DirectoryAnswer out{call.Call, DirectoryFailure{"unknown call", true}};
+  DirectoryAnswer out{call.Call, DirectoryFailure{"unknown call", true}, Era};
   if (const auto *list = std::get_if<ListDirectory>(&call.Request)) {
-    out.Result = DirectoryListing{objects(list->Kind, 0), false, Revision};
+    out.Result = DirectoryListing{objects(list->Kind, 0), false, revision()};
   } else if (const auto *put = std::get_if<PutClaim>(&call.Request)) {
-    auto &current = Claims[put->Next.Service];
-    if (current.Revision != put->Next.Revision) {
+    auto &current = Now.Claims[put->Next.Service];
+    if (storeNumber(current.Revision) != storeNumber(put->Next.Revision)) {
       out.Result = ClaimConflict{current};
     } else {
       current = put->Next;
-      current.Revision = ++Revision;
+      current.Revision = nextRevision();
       out.Result = ClaimStored{current};
     }
   }
@@ -111,6 +162,12 @@
     return;
   }
   if (const auto *watch = std::get_if<WatchDirectory>(&call.Request)) {
+    if (storeNumber(watch->Revision) > Now.Number) {
+      Queue.after(Delay, [call, handler, era = Era] {
+        handler({call.Call, DirectoryHistoryCompacted{}, era});
+      });
+      return;
+    }
     Watches.push_back({call, handler});
     answerWatches();
     Queue.after(watch->Wait, [this, call] {
@@ -118,7 +175,7 @@
         if (it->Call.Call == call.Call && !Down) {
           const auto answer = std::move(it->Answer);
           Watches.erase(it);
-          answer({call.Call, DirectoryChanges{{}, Revision}});
+          answer({call.Call, DirectoryChanges{{}, revision()}, Era});
           return;
         }
     });
--- a/testing/sessionworld/tests/sessionworldtests.cpp
+++ b/testing/sessionworld/tests/sessionworldtests.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint64_t Seeds = 12;
 constexpr std::uint64_t RestartSeeds = 4;
+constexpr std::uint64_t RestorationSeeds = 6;
 /// Seeds that failed once. 31 and 44: a change was given up after the primary had stepped down, a replica was
 /// missing, and nobody knew which server had led last, so that the service stayed without a primary.
 constexpr std::uint64_t FailedSeeds[] = {31, 44};
@@ -65,6 +66,27 @@
   CHECK(restarts > RestartSeeds);
 }
 
+TEST_CASE("no rule is broken when the store comes back from an older copy") {
+  // Guards against changes of the configuration that are missed, and against claims that two proxies act on.
+  std::size_t promotions = 0;
+  for (const bool fencing : {true, false})
+    for (std::uint64_t seed = 1; seed <= RestorationSeeds; ++seed) {
+      WorldOptions options;
+      options.Seed = seed;
+      options.Fencing = fencing;
+      options.ProxiesExpectFencing = fencing;
+      options.StoreRestorations = 4;
+      const auto result = World(options).run();
+      CAPTURE(seed);
+      CAPTURE(fencing);
+      for (const auto &it : result.Violations)
+        FAIL_CHECK(it);
+      CHECK(result.RecoveredWrites);
+      promotions += result.Promotions;
+    }
+  CHECK(promotions > 0);
+}
+
 TEST_CASE("the checks find a fleet that relies on fencing where there is none") {
   std::size_t broken = 0;
   for (std::uint64_t seed = 1; seed <= 200 && broken == 0; ++seed) {
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -311,14 +311,15 @@
 WorldResult World::run() {
   Queue.runUntil(TimePoint{} + StartTime);
   request();
-  const auto lastRestart = planRestarts();
+  const auto lastPlanned = std::max(planRestarts(), planStoreRestorations());
   auto end = Queue.now();
   for (std::size_t n = 0; n < Options.Faults; ++n) {
     end += Random.between(200ms, FaultInterval);
     Queue.at(end, [this] { injectFault(); });
   }
-  end = std::max(end, lastRestart) + QuietTime;
+  end = std::max(end, lastPlanned) + QuietTime;
   Queue.runUntil(end);
+  checkConfigurations();
   for (const auto &write : RefusedWrites)
     if (Cluster.servers()[Cluster.leader()].holds(write))
       Result.Violations.push_back("write " + write + " was refused as not run, and ran");
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -28,6 +28,8 @@
   /// Proxies that are stopped and started again as planned, in series that overlap. Callers that keep their
   /// sessions in steady use come with them.
   std::size_t Restarts = 0;
+  /// Times that the store comes back from an older copy. The operator changes the configuration meanwhile.
+  std::size_t StoreRestorations = 0;
 };
 
 struct WorldResult {
@@ -80,6 +82,13 @@
 
   void addProxy(std::size_t place);
 
+  // Restorations of the store (storerestorations.cpp).
+  /// Schedules them, and changes of the configuration. Returns the time of the last one.
+  TimePoint planStoreRestorations();
+  void restoreStore();
+  /// At the end: the configuration that the operator wrote last is in force everywhere.
+  void checkConfigurations();
+
   // Planned stops and steady callers (plannedstops.cpp).
   /// Schedules the planned stops and opens the steady callers' sessions. Returns the time of the last stop.
   TimePoint planRestarts();
@@ -118,7 +127,7 @@
   WorldOptions Options;
   fakes::EventQueue Queue;
   fakes::Dice Random;
-  fakes::Dice PlannedRandom; ///< For planned restarts and steady callers.
+  fakes::Dice PlannedRandom; ///< For planned restarts, steady callers and restorations of the store.
   DbCluster Cluster;
   DirectoryStore Store;
   std::vector<std::unique_ptr<Proxy>> Proxies; ///< Each process that was ever started.
