--- a/src/daemon/internal/shutdownsignals.cpp
+++ b/src/daemon/internal/shutdownsignals.cpp
@@ -3,6 +3,7 @@
 #include "daemon/internal/shutdownsignals.h"
 
 #include <csignal>
+#include <utility>
 
 namespace rosemaryhinge::detail {
 
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -119,16 +119,8 @@
   auto &known = feed->Sync;
   // A proxy that has not learnt of a restoration of the store knows entries that are gone.
   const bool current = storeEra(reply.Revision) >= storeEra(known.Revision);
-  known.Revision = std::max(known.Revision, reply.Revision);
   if (current)
-    known.ConfirmedAt = std::max(known.ConfirmedAt, ctx.Now - reply.Age);
-  if (current && reply.Complete) {
-    known.CompactedBefore = known.Revision;
-    applyList(ctx, services.Catalog, *feed, reply.Objects);
-  } else if (current) {
-    for (const auto &it : reply.Objects)
-      applyObject(ctx, services.Catalog, *feed, it);
-  }
+    applyReply(ctx, services.Catalog, *feed, reply);
   // A watch can go on from here, whoever told it.
   feed->Listing = feed->Listing && known.Revision == 0;
   Relay.answerPending(ctx, services.Catalog, feed->Kind, known);
@@ -142,6 +134,19 @@
     requestChanges(ctx, services, *feed);
 }
 
+void DirectoryModule::applyReply(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply) {
+  auto &known = feed.Sync;
+  known.Revision = std::max(known.Revision, reply.Revision);
+  known.ConfirmedAt = std::max(known.ConfirmedAt, ctx.Now - reply.Age);
+  if (reply.Complete) {
+    known.CompactedBefore = known.Revision;
+    applyList(ctx, catalog, feed, reply.Objects);
+    return;
+  }
+  for (const auto &it : reply.Objects)
+    applyObject(ctx, catalog, feed, it);
+}
+
 void DirectoryModule::onPeerFailure(Context &ctx, DirectoryServices &services, Feed &feed) {
   BackoffUntil[feed.PendingPeer] = ctx.Now + PeerBackoff;
   ctx.emit(Count{"directory_peer_failures_total"});
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -107,6 +107,8 @@
   [[nodiscard]] std::optional<NodeId> selectPeer(const Context &ctx, const FleetMap &fleet,
                                                  const Feed &feed) const;
   [[nodiscard]] std::optional<NodeId> firstAvailable(const Context &ctx, std::span<const NodeId> nodes) const;
+  /// Applies what another proxy knows of the present era of the store.
+  void applyReply(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply);
   void applyList(Context &ctx, Catalog &catalog, Feed &feed, std::span<const DirectoryObject> objects);
   void applyObject(Context &ctx, Catalog &catalog, Feed &feed, const DirectoryObject &object);
   /// The store has no usable entry of this name any more.
--- a/src/reducer/tests/leasetests.cpp
+++ b/src/reducer/tests/leasetests.cpp
@@ -168,15 +168,24 @@
   CHECK(servers.Statements == 0);
 }
 
-TEST_CASE("a read whose link is lost while it awaits a lease is sent on another link") {
-  // Guards against the end of the whole proxy: the confirmation sent the read on the link that was lost.
-  SessionHarness proxy(false);
-  Servers servers;
+namespace {
+
+/// Sends a read, and closes its link to the primary while the read awaits the lease.
+void loseLinkOfWaitingRead(SessionHarness &proxy, Servers &servers, SessionId session) {
   servers.ReplicasAnswer = false;
-  proxy.read(proxy.open("settle"), "r1");
+  proxy.read(session, "r1");
   servers.run(proxy, 50ms);
   REQUIRE(servers.StatusQueries == 1);
   proxy.apply(LinkClosed{servers.LastBegin, LinkFailure::Lost});
+}
+
+} // namespace
+
+TEST_CASE("a read whose link is lost while it awaits a lease is sent on another link") {
+  // Guards against the end of the whole proxy: the confirmation sent the read on the link that was lost.
+  SessionHarness proxy(false);
+  Servers servers;
+  loseLinkOfWaitingRead(proxy, servers, proxy.open("settle"));
   servers.answerStatus(proxy, 1);
   CHECK(servers.Statements == 0);
   servers.run(proxy, 300ms);
@@ -191,12 +200,8 @@
   // statements, from which the session's next statement was sent again and again.
   SessionHarness proxy(false);
   Servers servers;
-  servers.ReplicasAnswer = false;
   const auto session = proxy.open("settle");
-  proxy.read(session, "r1");
-  servers.run(proxy, 50ms);
-  REQUIRE(servers.StatusQueries == 1);
-  proxy.apply(LinkClosed{servers.LastBegin, LinkFailure::Lost});
+  loseLinkOfWaitingRead(proxy, servers, session);
   servers.answerStatus(proxy, 2);
   servers.PrimaryTerm = 2;
   servers.run(proxy, 300ms);
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -63,6 +63,16 @@
   return {Rejection::Aborted, text + ": the transaction is rolled back"};
 }
 
+/// Ends the attempt to run the current statement, before a new one on another link. The caller releases or
+/// closes the link.
+void endAttempt(detail::Session &session) {
+  session.Current->Attempt.reset();
+  if (session.Transaction) {
+    session.Transaction->Link.reset();
+    session.Transaction->Begun = false;
+  }
+}
+
 } // namespace
 
 void SessionsModule::onReply(Context &ctx, SessionServices &services, const LinkPool::Reply &reply,
@@ -199,12 +209,8 @@
     break;
   }
   const auto link = work.Attempt->Link;
-  if (session.Transaction) {
-    session.Transaction->Link.reset();
-    session.Transaction->Begun = false;
-  }
   WritesInFlight[work.Route.Service].erase({work.SentAt, id});
-  work.Attempt.reset();
+  endAttempt(session);
   if (why.Code == Rejection::NoStatement || why.Code == Rejection::Misrouted)
     services.Links.close(ctx, link, false);
   else
@@ -284,7 +290,7 @@
   const auto link = work.Attempt->Link;
   ctx.emit(Count{"statement_retries_total{reason=\"no_answer\"}"});
   work.Avoid.insert(work.Target);
-  work.Attempt.reset();
+  endAttempt(session);
   services.Links.close(ctx, link, true);
   dispatch(ctx, services, id, session);
 }
@@ -306,13 +312,9 @@
   const bool single = !session.Transaction;
   const bool again = !sent || (single && work.Mode == AccessMode::Read);
   if (work.Attempt && again && linkLost && work.SendCount < MaxReadSends) {
-    if (session.Transaction) {
-      session.Transaction->Link.reset();
-      session.Transaction->Begun = false;
-    }
     ctx.emit(Count{"statement_retries_total{reason=\"link_lost\"}"});
     work.Avoid.insert(work.Target);
-    work.Attempt.reset();
+    endAttempt(session);
     dispatch(ctx, services, id, session);
     return;
   }
