--- a/src/settings/tests/treetest.cpp
+++ b/src/settings/tests/treetest.cpp
@@ -35,10 +35,7 @@
   return out.str();
 }
 
-std::string sourceRoot() {
-  std::string file = __FILE__;
-  return file.substr(0, file.rfind("src/settings/tests"));
-}
+std::string sourceRoot() { return RH_SOURCE_DIR "/"; }
 
 } // namespace
 
