Log a statement whose caller has left, with its id

There is a line with the request's id now, and a counter. The line about too many queued statements names its request, too. The new test of the reducer fails on the code before: there was no line.

--- a/src/reducer/tests/sessiontests.cpp
+++ b/src/reducer/tests/sessiontests.cpp
@@ -440,6 +440,18 @@
   CHECK(proxy.take<ShutdownComplete>());
 }
 
+TEST_CASE("a statement that its caller leaves is logged with its id") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.write(session, "w1");
+  proxy.Out.clear();
+  proxy.apply(SessionClosed{session});
+  const auto line = proxy.take<Log>();
+  REQUIRE(line);
+  CHECK(line->Message == "caller left during a statement");
+  CHECK(line->Fields.front().Value == "w1");
+}
+
 TEST_CASE("a session opened before the first configuration is loaded waits for it instead of being refused "
           "for an unknown database") {
   SessionHarness started;
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -86,8 +86,10 @@
     }
     ctx.emit(Log{LogLevel::Warn,
                  "session closed",
-                 {{"session", std::to_string(event.Session.Value)}, {"why", "too many queued statements"}}});
-    onClosed(ctx, services, {event.Session});
+                 {{"session", std::to_string(event.Session.Value)},
+                  {"request", session.Current->Statement.Id},
+                  {"why", "too many queued statements"}}});
+    endWithoutAnswer(ctx, services, event.Session);
     ctx.emit(CloseSession{event.Session});
     return;
   }
@@ -99,13 +101,31 @@
   const auto it = Sessions.find(event.Session);
   if (it == Sessions.end())
     return;
-  auto &session = it->second;
+  if (const auto &work = it->second.Current) {
+    ctx.emit(Count{"statements_abandoned_total"});
+    ctx.emit(Log{LogLevel::Info,
+                 "caller left during a statement",
+                 {{"request", work->Statement.Id},
+                  {"session", std::to_string(event.Session.Value)},
+                  {"database", it->second.Database},
+                  {"service", work->Route.Service.str()},
+                  {"server", work->Attempt ? work->Target.str() : "-"},
+                  {"ms", std::to_string((ctx.Now - work->ArrivedAt) / 1ms)}}});
+  }
+  endWithoutAnswer(ctx, services, event.Session);
+}
+
+void SessionsModule::endWithoutAnswer(Context &ctx, SessionServices &services, SessionId id) {
+  const auto it = Sessions.find(id);
+  if (it == Sessions.end())
+    return;
+  const auto &session = it->second;
   if (session.Transaction && session.Transaction->Link) {
     services.Links.release(ctx, *session.Transaction->Link);
   } else if (session.Current && session.Current->Attempt) {
     services.Links.release(ctx, session.Current->Attempt->Link);
   }
-  erase(event.Session);
+  erase(id);
   onCapacity(ctx, services);
 }
 
@@ -246,7 +266,7 @@
     // Statements that were received behind this one are then refused as not run.
     handleNoAnswer(ctx, services, id, session, detail::NoAnswer::ShuttingDown);
   }
-  onClosed(ctx, services, {id});
+  endWithoutAnswer(ctx, services, id);
   ctx.emit(CloseSession{id});
 }
 
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -229,6 +229,8 @@
   /// During a graceful shutdown: when an idle session is closed.
   [[nodiscard]] TimePoint idleCloseTime(const Session &session) const;
   void admitPendingSessions(Context &ctx, SessionServices &services);
+  /// Ends a session and gives up its link. A statement in progress gets no answer.
+  void endWithoutAnswer(Context &ctx, SessionServices &services, SessionId id);
   void erase(SessionId id);
 
   struct PendingSession {
