End a process only when no caller is connected any more

Cause: the decision to end counted sessions. A caller whose connection was accepted and whose session had not started, or waited for the first configuration, did not count; and callers could connect until the very end, also while the last answers were written. Change: connections are known to the decision logic from their start. A leaving proxy that has no caller left asks the listener to stop accepting; the listener takes over what the operating system has already connected and reports that no more follow; the process ends when all these are gone. The loop handles the events that it holds before it ends.

--- a/src/daemon/internal/loop.cpp
+++ b/src/daemon/internal/loop.cpp
@@ -116,6 +116,7 @@
                  [&](const RefuseSession &it) { Out.Sessions->refuse(it); },
                  [&](const AnswerStatement &it) { Out.Sessions->answer(it); },
                  [&](const CloseSession &it) { Out.Sessions->close(it); },
+                 [&](const StopAccepting &) { Out.Sessions->stopAccepting(); },
                  [&](const OpenLink &it) { Out.Links->open(it); },
                  [&](const SendOnLink &it) { Out.Links->send(it); },
                  [&](const CloseLink &it) { Out.Links->close(it); },
@@ -216,10 +217,8 @@
     ShutdownDeadline = std::chrono::steady_clock::now() + FlushTime;
     if (Out.Callers)
       Out.Callers->stop();
-    if (Out.Sessions)
-      Out.Sessions->stop();
   }
-  if (unwritten() == 0 || std::chrono::steady_clock::now() >= ShutdownDeadline) {
+  if ((unwritten() == 0 && Queue.empty()) || std::chrono::steady_clock::now() >= ShutdownDeadline) {
     Io.stop();
     return;
   }
--- a/src/daemon/internal/trail.cpp
+++ b/src/daemon/internal/trail.cpp
@@ -86,6 +86,12 @@
           [](const AdminRequest &it) {
             return Entry{{}, "admin", it.Id, it.Command, ""};
           },
+          [](const CallerConnected &it) {
+            return Entry{{}, "caller_connected", it.Session.Value, {}, ""};
+          },
+          [](const AcceptingStopped &) {
+            return Entry{{}, "accepting_stopped", 0, {}, ""};
+          },
           [](const SessionOpened &it) {
             return Entry{{}, "session_opened", it.Session.Value, it.Database, ""};
           },
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -77,14 +77,15 @@
   std::string Detail;
 };
 
-/// The last request was answered and all slots are released: the process may exit.
+/// The last request was answered, all slots are released and no caller's session is open: the process may
+/// exit.
 struct ShutdownComplete {};
 
 using Effect =
     std::variant<Respond, SendToPeer, PeerAddress, TargetAddress, OpenConnection, CloseConnection, Execute,
                  ControlCall, PlatformCall, AdminReply, Log, CountRefusal, CountRetry, Count, Observe,
                  InvariantBroken, ShutdownComplete, AcceptSession, RefuseSession, AnswerStatement,
-                 CloseSession, OpenLink, SendOnLink, CloseLink, DirectoryCall, PromotionCall>;
+                 CloseSession, OpenLink, SendOnLink, CloseLink, DirectoryCall, PromotionCall, StopAccepting>;
 using Effects = std::vector<Effect>;
 
 } // namespace rosemaryhinge
--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -56,10 +56,10 @@
   std::string Body;    ///< JSON.
 };
 
-using Event =
-    std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerDisconnected, PeerReceived,
-                 PeerLost, ConnectionOpened, ConnectionClosed, ExecutionFinished, ControlAnswer,
-                 PlatformAnswer, AdminRequest, WallClockRead, SessionOpened, StatementArrived, SessionClosed,
-                 LinkOpened, LinkClosed, LinkReplied, DirectoryAnswer, PromotionAnswer>;
+using Event = std::variant<Started, TimerFired, ShutdownRequested, RequestArrived, CallerDisconnected,
+                           PeerReceived, PeerLost, ConnectionOpened, ConnectionClosed, ExecutionFinished,
+                           ControlAnswer, PlatformAnswer, AdminRequest, WallClockRead, SessionOpened,
+                           StatementArrived, SessionClosed, LinkOpened, LinkClosed, LinkReplied,
+                           DirectoryAnswer, PromotionAnswer, CallerConnected, AcceptingStopped>;
 
 } // namespace rosemaryhinge
--- a/src/protocol/session.h
+++ b/src/protocol/session.h
@@ -94,6 +94,13 @@
 
 // Events.
 
+/// A caller has connected. It may send the start of its session, or leave again with SessionClosed.
+struct CallerConnected {
+  SessionId Session;
+};
+/// The answer to StopAccepting: no CallerConnected follows.
+struct AcceptingStopped {};
+/// The caller has sent the start of its session.
 struct SessionOpened {
   SessionId Session;
   std::string Database;
@@ -110,6 +117,8 @@
 
 // Effects.
 
+/// Accepts the connections that the operating system has already completed, and no others after them.
+struct StopAccepting {};
 struct AcceptSession {
   SessionId Session;
 };
@@ -125,7 +134,7 @@
   TransactionState State = TransactionState::Idle;
   std::optional<Position> At; ///< Log position that the server returned with its answer.
 };
-/// Closes a session that has no outstanding answers.
+/// Closes a session that has no outstanding answers, or a connection on which none was started.
 struct CloseSession {
   SessionId Session;
 };
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -48,6 +48,11 @@
     checkDrain();
   }
 
+  void operator()(const CallerConnected &event) { S.Sessions.onConnected(Ctx, event); }
+  void operator()(const AcceptingStopped &) {
+    S.Sessions.onAcceptingStopped();
+    checkDrain();
+  }
   void operator()(const SessionOpened &event) { S.Sessions.onOpened(Ctx, SessionDeps, event); }
   void operator()(const StatementArrived &event) { S.Sessions.onStatement(Ctx, SessionDeps, event); }
   void operator()(const SessionClosed &event) { S.Sessions.onClosed(Ctx, SessionDeps, event); }
@@ -222,9 +227,10 @@
       S.Sessions.onCapacity(Ctx, SessionDeps);
   }
   void checkDrain() {
-    const std::size_t sessions = S.Sessions.isDrained(Ctx.Now) ? 0 : 1;
-    S.Drain.completeIfDone(Ctx, sessions + S.Lender.loans() + (S.Leadership.changeInProgress() ? 1 : 0), true,
-                           true);
+    const auto others = S.Lender.loans() + (S.Leadership.changeInProgress() ? 1 : 0);
+    S.Sessions.stopAcceptingIfDrained(Ctx, others > 0);
+    const std::size_t sessions = S.Sessions.isDrained() ? 0 : 1;
+    S.Drain.completeIfDone(Ctx, sessions + others, true, true);
   }
 
   State &S;
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -32,6 +32,8 @@
   void operator()(const AdminRequest &event);
   void operator()(const WallClockRead &event) { S.Wall = event.Reading; }
   // Events that occur only with callers that keep sessions.
+  void operator()(const CallerConnected &event) { detail::onSessionEvent(S, Ctx, event); }
+  void operator()(const AcceptingStopped &event) { detail::onSessionEvent(S, Ctx, event); }
   void operator()(const SessionOpened &event) { detail::onSessionEvent(S, Ctx, event); }
   void operator()(const StatementArrived &event) { detail::onSessionEvent(S, Ctx, event); }
   void operator()(const SessionClosed &event) { detail::onSessionEvent(S, Ctx, event); }
--- a/src/reducer/tests/sessionharness.h
+++ b/src/reducer/tests/sessionharness.h
@@ -61,8 +61,13 @@
   }
 
   void apply(const Event &event) {
-    for (auto &it : reduce(Logic, event, Now))
+    bool stopped = false;
+    for (auto &it : reduce(Logic, event, Now)) {
+      stopped = stopped || std::holds_alternative<StopAccepting>(it);
       Out.push_back(std::move(it));
+    }
+    if (stopped && !HoldAccepting)
+      apply(AcceptingStopped{});
   }
 
   /// Advances the clock, stopping at each due timer to apply TimerFired.
@@ -117,9 +122,18 @@
     }
   }
 
-  SessionId open(const std::string &database) {
+  /// Connects a caller that does not start its session yet.
+  SessionId connect() {
     const SessionId id{++LastSession};
-    apply(SessionOpened{id, database, "caller"});
+    apply(CallerConnected{id});
+    return id;
+  }
+  void start(SessionId session, const std::string &database) {
+    apply(SessionOpened{session, database, "caller"});
+  }
+  SessionId open(const std::string &database) {
+    const auto id = connect();
+    start(id, database);
     return id;
   }
 
@@ -160,6 +174,7 @@
   State Logic;
   TimePoint Now{1000s};
   std::deque<Effect> Out;
+  bool HoldAccepting = false; ///< The test itself answers StopAccepting.
   // Outputs of the Context of a test that calls a module directly instead of through reduce().
   Effects Extra;
   std::vector<JournalEntry> Records;
--- a/src/reducer/tests/sessiontests.cpp
+++ b/src/reducer/tests/sessiontests.cpp
@@ -452,6 +452,88 @@
   CHECK(line->Fields.front().Value == "w1");
 }
 
+TEST_CASE("a leaving proxy serves a caller that connected before its last session ended") {
+  // Guards against a process that ends while a caller whose connection it has accepted starts its session.
+  SessionHarness proxy;
+  proxy.apply(ShutdownRequested{});
+  proxy.pass(2100ms);
+  const auto session = proxy.connect();
+  proxy.pass(300ms);
+  REQUIRE_FALSE(proxy.take<ShutdownComplete>());
+  proxy.start(session, "settle");
+  REQUIRE(proxy.take<AcceptSession>());
+  proxy.write(session, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.pass(300ms);
+  REQUIRE_FALSE(proxy.take<ShutdownComplete>());
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle, Position{1, 2});
+  CHECK(proxy.take<AnswerStatement>());
+  CHECK(proxy.take<CloseSession>());
+  proxy.pass(100ms);
+  CHECK(proxy.take<ShutdownComplete>());
+}
+
+TEST_CASE("a leaving proxy serves callers that connect until the listener has stopped") {
+  SessionHarness proxy;
+  proxy.HoldAccepting = true;
+  proxy.apply(ShutdownRequested{});
+  proxy.pass(2300ms);
+  REQUIRE(proxy.take<StopAccepting>());
+  const auto session = proxy.open("settle");
+  proxy.apply(AcceptingStopped{});
+  REQUIRE_FALSE(proxy.take<ShutdownComplete>());
+  proxy.write(session, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle, Position{1, 2});
+  CHECK(proxy.take<AnswerStatement>());
+  proxy.pass(100ms);
+  CHECK(proxy.take<ShutdownComplete>());
+  CHECK_FALSE(proxy.take<StopAccepting>());
+}
+
+TEST_CASE("a leaving proxy closes connections on which no session starts, and ignores a late start") {
+  SessionHarness proxy;
+  const auto session = proxy.connect();
+  proxy.apply(ShutdownRequested{});
+  proxy.pass(2100ms);
+  REQUIRE_FALSE(proxy.take<CloseSession>());
+  proxy.pass(200ms);
+  const auto closed = proxy.take<CloseSession>();
+  REQUIRE(closed);
+  CHECK((closed->Session == session));
+  proxy.start(session, "settle");
+  CHECK_FALSE(proxy.take<AcceptSession>());
+  proxy.pass(100ms);
+  CHECK(proxy.take<ShutdownComplete>());
+}
+
+TEST_CASE("a leaving proxy lets no caller connect once it serves no more, also if it cannot end yet") {
+  SessionHarness proxy;
+  openTransaction(proxy);
+  proxy.apply(ShutdownRequested{});
+  proxy.pass(5100ms);
+  REQUIRE_FALSE(proxy.take<StopAccepting>());
+  proxy.pass(200ms);
+  CHECK(proxy.take<StopAccepting>());
+}
+
+TEST_CASE("a leaving proxy does not end while a session waits for the first configuration") {
+  SessionHarness started;
+  State logic;
+  logic.Self = started.Logic.Self;
+  started.Logic = std::move(logic);
+  started.Out.clear();
+  started.apply(Started{1, 8});
+  started.apply(ShutdownRequested{});
+  started.pass(2000ms);
+  started.open("settle");
+  started.pass(500ms);
+  CHECK_FALSE(started.take<ShutdownComplete>());
+  started.pass(1500ms);
+  CHECK(started.take<RefuseSession>());
+  CHECK(started.take<ShutdownComplete>());
+}
+
 TEST_CASE("a session opened before the first configuration is loaded waits for it instead of being refused "
           "for an unknown database") {
   SessionHarness started;
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -30,11 +30,21 @@
 
 } // namespace
 
+void SessionsModule::onConnected(Context &ctx, const CallerConnected &event) {
+  Connected.emplace(event.Session, ctx.Now);
+}
+
 void SessionsModule::onOpened(Context &ctx, SessionServices &services, const SessionOpened &event) {
-  if (!services.Catalog.configured()) {
-    PendingSessions.emplace(event.Session, PendingSession{event, ctx.Now + ConfigurationTimeout});
+  // The start of a session may cross the end of its connection.
+  if (Connected.erase(event.Session) == 0)
     return;
-  }
+  if (services.Catalog.configured())
+    startSession(ctx, services, event);
+  else
+    PendingSessions.emplace(event.Session, PendingSession{event, ctx.Now + ConfigurationTimeout});
+}
+
+void SessionsModule::startSession(Context &ctx, SessionServices &services, const SessionOpened &event) {
   if (!services.Catalog.route(event.Database)) {
     ctx.emit(Count{"sessions_refused_total"});
     ctx.emit(Log{LogLevel::Info,
@@ -59,7 +69,7 @@
 void SessionsModule::admitPendingSessions(Context &ctx, SessionServices &services) {
   if (services.Catalog.configured()) {
     for (const auto &[id, it] : std::exchange(PendingSessions, {}))
-      onOpened(ctx, services, it.Opened);
+      startSession(ctx, services, it.Opened);
     return;
   }
   for (auto it = PendingSessions.begin(); it != PendingSessions.end();) {
@@ -97,6 +107,7 @@
 }
 
 void SessionsModule::onClosed(Context &ctx, SessionServices &services, const SessionClosed &event) {
+  Connected.erase(event.Session);
   PendingSessions.erase(event.Session);
   const auto it = Sessions.find(event.Session);
   if (it == Sessions.end())
@@ -143,15 +154,20 @@
   std::optional<TimePoint> out;
   if (!Timers.empty())
     out = Timers.begin()->first;
+  const auto earlier = [&out](TimePoint it) { out = out ? std::min(*out, it) : it; };
   for (const auto &[id, it] : PendingSessions)
-    out = out ? std::min(*out, it.Until) : it.Until;
+    earlier(it.Until);
+  if (LeavingSince)
+    for (const auto &[id, connectedAt] : Connected)
+      earlier(unusedCloseTime(connectedAt));
   if (WaitingCount > 0)
-    out = out ? std::min(*out, NextWaitingPass) : NextWaitingPass;
+    earlier(NextWaitingPass);
   return out;
 }
 
 void SessionsModule::onTimer(Context &ctx, SessionServices &services) {
   admitPendingSessions(ctx, services);
+  closeUnusedConnections(ctx);
   // Each due session is handled once; a timer that is set again while this runs waits for the next event.
   std::vector<SessionId> due;
   for (auto it = Timers.begin(); it != Timers.end() && it->first <= ctx.Now; ++it)
@@ -308,10 +324,45 @@
                   session.IdleSince + (session.ReceivedStatement ? IdleCloseDelay : UnusedCloseDelay));
 }
 
-bool SessionsModule::isDrained(TimePoint now) const {
-  return LeavingSince && Sessions.empty() && now >= balancerDrainedAt();
+TimePoint SessionsModule::unusedCloseTime(TimePoint connectedAt) const {
+  return std::min(servingEndsAt(), std::max(balancerDrainedAt(), connectedAt + UnusedCloseDelay));
 }
 
+void SessionsModule::closeUnusedConnections(Context &ctx) {
+  if (!LeavingSince)
+    return;
+  for (auto it = Connected.begin(); it != Connected.end();) {
+    if (ctx.Now < unusedCloseTime(it->second)) {
+      ++it;
+      continue;
+    }
+    ctx.emit(CloseSession{it->first});
+    it = Connected.erase(it);
+  }
+}
+
+bool SessionsModule::hasCallers() const {
+  return !Connected.empty() || !PendingSessions.empty() || !Sessions.empty();
+}
+
+void SessionsModule::stopAcceptingIfDrained(Context &ctx, bool busy) {
+  if (!LeavingSince || Accepting != AcceptState::Accepting)
+    return;
+  const bool drained = !busy && !hasCallers() && ctx.Now >= balancerDrainedAt();
+  if (!drained && ctx.Now < servingEndsAt())
+    return;
+  Accepting = AcceptState::Stopping;
+  ctx.emit(Log{LogLevel::Info,
+               "callers no longer accepted",
+               {{"sessions", std::to_string(Sessions.size() + PendingSessions.size())},
+                {"connections_without_session", std::to_string(Connected.size())}}});
+  ctx.emit(StopAccepting{});
+}
+
+void SessionsModule::onAcceptingStopped() { Accepting = AcceptState::Stopped; }
+
+bool SessionsModule::isDrained() const { return Accepting == AcceptState::Stopped && !hasCallers(); }
+
 std::optional<TimePoint> SessionsModule::writesUnansweredSince(const DatabaseId &service) const {
   std::optional<TimePoint> out;
   std::size_t n = 0;
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -33,6 +33,7 @@
 
 class SessionsModule {
 public:
+  void onConnected(Context &ctx, const CallerConnected &event);
   void onOpened(Context &ctx, SessionServices &services, const SessionOpened &event);
   void onStatement(Context &ctx, SessionServices &services, const StatementArrived &event);
   void onClosed(Context &ctx, SessionServices &services, const SessionClosed &event);
@@ -54,8 +55,13 @@
   /// During a graceful shutdown: closes the sessions for which an answer has just ended an operation. Called
   /// after each event, so that the caller receives the answer and the end of the connection together.
   void closeAnswered(Context &ctx);
-  /// Whether the graceful shutdown is complete: no sessions are left and the load balancer sends no new ones.
-  [[nodiscard]] bool isDrained(TimePoint now) const;
+  /// During a graceful shutdown: lets no more callers connect once none is left and the load balancer has had
+  /// time to send no new ones, or at the latest when sessions are no longer served.
+  /// \param busy Whether the process has to go on for another reason.
+  void stopAcceptingIfDrained(Context &ctx, bool busy);
+  void onAcceptingStopped();
+  /// Whether the graceful shutdown is complete: no caller is connected, and none can connect any more.
+  [[nodiscard]] bool isDrained() const;
   [[nodiscard]] std::size_t size() const { return Sessions.size(); }
   [[nodiscard]] std::size_t waiting() const { return WaitingCount; }
   /// Since when commits sent to the primary of a service have gone unanswered. Empty if there is only one
@@ -228,7 +234,12 @@
   [[nodiscard]] TimePoint balancerDrainedAt() const;
   /// During a graceful shutdown: when an idle session is closed.
   [[nodiscard]] TimePoint idleCloseTime(const Session &session) const;
+  void startSession(Context &ctx, SessionServices &services, const SessionOpened &event);
   void admitPendingSessions(Context &ctx, SessionServices &services);
+  /// During a graceful shutdown: when a connection on which no session has started is closed.
+  [[nodiscard]] TimePoint unusedCloseTime(TimePoint connectedAt) const;
+  void closeUnusedConnections(Context &ctx);
+  [[nodiscard]] bool hasCallers() const;
   /// Ends a session and gives up its link. A statement in progress gets no answer.
   void endWithoutAnswer(Context &ctx, SessionServices &services, SessionId id);
   void erase(SessionId id);
@@ -238,8 +249,13 @@
     TimePoint Until;
   };
 
-  std::map<SessionId, Session> Sessions;
+  /// Whether callers can connect. Only goes forward.
+  enum class AcceptState : std::uint8_t { Accepting, Stopping, Stopped };
+
+  // Each connected caller is in exactly one of the next three.
+  std::map<SessionId, TimePoint> Connected; ///< No session has started yet; with the time of connecting.
   std::map<SessionId, PendingSession> PendingSessions; ///< Opened before the first configuration was read.
+  std::map<SessionId, Session> Sessions;
   std::map<DatabaseId, WaitQueues> Waiting;
   std::size_t WaitingCount = 0;
   TimePoint NextWaitingPass; ///< When waiting statements are tried again without an event.
@@ -247,6 +263,7 @@
   std::map<DatabaseId, std::set<std::pair<TimePoint, SessionId>>> WritesInFlight;
   std::set<std::pair<TimePoint, SessionId>> Timers;
   std::optional<TimePoint> LeavingSince;
+  AcceptState Accepting = AcceptState::Accepting;
   std::vector<SessionId> Answered; ///< Answered by the current event, during a graceful shutdown.
   Duration Grace = 6s;             ///< Shutdown grace: from the stop request to the end of the process.
   Duration TransactionIdle = 3s;   ///< From the current configuration.
--- a/src/wire/internal/sessionlistener.cpp
+++ b/src/wire/internal/sessionlistener.cpp
@@ -73,9 +73,12 @@
       end(effect.Session, it);
   }
 
-  void stop() override {
+  void stopAccepting() override {
+    if (std::exchange(Stopping, true))
+      return;
+    // The handler of the accept in progress, which may already hold a connection, does the rest.
     std::error_code ec;
-    Acceptor.close(ec);
+    Acceptor.cancel(ec);
   }
 
   [[nodiscard]] std::uint16_t port() const override { return Acceptor.local_endpoint().port(); }
@@ -95,24 +98,42 @@
 
   void accept() {
     Acceptor.async_accept([this](std::error_code ec, tcp::socket socket) {
-      if (ec == asio::error::operation_aborted)
-        return;
-      if (ec)
+      if (!ec)
+        add(std::move(socket));
+      else if (ec != asio::error::operation_aborted)
         Metrics.count("session_accept_failures_total");
-      else if (Connections.size() >= Options.MaxSessions)
-        Metrics.count("session_connections_rejected_total");
+      else if (!Stopping)
+        return; // The listener is destroyed.
+      if (Stopping)
+        finishAccepting();
       else
-        add(std::move(socket));
-      if (Acceptor.is_open())
         accept();
     });
   }
 
+  void finishAccepting() {
+    std::error_code ec;
+    Acceptor.non_blocking(true, ec);
+    while (!ec) {
+      tcp::socket socket(Acceptor.get_executor());
+      Acceptor.accept(socket, ec);
+      if (!ec)
+        add(std::move(socket));
+    }
+    Acceptor.close(ec);
+    Sink(AcceptingStopped{});
+  }
+
   void add(tcp::socket socket) {
+    if (Connections.size() >= Options.MaxSessions) {
+      Metrics.count("session_connections_rejected_total");
+      return;
+    }
     detail::setSocketOptions(socket, Unacknowledged);
     const SessionId id{++LastId};
     const auto it = std::make_shared<Connection>(std::move(socket), Codecs.caller());
     Connections.emplace(id, it);
+    Sink(CallerConnected{id});
     read(id, it);
   }
 
@@ -159,8 +180,7 @@
   void protocolError(SessionId id, const ConnectionPtr &it, const ProtocolError &error) {
     Metrics.count("session_protocol_errors_total");
     it->Ending = true;
-    if (it->Started)
-      Sink(SessionClosed{id});
+    Sink(SessionClosed{id});
     write(id, it, it->Codec->refusal({error.Code, error.Message}));
   }
 
@@ -192,7 +212,7 @@
 
   /// The caller has left, or cannot be reached.
   void gone(SessionId id, const ConnectionPtr &it) {
-    if (it->Started && !it->Ending)
+    if (!it->Ending)
       Sink(SessionClosed{id});
     end(id, it);
   }
@@ -211,6 +231,7 @@
   tcp::acceptor Acceptor;
   std::unordered_map<SessionId, ConnectionPtr> Connections;
   std::uint64_t LastId = 0;
+  bool Stopping = false; ///< stopAccepting() was called.
 };
 
 } // namespace
--- a/src/wire/isessionlistener.h
+++ b/src/wire/isessionlistener.h
@@ -17,8 +17,8 @@
   virtual void refuse(const RefuseSession &effect) = 0;
   virtual void answer(const AnswerStatement &effect) = 0;
   virtual void close(const CloseSession &effect) = 0;
-  /// Accepts no more connections.
-  virtual void stop() = 0;
+  /// Accepts what is in the queue of the operating system, then nothing more, and reports AcceptingStopped.
+  virtual void stopAccepting() = 0;
   [[nodiscard]] virtual std::uint16_t port() const = 0;
   /// Connections with answers that are not written yet.
   [[nodiscard]] virtual std::size_t pending() const = 0;
--- a/testing/sessionworld/plannedstops.cpp
+++ b/testing/sessionworld/plannedstops.cpp
@@ -16,6 +16,9 @@
 /// Time after which the load balancer sends no sessions to a proxy that is not ready.
 constexpr Duration BalancerTime = 2s;
 constexpr double WriteShare = 0.1;
+/// Callers that connect to a proxy while it stops, and the longest time until they start their session.
+constexpr std::size_t LateCallerCount = 40;
+constexpr Duration MaxStartDelay = 200ms;
 
 } // namespace
 
@@ -42,6 +45,9 @@
   it.StoppedAt = Queue.now();
   ++Result.Restarts;
   deliver(proxy, ShutdownRequested{});
+  for (std::size_t n = 0; n < LateCallerCount; ++n)
+    Queue.after(PlannedRandom.between(0ms, it.Logic.Self.ShutdownGrace),
+                [this, proxy] { connectLate(proxy); });
   Queue.after(it.Logic.Self.ShutdownGrace, [this, proxy] { endProxy(proxy); });
 }
 
@@ -57,6 +63,7 @@
       ++link;
     }
   }
+  checkLateCallers(proxy);
   for (auto &caller : SteadyCallers) {
     if (caller.Proxy != proxy || caller.Session.Value == 0)
       continue;
@@ -83,6 +90,7 @@
   it.Proxy = places[PlannedRandom.below(places.size())];
   it.Session = SessionId{++LastNumber};
   it.Statement.clear();
+  deliver(it.Proxy, CallerConnected{it.Session});
   deliver(it.Proxy, SessionOpened{it.Session, "settle", "caller"});
 }
 
@@ -101,9 +109,24 @@
   for (std::size_t n = 0; n < SteadyCallers.size(); ++n)
     if (SteadyCallers[n].Session == session)
       Queue.after(1ms, [this, n, session] { sendSteady(n, session); });
+  if (const auto it = LateCallers.find(session); it != LateCallers.end())
+    Queue.after(1ms, [this, session, caller = it->second] {
+      if (!LateCallers.contains(session))
+        return;
+      Running[caller.Statement] = {caller.Statement, false, true, Queue.now()};
+      deliver(
+          caller.Proxy,
+          StatementArrived{session, {caller.Statement, caller.Statement, DataStatement{AccessMode::Read}}});
+    });
 }
 
 void World::onSessionClosedByProxy(SessionId session) {
+  if (const auto it = LateCallers.find(session); it != LateCallers.end()) {
+    if (Running.contains(it->second.Statement))
+      Result.Violations.push_back("a late session was closed while statement " + it->second.Statement +
+                                  " was in progress");
+    LateCallers.erase(it);
+  }
   for (std::size_t n = 0; n < SteadyCallers.size(); ++n) {
     auto &it = SteadyCallers[n];
     if (it.Session != session)
@@ -116,7 +139,35 @@
   }
 }
 
+void World::connectLate(std::size_t proxy) {
+  const auto &it = *Proxies[proxy];
+  if (it.Ended || it.Paused || !it.Accepting)
+    return;
+  const SessionId session{++LastNumber};
+  LateCallers[session] = {proxy, "l" + std::to_string(session.Value)};
+  deliver(proxy, CallerConnected{session});
+  Queue.after(PlannedRandom.between(1ms, MaxStartDelay), [this, proxy, session] {
+    if (LateCallers.contains(session))
+      deliver(proxy, SessionOpened{session, "settle", "caller"});
+  });
+}
+
+void World::checkLateCallers(std::size_t proxy) {
+  for (auto it = LateCallers.begin(); it != LateCallers.end();) {
+    if (it->second.Proxy != proxy) {
+      ++it;
+      continue;
+    }
+    // A frozen process cannot answer before it is killed.
+    if (!Proxies[proxy]->Paused)
+      Result.Violations.push_back("a process ended while caller " + it->second.Statement + " was connected");
+    it = LateCallers.erase(it);
+  }
+}
+
 bool World::answerSteady(SessionId session) {
+  if (LateCallers.erase(session) > 0)
+    ++Result.LateAnswers;
   const auto it = std::find_if(SteadyCallers.begin(), SteadyCallers.end(),
                                [&](const auto &one) { return one.Session == session; });
   if (it == SteadyCallers.end())
--- a/testing/sessionworld/tests/sessionworldtests.cpp
+++ b/testing/sessionworld/tests/sessionworldtests.cpp
@@ -50,8 +50,10 @@
 TEST_CASE("no rule is broken where a former primary goes on leading") { playSeeds(false); }
 
 TEST_CASE("proxies that are stopped as planned answer every statement that they have read") {
-  // Guards against sessions in steady use that are closed while a server works on their statement.
+  // Guards against sessions in steady use that are closed while a server works on their statement, and
+  // against processes that end while a caller starts its session.
   std::size_t restarts = 0;
+  std::size_t lateAnswers = 0;
   for (std::uint64_t seed = 1; seed <= RestartSeeds; ++seed) {
     WorldOptions options;
     options.Seed = seed;
@@ -64,8 +66,10 @@
     CHECK(result.SteadyAnswers > 0);
     CHECK(result.RecoveredWrites);
     restarts += result.Restarts;
+    lateAnswers += result.LateAnswers;
   }
   CHECK(restarts > RestartSeeds);
+  CHECK(lateAnswers > RestartSeeds);
 }
 
 TEST_CASE("no rule is broken when the store comes back from an older copy") {
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -115,6 +115,13 @@
                  [&](const AcceptSession &it) { onSessionAccepted(it.Session); },
                  [&](const RefuseSession &it) { onSessionClosedByProxy(it.Session); },
                  [&](const CloseSession &it) { onSessionClosedByProxy(it.Session); },
+                 [&](const StopAccepting &) {
+                   // Connections that the operating system has completed are accepted until then.
+                   Queue.after(2ms, [this, proxy] {
+                     Proxies[proxy]->Accepting = false;
+                     deliver(proxy, AcceptingStopped{});
+                   });
+                 },
                  [&](const ShutdownComplete &) { endProxy(proxy); },
                  [&](const Log &it) {
                    if (it.Level < LogLevel::Warn)
@@ -217,10 +224,11 @@
   const bool current = write || Random.chance(0.5);
   const auto number = ++LastNumber;
   Operation operation{(write ? "w" : "r") + std::to_string(number), write, current, Queue.now()};
-  if (Proxies[proxy]->Ended)
+  if (Proxies[proxy]->Ended || !Proxies[proxy]->Accepting)
     return;
   Running[operation.Statement] = operation;
   const SessionId session{number};
+  deliver(proxy, CallerConnected{session});
   deliver(proxy, SessionOpened{session, current ? "settle" : "look", "caller"});
   deliver(proxy, StatementArrived{session,
                                   {operation.Statement, operation.Statement,
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -26,7 +26,7 @@
   bool ProxiesExpectFencing = true;
   std::size_t Faults = 5;
   /// Proxies that are stopped and started again as planned, in series that overlap. Callers that keep their
-  /// sessions in steady use come with them.
+  /// sessions in steady use come with them, and others that connect to a proxy while it stops.
   std::size_t Restarts = 0;
   /// Times that the store comes back from an older copy. The operator changes the configuration meanwhile.
   std::size_t StoreRestorations = 0;
@@ -39,6 +39,7 @@
   std::size_t Promotions = 0;
   std::size_t Restarts = 0;
   std::size_t SteadyAnswers = 0; ///< Of callers that keep their sessions.
+  std::size_t LateAnswers = 0;   ///< Of callers that connected to a proxy while it stopped.
   bool RecoveredWrites = false;  ///< Writes were served in the last second, after all faults had ended.
   std::string Servers;           ///< State of the servers at the end.
   std::vector<std::string> Log;  ///< Warnings of the proxies.
@@ -59,6 +60,7 @@
     bool Paused = false;
     bool Ended = false;                 ///< The process is gone; its successor has another index.
     std::optional<TimePoint> StoppedAt; ///< When it was asked to stop.
+    bool Accepting = true;              ///< Callers can connect.
     std::deque<Event> Held;             ///< Events that arrived while the process was paused.
     std::optional<TimePoint> TimerAt;
   };
@@ -80,6 +82,12 @@
     std::string Statement; ///< In progress; empty if none is.
   };
 
+  /// A caller that connects to a proxy while it stops, for one statement.
+  struct LateCaller {
+    std::size_t Proxy = 0;
+    std::string Statement;
+  };
+
   void addProxy(std::size_t place);
 
   // Restorations of the store (storerestorations.cpp).
@@ -102,6 +110,10 @@
   void onSessionClosedByProxy(SessionId session);
   /// Whether the session is that of a steady caller, which then goes on after a pause.
   bool answerSteady(SessionId session);
+  /// Connects a caller that starts its session some time later.
+  void connectLate(std::size_t proxy);
+  /// A proxy has ended: none of the callers that it let connect may be left without an answer.
+  void checkLateCallers(std::size_t proxy);
 
   void start(std::size_t proxy);
   void deliver(std::size_t proxy, const Event &event);
@@ -133,6 +145,7 @@
   std::vector<std::unique_ptr<Proxy>> Proxies; ///< Each process that was ever started.
   std::vector<std::size_t> Live;               ///< The process in each place of the fleet.
   std::vector<SteadyCaller> SteadyCallers;
+  std::map<SessionId, LateCaller> LateCallers;
   std::map<std::pair<std::size_t, LinkId>, Link> Links;
   std::set<std::pair<std::size_t, std::size_t>> Cuts; ///< Proxy and server.
   std::map<std::pair<std::size_t, SessionId>, Operation> Sessions;
