Handle events that were received before a timer fired before it

What callers saw: during a planned stop, a statement that the proxy had read could end without an answer, if its loop was held up for a moment: the timer that finds sessions idle was handled first, and closed the session that the statement in the queue belonged to. Change: a timer is handled after the events that are in the queue, at most those of one turn.

--- a/src/daemon/internal/loop.cpp
+++ b/src/daemon/internal/loop.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <sys/timex.h>
+#include <utility>
 
 namespace rosemaryhinge {
 
@@ -54,10 +55,12 @@
     }
   }
   Queue.push_back(std::move(event));
-  if (Scheduled)
-    return;
-  Scheduled = true;
-  asio::post(Io, [this] { drain(); });
+  scheduleDrain();
+}
+
+void Loop::scheduleDrain() {
+  if (!std::exchange(Scheduled, true))
+    asio::post(Io, [this] { drain(); });
 }
 
 void Loop::run(const Started &started) {
@@ -77,10 +80,11 @@
     Queue.pop_front();
     step(event);
   }
-  if (!Queue.empty() && !Scheduled) {
-    Scheduled = true;
-    asio::post(Io, [this] { drain(); });
-  }
+  // After the events that were received before: what is decided by the time that has passed sees them.
+  if (std::exchange(TimerDue, false))
+    step(TimerFired{});
+  if (!Queue.empty())
+    scheduleDrain();
   armTimer();
 }
 
@@ -154,7 +158,8 @@
   Timer.set(*next, [this] {
     ArmedFor.reset();
     TimerFiredAt = bootNow();
-    post(TimerFired{});
+    TimerDue = true;
+    scheduleDrain();
   });
 }
 
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -54,6 +54,7 @@
   static constexpr std::size_t MaxQueued = 100'000;
 
 private:
+  void scheduleDrain();
   void drain();
   void step(const Event &event);
   void apply(const Effect &effect);
@@ -76,6 +77,7 @@
   BootTimer Timer;
   std::optional<TimePoint> ArmedFor;
   TimePoint TimerFiredAt;
+  bool TimerDue = false; ///< The timer has fired, and the decision logic has not been told.
   asio::steady_timer WallTimer;
   asio::steady_timer KeysTimer;
   asio::steady_timer ShutdownTimer;
--- a/src/daemon/tests/looptests.cpp
+++ b/src/daemon/tests/looptests.cpp
@@ -5,9 +5,15 @@
 #include "daemon/loop.h"
 #include "net/bootclock.h"
 
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <functional>
+#include <thread>
+#include <vector>
 
 using namespace rosemaryhinge;
 
@@ -166,6 +172,30 @@
   CHECK(std::is_sorted(f.Reducer.Times.begin(), f.Reducer.Times.end()));
 }
 
+TEST_CASE("events that were received before a timer fired are handled before it") {
+  // Guards against sessions that are closed as idle while their next statement is in the queue.
+  Fixture f;
+  std::vector<std::size_t> kinds;
+  f.Reducer.Next = bootNow() + 20ms;
+  f.Reducer.Rule = [&](const Event &event, TimePoint) -> Effects {
+    kinds.push_back(event.index());
+    if (!std::holds_alternative<TimerFired>(event))
+      return {};
+    f.Reducer.Next.reset();
+    return {ShutdownComplete{}};
+  };
+  // Both become ready while the loop is held up.
+  asio::steady_timer held(f.Io, std::chrono::milliseconds(5));
+  held.async_wait([&](std::error_code) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(40));
+    asio::post(f.Io, [&] { asio::post(f.Io, [&] { f.Subject.post(PeerLost{NodeId("p")}); }); });
+  });
+  f.run();
+  const auto place = [&](const Event &it) { return std::find(kinds.begin(), kinds.end(), it.index()); };
+  REQUIRE(place(PeerLost{}) != kinds.end());
+  CHECK(place(PeerLost{}) < place(TimerFired{}));
+}
+
 TEST_CASE("a broken invariant is counted and logged with the trail of events") {
   Fixture f;
   f.Reducer.Rule = [](const Event &event, TimePoint) -> Effects {
