Refuse statements that arrive while their session is closed

What callers saw: a proxy that shuts down closes sessions that are idle for 250 ms. A statement that had arrived by then and was not read ended with a broken connection. That promises nothing, so a write could not be repeated. Cause: the connection was closed with bytes of the caller unread. Change: a session's connection is closed after what has arrived on it is read; statements among it are refused as not run, counted by statements_refused_at_close_total. Evidence: the new test of src/wire fails on the code before (reset of the connection, no answer) and passes now. Statements that arrive after the close still find it closed.

--- a/src/wire/internal/sessionlistener.cpp
+++ b/src/wire/internal/sessionlistener.cpp
@@ -5,6 +5,7 @@
 #include "wire/wire.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -30,6 +31,8 @@
   std::string Writing;
   bool Started = false; ///< The first message was read.
   bool Ending = false;  ///< Closed once everything is written.
+  /// The decision logic has closed the session: statements that still arrive are refused.
+  bool RefusesStatements = false;
   bool Closed = false;
 };
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -69,8 +72,15 @@
     if (!it)
       return;
     it->Ending = true;
-    if (it->Writing.empty())
-      end(effect.Session, it);
+    it->RefusesStatements = true;
+    // A read that has completed is handled first.
+    asio::post(Acceptor.get_executor(), [this, id = effect.Session, it] {
+      if (it->Closed)
+        return;
+      receiveAvailable(id, it);
+      if (it->Writing.empty() && !it->Closed)
+        end(id, it);
+    });
   }
 
   void stopAccepting() override {
@@ -86,7 +96,7 @@
   [[nodiscard]] std::size_t pending() const override {
     std::size_t n = 0;
     for (const auto &[id, it] : Connections)
-      n += it->Writing.empty() ? 0 : 1;
+      n += it->Writing.empty() && !it->Ending ? 0 : 1;
     return n;
   }
 
@@ -145,18 +155,42 @@
         gone(id, it);
         return;
       }
-      std::vector<CallerMessage> messages;
-      it->Codec->decode({it->Buf.data(), size}, messages);
-      for (auto &message : messages) {
-        if (it->Closed || it->Ending)
-          return;
-        take(id, it, std::move(message));
-      }
-      if (!it->Closed)
+      receive(id, it, {it->Buf.data(), size});
+      if (!it->Closed && !it->Ending)
         read(id, it);
     });
   }
 
+  void receive(SessionId id, const ConnectionPtr &it, std::string_view bytes) {
+    std::vector<CallerMessage> messages;
+    it->Codec->decode(bytes, messages);
+    for (auto &message : messages) {
+      if (it->Closed)
+        return;
+      const auto *statement = std::get_if<SessionStatement>(&message);
+      if (!it->Ending)
+        take(id, it, std::move(message));
+      else if (statement && it->RefusesStatements)
+        refuseLate(id, it, *statement);
+    }
+  }
+
+  /// Takes what has arrived on a connection and was not read.
+  void receiveAvailable(SessionId id, const ConnectionPtr &it) {
+    std::array<char, ReadSize> buf{};
+    std::error_code ec;
+    if (it->Socket.available(ec) > 0 && !ec)
+      receive(id, it, {buf.data(), it->Socket.read_some(asio::buffer(buf), ec)});
+  }
+
+  /// Refuses, as not run, a statement that was received while its session was being closed. Without an answer
+  /// the caller could not know that a write may be sent again.
+  void refuseLate(SessionId id, const ConnectionPtr &it, const SessionStatement &statement) {
+    Metrics.count("statements_refused_at_close_total");
+    const StatementRejection why{Rejection::Busy, "the session is closed; retry at another proxy"};
+    write(id, it, it->Codec->answer({id, statement.Id, why, TransactionState::Idle, std::nullopt}));
+  }
+
   void take(SessionId id, const ConnectionPtr &it, CallerMessage message) {
     std::visit(Overloaded{
                    [&](SessionStart &start) {
--- a/src/wire/tests/sessionlistenertests.cpp
+++ b/src/wire/tests/sessionlistenertests.cpp
@@ -3,11 +3,13 @@
 #include "wire/wire.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/write.hpp>
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <thread>
 #include <vector>
 
 using namespace rosemaryhinge;
@@ -16,15 +18,21 @@
 
 using asio::ip::tcp;
 
-/// Each byte of a caller starts a session.
+/// The byte d starts a session; any other is a statement of that name.
 struct ByteCodec : ICallerCodec {
   void decode(std::string_view bytes, std::vector<CallerMessage> &out) override {
     for (const char it : bytes)
-      out.emplace_back(SessionStart{std::string(1, it), "caller"});
+      if (it == 'd')
+        out.emplace_back(SessionStart{"d", "caller"});
+      else
+        out.emplace_back(SessionStatement{std::string(1, it), "text", MalformedStatement{}});
   }
   [[nodiscard]] std::string greeting() override { return "+"; }
   [[nodiscard]] std::string refusal(const StatementRejection &) override { return "-"; }
-  [[nodiscard]] std::string answer(const AnswerStatement &) override { return "a"; }
+  [[nodiscard]] std::string answer(const AnswerStatement &it) override {
+    const auto *why = std::get_if<StatementRejection>(&it.Outcome);
+    return it.StatementId + (why && why->Code == Rejection::Busy ? "!" : "?");
+  }
 };
 
 struct ByteCodecs : ICodecs {
@@ -98,3 +106,23 @@
   f.Io.run_for(std::chrono::milliseconds(50));
   CHECK(f.count<SessionClosed>() == 2);
 }
+
+TEST_CASE("a statement that has arrived when its session is closed is refused as not run") {
+  // Guards against writes that end without an answer because a leaving proxy found their session idle.
+  Fixture f;
+  auto caller = f.connect();
+  asio::write(caller, asio::buffer("d", 1));
+  f.Io.run_for(std::chrono::milliseconds(50));
+  REQUIRE(f.count<SessionOpened>() == 1);
+  const auto session = std::get<SessionOpened>(f.Events.back()).Session;
+  asio::write(caller, asio::buffer("w", 1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  f.Subject->close({session});
+  f.Io.run_for(std::chrono::milliseconds(50));
+  std::string received;
+  std::error_code ec;
+  asio::read(caller, asio::dynamic_buffer(received), ec);
+  CHECK(received == "w!");
+  CHECK(ec == asio::error::eof);
+  CHECK(f.count<StatementArrived>() == 0);
+}
