--- a/src/daemon/internal/loop.cpp
+++ b/src/daemon/internal/loop.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <sys/timex.h>
+#include <utility>
 
 namespace rosemaryhinge {
 
@@ -54,10 +55,12 @@
     }
   }
   Queue.push_back(std::move(event));
-  if (Scheduled)
-    return;
-  Scheduled = true;
-  asio::post(Io, [this] { drain(); });
+  scheduleDrain();
+}
+
+void Loop::scheduleDrain() {
+  if (!std::exchange(Scheduled, true))
+    asio::post(Io, [this] { drain(); });
 }
 
 void Loop::run(const Started &started) {
@@ -77,10 +80,11 @@
     Queue.pop_front();
     step(event);
   }
-  if (!Queue.empty() && !Scheduled) {
-    Scheduled = true;
-    asio::post(Io, [this] { drain(); });
-  }
+  // After the events that were received before: what is decided by the time that has passed sees them.
+  if (std::exchange(TimerDue, false))
+    step(TimerFired{});
+  if (!Queue.empty())
+    scheduleDrain();
   armTimer();
 }
 
@@ -116,6 +120,7 @@
                  [&](const RefuseSession &it) { Out.Sessions->refuse(it); },
                  [&](const AnswerStatement &it) { Out.Sessions->answer(it); },
                  [&](const CloseSession &it) { Out.Sessions->close(it); },
+                 [&](const StopAccepting &) { Out.Sessions->stopAccepting(); },
                  [&](const OpenLink &it) { Out.Links->open(it); },
                  [&](const SendOnLink &it) { Out.Links->send(it); },
                  [&](const CloseLink &it) { Out.Links->close(it); },
@@ -153,7 +158,8 @@
   Timer.set(*next, [this] {
     ArmedFor.reset();
     TimerFiredAt = bootNow();
-    post(TimerFired{});
+    TimerDue = true;
+    scheduleDrain();
   });
 }
 
@@ -216,10 +222,8 @@
     ShutdownDeadline = std::chrono::steady_clock::now() + FlushTime;
     if (Out.Callers)
       Out.Callers->stop();
-    if (Out.Sessions)
-      Out.Sessions->stop();
   }
-  if (unwritten() == 0 || std::chrono::steady_clock::now() >= ShutdownDeadline) {
+  if ((unwritten() == 0 && Queue.empty()) || std::chrono::steady_clock::now() >= ShutdownDeadline) {
     Io.stop();
     return;
   }
--- a/src/wire/internal/sessionlistener.cpp
+++ b/src/wire/internal/sessionlistener.cpp
@@ -5,6 +5,7 @@
 #include "wire/wire.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -30,6 +31,8 @@
   std::string Writing;
   bool Started = false; ///< The first message was read.
   bool Ending = false;  ///< Closed once everything is written.
+  /// The decision logic has closed the session: statements that still arrive are refused.
+  bool RefusesStatements = false;
   bool Closed = false;
 };
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -69,13 +72,23 @@
     if (!it)
       return;
     it->Ending = true;
-    if (it->Writing.empty())
-      end(effect.Session, it);
+    it->RefusesStatements = true;
+    // A read that has completed is handled first.
+    asio::post(Acceptor.get_executor(), [this, id = effect.Session, it] {
+      if (it->Closed)
+        return;
+      receiveAvailable(id, it);
+      if (it->Writing.empty() && !it->Closed)
+        end(id, it);
+    });
   }
 
-  void stop() override {
+  void stopAccepting() override {
+    if (std::exchange(Stopping, true))
+      return;
+    // The handler of the accept in progress, which may already hold a connection, does the rest.
     std::error_code ec;
-    Acceptor.close(ec);
+    Acceptor.cancel(ec);
   }
 
   [[nodiscard]] std::uint16_t port() const override { return Acceptor.local_endpoint().port(); }
@@ -83,7 +96,7 @@
   [[nodiscard]] std::size_t pending() const override {
     std::size_t n = 0;
     for (const auto &[id, it] : Connections)
-      n += it->Writing.empty() ? 0 : 1;
+      n += it->Writing.empty() && !it->Ending ? 0 : 1;
     return n;
   }
 
@@ -95,24 +108,42 @@
 
   void accept() {
     Acceptor.async_accept([this](std::error_code ec, tcp::socket socket) {
-      if (ec == asio::error::operation_aborted)
-        return;
-      if (ec)
+      if (!ec)
+        add(std::move(socket));
+      else if (ec != asio::error::operation_aborted)
         Metrics.count("session_accept_failures_total");
-      else if (Connections.size() >= Options.MaxSessions)
-        Metrics.count("session_connections_rejected_total");
+      else if (!Stopping)
+        return; // The listener is destroyed.
+      if (Stopping)
+        finishAccepting();
       else
-        add(std::move(socket));
-      if (Acceptor.is_open())
         accept();
     });
   }
 
+  void finishAccepting() {
+    std::error_code ec;
+    Acceptor.non_blocking(true, ec);
+    while (!ec) {
+      tcp::socket socket(Acceptor.get_executor());
+      Acceptor.accept(socket, ec);
+      if (!ec)
+        add(std::move(socket));
+    }
+    Acceptor.close(ec);
+    Sink(AcceptingStopped{});
+  }
+
   void add(tcp::socket socket) {
+    if (Connections.size() >= Options.MaxSessions) {
+      Metrics.count("session_connections_rejected_total");
+      return;
+    }
     detail::setSocketOptions(socket, Unacknowledged);
     const SessionId id{++LastId};
     const auto it = std::make_shared<Connection>(std::move(socket), Codecs.caller());
     Connections.emplace(id, it);
+    Sink(CallerConnected{id});
     read(id, it);
   }
 
@@ -124,18 +155,42 @@
         gone(id, it);
         return;
       }
-      std::vector<CallerMessage> messages;
-      it->Codec->decode({it->Buf.data(), size}, messages);
-      for (auto &message : messages) {
-        if (it->Closed || it->Ending)
-          return;
-        take(id, it, std::move(message));
-      }
-      if (!it->Closed)
+      receive(id, it, {it->Buf.data(), size});
+      if (!it->Closed && !it->Ending)
         read(id, it);
     });
   }
 
+  void receive(SessionId id, const ConnectionPtr &it, std::string_view bytes) {
+    std::vector<CallerMessage> messages;
+    it->Codec->decode(bytes, messages);
+    for (auto &message : messages) {
+      if (it->Closed)
+        return;
+      const auto *statement = std::get_if<SessionStatement>(&message);
+      if (!it->Ending)
+        take(id, it, std::move(message));
+      else if (statement && it->RefusesStatements)
+        refuseLate(id, it, *statement);
+    }
+  }
+
+  /// Takes what has arrived on a connection and was not read.
+  void receiveAvailable(SessionId id, const ConnectionPtr &it) {
+    std::array<char, ReadSize> buf{};
+    std::error_code ec;
+    if (it->Socket.available(ec) > 0 && !ec)
+      receive(id, it, {buf.data(), it->Socket.read_some(asio::buffer(buf), ec)});
+  }
+
+  /// Refuses, as not run, a statement that was received while its session was being closed. Without an answer
+  /// the caller could not know that a write may be sent again.
+  void refuseLate(SessionId id, const ConnectionPtr &it, const SessionStatement &statement) {
+    Metrics.count("statements_refused_at_close_total");
+    const StatementRejection why{Rejection::Busy, "the session is closed; retry at another proxy"};
+    write(id, it, it->Codec->answer({id, statement.Id, why, TransactionState::Idle, std::nullopt}));
+  }
+
   void take(SessionId id, const ConnectionPtr &it, CallerMessage message) {
     std::visit(Overloaded{
                    [&](SessionStart &start) {
@@ -159,8 +214,7 @@
   void protocolError(SessionId id, const ConnectionPtr &it, const ProtocolError &error) {
     Metrics.count("session_protocol_errors_total");
     it->Ending = true;
-    if (it->Started)
-      Sink(SessionClosed{id});
+    Sink(SessionClosed{id});
     write(id, it, it->Codec->refusal({error.Code, error.Message}));
   }
 
@@ -192,7 +246,7 @@
 
   /// The caller has left, or cannot be reached.
   void gone(SessionId id, const ConnectionPtr &it) {
-    if (it->Started && !it->Ending)
+    if (!it->Ending)
       Sink(SessionClosed{id});
     end(id, it);
   }
@@ -211,6 +265,7 @@
   tcp::acceptor Acceptor;
   std::unordered_map<SessionId, ConnectionPtr> Connections;
   std::uint64_t LastId = 0;
+  bool Stopping = false; ///< stopAccepting() was called.
 };
 
 } // namespace
--- /dev/null
+++ b/src/wire/tests/sessionlistenertests.cpp
@@ -0,0 +1,128 @@
+// Tests of callers' connections with real sockets on loopback.
+
+#include "wire/wire.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <thread>
+#include <vector>
+
+using namespace rosemaryhinge;
+
+namespace {
+
+using asio::ip::tcp;
+
+/// The byte d starts a session; any other is a statement of that name.
+struct ByteCodec : ICallerCodec {
+  void decode(std::string_view bytes, std::vector<CallerMessage> &out) override {
+    for (const char it : bytes)
+      if (it == 'd')
+        out.emplace_back(SessionStart{"d", "caller"});
+      else
+        out.emplace_back(SessionStatement{std::string(1, it), "text", MalformedStatement{}});
+  }
+  [[nodiscard]] std::string greeting() override { return "+"; }
+  [[nodiscard]] std::string refusal(const StatementRejection &) override { return "-"; }
+  [[nodiscard]] std::string answer(const AnswerStatement &it) override {
+    const auto *why = std::get_if<StatementRejection>(&it.Outcome);
+    return it.StatementId + (why && why->Code == Rejection::Busy ? "!" : "?");
+  }
+};
+
+struct ByteCodecs : ICodecs {
+  [[nodiscard]] std::unique_ptr<ICallerCodec> caller() const override {
+    return std::make_unique<ByteCodec>();
+  }
+  [[nodiscard]] std::unique_ptr<IServerCodec> server() const override { return nullptr; }
+};
+
+struct NoMetrics : IMetrics {
+  void count(std::string_view, double) override {}
+  void observe(std::string_view, Duration) override {}
+};
+
+struct Fixture {
+  asio::io_context Io;
+  ByteCodecs Codecs;
+  NoMetrics Counters;
+  std::vector<Event> Events;
+  std::unique_ptr<ISessionListener> Subject = makeSessionListener(
+      Io, {{"127.0.0.1", 0}}, Codecs, [this](Event event) { Events.push_back(std::move(event)); }, Counters);
+  asio::io_context CallerIo;
+
+  tcp::socket connect() {
+    tcp::socket out(CallerIo);
+    out.connect({asio::ip::make_address("127.0.0.1"), Subject->port()});
+    return out;
+  }
+  template <typename T> [[nodiscard]] std::size_t count() const {
+    return static_cast<std::size_t>(std::count_if(
+        Events.begin(), Events.end(), [](const Event &it) { return std::holds_alternative<T>(it); }));
+  }
+};
+
+} // namespace
+
+TEST_CASE("callers that have connected before the listener stops are reported, and none after it") {
+  // Guards against connections that are accepted and reset when the process ends.
+  Fixture f;
+  constexpr std::size_t CallerCount = 20;
+  std::vector<tcp::socket> callers;
+  callers.reserve(CallerCount);
+  for (std::size_t n = 0; n < CallerCount; ++n)
+    callers.push_back(f.connect());
+  const auto port = f.Subject->port();
+  f.Subject->stopAccepting();
+  f.Subject->stopAccepting();
+  f.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(f.count<CallerConnected>() == callers.size());
+  CHECK(f.count<AcceptingStopped>() == 1);
+  CHECK(std::holds_alternative<AcceptingStopped>(f.Events.back()));
+  tcp::socket late(f.CallerIo);
+  std::error_code ec;
+  late.connect({asio::ip::make_address("127.0.0.1"), port}, ec);
+  CHECK(ec);
+
+  asio::write(callers.back(), asio::buffer("d", 1));
+  f.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(f.count<SessionOpened>() == 1);
+}
+
+TEST_CASE("the end of a connection is reported, whether a session has started on it or not") {
+  Fixture f;
+  auto unused = f.connect();
+  auto broken = f.connect();
+  asio::write(broken, asio::buffer("dd", 2));
+  f.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(f.count<SessionOpened>() == 1);
+  CHECK(f.count<SessionClosed>() == 1);
+  unused.close();
+  f.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(f.count<SessionClosed>() == 2);
+}
+
+TEST_CASE("a statement that has arrived when its session is closed is refused as not run") {
+  // Guards against writes that end without an answer because a leaving proxy found their session idle.
+  Fixture f;
+  auto caller = f.connect();
+  asio::write(caller, asio::buffer("d", 1));
+  f.Io.run_for(std::chrono::milliseconds(50));
+  REQUIRE(f.count<SessionOpened>() == 1);
+  const auto session = std::get<SessionOpened>(f.Events.back()).Session;
+  asio::write(caller, asio::buffer("w", 1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  f.Subject->close({session});
+  f.Io.run_for(std::chrono::milliseconds(50));
+  std::string received;
+  std::error_code ec;
+  asio::read(caller, asio::dynamic_buffer(received), ec);
+  CHECK(received == "w!");
+  CHECK(ec == asio::error::eof);
+  CHECK(f.count<StatementArrived>() == 0);
+}
