Tell followers a configuration that a restored store repeats

Cause: a followed proxy marked a change of the configuration only when it accepted one. After a restoration the operator writes the known version again; that is no news to the followed proxy, so it never told it to a follower that had read an older version from the copy up to a later revision, and the follower's own revision went past it. Change: each configuration read sets the revision of the last change, so every answer up to a revision holds what the store had then or newer. Evidence: by reading; the new test of src/directory fails on the code before (no answer to the follower) and passes now.

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -267,9 +267,11 @@
   std::visit(
       Overloaded{
           [&](const Configuration &it) {
+            // Also one that is in force already: after a restoration of the store, a proxy that follows may
+            // have read an older one up to a later revision than the one at which this was accepted here.
+            feed.Sync.LastChangeRevision = feed.Sync.Revision;
             if (!catalog.accept(it))
               return;
-            feed.Sync.LastChangeRevision = feed.Sync.Revision;
             ctx.emit(Count{"configurations_accepted_total"});
             ctx.emit(Log{LogLevel::Info,
                          "configuration in force",
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -510,3 +510,24 @@
   CHECK(it.Known.server(TargetId("a")));
   CHECK(it.Of != first);
 }
+
+TEST_CASE("a configuration that is written again after a restoration is told to who has read an older one") {
+  // Guards against a proxy that started during a restoration and keeps the configuration of the copy.
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryListing{{Fixture::configuration(15)}, false, storeRevision(1, 100)});
+  store.answer(*store.take(DirectoryKind::Configuration), DirectoryHistoryCompacted{});
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryListing{{Fixture::configuration(12)}, false, storeRevision(2, 40)});
+  const auto watch = store.take(DirectoryKind::Configuration);
+  REQUIRE(watch);
+  store.Module.onRequest(store.ctx(), store.Services, NodeId("n2"),
+                         {5, DirectoryKind::Configuration, storeRevision(2, 40), 1s});
+  CHECK_FALSE(store.takeSent<ChangesReply>());
+  store.answer(*watch, DirectoryChanges{{Fixture::configuration(15)}, storeRevision(2, 70)});
+  const auto reply = store.takeSent<ChangesReply>();
+  REQUIRE(reply);
+  CHECK(reply->second.Revision == storeRevision(2, 70));
+  REQUIRE(reply->second.Objects.size() == 1);
+  CHECK(std::get<Configuration>(reply->second.Objects.front().Value).Version == 15);
+}
