Watch from the first page of a list, not from the last

Cause: a list of several pages is read at several revisions, and the watch went on from that of the last page. A change of an object on an earlier page, made while the later ones were read, was missed until that object changed again. A list that went on after failed calls made this longer. Change: the watch goes on from the first page's revision, and the era of each page is compared with that of the first one. Followers are told no revision of a change above the one up to which all are known. Evidence: found while reading what a list across a restoration does; the new test of src/directory fails on the code before (11 instead of 9).

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -198,15 +198,16 @@
   auto &known = feed->Sync;
   std::visit(Overloaded{
                  [&](const DirectoryListing &it) {
-                   if (storeEra(std::exchange(feed->PageRevision, it.Revision)) != storeEra(it.Revision) &&
-                       !feed->PartialList.empty()) {
+                   if (feed->PartialList.empty())
+                     feed->FirstPageRevision = it.Revision;
+                   if (storeEra(feed->FirstPageRevision) != storeEra(it.Revision)) {
                      startListing(ctx, *feed);
                      return;
                    }
                    feed->PartialList.insert(feed->PartialList.end(), it.Objects.begin(), it.Objects.end());
                    if (it.More && !lastName(it.Objects).empty())
                      return;
-                   known.Revision = std::max(known.Revision, it.Revision);
+                   known.Revision = std::max(known.Revision, feed->FirstPageRevision);
                    known.CompactedBefore = known.Revision;
                    known.ConfirmedAt = ctx.Now;
                    feed->Listing = false;
@@ -282,7 +283,9 @@
           [&](const ServerEntry &it) {
             PendingRemovals.erase(it.Target);
             feed.Sync.DeletedRevisions.erase(it.Target.str());
-            feed.Sync.LastChangeRevision = std::max(feed.Sync.LastChangeRevision, it.Revision);
+            // A later page of a list may hold changes after the revision up to which all are known.
+            const auto changedAt = std::min(it.Revision, feed.Sync.Revision);
+            feed.Sync.LastChangeRevision = std::max(feed.Sync.LastChangeRevision, changedAt);
             const auto before = catalog.primary(it.Service);
             catalog.updateServer(it, ctx.Now);
             ctx.emit(
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -85,7 +85,7 @@
     std::optional<CallId> Call;
     bool Listing = true;
     std::vector<DirectoryObject> PartialList; ///< Pages of a list that is not complete.
-    std::uint64_t PageRevision = 0;           ///< Revision of the last page.
+    std::uint64_t FirstPageRevision = 0;      ///< A later change may be missing from the pages before it.
     detail::SyncState Sync;
     TimePoint RetryAt;
     int StoreFailures = 0; ///< Of calls to the store, in a row.
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -134,6 +134,16 @@
   CHECK(std::get<WatchDirectory>(call->Request).Revision == 9);
 }
 
+TEST_CASE("what changes while the pages of a list are read is not missed") {
+  // Guards against a server that has begun to leave and is used on: its page was read before.
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryListing{{Fixture::server("a", 1)}, true, 9});
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryListing{{Fixture::server("b", 2)}, false, 11});
+  const auto call = store.take(DirectoryKind::Servers);
+  REQUIRE(call);
+  CHECK(std::get<WatchDirectory>(call->Request).Revision == 9);
+}
+
 TEST_CASE("a list goes on after the last object that has a name") {
   // Guards against a list that starts again and again behind an object of another writer.
   Fixture store;
