Tell followers the ends of entries that this proxy does not use

Cause: the end of an entry was remembered for followers only if this proxy had the server in its catalogue. A server that was found misrouted is not there any more, while followers may still have it; they were never told of its end. Change: the end is remembered under the entry's name in any case. An unreadable object without a name ends nothing. Evidence: the new test of src/directory fails on the code before (no answer).

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -304,7 +304,7 @@
           [&](const UnreadableObject &it) {
             ctx.emit(Count{"directory_unreadable_total"});
             ctx.emit(Log{LogLevel::Warn, "object cannot be used", {{"name", object.Name}, {"why", it.Why}}});
-            if (feed.Kind == DirectoryKind::Servers)
+            if (feed.Kind == DirectoryKind::Servers && !object.Name.empty())
               onEntryDeleted(ctx, catalog, feed, object.Name);
           },
           [](const auto &) {}, // Claims and proxies are read by their own modules.
@@ -313,10 +313,7 @@
 }
 
 void DirectoryModule::onEntryDeleted(Context &ctx, Catalog &catalog, Feed &feed, const std::string &name) {
-  const TargetId target(name);
-  const auto *view = catalog.server(target);
-  if (!view)
-    return;
+  // Also of a server that is not used here: those who follow this proxy may know it.
   auto &known = feed.Sync;
   if (known.DeletedRevisions.size() >= MaxDeleted) {
     known.DeletedRevisions.clear();
@@ -324,6 +321,10 @@
   }
   if (known.DeletedRevisions.try_emplace(name, known.Revision).second)
     known.LastChangeRevision = known.Revision;
+  const TargetId target(name);
+  const auto *view = catalog.server(target);
+  if (!view)
+    return;
   if (view->Entry.Leaving) {
     PendingRemovals.erase(target);
     catalog.removeServer(target, ctx.Now);
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -391,6 +391,19 @@
   CHECK(reply->second.Objects.front().Name == "a");
 }
 
+TEST_CASE("the end of an entry is passed on by a proxy that does not use its server") {
+  // Guards against proxies that keep a server for good, since the one that they follow had found it gone.
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryListing{{Fixture::server("a", 1)}, false, 9});
+  store.Known.onMisrouted(TargetId("a"), store.Now);
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryChanges{{Fixture::deletedEntry("a")}, 11});
+  store.Module.onRequest(store.ctx(), store.Services, NodeId("n2"), {5, DirectoryKind::Servers, 9, 1s});
+  const auto reply = store.takeSent<ChangesReply>();
+  REQUIRE(reply);
+  REQUIRE(reply->second.Objects.size() == 1);
+  CHECK(reply->second.Objects.front().Deleted);
+}
+
 TEST_CASE("a proxy that neither the store nor others answer is cut off, until one of them does") {
   // Seen on paali-host, incident c7ad: two proxies kept taking sessions that they could not serve for 6 s.
   Fixture store;
