Compare a restored store's entries with what servers said last

Cause: revisions of a later era count as newer, but the entry may come from an older copy. Only a lower sequence of the same start was recognised. So the copy brought back servers that had left, displaced a confirmed primary by the last entry of a crashed one, undid that it had been denied, and believed what a server had said before it started again. Change: across eras, the start of a server and its sequence decide. Removed servers are remembered for a minute for that comparison. An entry that repeats the last one is no news: it changes nothing of a listed server, and does not displace a confirmed primary.

--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -13,11 +13,22 @@
 constexpr std::size_t MaxMissing = 16;
 constexpr std::size_t MaxMisrouted = 1'000;
 
-/// Whether an entry is older than the known one although its revision is higher: the store has come back from
-/// an older copy, and the server has not written again yet.
-bool isFromOlderCopy(const ServerEntry &entry, const ServerEntry &known) {
-  return storeEra(entry.Revision) > storeEra(known.Revision) && entry.StartedAt == known.StartedAt &&
-         entry.Sequence < known.Sequence;
+constexpr std::size_t MaxRemoved = 1'000;
+/// Time for which a removed server is remembered. Longer than a copy from which the store comes back is old.
+constexpr Duration RemovedMemory = 60s;
+
+using Report = detail::Report;
+
+/// An entry of a later era of the store may come from an older copy, so its revision does not tell whether it
+/// is newer.
+Report compareAcrossEras(const ServerEntry &entry, const ServerEntry &known) {
+  if (storeEra(entry.Revision) <= storeEra(known.Revision))
+    return Report::Newer;
+  if (entry.StartedAt != known.StartedAt)
+    return entry.StartedAt > 0 && entry.StartedAt < known.StartedAt ? Report::Older : Report::Newer;
+  if (entry.Sequence < known.Sequence)
+    return Report::Older;
+  return entry.Sequence > 0 && entry.Sequence == known.Sequence ? Report::Repeated : Report::Newer;
 }
 
 } // namespace
@@ -51,8 +62,11 @@
     MisroutedAtRevision.erase(it);
   }
   const auto known = Servers.find(entry.Target);
-  if (known != Servers.end() &&
-      (known->second.Entry.Revision >= entry.Revision || isFromOlderCopy(entry, known->second.Entry)))
+  if (known != Servers.end() && (known->second.Entry.Revision >= entry.Revision ||
+                                 compareAcrossEras(entry, known->second.Entry) != Report::Newer))
+    return;
+  const auto report = compareWithRemoved(entry, now);
+  if (report == Report::Older)
     return;
   ++ChangeCount;
   if (known != Servers.end() && known->second.Entry.Service != entry.Service)
@@ -62,7 +76,7 @@
   if (at == group.Servers.end() || *at != entry.Target)
     group.Servers.insert(at, entry.Target);
   std::erase_if(group.Missing, [&](const MissingServer &it) { return it.Target == entry.Target; });
-  if (group.ConfirmedPrimary && entry.Role == TargetRole::Primary &&
+  if (group.ConfirmedPrimary && entry.Role == TargetRole::Primary && report == Report::Newer &&
       *group.ConfirmedPrimary != entry.Target && now >= group.ConfirmedUntil)
     group.ConfirmedPrimary.reset();
   auto &view = Servers[entry.Target];
@@ -73,6 +87,17 @@
   view.Entry = std::move(entry);
 }
 
+detail::Report Catalog::compareWithRemoved(const ServerEntry &entry, TimePoint now) {
+  const auto it = Removed.find(entry.Target);
+  if (it == Removed.end())
+    return Report::Newer;
+  const auto out =
+      now - it->second.At < RemovedMemory ? compareAcrossEras(entry, it->second.Entry) : Report::Newer;
+  if (out != Report::Older)
+    Removed.erase(it);
+  return out;
+}
+
 void Catalog::removeServer(const TargetId &target, TimePoint now) {
   const auto it = Servers.find(target);
   if (it == Servers.end())
@@ -88,6 +113,9 @@
     if (group.Missing.size() > MaxMissing)
       group.Missing.erase(group.Missing.begin());
   }
+  if (Removed.size() >= MaxRemoved)
+    Removed.clear();
+  Removed[target] = {it->second.Entry, now};
   Servers.erase(it);
 }
 
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -26,6 +26,13 @@
   bool WasPrimary = false;
 };
 
+namespace detail {
+
+/// How a server's entry compares with an earlier one of the same server.
+enum class Report : std::uint8_t { Older, Repeated, Newer };
+
+} // namespace detail
+
 class Catalog {
 public:
   /// Replaces the configuration. Returns false, without effect, unless its version is higher than the current
@@ -64,6 +71,13 @@
   [[nodiscard]] std::uint64_t changeCount() const { return ChangeCount; }
 
 private:
+  struct RemovedServer {
+    ServerEntry Entry;
+    TimePoint At;
+  };
+  /// Compares an entry with the last one of a server that was removed.
+  detail::Report compareWithRemoved(const ServerEntry &entry, TimePoint now);
+
   struct Group {
     std::vector<TargetId> Servers; ///< Sorted.
     std::vector<MissingServer> Missing;
@@ -77,6 +91,8 @@
   std::map<std::string, std::size_t, std::less<>> RouteByDatabase;
   std::map<TargetId, ServerView> Servers;
   std::map<TargetId, std::uint64_t> MisroutedAtRevision; ///< Entries that are ignored.
+  /// The last entries of removed servers. The store may come back from a copy that still has earlier ones.
+  std::map<TargetId, RemovedServer> Removed;
   std::map<DatabaseId, Group> Groups;
   bool ServersLoaded = false;
   std::uint64_t ChangeCount = 0;
--- a/src/catalog/tests/catalogtests.cpp
+++ b/src/catalog/tests/catalogtests.cpp
@@ -166,3 +166,53 @@
   catalog.updateServer(restarted, Start + 3s);
   CHECK(catalog.server(A)->Entry.Leaving);
 }
+
+namespace {
+
+/// An entry as the server itself has numbered it.
+ServerEntry numbered(ServerEntry it, std::uint64_t startedAt, std::uint64_t sequence) {
+  it.StartedAt = startedAt;
+  it.Sequence = sequence;
+  return it;
+}
+
+} // namespace
+
+TEST_CASE("a server that has left is not listed again by an older copy of the store") {
+  // Guards against statements for a former primary that is gone, until the present one has written its entry.
+  Catalog catalog;
+  catalog.updateServer(numbered(entry(A, TargetRole::Primary, storeRevision(1, 80), true), 5'000, 12), Start);
+  catalog.updateServer(numbered(entry(B, TargetRole::Primary, storeRevision(1, 85)), 5'000, 20), Start);
+  catalog.confirmPrimary(B, 2);
+  catalog.removeServer(A, Start);
+  const auto copied = entry(A, TargetRole::Primary, storeRevision(2, 40));
+  catalog.updateServer(numbered(copied, 5'000, 9), Start + 1s);
+  CHECK_FALSE(catalog.server(A));
+  CHECK(catalog.primary(Yard) == B);
+  catalog.updateServer(numbered(copied, 5'000, 13), Start + 2s);
+  CHECK(catalog.server(A));
+}
+
+TEST_CASE("a repeated entry of a former primary does not displace the confirmed one") {
+  // Guards against statements for a crashed server, whose last entry came back with a newer revision.
+  Catalog catalog;
+  catalog.updateServer(numbered(entry(A, TargetRole::Primary, storeRevision(1, 50)), 5'000, 7), Start);
+  catalog.updateServer(numbered(entry(B, TargetRole::Primary, storeRevision(1, 80)), 5'000, 20), Start);
+  catalog.denyPrimary(A);
+  catalog.confirmPrimary(B, 2);
+  SUBCASE("that is listed") {}
+  SUBCASE("that was removed") { catalog.removeServer(A, Start); }
+  catalog.updateServer(numbered(entry(A, TargetRole::Primary, storeRevision(2, 50)), 5'000, 7), Start + 1s);
+  CHECK(catalog.server(A));
+  CHECK(catalog.primary(Yard) == B);
+  catalog.updateServer(numbered(entry(A, TargetRole::Primary, storeRevision(2, 70)), 5'000, 8), Start + 2s);
+  CHECK(catalog.primary(Yard) == A);
+}
+
+TEST_CASE("an entry that a server wrote before it started again is not believed after a restoration") {
+  // Guards against a replica that is taken for the primary that it was before.
+  Catalog catalog;
+  catalog.updateServer(numbered(entry(A, TargetRole::Replica, storeRevision(1, 80)), 9'000, 2), Start);
+  catalog.updateServer(numbered(entry(A, TargetRole::Primary, storeRevision(2, 40)), 5'000, 50), Start + 1s);
+  CHECK_FALSE(catalog.primary(Yard));
+}
