Randomised runs: start proxies while the store has an older copy

Cause: the runs with restorations never started a process, so what it reads from the copy, and when it may claim, was not played. Change: in about half of the restorations a process is killed near the return of the store; the next one starts 300 ms later, mostly before the operator and the servers have written again. Routes that are removed are not played: the simulated store only adds them.

--- a/testing/sessionworld/storerestorations.cpp
+++ b/testing/sessionworld/storerestorations.cpp
@@ -1,4 +1,5 @@
-// Restorations of the store from an older copy, and changes of the configuration beside them.
+// Restorations of the store from an older copy, with changes of the configuration and starts of proxies
+// beside them.
 
 #include "sessionworld/world.h"
 
@@ -13,6 +14,11 @@
 constexpr Duration MinCopyAge = 1s;
 constexpr Duration MaxCopyAge = 9s;
 constexpr Duration ConfigurationInterval = 900ms;
+/// Probability that a process is killed shortly before or after the return of the store. The next one starts
+/// while the store has the older copy.
+constexpr double KillProbability = 0.5;
+constexpr Duration MaxKillDelay = 1s;
+constexpr Duration ProcessStartTime = 300ms;
 
 } // namespace
 
@@ -39,6 +45,17 @@
     Store.Down = false;
     Store.restore(age);
   });
+  // Sessions in steady use may not be closed, so none is killed beside them.
+  // Drawn apart, so that the restorations of a seed stay as they were.
+  fakes::Dice random(static_cast<std::uint64_t>(age.count()));
+  if (!SteadyCallers.empty() || !random.chance(KillProbability))
+    return;
+  const auto place = random.below(Live.size());
+  Queue.after(std::max(Duration{}, outage - ProcessStartTime) + random.between(0ms, MaxKillDelay),
+              [this, place] {
+                if (Proxies.size() < MaxProcesses)
+                  endProxy(Live[place]);
+              });
 }
 
 void World::checkConfigurations() {
