Spread announcements after a restoration over the size of the fleet

Cause: after a restoration of the store all proxies announced themselves within 0.5 s, whatever their number. 3,500 of them exceed the 400 writes a second that the store takes from all together; refused ones were repeated after 1 s each, all at once again, beside the claims of changes of primary. Change: the time grows with the fleet, as the interval of its lists does. Evidence: by reading; the new test of src/positions fails on the code before (100 of 100 within 0.5 s, for 1,001 proxies).

--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -22,7 +22,8 @@
 /// After a restoration of the store, the proxies announce themselves again within this time.
 constexpr Duration MaxAnnounceDelay = 500ms;
 /// Above this number of proxies, the listing interval grows in proportion to the fleet size, because the cost
-/// of a full listing for each proxy grows with it.
+/// of a full listing for each proxy grows with it. So does the time for announcements after a restoration,
+/// because the store limits the writes of all proxies together.
 constexpr std::size_t ProxiesPerListInterval = 100;
 /// Bound on the orders that are kept; there is one for each service.
 constexpr std::size_t MaxOrders = 20'000;
@@ -104,9 +105,7 @@
       addProxy(ctx, *entry);
   }
   onProxiesChanged();
-  const auto times =
-      static_cast<std::int64_t>(std::max<std::size_t>(1, Proxies.size() / ProxiesPerListInterval));
-  ListAt = ctx.Now + (first ? SecondList : Duration(ListInterval * times));
+  ListAt = ctx.Now + (first ? SecondList : forFleet(ListInterval));
 }
 
 void FleetMap::onTimer(Context &ctx) {
@@ -125,12 +124,17 @@
 void FleetMap::onStoreRestored(Context &ctx) {
   if (!Enabled || Leaving)
     return;
-  AnnounceAt = ctx.Now + ctx.jitter(MaxAnnounceDelay);
-  ListAt = ctx.Now + MaxAnnounceDelay + SecondList;
+  const auto announced = forFleet(MaxAnnounceDelay);
+  AnnounceAt = ctx.Now + ctx.jitter(announced);
+  ListAt = ctx.Now + announced + SecondList;
   PartialListing.clear();
   ListCall.reset();
 }
 
+Duration FleetMap::forFleet(Duration time) const {
+  return time * static_cast<std::int64_t>(std::max<std::size_t>(1, Proxies.size() / ProxiesPerListInterval));
+}
+
 void FleetMap::startLeaving(Context &ctx) {
   if (!Enabled || std::exchange(Leaving, true))
     return;
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -52,6 +52,8 @@
   void announce(Context &ctx, std::uint64_t revision);
   void list(Context &ctx);
   void addProxy(Context &ctx, const ProxyEntry &entry);
+  /// A time that grows in proportion to the size of a large fleet.
+  [[nodiscard]] Duration forFleet(Duration time) const;
 
   void onProxiesChanged();
   /// All proxies, including this one, in rendezvous order for the key.
--- a/src/positions/tests/positionexchangetests.cpp
+++ b/src/positions/tests/positionexchangetests.cpp
@@ -169,3 +169,26 @@
   CHECK(announced);
   CHECK(listed);
 }
+
+TEST_CASE("after a restoration of the store, a large fleet does not announce itself all at once") {
+  // Guards against refused calls: all proxies of the fleet together may make some hundred writes a second.
+  Proxy proxy("n1");
+  proxy.Now += 40s;
+  proxy.Fleet.onTimer(proxy.ctx());
+  DirectoryListing listing;
+  for (int n = 0; n < 1'000; ++n) {
+    const NodeId node("p" + std::to_string(n));
+    listing.Objects.push_back({node.str(), false, ProxyEntry{node, AvailabilityZone("z"), "10.0.0.1:1"}});
+  }
+  for (const auto &it : std::exchange(proxy.Out, {}))
+    if (const auto *call = std::get_if<DirectoryCall>(&it))
+      proxy.Fleet.onAnswer(proxy.ctx(), {call->Call, listing});
+  REQUIRE(proxy.Fleet.size() > 1'000);
+  int early = 0;
+  for (int n = 0; n < 100; ++n) {
+    proxy.Fleet.onStoreRestored(proxy.ctx());
+    if (*proxy.Fleet.nextTimer() - proxy.Now < 500ms)
+      ++early;
+  }
+  CHECK(early < 30);
+}
