Prefer the candidate of a claim that the store has forgotten

Cause: a proxy that takes over an unfinished claim prefers its candidate where the logs are equal, since the order for it may still be carried out: a server that leads in between could acknowledge commits that the other one lacks. A restoration of the store made all proxies forget the claims they had read; only the proxy that had sent the order still preferred its candidate. Change: the candidate of an unfinished claim is kept over a restoration, until this proxy has changed the primary. Evidence: by reading; the new test of src/reducer fails on the code before (the other replica is promoted). A proxy that had not read the claim with its candidate cannot know it.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -29,6 +29,8 @@
   change.Claim.start(std::to_string(run.Ctx.Incarnation) + "." + std::to_string(run.Ctx.nextNumber()));
   const auto &known = change.Claim.known();
   change.PreferredCandidate = known.Done ? TargetId() : known.Candidate;
+  if (change.PreferredCandidate.empty())
+    change.PreferredCandidate = change.ForgottenCandidate;
   if (change.PromotionUnanswered)
     change.PreferredCandidate = change.Candidate; // Also if the store has forgotten the claim that names it.
   // Where nobody leads, the server that led last has every acknowledged commit.
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -68,6 +68,8 @@
 
   // Promotion.
   TargetId PreferredCandidate; ///< Of a claim that was taken over: its promotion may still be carried out.
+  /// The same of a claim that the store has forgotten; empty once this proxy has changed the primary.
+  TargetId ForgottenCandidate;
   TargetId Candidate;
   int PromotionAttempts = 0;
   bool PromotionUnanswered = false; ///< An order may still be carried out: nothing is resumed.
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -154,6 +154,8 @@
     if (change.State == Phase::Promoting && change.Call)
       change.PromotionUnanswered = true;
     change.Call.reset();
+    if (const auto &claim = change.Claim.known(); !claim.Done && !claim.Candidate.empty())
+      change.ForgottenCandidate = claim.Candidate;
     change.Claim.forget(ctx.Now);
     if (change.State >= Phase::SelectingCandidate)
       giveUp(run, "the store was restored, and the claim may be gone", detail::RetryDelay);
@@ -172,6 +174,7 @@
                     {"server", change.Candidate.str()},
                     {"source", "this proxy"},
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
+  change.ForgottenCandidate = TargetId();
   change.PromotionUnanswered = false;
   change.NextAttemptAt = run.Ctx.Now + detail::MinChangeInterval;
   release(run);
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -470,6 +470,41 @@
   CHECK(second->Token > first->Token);
 }
 
+TEST_CASE("of equal logs, the server of another proxy's claim is promoted after a restoration of the store") {
+  // Guards against lost commits: the order for it may still be carried out, and the store has forgotten it.
+  SessionHarness proxy;
+  answerInEra(proxy, 1);
+  proxy.pass(4s);
+  const auto session = proxy.open("settle");
+  bool told = false;
+  for (int n = 0; n < 60 && !told; ++n) {
+    if (!proxy.Logic.Sessions.waiting())
+      proxy.write(session, "v" + std::to_string(n));
+    while (const auto open = proxy.take<OpenLink>())
+      if (open->Target == TargetId("p"))
+        proxy.apply(LinkClosed{open->Link, LinkFailure::Refused});
+    while (const auto call = proxy.take<DirectoryCall>())
+      if (const auto *put = std::get_if<PutClaim>(&call->Request)) {
+        auto other = put->Next;
+        other.Holder = NodeId("n2");
+        other.Nonce = "other";
+        other.Candidate = TargetId("b");
+        other.Revision = storeRevision(1, 41);
+        proxy.apply(DirectoryAnswer{call->Call, ClaimConflict{other}});
+        told = true;
+      }
+    proxy.pass(20ms);
+  }
+  REQUIRE(told);
+  proxy.apply(DirectoryAnswer{{}, DirectoryFailure{"HTTP status 503", true}, 2});
+  for (int n = 0; n < 5 && !proxy.Logic.Leadership.changeInProgress(); ++n)
+    failPrimary(proxy, storeRevision(2, 30));
+  answerOrders(proxy, {{"a", 20}, {"b", 20}}, storeRevision(2, 31));
+  const auto call = proxy.take<PromotionCall>();
+  REQUIRE(call);
+  CHECK(call->Target == TargetId("b"));
+}
+
 TEST_CASE("a change that is claimed after a restoration waits for earlier claims and has a higher token") {
   // Guards against promotions that the platform refuses because an earlier era had higher revisions.
   SessionHarness proxy;
