--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -198,15 +198,16 @@
   auto &known = feed->Sync;
   std::visit(Overloaded{
                  [&](const DirectoryListing &it) {
-                   if (storeEra(std::exchange(feed->PageRevision, it.Revision)) != storeEra(it.Revision) &&
-                       !feed->PartialList.empty()) {
+                   if (feed->PartialList.empty())
+                     feed->FirstPageRevision = it.Revision;
+                   if (storeEra(feed->FirstPageRevision) != storeEra(it.Revision)) {
                      startListing(ctx, *feed);
                      return;
                    }
                    feed->PartialList.insert(feed->PartialList.end(), it.Objects.begin(), it.Objects.end());
                    if (it.More && !lastName(it.Objects).empty())
                      return;
-                   known.Revision = std::max(known.Revision, it.Revision);
+                   known.Revision = std::max(known.Revision, feed->FirstPageRevision);
                    known.CompactedBefore = known.Revision;
                    known.ConfirmedAt = ctx.Now;
                    feed->Listing = false;
@@ -267,9 +268,11 @@
   std::visit(
       Overloaded{
           [&](const Configuration &it) {
+            // Also one that is in force already: after a restoration of the store, a proxy that follows may
+            // have read an older one up to a later revision than the one at which this was accepted here.
+            feed.Sync.LastChangeRevision = feed.Sync.Revision;
             if (!catalog.accept(it))
               return;
-            feed.Sync.LastChangeRevision = feed.Sync.Revision;
             ctx.emit(Count{"configurations_accepted_total"});
             ctx.emit(Log{LogLevel::Info,
                          "configuration in force",
@@ -280,7 +283,9 @@
           [&](const ServerEntry &it) {
             PendingRemovals.erase(it.Target);
             feed.Sync.DeletedRevisions.erase(it.Target.str());
-            feed.Sync.LastChangeRevision = std::max(feed.Sync.LastChangeRevision, it.Revision);
+            // A later page of a list may hold changes after the revision up to which all are known.
+            const auto changedAt = std::min(it.Revision, feed.Sync.Revision);
+            feed.Sync.LastChangeRevision = std::max(feed.Sync.LastChangeRevision, changedAt);
             const auto before = catalog.primary(it.Service);
             catalog.updateServer(it, ctx.Now);
             ctx.emit(
@@ -299,7 +304,7 @@
           [&](const UnreadableObject &it) {
             ctx.emit(Count{"directory_unreadable_total"});
             ctx.emit(Log{LogLevel::Warn, "object cannot be used", {{"name", object.Name}, {"why", it.Why}}});
-            if (feed.Kind == DirectoryKind::Servers)
+            if (feed.Kind == DirectoryKind::Servers && !object.Name.empty())
               onEntryDeleted(ctx, catalog, feed, object.Name);
           },
           [](const auto &) {}, // Claims and proxies are read by their own modules.
@@ -308,10 +313,7 @@
 }
 
 void DirectoryModule::onEntryDeleted(Context &ctx, Catalog &catalog, Feed &feed, const std::string &name) {
-  const TargetId target(name);
-  const auto *view = catalog.server(target);
-  if (!view)
-    return;
+  // Also of a server that is not used here: those who follow this proxy may know it.
   auto &known = feed.Sync;
   if (known.DeletedRevisions.size() >= MaxDeleted) {
     known.DeletedRevisions.clear();
@@ -319,6 +321,10 @@
   }
   if (known.DeletedRevisions.try_emplace(name, known.Revision).second)
     known.LastChangeRevision = known.Revision;
+  const TargetId target(name);
+  const auto *view = catalog.server(target);
+  if (!view)
+    return;
   if (view->Entry.Leaving) {
     PendingRemovals.erase(target);
     catalog.removeServer(target, ctx.Now);
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -134,6 +134,16 @@
   CHECK(std::get<WatchDirectory>(call->Request).Revision == 9);
 }
 
+TEST_CASE("what changes while the pages of a list are read is not missed") {
+  // Guards against a server that has begun to leave and is used on: its page was read before.
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryListing{{Fixture::server("a", 1)}, true, 9});
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryListing{{Fixture::server("b", 2)}, false, 11});
+  const auto call = store.take(DirectoryKind::Servers);
+  REQUIRE(call);
+  CHECK(std::get<WatchDirectory>(call->Request).Revision == 9);
+}
+
 TEST_CASE("a list goes on after the last object that has a name") {
   // Guards against a list that starts again and again behind an object of another writer.
   Fixture store;
@@ -381,6 +391,19 @@
   CHECK(reply->second.Objects.front().Name == "a");
 }
 
+TEST_CASE("the end of an entry is passed on by a proxy that does not use its server") {
+  // Guards against proxies that keep a server for good, since the one that they follow had found it gone.
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryListing{{Fixture::server("a", 1)}, false, 9});
+  store.Known.onMisrouted(TargetId("a"), store.Now);
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryChanges{{Fixture::deletedEntry("a")}, 11});
+  store.Module.onRequest(store.ctx(), store.Services, NodeId("n2"), {5, DirectoryKind::Servers, 9, 1s});
+  const auto reply = store.takeSent<ChangesReply>();
+  REQUIRE(reply);
+  REQUIRE(reply->second.Objects.size() == 1);
+  CHECK(reply->second.Objects.front().Deleted);
+}
+
 TEST_CASE("a proxy that neither the store nor others answer is cut off, until one of them does") {
   // Seen on paali-host, incident c7ad: two proxies kept taking sessions that they could not serve for 6 s.
   Fixture store;
@@ -510,3 +533,24 @@
   CHECK(it.Known.server(TargetId("a")));
   CHECK(it.Of != first);
 }
+
+TEST_CASE("a configuration that is written again after a restoration is told to who has read an older one") {
+  // Guards against a proxy that started during a restoration and keeps the configuration of the copy.
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryListing{{Fixture::configuration(15)}, false, storeRevision(1, 100)});
+  store.answer(*store.take(DirectoryKind::Configuration), DirectoryHistoryCompacted{});
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryListing{{Fixture::configuration(12)}, false, storeRevision(2, 40)});
+  const auto watch = store.take(DirectoryKind::Configuration);
+  REQUIRE(watch);
+  store.Module.onRequest(store.ctx(), store.Services, NodeId("n2"),
+                         {5, DirectoryKind::Configuration, storeRevision(2, 40), 1s});
+  CHECK_FALSE(store.takeSent<ChangesReply>());
+  store.answer(*watch, DirectoryChanges{{Fixture::configuration(15)}, storeRevision(2, 70)});
+  const auto reply = store.takeSent<ChangesReply>();
+  REQUIRE(reply);
+  CHECK(reply->second.Revision == storeRevision(2, 70));
+  REQUIRE(reply->second.Objects.size() == 1);
+  CHECK(std::get<Configuration>(reply->second.Objects.front().Value).Version == 15);
+}
