--- /dev/null
+++ b/src/links/internal/commands.cpp
@@ -0,0 +1,144 @@
+// Commands on links and the replies to them: session values, prepared statements, pending replies, and the
+// limit on concurrent work that follows from the replies.
+
+#include "links/linkpool.h"
+
+#include "base/overloaded.h"
+#include "links/internal/sessionvalues.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Number of prepared statements on one link at which the session state of the link is discarded.
+constexpr std::size_t MaxPrepared = 256;
+constexpr std::size_t MaxNames = 4'096;
+/// When a server rejects work as busy, the concurrency limit becomes the number of links with pending replies
+/// times LimitFactor, at most once per LowerInterval. MinLimit is enough to keep a server busy if this proxy
+/// is the only one with work for it.
+constexpr double LimitFactor = 0.8;
+constexpr Duration LowerInterval = 100ms;
+constexpr double MinLimit = 6;
+
+LinkStep stepOf(const LinkCommand &command) {
+  return std::visit(Overloaded{
+                        [](const RunStatement &) { return LinkStep::Statement; },
+                        [](const BeginTransaction &) { return LinkStep::Begin; },
+                        [](const RollbackTransaction &) { return LinkStep::End; },
+                        [](const SetSessionValue &) { return LinkStep::Prepare; },
+                        [](const PrepareOnServer &) { return LinkStep::Prepare; },
+                        [](const DiscardSession &) { return LinkStep::Prepare; },
+                        [](const auto &) { return LinkStep::Order; },
+                    },
+                    command);
+}
+
+} // namespace
+
+std::string LinkPool::preparedName(const PreparedShape &shape) {
+  if (const auto it = PreparedNames.find(shape); it != PreparedNames.end())
+    return it->second;
+  // Numbering continues after the table is cleared, because links still have statements under earlier names.
+  if (PreparedNames.size() >= MaxNames)
+    PreparedNames.clear();
+  return PreparedNames.emplace(shape, "p" + std::to_string(++LastNameNumber)).first->second;
+}
+
+std::vector<LinkCommand> LinkPool::prepare(LinkId id, const SessionValues &values,
+                                           const PreparedShape *shape) {
+  std::vector<LinkCommand> out;
+  auto &link = Links.at(id);
+  if (!link.Lender.empty()) {
+    // The lender tracks the session state of its connection and sends the preparation commands.
+    link.NextValues = values;
+    link.NextShape = shape ? std::optional(*shape) : std::nullopt;
+    return out;
+  }
+  const bool tooMany = shape && link.Prepared.size() >= MaxPrepared;
+  if (!detail::setsAllNamesOf(values, link.Values) || tooMany) {
+    out.emplace_back(DiscardSession{});
+    link.Values.clear();
+    link.Prepared.clear();
+  }
+  for (const auto &[name, value] : values) {
+    const auto it = link.Values.find(name);
+    if (it != link.Values.end() && it->second == value)
+      continue;
+    out.emplace_back(SetSessionValue{name, value});
+    link.Values[name] = value;
+  }
+  if (shape)
+    if (auto name = preparedName(*shape); link.Prepared.insert(name).second)
+      out.emplace_back(PrepareOnServer{std::move(name), shape->Mode, shape->Shape});
+  return out;
+}
+
+void LinkPool::send(Context &ctx, LinkId id, std::vector<LinkCommand> commands) {
+  auto &link = Links.at(id);
+  auto &server = Servers[link.Target];
+  if (link.PendingReplies.empty() && link.Lender.empty())
+    ++server.LinksAwaitingReply;
+  for (const auto &it : commands)
+    link.PendingReplies.push_back({stepOf(it), ctx.Now});
+  if (!link.Lender.empty()) {
+    ctx.emit(SendToPeer{link.Lender, LoanCommands{{ctx.Incarnation, id.Value},
+                                                  std::exchange(link.NextValues, {}),
+                                                  std::exchange(link.NextShape, std::nullopt),
+                                                  std::move(commands)}});
+    return;
+  }
+  server.PendingReplies += commands.size();
+  server.Health.sent(ctx.Now);
+  ctx.emit(SendOnLink{id, std::move(commands)});
+}
+
+std::optional<LinkPool::Reply> LinkPool::onReply(Context &ctx, const LinkReplied &event) {
+  const auto it = Links.find(event.Link);
+  if (it == Links.end() || it->second.PendingReplies.empty())
+    return std::nullopt;
+  auto &link = it->second;
+  const auto awaited = link.PendingReplies.front();
+  link.PendingReplies.pop_front();
+  link.ServerState = event.State;
+  if (link.Lender.empty()) {
+    auto &server = Servers[link.Target];
+    --server.PendingReplies;
+    server.Health.received(ctx.Now, server.PendingReplies > 0);
+    adjustConcurrencyLimit(server, event.Outcome, awaited.Step, ctx.Now);
+    if (link.PendingReplies.empty())
+      --server.LinksAwaitingReply;
+  }
+  Reply out{awaited.Step, link.User, link.Target, link.Service, awaited.SentAt, link.PendingReplies.empty()};
+  if (link.InUse || !link.PendingReplies.empty())
+    return out;
+  // If the transaction is still open after the rollback, the link is unusable.
+  if (awaited.Step == LinkStep::End && event.State != TransactionState::Idle)
+    close(ctx, event.Link, false);
+  else
+    release(ctx, event.Link);
+  return out;
+}
+
+void LinkPool::adjustConcurrencyLimit(Server &server, const StatementOutcome &outcome, LinkStep step,
+                                      TimePoint now) {
+  const auto *why = std::get_if<StatementRejection>(&outcome);
+  if (!why && step == LinkStep::Statement) {
+    server.ConcurrencyLimit =
+        std::min(InitialConcurrencyLimit, server.ConcurrencyLimit + 1 / server.ConcurrencyLimit);
+  } else if (why && why->Code == Rejection::Busy &&
+             (!server.LimitLoweredAt || now - *server.LimitLoweredAt >= LowerInterval)) {
+    server.LimitLoweredAt = now;
+    server.ConcurrencyLimit =
+        std::max(MinLimit, static_cast<double>(server.LinksAwaitingReply) * LimitFactor);
+  }
+}
+
+bool LinkPool::atConcurrencyLimit(const TargetId &target) const {
+  const auto it = Servers.find(target);
+  return it != Servers.end() &&
+         static_cast<double>(it->second.LinksAwaitingReply + 1) > it->second.ConcurrencyLimit;
+}
+
+} // namespace rosemaryhinge
--- /dev/null
+++ b/src/links/internal/opening.cpp
@@ -0,0 +1,136 @@
+// Opening of links, within the connections that a server allows, and the end of links that the server closes.
+
+#include "links/linkpool.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Connections are lent if the server allows fewer than this number for each proxy.
+constexpr std::size_t LendBelowLinksPerProxy = 3;
+/// Delay before opening a link to a server that was full. Random jitter of up to the same length is added.
+constexpr Duration FullRetryDelay = 25ms;
+constexpr Duration FailureRetryDelay = 200ms;
+/// Links for queries and orders beyond the share of an availability zone.
+constexpr std::size_t MaxControlLinks = 2;
+/// Maximum number of links to one server being opened concurrently.
+constexpr std::size_t MaxOpening = 4;
+
+} // namespace
+
+std::size_t LinkPool::maxOpenLinks(const Catalog &catalog, const DatabaseId &service,
+                                   LinkPurpose purpose) const {
+  const auto *limits = catalog.limits(service);
+  const std::size_t all = limits && limits->MaxConnections > 0 ? limits->MaxConnections : 1;
+  if (!needsLending(catalog, service))
+    return all;
+  // The zones' lenders divide the connections. Without a division, a zone that comes late, as after a
+  // restart, gets none: those in use never become idle for long.
+  const std::size_t share = (all + Zones - 1) / Zones;
+  return share + (purpose == LinkPurpose::Control ? MaxControlLinks : 0);
+}
+
+void LinkPool::openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
+                         LinkPurpose purpose) {
+  const auto *view = catalog.server(target);
+  if (!view)
+    return;
+  auto &server = Servers[target];
+  const std::size_t cap = maxOpenLinks(catalog, view->Entry.Service, purpose);
+  if (server.Idle > 0 && atConcurrencyLimit(target))
+    return;
+  while (server.Opening < std::min(waiting, MaxOpening) && server.Links.size() < cap &&
+         ctx.Now >= server.RetryAt) {
+    const LinkId id{ctx.nextNumber()};
+    Link link;
+    link.Target = target;
+    link.Service = view->Entry.Service;
+    link.Since = ctx.Now;
+    Links.emplace(id, std::move(link));
+    server.Links.insert(id);
+    ++server.Opening;
+    ++server.PendingReplies;
+    server.Health.sent(ctx.Now);
+    ctx.emit(OpenLink{id, target, view->Entry.Service, view->Entry.Address});
+    ctx.emit(Count{"links_opened_total"});
+  }
+  scheduleSweep(ctx.Now);
+}
+
+void LinkPool::onOpened(Context &ctx, LinkId id) {
+  const auto it = Links.find(id);
+  if (it == Links.end())
+    return;
+  auto &server = Servers[it->second.Target];
+  if (!it->second.Lender.empty()) {
+    --server.PendingLoanRequests;
+    ctx.emit(Observe{"loan_wait_seconds", ctx.Now - it->second.Since});
+    setPhase(it->second, Phase::Idle, ctx.Now);
+    return;
+  }
+  --server.Opening;
+  --server.PendingReplies;
+  server.Health.received(ctx.Now, server.PendingReplies > 0);
+  if (const auto since = std::exchange(server.LostAt, std::nullopt))
+    ctx.emit(
+        Log{LogLevel::Info,
+            "server regained",
+            {{"server", it->second.Target.str()}, {"after_ms", std::to_string((ctx.Now - *since) / 1ms)}}});
+  setPhase(it->second, Phase::Idle, ctx.Now);
+}
+
+void LinkPool::onOpenFailed(Context &ctx, const TargetId &target, Server &server, LinkFailure why) {
+  if (server.LostAt || why == LinkFailure::TooMany)
+    return;
+  server.LostAt = ctx.Now;
+  ctx.emit(Log{LogLevel::Warn,
+               "server accepts no connection",
+               {{"server", target.str()}, {"why", std::string(toString(why))}}});
+}
+
+void LinkPool::onOpenTimedOut(Context &ctx, const TargetId &target, Server &server) {
+  server.RetryAt = ctx.Now + FailureRetryDelay;
+  onOpenFailed(ctx, target, server, LinkFailure::Timeout);
+  ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(LinkFailure::Timeout)) + "\"}"});
+}
+
+std::optional<LinkPool::Closed> LinkPool::onClosed(Context &ctx, const LinkClosed &event) {
+  const auto it = Links.find(event.Link);
+  if (it == Links.end())
+    return std::nullopt;
+  auto &link = it->second;
+  Closed out{link.User, link.Target, link.Service, link.State != Phase::Opening};
+  auto &server = Servers[link.Target];
+  if (!link.Lender.empty()) {
+    const bool silent = event.Why == LinkFailure::Timeout;
+    if (silent)
+      server.Health.onReportedSilent(ctx.Now);
+    if (!out.Opened)
+      server.RetryAt = ctx.Now + (silent ? FailureRetryDelay : FullRetryDelay);
+    ctx.emit(Count{"loans_failed_total{why=\"" + std::string(toString(event.Why)) + "\"}"});
+    removeLink(ctx, event.Link, std::nullopt, false);
+    return out;
+  }
+  if (event.Why == LinkFailure::TooMany) {
+    server.FullAt = ctx.Now;
+    server.RetryAt = ctx.Now + FullRetryDelay + ctx.jitter(FullRetryDelay);
+  } else if (!out.Opened) {
+    server.RetryAt = ctx.Now + FailureRetryDelay;
+  }
+  if (!out.Opened)
+    onOpenFailed(ctx, link.Target, server, event.Why);
+  // Servers close idle connections routinely, so only the loss of a busy or opening link counts as a failure.
+  const bool telling = !out.Opened || link.State == Phase::Busy;
+  ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(event.Why)) + "\"}"});
+  removeLink(ctx, event.Link, telling ? std::optional(event.Why) : std::nullopt, false);
+  return out;
+}
+
+bool LinkPool::needsLending(const Catalog &catalog, const DatabaseId &service) const {
+  const auto *limits = catalog.limits(service);
+  return limits && limits->MaxConnections < LendBelowLinksPerProxy * Proxies;
+}
+
+} // namespace rosemaryhinge
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rosemaryhinge {
@@ -178,11 +179,19 @@
     ServerHealth Health;
   };
 
+  /// The idle link of a server that needs the fewest commands before the session's statements.
+  [[nodiscard]] std::optional<LinkId> bestIdleLink(const Server &server, const LinkUser &user,
+                                                   const SessionValues &values) const;
   void adjustConcurrencyLimit(Server &server, const StatementOutcome &outcome, LinkStep step, TimePoint now);
   void endLoan(Context &ctx, LinkId id, const Link &link, LoanEndReason why);
   void setPhase(Link &link, Phase next, TimePoint now);
   static void onOpenFailed(Context &ctx, const TargetId &target, Server &server, LinkFailure why);
+  static void onOpenTimedOut(Context &ctx, const TargetId &target, Server &server);
   void scheduleSweep(TimePoint now);
+  /// Links to close because a time limit has passed, and whether the server did not reply.
+  [[nodiscard]] std::vector<std::pair<LinkId, bool>> overdueLinks(TimePoint now,
+                                                                  const Catalog &catalog) const;
+  void closeOverdue(Context &ctx, const Catalog &catalog, LinkId id, bool silent);
   void removeLink(Context &ctx, LinkId id, std::optional<LinkFailure> why, bool silent);
   [[nodiscard]] std::size_t maxOpenLinks(const Catalog &catalog, const DatabaseId &service,
                                          LinkPurpose purpose) const;
