--- a/src/slots/internal/slotsstate.h
+++ b/src/slots/internal/slotsstate.h
@@ -12,6 +12,8 @@
 
 namespace rosemaryhinge::detail {
 
+using SlotKey = ConnectionPool::SlotKey;
+
 /// A change of slots/<database> on its way to the platform.
 struct SlotChange {
   SlotTable NewTable;
@@ -28,7 +30,7 @@
 };
 
 struct ClaimCall {
-  ConnectionPool::SlotKey Slot;
+  SlotKey Slot;
   std::uint64_t Generation = 0;
 };
 
@@ -36,9 +38,9 @@
   std::map<DatabaseId, DatabaseSlots> Databases;
   std::map<TargetId, DatabaseId> DatabaseOf;
   /// Slots that the last known table gives to this incarnation of this proxy.
-  std::map<ConnectionPool::SlotKey, HeldSlot> Held;
+  std::map<SlotKey, HeldSlot> Held;
   std::map<CallId, ClaimCall> Claims;
-  std::map<ConnectionPool::SlotKey, TimePoint> ClaimRetryAt;
+  std::map<SlotKey, TimePoint> ClaimRetryAt;
   std::map<TargetId, std::uint32_t> ConnectionsPerSlot;
   ConnectionPool Pool;
   bool Leaving = false;
