Name every message of peers in the trail of events

The table of names held 19 of 29 messages; the other entries were null. A trail with one of them, such as a position request or a loan, read a null pointer when it was logged with a violated invariant, so the process ended with a segmentation fault in place of the log line. The length of the table now follows from its entries, and a static_assert compares it with the list of messages.

Test: daemon-tests "each message of a peer has its name in the trail" ended with SIGSEGV on the old table and passes now (15 cases, 3194 assertions; 14 and 3135 before). Without one name, trail.cpp does not compile.

--- a/src/daemon/internal/trail.cpp
+++ b/src/daemon/internal/trail.cpp
@@ -10,12 +10,18 @@
 
 namespace {
 
-constexpr std::array<const char *, std::variant_size_v<PeerMessage>> MessageNames = {
+/// In the order of the messages in PeerMessage.
+constexpr auto MessageNames = std::to_array<const char *>({
     "forward_request",       "forward_answer",   "probe",           "probe_ack",
     "indirect_probe",        "members_request",  "members_reply",   "settings_push",
     "settings_ack",          "settings_request", "target_reports",  "primary_contact_request",
     "primary_contact_reply", "object_changed",   "journal_records", "journal_ack",
-    "settings_query",        "settings_report",  "journal_written"};
+    "settings_query",        "settings_report",  "journal_written", "position_request",
+    "position_reply",        "loan_request",     "loan_queued",     "loan_grant",
+    "loan_commands",         "loan_reply",       "loan_end",        "changes_request",
+    "changes_reply",
+});
+static_assert(MessageNames.size() == std::variant_size_v<PeerMessage>, "a message has no name");
 constexpr std::array<const char *, 4> ExecutionNames = {"done", "failed", "marker_conflict", "not_primary"};
 constexpr std::array<const char *, 3> ControlNames = {"status", "marker", "failure"};
 constexpr std::array<const char *, 5> PlatformNames = {"object", "put_done", "put_conflict", "failure",
