Share how a link is added and how its failure is counted

Opening and borrowing of links had the same lines that add a link, and the failed and the timed-out opening the same counter. An own link now gets its empty lender by assignment; the rest is the same text.

--- a/src/links/internal/borrowing.cpp
+++ b/src/links/internal/borrowing.cpp
@@ -24,14 +24,7 @@
   auto &server = Servers[target];
   while (server.PendingLoanRequests < std::min(waiting, MaxPendingLoanRequests) &&
          ctx.Now >= server.RetryAt) {
-    const LinkId id{ctx.nextNumber()};
-    Link link;
-    link.Target = target;
-    link.Service = view->Entry.Service;
-    link.Since = ctx.Now;
-    link.Lender = wish.Lender;
-    Links.emplace(id, std::move(link));
-    server.Links.insert(id);
+    const auto id = addLink(ctx, server, target, view->Entry.Service, wish.Lender);
     ++server.PendingLoanRequests;
     ctx.emit(Count{"loans_requested_total"});
     ctx.emit(SendToPeer{wish.Lender, LoanRequest{{ctx.Incarnation, id.Value}, target, wish.Priority}});
--- a/src/links/internal/opening.cpp
+++ b/src/links/internal/opening.cpp
@@ -18,6 +18,10 @@
 /// Maximum number of links to one server being opened concurrently.
 constexpr std::size_t MaxOpening = 4;
 
+void countFailure(Context &ctx, LinkFailure why) {
+  ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(why)) + "\"}"});
+}
+
 } // namespace
 
 std::size_t LinkPool::maxOpenLinks(const Catalog &catalog, const DatabaseId &service,
@@ -32,6 +36,19 @@
   return share + (purpose == LinkPurpose::Control ? MaxControlLinks : 0);
 }
 
+LinkId LinkPool::addLink(Context &ctx, Server &server, const TargetId &target, const DatabaseId &service,
+                         const NodeId &lender) {
+  const LinkId id{ctx.nextNumber()};
+  Link link;
+  link.Target = target;
+  link.Service = service;
+  link.Since = ctx.Now;
+  link.Lender = lender;
+  Links.emplace(id, std::move(link));
+  server.Links.insert(id);
+  return id;
+}
+
 void LinkPool::openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
                          LinkPurpose purpose) {
   const auto *view = catalog.server(target);
@@ -43,13 +60,7 @@
     return;
   while (server.Opening < std::min(waiting, MaxOpening) && server.Links.size() < cap &&
          ctx.Now >= server.RetryAt) {
-    const LinkId id{ctx.nextNumber()};
-    Link link;
-    link.Target = target;
-    link.Service = view->Entry.Service;
-    link.Since = ctx.Now;
-    Links.emplace(id, std::move(link));
-    server.Links.insert(id);
+    const auto id = addLink(ctx, server, target, view->Entry.Service, NodeId());
     ++server.Opening;
     ++server.PendingReplies;
     server.Health.sent(ctx.Now);
@@ -93,7 +104,7 @@
 void LinkPool::onOpenTimedOut(Context &ctx, const TargetId &target, Server &server) {
   server.RetryAt = ctx.Now + FailureRetryDelay;
   onOpenFailed(ctx, target, server, LinkFailure::Timeout);
-  ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(LinkFailure::Timeout)) + "\"}"});
+  countFailure(ctx, LinkFailure::Timeout);
 }
 
 std::optional<LinkPool::Closed> LinkPool::onClosed(Context &ctx, const LinkClosed &event) {
@@ -123,7 +134,7 @@
     onOpenFailed(ctx, link.Target, server, event.Why);
   // Servers close idle connections routinely, so only the loss of a busy or opening link counts as a failure.
   const bool telling = !out.Opened || link.State == Phase::Busy;
-  ctx.emit(Count{"links_failed_total{why=\"" + std::string(toString(event.Why)) + "\"}"});
+  countFailure(ctx, event.Why);
   removeLink(ctx, event.Link, telling ? std::optional(event.Why) : std::nullopt, false);
   return out;
 }
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -183,6 +183,9 @@
   [[nodiscard]] std::optional<LinkId> bestIdleLink(const Server &server, const LinkUser &user,
                                                    const SessionValues &values) const;
   void adjustConcurrencyLimit(Server &server, const StatementOutcome &outcome, LinkStep step, TimePoint now);
+  /// Adds a link that is being opened, or requested from a lender.
+  LinkId addLink(Context &ctx, Server &server, const TargetId &target, const DatabaseId &service,
+                 const NodeId &lender);
   void endLoan(Context &ctx, LinkId id, const Link &link, LoanEndReason why);
   void setPhase(Link &link, Phase next, TimePoint now);
   static void onOpenFailed(Context &ctx, const TargetId &target, Server &server, LinkFailure why);
