--- a/src/slots/slotsmodule.cpp
+++ b/src/slots/slotsmodule.cpp
@@ -9,6 +9,7 @@
 #include "slots/internal/tablestore.h"
 
 #include <algorithm>
+#include <map>
 
 namespace rosemaryhinge {
 
@@ -21,6 +22,23 @@
 /// Connections being opened to one server at a time; more would only add load while it is slow.
 constexpr std::uint32_t MaxOpening = 4;
 
+/// The held slots of one server, in the order of their numbers.
+class HeldSlotRange {
+public:
+  HeldSlotRange(const SlotsState &state, const TargetId &target)
+      : Begin(state.Held.lower_bound({target, 0})), End(Begin) {
+    while (End != state.Held.end() && End->first.Target == target)
+      ++End;
+  }
+
+  [[nodiscard]] auto begin() const { return Begin; }
+  [[nodiscard]] auto end() const { return End; }
+
+private:
+  std::map<SlotKey, detail::HeldSlot>::const_iterator Begin;
+  std::map<SlotKey, detail::HeldSlot>::const_iterator End;
+};
+
 } // namespace
 
 SlotsModule::SlotsModule() : State(std::make_unique<SlotsState>()) {}
@@ -100,18 +118,16 @@
   auto per = State->ConnectionsPerSlot.find(target);
   if (per == State->ConnectionsPerSlot.end())
     return 0;
-  for (auto it = State->Held.lower_bound({target, 0}); it != State->Held.end() && it->first.Target == target;
-       ++it)
-    if (it->second.Claimed && !it->second.Releasing)
+  for (const auto &[slot, held] : HeldSlotRange(*State, target))
+    if (held.Claimed && !held.Releasing)
       out += per->second;
   return out;
 }
 
 std::uint32_t SlotsModule::busy(const TargetId &target) const {
   std::uint32_t out = 0;
-  for (auto it = State->Held.lower_bound({target, 0}); it != State->Held.end() && it->first.Target == target;
-       ++it)
-    out += State->Pool.counts(it->first).Busy;
+  for (const auto &[slot, held] : HeldSlotRange(*State, target))
+    out += State->Pool.counts(slot).Busy;
   return out;
 }
 
@@ -119,9 +135,7 @@
   auto limit = State->ConnectionsPerSlot[target];
   bool mayOpen = ctx.Now >= State->Pool.retryAt(target);
   const SlotKey *opening = nullptr;
-  for (auto it = State->Held.lower_bound({target, 0}); it != State->Held.end() && it->first.Target == target;
-       ++it) {
-    const auto &[slot, held] = *it;
+  for (const auto &[slot, held] : HeldSlotRange(*State, target)) {
     if (held.Releasing || !held.Claimed)
       continue;
     if (auto connection = State->Pool.takeIdle(slot))
