--- a/src/failover/failovermodule.cpp
+++ b/src/failover/failovermodule.cpp
@@ -220,6 +220,16 @@
   }
 }
 
+/// Removes an open call and returns its database; none if the call is not known.
+std::optional<DatabaseId> takeCall(FailoverState &state, const CallId &call) {
+  auto it = state.Calls.find(call);
+  if (it == state.Calls.end())
+    return std::nullopt;
+  auto database = it->second;
+  state.Calls.erase(it);
+  return database;
+}
+
 } // namespace
 
 FailoverModule::FailoverModule() : State(std::make_unique<FailoverState>()) {}
@@ -273,28 +283,24 @@
       onVmList(services, *list);
     return;
   }
-  auto it = State->Calls.find(event.Call);
-  if (it == State->Calls.end())
+  auto database = takeCall(*State, event.Call);
+  if (!database)
     return;
-  auto database = it->second;
-  State->Calls.erase(it);
-  auto &db = State->Databases[database];
+  auto &db = State->Databases[*database];
   if (db.ReadCall == event.Call)
-    onGroupAnswer(ctx, services, *State, db, database, event);
+    onGroupAnswer(ctx, services, *State, db, *database, event);
   else
     detail::onPromotionPut(ctx, services, *State, db, event);
 }
 
 void FailoverModule::onControlAnswer(Context &ctx, FailoverServices &services, const ControlAnswer &event) {
-  auto it = State->Calls.find(event.Call);
-  if (it == State->Calls.end())
+  auto database = takeCall(*State, event.Call);
+  if (!database)
     return;
-  auto database = it->second;
-  State->Calls.erase(it);
-  auto &db = State->Databases[database];
+  auto &db = State->Databases[*database];
   if (detail::onPromotionControl(ctx, services, *State, db, event))
     return;
-  if (const auto *view = services.Groups.find(database))
+  if (const auto *view = services.Groups.find(*database))
     onPollAnswer(ctx, services, db, *view, event);
 }
 
