--- a/src/settings/internal/change.cpp
+++ b/src/settings/internal/change.cpp
@@ -3,6 +3,7 @@
 #include "settings/internal/change.h"
 
 #include "settings/effective.h"
+#include "settings/internal/adminreply.h"
 #include "settings/internal/settingsjson.h"
 
 #include <algorithm>
@@ -13,10 +14,6 @@
 
 using nlohmann::json;
 
-json refusal(std::string_view error, std::string message) {
-  return {{"error", error}, {"message", std::move(message)}};
-}
-
 json editsJson(const AdminSession &session) {
   json out = json::array();
   for (const auto &it : session.Edits)
@@ -39,10 +36,10 @@
     current.push_back(
         {{"path", it.Path}, {"key", it.Key}, {"value", override ? json(override->Value) : json()}});
   }
-  auto body = refusal("conflict", "revision " + std::to_string(session.SeenRevision) +
-                                      " is not the latest: nothing was changed. Look at the changes since, "
-                                      "then set again with revision " +
-                                      std::to_string(object.Revision));
+  auto body = errorBody("conflict", "revision " + std::to_string(session.SeenRevision) +
+                                        " is not the latest: nothing was changed. Look at the changes since, "
+                                        "then set again with revision " +
+                                        std::to_string(object.Revision));
   body["your_revision"] = session.SeenRevision;
   body["revision"] = object.Revision;
   body["yours"] = editsJson(session);
@@ -52,7 +49,7 @@
 }
 
 ChangeRefused invalid(const Diagnostics &findings) {
-  auto body = refusal("invalid", "the change is refused as a whole; correct every finding and set again");
+  auto body = errorBody("invalid", "the change is refused as a whole; correct every finding and set again");
   body["findings"] = toJson(findings);
   return {422, std::move(body)};
 }
@@ -111,8 +108,8 @@
 ChangeResult computeChange(AdminSession &session, const ObjectValue &value, const RevisionInForce &inForce) {
   auto object = latest(value, inForce);
   if (!object && !session.WholeTree)
-    return ChangeRefused{422, refusal("invalid", "settings/tree holds neither a settings object nor a YAML "
-                                                 "tree; store a whole tree with 'settings set --file'")};
+    return ChangeRefused{422, errorBody("invalid", "settings/tree holds neither a settings object nor a YAML "
+                                                   "tree; store a whole tree with 'settings set --file'")};
   if (!object)
     object.emplace();
   if (auto known = object->revisionOf(session.ChangeId))
@@ -165,8 +162,8 @@
       (void)setValue(*spec, it.Value, root);
   auto out = formatSettingsObject(*object, root.Tree.HistoryLimit);
   if (!out)
-    return ChangeRefused{413, refusal("too_large", "the tree does not fit into 1 MB; nothing was changed. "
-                                                   "Move common values up to the groups and the root")};
+    return ChangeRefused{413, errorBody("too_large", "the tree does not fit into 1 MB; nothing was changed. "
+                                                     "Move common values up to the groups and the root")};
   session.Next = std::move(*object);
   return ChangeReady{std::move(*out)};
 }
