--- a/src/journal/journalmodule.cpp
+++ b/src/journal/journalmodule.cpp
@@ -26,7 +26,7 @@
 
 void JournalModule::onStarted(Context &ctx) {
   // Spreads the summaries of proxies that start together.
-  State->NextSummary = ctx.Now + Duration(ctx.Random() % 60'000'000);
+  State->NextSummary = ctx.Now + ctx.jitter(60s);
 }
 
 void JournalModule::append(Context &ctx, const std::vector<JournalEntry> &entries) {
--- a/src/membership/internal/prober.cpp
+++ b/src/membership/internal/prober.cpp
@@ -117,8 +117,7 @@
   auto interval = std::max(MinSyncInterval, SyncPerMember * static_cast<Duration::rep>(live));
   // Spread over half to one and a half intervals, so that proxies that start together do not compare
   // together.
-  state.NextSync =
-      ctx.Now + interval / 2 + Duration(ctx.Random() % static_cast<std::uint64_t>(interval.count()));
+  state.NextSync = ctx.Now + interval / 2 + ctx.jitter(interval);
   if (live == 0)
     return;
   auto at = ctx.Random() % live;
--- a/src/membership/membershipmodule.cpp
+++ b/src/membership/membershipmodule.cpp
@@ -103,7 +103,7 @@
   state.NextSeedContact = ctx.Now;
   detail::contactSeeds(state, ctx, 0);
   // Spreads the ticks of proxies that start together.
-  state.NextTick = ctx.Now + Duration(ctx.Random() % static_cast<std::uint64_t>(TickInterval.count()));
+  state.NextTick = ctx.Now + ctx.jitter(TickInterval);
 }
 
 void MembershipModule::onPeer(Context &ctx, const NodeId &from, const PeerMessage &message,
--- a/src/settings/internal/storereader.cpp
+++ b/src/settings/internal/storereader.cpp
@@ -35,7 +35,7 @@
 
 /// Random wait between half and the whole backoff, so that proxies do not call the store in step.
 Duration jittered(Context &ctx, Duration backoff) {
-  return backoff / 2 + Duration(ctx.Random() % static_cast<std::uint64_t>(backoff.count() / 2 + 1));
+  return backoff / 2 + ctx.jitter(backoff / 2 + Duration(1));
 }
 
 /// All watchers in one order that every proxy sees alike.
