Share the reading of whole numbers from texts

Three modules had the same function. The check for an empty text is not needed: from_chars reports it as an error.

--- a/src/objects/internal/platformcodec.cpp
+++ b/src/objects/internal/platformcodec.cpp
@@ -4,11 +4,10 @@
 
 #include "base/overloaded.h"
 #include "base/percentencode.h"
+#include "base/wholenumber.h"
 #include "json/jsonparse.h"
 #include "json/jsonpieces.h"
 
-#include <charconv>
-
 namespace rosemaryhinge::detail {
 
 namespace {
@@ -19,14 +18,6 @@
 
 std::string objectPath(std::string_view key) { return "/objects/" + percentEncode(key, "-_.~/"); }
 
-std::optional<ObjectVersion> parseVersion(std::string_view text) {
-  ObjectVersion out = 0;
-  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
-  if (text.empty() || ec != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
-  return out;
-}
-
 Result unexpected(const PlatformResponse &response) {
   return PlatformFailure{"unexpected HTTP status " + std::to_string(response.Status)};
 }
@@ -36,7 +27,7 @@
     return ObjectValue{key, 0, {}};
   if (response.Status != 200)
     return unexpected(response);
-  const auto version = parseVersion(response.Version);
+  const auto version = parseWholeNumber<ObjectVersion>(response.Version);
   if (!version || *version == 0)
     return PlatformFailure{"X-Version of an object is not a positive number"};
   return ObjectValue{key, *version, response.Body};
@@ -45,7 +36,7 @@
 Result decodePut(const PlatformResponse &response) {
   if (response.Status != 200 && response.Status != 409)
     return unexpected(response);
-  const auto version = parseVersion(response.Version);
+  const auto version = parseWholeNumber<ObjectVersion>(response.Version);
   if (!version)
     return PlatformFailure{"X-Version is not a number"};
   if (response.Status == 409)
--- a/src/settings/valuetext.cpp
+++ b/src/settings/valuetext.cpp
@@ -2,6 +2,8 @@
 
 #include "settings/valuetext.h"
 
+#include "base/wholenumber.h"
+
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -51,11 +53,7 @@
 }
 
 std::optional<std::uint32_t> parseCount(std::string_view text) {
-  std::uint32_t value = 0;
-  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (ec != std::errc{} || end != text.data() + text.size())
-    return std::nullopt;
-  return value;
+  return parseWholeNumber<std::uint32_t>(text);
 }
 
 std::string formatNumber(double value) {
--- a/src/targets/internal/pgconnection.cpp
+++ b/src/targets/internal/pgconnection.cpp
@@ -2,7 +2,7 @@
 
 #include "targets/internal/pgconnection.h"
 
-#include "targets/internal/rows.h"
+#include "base/wholenumber.h"
 
 #include <asio/post.hpp>
 
@@ -214,7 +214,7 @@
     if (!InRows) {
       Outcome.Tags.back() = PQcmdStatus(const_cast<PGresult *>(&result));
       Outcome.Results.back().Affected =
-          parseDecimal(PQcmdTuples(const_cast<PGresult *>(&result))).value_or(0);
+          parseWholeNumber<std::uint64_t>(PQcmdTuples(const_cast<PGresult *>(&result))).value_or(0);
     }
     return;
   }
--- a/src/targets/internal/rows.cpp
+++ b/src/targets/internal/rows.cpp
@@ -2,10 +2,10 @@
 
 #include "targets/internal/rows.h"
 
+#include "base/wholenumber.h"
 #include "json/jsonparse.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace rosemaryhinge::detail {
 
@@ -39,7 +39,7 @@
   }
 
   std::uint64_t number(std::string_view column) {
-    const auto out = parseDecimal(text(column));
+    const auto out = parseWholeNumber<std::uint64_t>(text(column));
     Ok = Ok && out;
     return out.value_or(0);
   }
@@ -64,8 +64,8 @@
     const auto colon = entry.find(':');
     if (colon == std::string_view::npos || out.size() >= MaxHistory)
       return std::nullopt;
-    const auto term = parseDecimal(entry.substr(0, colon));
-    const auto start = parseDecimal(entry.substr(colon + 1));
+    const auto term = parseWholeNumber<std::uint64_t>(entry.substr(0, colon));
+    const auto start = parseWholeNumber<std::uint64_t>(entry.substr(colon + 1));
     if (!term || !start)
       return std::nullopt;
     out.push_back({*term, *start});
@@ -84,14 +84,6 @@
 
 } // namespace
 
-std::optional<std::uint64_t> parseDecimal(std::string_view text) {
-  std::uint64_t out = 0;
-  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
-  if (text.empty() || ec != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
-  return out;
-}
-
 std::optional<TargetStatus> parseStatus(const StatementResult &result) {
   RowReader row(result);
   TargetStatus out;
--- a/src/targets/internal/rows.h
+++ b/src/targets/internal/rows.h
@@ -15,7 +15,5 @@
 [[nodiscard]] std::optional<MarkerRecord> parseMarkerRecord(const StatementResult &result);
 /// A list of {"columns": [...], "rows": [[...]], "affected": n}.
 [[nodiscard]] std::optional<std::vector<StatementResult>> parseRecordedResults(std::string_view json);
-/// A decimal number without sign that takes up the whole text.
-[[nodiscard]] std::optional<std::uint64_t> parseDecimal(std::string_view text);
 
 } // namespace rosemaryhinge::detail
--- a/src/targets/internal/slotconnection.cpp
+++ b/src/targets/internal/slotconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "targets/internal/slotconnection.h"
 
+#include "base/wholenumber.h"
 #include "targets/internal/rows.h"
 
 namespace rosemaryhinge::detail {
@@ -94,7 +95,7 @@
   if (error.SqlState == StateMarkerConflict && Mark) {
     conflict();
   } else if (error.SqlState == StateNotPrimary) {
-    report(NotPrimary{parseDecimal(error.Detail).value_or(0)});
+    report(NotPrimary{parseWholeNumber<std::uint64_t>(error.Detail).value_or(0)});
   } else {
     report(ExecutionFailed{error.SqlState, error.Message});
   }
