--- a/src/slots/internal/tablestore.cpp
+++ b/src/slots/internal/tablestore.cpp
@@ -57,7 +57,7 @@
   if (applied)
     notifyCandidates(ctx, db, database, *db.Table);
   // An update that was not seen may still arrive late. It then carries the version read here and takes a slot
-  // for this incarnation, which adopt() recognises, so nothing is lost by forgetting it.
+  // for this incarnation, which applyTable() recognises, so nothing is lost by forgetting it.
   db.PendingChange.reset();
 }
 
