Keep a part of the log for warnings

Each statement gets an info line, and all lines shared one rate limit and one pipe: under load the info lines used up both, and warnings were left out with them.

Info and debug lines now leave 200 lines at once, and three quarters of a pipe, to warnings and errors. The pipe is enlarged to 256 KiB, so the quarter holds as many info lines as the whole pipe did. A line does not cross pages of a pipe; n unread bytes occupy up to 2 n, and the share is chosen so that pages remain whatever the length of the lines.

--- a/src/daemon/internal/logger.cpp
+++ b/src/daemon/internal/logger.cpp
@@ -10,8 +10,11 @@
 #include <algorithm>
 #include <array>
 #include <ctime>
+#include <fcntl.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
+#include <utility>
 
 namespace rosemaryhinge {
 
@@ -19,13 +22,31 @@
 
 constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn", "error"};
 constexpr std::size_t MaxValue = 1'000;
+constexpr double MaxTokens = Logger::Burst + Logger::ReservedForWarnings;
 
 /// Whether a line can be written without waiting for whoever reads it.
-bool outputTakesLine() {
+bool outputIsWritable() {
   pollfd out{STDOUT_FILENO, POLLOUT, 0};
   return ::poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
 }
 
+/// Whether at most the given eighths of the pipe behind standard output hold unread bytes. True for anything
+/// but a pipe.
+bool outputIsFilledUpTo(int eighths) {
+  const int capacity = ::fcntl(STDOUT_FILENO, F_GETPIPE_SZ);
+  int unread = 0;
+  if (capacity <= 0 || ::ioctl(STDOUT_FILENO, FIONREAD, &unread) != 0)
+    return true;
+  return unread <= capacity / 8 * eighths;
+}
+
+/// Enlarges a pipe behind standard output. Without effect if the system refuses it or it is not a pipe.
+void enlargeOutputPipe() {
+  if (const int capacity = ::fcntl(STDOUT_FILENO, F_GETPIPE_SZ);
+      capacity > 0 && capacity < Logger::PipeCapacity)
+    ::fcntl(STDOUT_FILENO, F_SETPIPE_SZ, Logger::PipeCapacity);
+}
+
 std::string timestamp(std::chrono::system_clock::time_point at) {
   const auto seconds = std::chrono::floor<std::chrono::seconds>(at);
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(at - seconds).count();
@@ -67,40 +88,56 @@
 }
 
 Logger::Logger(LogFormat format, LogLevel level, const NodeId &node)
-    : Format(format), Level(level), Node(node), RefilledAt(std::chrono::steady_clock::now()) {
+    : Format(format), Level(level), Node(node), Tokens(MaxTokens),
+      RefilledAt(std::chrono::steady_clock::now()) {
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
   root->addAppender(appender);
   root->setLevel(log4cxx::Level::getDebug());
+  enlargeOutputPipe();
 }
 
 void Logger::log(const Log &entry) {
+  submit(entry, entry.Level >= LogLevel::Warn ? Priority::Warning : Priority::Info);
+}
+
+void Logger::submit(const Log &entry, Priority priority) {
   if (entry.Level < Level)
     return;
-  if (!admit() || !outputTakesLine()) {
+  if (!admit(priority) || !outputTakesLine(priority)) {
     ++Suppressed;
     return;
   }
-  if (Suppressed > 0)
-    write({LogLevel::Warn, "log lines left out", {{"count", std::to_string(std::exchange(Suppressed, 0))}}});
-  if (!outputTakesLine())
+  writeSuppressed();
+  if (!outputIsWritable())
     ++Suppressed;
   else
     write(entry);
 }
 
-bool Logger::admit() {
+bool Logger::admit(Priority priority) {
   const auto now = std::chrono::steady_clock::now();
-  Tokens = std::min(Burst, Tokens + std::chrono::duration<double>(now - RefilledAt).count() * LinesPerSecond);
+  Tokens =
+      std::min(MaxTokens, Tokens + std::chrono::duration<double>(now - RefilledAt).count() * LinesPerSecond);
   RefilledAt = now;
-  if (Tokens < 1)
+  const double reserved = priority == Priority::Info ? ReservedForWarnings : 0;
+  if (Tokens < reserved + 1)
     return false;
   Tokens -= 1;
   return true;
 }
 
+bool Logger::outputTakesLine(Priority priority) {
+  return outputIsWritable() && (priority != Priority::Info || outputIsFilledUpTo(PipeEighthsForInfo));
+}
+
+void Logger::writeSuppressed() {
+  if (Suppressed > 0 && outputIsWritable())
+    write({LogLevel::Warn, "log lines left out", {{"count", std::to_string(std::exchange(Suppressed, 0))}}});
+}
+
 void Logger::write(const Log &entry) {
   static const auto Output = log4cxx::Logger::getLogger("rosemaryhinge");
   auto named = entry;
--- a/src/daemon/logger.h
+++ b/src/daemon/logger.h
@@ -1,4 +1,7 @@
 // Log lines through log4cxx, as key=value or JSON, at a bounded rate.
+//
+// Info and debug lines leave a part of the rate limit and of the pipe behind standard output to warnings and
+// errors, so that the line that every statement gets cannot displace a warning.
 
 #pragma once
 
@@ -25,22 +28,35 @@
   /// number is logged once there is room again. Never waits.
   void log(const Log &entry) override;
 
-  /// Mean of lines per second, and most lines at once.
+  /// Mean of lines per second, and most info and debug lines at once.
   static constexpr double LinesPerSecond = 200;
   static constexpr double Burst = 1'000;
+  /// Further lines at once, for warnings and errors.
+  static constexpr double ReservedForWarnings = 200;
+  /// Bytes asked for as the capacity of a pipe behind standard output, in place of the usual 64 KiB.
+  static constexpr int PipeCapacity = 256 * 1024;
+  /// Eighths of the pipe that may hold unread bytes when an info or debug line is written. A line does not
+  /// cross pages of the pipe, so n unread bytes occupy up to 2 n: the share leaves pages to warnings whatever
+  /// the length of the lines.
+  static constexpr int PipeEighthsForInfo = 2;
   /// Longest line. A pipe that is writable takes this much without blocking.
   static constexpr std::size_t MaxLine = PIPE_BUF - 1;
 
 private:
-  bool admit();
+  enum class Priority : std::uint8_t { Info, Warning };
+
+  void submit(const Log &entry, Priority priority);
+  [[nodiscard]] bool admit(Priority priority);
+  [[nodiscard]] static bool outputTakesLine(Priority priority);
+  void writeSuppressed();
   void write(const Log &entry);
 
   LogFormat Format;
   LogLevel Level;
   NodeId Node;
-  double Tokens = Burst;
+  double Tokens; ///< Lines that may be written at once, the reserved ones included.
   std::chrono::steady_clock::time_point RefilledAt;
-  std::uint64_t Suppressed = 0;
+  std::uint64_t Suppressed = 0; ///< Lines left out and not yet logged as such.
 };
 
 } // namespace rosemaryhinge
--- a/src/daemon/tests/loggertests.cpp
+++ b/src/daemon/tests/loggertests.cpp
@@ -4,11 +4,15 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <fcntl.h>
+#include <sstream>
 #include <string>
 #include <unistd.h>
+#include <utility>
+#include <vector>
 
 using namespace rosemaryhinge;
 
@@ -25,7 +29,8 @@
   ~OutputPipe() {
     ::dup2(Saved, STDOUT_FILENO);
     for (const int it : {Saved, Ends[0], Ends[1]})
-      ::close(it);
+      if (it >= 0)
+        ::close(it);
   }
   OutputPipe(const OutputPipe &) = delete;
   OutputPipe &operator=(const OutputPipe &) = delete;
@@ -38,6 +43,13 @@
     return out;
   }
 
+  /// Makes the former standard output the current one again, which also takes what doctest reports. The pipe
+  /// has no writer then.
+  void closeWriter() {
+    ::dup2(Saved, STDOUT_FILENO);
+    ::close(std::exchange(Ends[1], -1));
+  }
+
 private:
   int Saved;
   std::array<int, 2> Ends{};
@@ -45,6 +57,29 @@
 
 Log line(std::size_t size) { return {LogLevel::Info, "test", {{"value", std::string(size, 'x')}}}; }
 
+std::vector<std::string> split(const std::string &text) {
+  std::vector<std::string> out;
+  std::istringstream in(text);
+  for (std::string it; std::getline(in, it);)
+    out.push_back(it);
+  return out;
+}
+
+std::size_t countOf(const std::vector<std::string> &lines, std::string_view part) {
+  return static_cast<std::size_t>(std::count_if(
+      lines.begin(), lines.end(), [&](const auto &it) { return it.find(part) != std::string::npos; }));
+}
+
+/// Sum of the counts of lines that were left out.
+std::size_t leftOut(const std::vector<std::string> &lines) {
+  constexpr std::string_view Count = " count=";
+  std::size_t out = 0;
+  for (const auto &it : lines)
+    if (it.find("log lines left out") != std::string::npos)
+      out += std::stoul(it.substr(it.find(Count) + Count.size()));
+  return out;
+}
+
 } // namespace
 
 TEST_CASE("a standard output that nobody reads costs lines and no time") {
@@ -73,3 +108,34 @@
   CHECK(text.find("too long") != std::string::npos);
   CHECK(text.back() == '\n');
 }
+
+TEST_CASE("warnings are written while info lines are over the rate limit") {
+  OutputPipe out;
+  Logger logger(LogFormat::KeyValue, LogLevel::Info, NodeId("n1"));
+  std::string text;
+  for (int n = 0; n < 3'000; ++n) {
+    logger.log(line(10));
+    text += out.read();
+  }
+  for (int n = 0; n < 100; ++n) {
+    logger.log({LogLevel::Warn, "warning", {}});
+    text += out.read();
+  }
+  out.closeWriter();
+  const auto lines = split(text);
+  CHECK(countOf(lines, "message=warning") == 100);
+  CHECK(countOf(lines, "message=test") + leftOut(lines) == 3'000);
+}
+
+TEST_CASE("warnings are written while info lines have filled a pipe that nobody reads") {
+  for (const std::size_t size : {10, 300, 900}) {
+    OutputPipe out;
+    Logger logger(LogFormat::KeyValue, LogLevel::Info, NodeId("n1"));
+    for (int n = 0; n < 700; ++n)
+      logger.log(line(size));
+    for (int n = 0; n < 20; ++n)
+      logger.log({LogLevel::Warn, "warning", {}});
+    out.closeWriter();
+    CHECK(countOf(split(out.read()), "message=warning") == 20);
+  }
+}
