Count the log lines that are left out last

What the logger left out was counted with the next line that it wrote. What it left out at the end of the process was never counted: the log of a stopped proxy looked complete. The logger now writes the count when it ends, if standard output takes it without waiting.

--- a/src/daemon/internal/logger.cpp
+++ b/src/daemon/internal/logger.cpp
@@ -99,6 +99,8 @@
   enlargeOutputPipe();
 }
 
+Logger::~Logger() { writeSuppressed(); }
+
 void Logger::log(const Log &entry) {
   submit(entry, entry.Level >= LogLevel::Warn ? Priority::Warning : Priority::Info);
 }
--- a/src/daemon/logger.h
+++ b/src/daemon/logger.h
@@ -23,6 +23,10 @@
 public:
   /// Writes to standard output.
   Logger(LogFormat format, LogLevel level, const NodeId &node);
+  /// Logs the number of lines that were left out since it was last logged.
+  ~Logger() override;
+  Logger(const Logger &) = delete;
+  Logger &operator=(const Logger &) = delete;
 
   /// Lines beyond the rate limit, and those that standard output does not take at once, are left out; their
   /// number is logged once there is room again. Never waits.
--- a/src/daemon/tests/loggertests.cpp
+++ b/src/daemon/tests/loggertests.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <chrono>
 #include <fcntl.h>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <unistd.h>
@@ -139,3 +140,19 @@
     CHECK(countOf(split(out.read()), "message=warning") == 20);
   }
 }
+
+TEST_CASE("lines that are left out last are counted when the logger ends") {
+  OutputPipe out;
+  std::optional<Logger> logger(std::in_place, LogFormat::KeyValue, LogLevel::Info, NodeId("n1"));
+  std::string text;
+  for (int n = 0; n < 3'000; ++n) {
+    logger->log(line(10));
+    text += out.read();
+  }
+  logger.reset();
+  text += out.read();
+  out.closeWriter();
+  const auto lines = split(text);
+  CHECK(leftOut(lines) > 0);
+  CHECK(countOf(lines, "message=test") + leftOut(lines) == 3'000);
+}
