Write the lines about the end of a process under load

`shutdown requested` and `ended` were info lines among all the others. When the log took no more of these, a stopped proxy had neither line, and its log did not show whether it had ended or was cut off.

The test logs more than the rate and than a reader of 20,000 bytes a second takes.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -58,19 +58,19 @@
   admin->start();
   const detail::ShutdownSignals signals(io, loop, logger);
   const DaemonPorts ports{callers->port(), peers->port(), admin->port()};
-  logger.log({LogLevel::Info,
-              "listening",
-              {{"release", settings.Self.Release},
-               {"callers", std::to_string(ports.Callers)},
-               {"peers", std::to_string(ports.Peers)},
-               {"admin", std::to_string(ports.Admin)}}});
+  logger.logProcess({LogLevel::Info,
+                     "listening",
+                     {{"release", settings.Self.Release},
+                      {"callers", std::to_string(ports.Callers)},
+                      {"peers", std::to_string(ports.Peers)},
+                      {"admin", std::to_string(ports.Admin)}}});
   if (onListening)
     onListening(ports);
   // The incarnation has to grow from one start of a node to the next.
   const auto incarnation =
       std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now()).time_since_epoch();
   loop.run({detail::randomSeed(), static_cast<std::uint64_t>(incarnation.count())});
-  logger.log({LogLevel::Info, "ended", {}});
+  logger.logProcess({LogLevel::Info, "ended", {}});
   return 0;
 }
 
--- a/src/daemon/internal/logger.cpp
+++ b/src/daemon/internal/logger.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn", "error"};
 constexpr std::size_t MaxValue = 1'000;
-constexpr double MaxTokens = Logger::Burst + Logger::ReservedForWarnings;
+constexpr double MaxTokens = Logger::Burst + Logger::ReservedForWarnings + Logger::ReservedForProcess;
 
 /// Whether a line can be written without waiting for whoever reads it.
 bool outputIsWritable() {
@@ -105,6 +105,8 @@
   submit(entry, entry.Level >= LogLevel::Warn ? Priority::Warning : Priority::Info);
 }
 
+void Logger::logProcess(const Log &entry) { submit(entry, Priority::Process); }
+
 void Logger::submit(const Log &entry, Priority priority) {
   if (entry.Level < Level)
     return;
@@ -124,7 +126,9 @@
   Tokens =
       std::min(MaxTokens, Tokens + std::chrono::duration<double>(now - RefilledAt).count() * LinesPerSecond);
   RefilledAt = now;
-  const double reserved = priority == Priority::Info ? ReservedForWarnings : 0;
+  const double reserved = priority == Priority::Info      ? ReservedForWarnings + ReservedForProcess
+                          : priority == Priority::Warning ? ReservedForProcess
+                                                          : 0;
   if (Tokens < reserved + 1)
     return false;
   Tokens -= 1;
@@ -132,7 +136,17 @@
 }
 
 bool Logger::outputTakesLine(Priority priority) {
-  return outputIsWritable() && (priority != Priority::Info || outputIsFilledUpTo(PipeEighthsForInfo));
+  if (!outputIsWritable())
+    return false;
+  switch (priority) {
+  case Priority::Info:
+    return outputIsFilledUpTo(PipeEighthsForInfo);
+  case Priority::Warning:
+    return outputIsFilledUpTo(PipeEighthsForWarnings);
+  case Priority::Process:
+    break;
+  }
+  return true;
 }
 
 void Logger::writeSuppressed() {
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -103,17 +103,17 @@
   }
   const detail::ShutdownSignals signals(io, loop, logger);
   const ReloadSignal reloads(io, settings, file, logger);
-  logger.log({LogLevel::Info,
-              "started",
-              {{"release", settings.Self.Release},
-               {"availability_zone", settings.Self.AvailabilityZone.str()},
-               {"callers", std::to_string(sessions->port())},
-               {"admin", std::to_string(admin->port())}}});
+  logger.logProcess({LogLevel::Info,
+                     "started",
+                     {{"release", settings.Self.Release},
+                      {"availability_zone", settings.Self.AvailabilityZone.str()},
+                      {"callers", std::to_string(sessions->port())},
+                      {"admin", std::to_string(admin->port())}}});
   // The incarnation has to differ from one start of a node to the next.
   loop.run({detail::randomSeed(), detail::randomSeed()});
   links->stop();
   directory->stop();
-  logger.log({LogLevel::Info, "ended", {}});
+  logger.logProcess({LogLevel::Info, "ended", {}});
   return 0;
 }
 
--- a/src/daemon/internal/shutdownsignals.cpp
+++ b/src/daemon/internal/shutdownsignals.cpp
@@ -23,7 +23,7 @@
 
 void ShutdownSignals::onSignal(int number) {
   const auto log = [&](const char *message) {
-    Logger.log({LogLevel::Info, message, {{"signal", std::to_string(number)}}});
+    Logger.logProcess({LogLevel::Info, message, {{"signal", std::to_string(number)}}});
   };
   if (!std::exchange(Stopping, true)) {
     log("shutdown requested");
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -12,14 +12,15 @@
 int run(const LocalSettings &settings) {
   Logger logger(settings.LogFormat, settings.LogLevel, settings.Self.Node);
   if (settings.Self.Interface != CallerInterface::Requests) {
-    logger.log({LogLevel::Error, "cannot run", {{"why", "interface: this program serves requests only"}}});
+    logger.logProcess(
+        {LogLevel::Error, "cannot run", {{"why", "interface: this program serves requests only"}}});
     return 1;
   }
   try {
     detail::ReducerAdapter reducer(settings.Self);
     return runDaemon(settings, reducer, logger);
   } catch (const std::exception &e) {
-    logger.log({LogLevel::Error, "cannot run", {{"why", e.what()}}});
+    logger.logProcess({LogLevel::Error, "cannot run", {{"why", e.what()}}});
     return 1;
   }
 }
--- a/src/daemon/tests/loggertests.cpp
+++ b/src/daemon/tests/loggertests.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 #include <vector>
@@ -44,6 +45,7 @@
     return out;
   }
 
+  [[nodiscard]] int readEnd() const { return Ends[0]; }
   /// Makes the former standard output the current one again, which also takes what doctest reports. The pipe
   /// has no writer then.
   void closeWriter() {
@@ -81,6 +83,39 @@
   return out;
 }
 
+/// Reads a pipe at a bounded rate until it is closed.
+class SlowReader {
+public:
+  SlowReader(int fd, std::size_t bytesPerSecond) : Fd(fd), Step(bytesPerSecond / StepsPerSecond) {
+    Thread = std::thread([this] { run(); });
+  }
+  /// All that was read. The pipe must have no writer any more.
+  std::string finish() {
+    Thread.join();
+    return std::move(In);
+  }
+
+private:
+  static constexpr std::size_t StepsPerSecond = 100;
+
+  void run() {
+    std::string buf(Step, 0);
+    for (;;) {
+      const auto n = ::read(Fd, buf.data(), buf.size());
+      if (n == 0)
+        return;
+      if (n > 0)
+        In.append(buf.data(), static_cast<std::size_t>(n));
+      std::this_thread::sleep_for(std::chrono::milliseconds(1'000 / StepsPerSecond));
+    }
+  }
+
+  int Fd;
+  std::size_t Step;
+  std::string In;
+  std::thread Thread;
+};
+
 } // namespace
 
 TEST_CASE("a standard output that nobody reads costs lines and no time") {
@@ -156,3 +191,34 @@
   CHECK(leftOut(lines) > 0);
   CHECK(countOf(lines, "message=test") + leftOut(lines) == 3'000);
 }
+
+TEST_CASE("the last lines of a process reach a slow reader under more load than the log takes") {
+  constexpr std::size_t BytesPerSecond = 20'000;
+  constexpr int Lines = 3'000;
+  OutputPipe out;
+  std::optional<SlowReader> reader;
+  const auto start = std::chrono::steady_clock::now();
+  {
+    Logger logger(LogFormat::KeyValue, LogLevel::Info, NodeId("n1"));
+    reader.emplace(out.readEnd(), BytesPerSecond);
+    for (int n = 0; n < Lines; ++n) {
+      logger.log(line(300));
+      if (n % 100 == 99)
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    logger.logProcess({LogLevel::Info, "shutdown requested", {}});
+    for (int n = 0; n < 100; ++n)
+      logger.log(line(300));
+    for (int n = 0; n < 10; ++n)
+      logger.log({LogLevel::Warn, "warning", {}});
+    logger.logProcess({LogLevel::Info, "ended", {}});
+  }
+  out.closeWriter();
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(5));
+  const auto lines = split(reader->finish());
+  REQUIRE(!lines.empty());
+  CHECK(lines.back().find("message=ended") != std::string::npos);
+  CHECK(countOf(lines, "shutdown requested") == 1);
+  CHECK(countOf(lines, "message=warning") == 10);
+  CHECK(countOf(lines, "message=test") + leftOut(lines) == Lines + 100);
+}
