Handle SIGHUP in both daemons

A SIGHUP ended rosemaryhinged at once: callers with requests in flight lost their connections without an answer, and the log had no line about it. Only rosemaryhinge-platformd had a handler. Both now share it, in a file of its own: the settings file is read again and what it holds is reported.

The test runs the daemon in a process of its own.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -7,6 +7,7 @@
 #include "daemon/localsettings.h"
 
 #include <functional>
+#include <string>
 
 namespace rosemaryhinge {
 
@@ -17,9 +18,10 @@
   std::uint16_t Admin = 0;
 };
 
-/// Runs until a graceful shutdown is complete. SIGTERM or SIGINT starts it; a second one ends at once.
-/// Throws std::exception if a listener cannot be bound. Returns the exit status.
-int runDaemon(const LocalSettings &settings, IReducer &reducer, ILogger &logger,
+/// Runs until a graceful shutdown is complete. SIGTERM or SIGINT starts it; during it SIGTERM changes nothing
+/// and SIGINT ends at once. SIGHUP checks the settings file again. Throws std::exception if a listener cannot
+/// be bound. Returns the exit status.
+int runDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer, ILogger &logger,
               const std::function<void(const DaemonPorts &)> &onListening = {});
 
 } // namespace rosemaryhinge
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "admin/admin.h"
 #include "callers/callers.h"
+#include "daemon/internal/reloadsignal.h"
 #include "daemon/internal/shutdownsignals.h"
 #include "daemon/internal/wiring.h"
 #include "daemon/loop.h"
@@ -25,7 +26,7 @@
 
 } // namespace
 
-int runDaemon(const LocalSettings &settings, IReducer &reducer, ILogger &logger,
+int runDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer, ILogger &logger,
               const std::function<void(const DaemonPorts &)> &onListening) {
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context io(1);
@@ -57,6 +58,7 @@
   callers->start();
   admin->start();
   const detail::ShutdownSignals signals(io, loop, logger);
+  const detail::ReloadSignal reloads(io, settings, file, logger);
   const DaemonPorts ports{callers->port(), peers->port(), admin->port()};
   logger.logProcess({LogLevel::Info,
                      "listening",
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -3,6 +3,7 @@
 #include "daemon/sessiondaemon.h"
 
 #include "admin/admin.h"
+#include "daemon/internal/reloadsignal.h"
 #include "daemon/internal/shutdownsignals.h"
 #include "daemon/internal/wiring.h"
 #include "daemon/loop.h"
@@ -10,8 +11,6 @@
 #include "peers/peers.h"
 #include "wire/wire.h"
 
-#include <asio/signal_set.hpp>
-
 #include <chrono>
 #include <csignal>
 
@@ -27,43 +26,6 @@
   return out;
 }
 
-/// Addresses and names cannot change while the process runs, so a reload only reports what it finds.
-void reload(const LocalSettings &settings, const std::string &file, ILogger &logger) {
-  const auto next = loadLocalSettings(file);
-  if (const auto *findings = std::get_if<Diagnostics>(&next)) {
-    for (const auto &it : *findings)
-      logger.log({LogLevel::Error, "settings file refused", {{"finding", it.str()}}});
-    return;
-  }
-  const bool same = formatLocalSettings(std::get<LocalSettings>(next)) == formatLocalSettings(settings);
-  logger.log(
-      {LogLevel::Info, "settings file read", {{"change", same ? "none" : "in force after a restart"}}});
-}
-
-/// Reports what a changed settings file holds, on each SIGHUP.
-class ReloadSignal {
-public:
-  ReloadSignal(asio::io_context &io, const LocalSettings &settings, std::string file, ILogger &logger)
-      : Set(io, SIGHUP), Settings(settings), File(std::move(file)), Logger(logger) {
-    wait();
-  }
-
-private:
-  void wait() {
-    Set.async_wait([this](std::error_code ec, int) {
-      if (ec)
-        return;
-      reload(Settings, File, Logger);
-      wait();
-    });
-  }
-
-  asio::signal_set Set;
-  const LocalSettings &Settings;
-  std::string File;
-  ILogger &Logger;
-};
-
 } // namespace
 
 int runSessionDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer,
@@ -102,7 +64,7 @@
     more->start();
   }
   const detail::ShutdownSignals signals(io, loop, logger);
-  const ReloadSignal reloads(io, settings, file, logger);
+  const detail::ReloadSignal reloads(io, settings, file, logger);
   logger.logProcess({LogLevel::Info,
                      "started",
                      {{"release", settings.Self.Release},
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,7 +9,7 @@
 
 using namespace rosemaryhinge;
 
-int run(const LocalSettings &settings) {
+int run(const LocalSettings &settings, const std::string &file) {
   Logger logger(settings.LogFormat, settings.LogLevel, settings.Self.Node);
   if (settings.Self.Interface != CallerInterface::Requests) {
     logger.logProcess(
@@ -18,7 +18,7 @@
   }
   try {
     detail::ReducerAdapter reducer(settings.Self);
-    return runDaemon(settings, reducer, logger);
+    return runDaemon(settings, file, reducer, logger);
   } catch (const std::exception &e) {
     logger.logProcess({LogLevel::Error, "cannot run", {{"why", e.what()}}});
     return 1;
@@ -27,7 +27,4 @@
 
 } // namespace
 
-int main(int argc, char **argv) {
-  return startDaemon(argc, argv, "rosemaryhinged",
-                     [](const LocalSettings &settings, const std::string &) { return run(settings); });
-}
+int main(int argc, char **argv) { return startDaemon(argc, argv, "rosemaryhinged", run); }
--- a/src/daemon/sessiondaemon.h
+++ b/src/daemon/sessiondaemon.h
@@ -18,9 +18,9 @@
 
 using DirectoryFactory = std::function<std::unique_ptr<IDirectory>(asio::io_context &, IMetrics &)>;
 
-/// Runs until a graceful shutdown is complete. SIGTERM or SIGINT starts it; a second one ends at once. SIGHUP
-/// checks the settings file again. Throws std::exception if a listener cannot be bound. Returns the exit
-/// status.
+/// Runs until a graceful shutdown is complete. SIGTERM or SIGINT starts it; during it SIGTERM changes nothing
+/// and SIGINT ends at once. SIGHUP checks the settings file again. Throws std::exception if a listener cannot
+/// be bound. Returns the exit status.
 int runSessionDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer,
                      ILogger &logger, const ICodecs &codecs, const DirectoryFactory &makeDirectory);
 
--- /dev/null
+++ b/src/daemon/tests/daemontests.cpp
@@ -0,0 +1,219 @@
+// Tests of a whole daemon in a process of its own: signals, and requests around its end.
+
+#include "daemon/daemon.h"
+#include "daemon/logger.h"
+#include "net/bootclock.h"
+#include "net/tests/scriptedserver.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <poll.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+using namespace rosemaryhinge;
+using asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::seconds Patience{10};
+constexpr int HarnessFailed = 99; ///< Exit status.
+
+/// Answers each read after a while, and refuses what comes during the shutdown. Complete once nothing is in
+/// flight.
+class SlowReducer : public IReducer {
+public:
+  explicit SlowReducer(Duration readTime) : ReadTime(readTime) {}
+
+  [[nodiscard]] Effects apply(const Event &event, TimePoint now) override {
+    Effects out;
+    if (const auto *request = std::get_if<RequestArrived>(&event)) {
+      if (Leaving)
+        out.push_back(Respond{request->Request.Id, Refusal{RefusalReason::ShuttingDown, Ran::NotRun,
+                                                           Duration{}, "this proxy is shutting down"}});
+      else
+        InFlight.emplace_back(now + ReadTime, request->Request.Id);
+    }
+    Leaving = Leaving || std::holds_alternative<ShutdownRequested>(event);
+    while (!InFlight.empty() && InFlight.front().first <= now) {
+      out.push_back(Respond{InFlight.front().second, Success{}});
+      InFlight.pop_front();
+    }
+    if (Leaving && InFlight.empty() && !std::exchange(Complete, true))
+      out.push_back(ShutdownComplete{});
+    return out;
+  }
+  [[nodiscard]] std::optional<TimePoint> nextTimer() const override {
+    return InFlight.empty() ? std::nullopt : std::optional(InFlight.front().first);
+  }
+  [[nodiscard]] bool ready() const override { return true; }
+
+private:
+  Duration ReadTime;
+  std::deque<std::pair<TimePoint, RequestId>> InFlight;
+  bool Leaving = false;
+  bool Complete = false;
+};
+
+std::string platformAnswer(const std::string &request) {
+  const std::string keys = R"({"current":"k","keys":{"k":"MDEyMzQ1Njc4OWFiY2RlZg=="}})";
+  if (request.find("keys/session") == std::string::npos)
+    return "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n";
+  return "HTTP/1.1 200 x\r\nX-Version: 1\r\nContent-Length: " + std::to_string(keys.size()) + "\r\n\r\n" +
+         keys;
+}
+
+/// Reads until the end of the stream, or until the text is complete; empty text after Patience.
+std::string readUntil(int fd, const std::function<bool(const std::string &)> &complete) {
+  std::string out;
+  std::array<char, 4096> buf{};
+  const auto end = Clock::now() + Patience;
+  while (Clock::now() < end && !complete(out)) {
+    pollfd in{fd, POLLIN, 0};
+    if (::poll(&in, 1, 100) != 1)
+      continue;
+    const auto n = ::read(fd, buf.data(), buf.size());
+    if (n <= 0)
+      break;
+    out.append(buf.data(), static_cast<std::size_t>(n));
+  }
+  return out;
+}
+
+/// A connection of a caller.
+class Caller {
+public:
+  explicit Caller(std::uint16_t port) : Socket(Io) {
+    Socket.connect({asio::ip::make_address("127.0.0.1"), port});
+  }
+  void send() {
+    const std::string body = R"({"sql":"SELECT 1"})";
+    std::error_code ec;
+    asio::write(Socket,
+                asio::buffer("POST /v1/db/d/query HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body),
+                ec);
+  }
+  /// Head and start of the body of the next answer; empty if the connection ends without one.
+  std::string answer() {
+    return readUntil(Socket.native_handle(),
+                     [](const std::string &it) { return it.find("\r\n\r\n{") != std::string::npos; });
+  }
+
+private:
+  asio::io_context Io;
+  tcp::socket Socket;
+};
+
+bool isAnswer(const std::string &text) { return text.starts_with("HTTP/1.1 200"); }
+
+/// A daemon in a process of its own, which serves callers.
+class DaemonProcess {
+public:
+  /// AfterRun is called in the process once runDaemon() has returned.
+  explicit DaemonProcess(SlowReducer reducer, const std::function<void()> &afterRun = {}) {
+    std::fflush(nullptr);
+    REQUIRE(::pipe(Output.data()) == 0);
+    REQUIRE(::pipe(Listening.data()) == 0);
+    Pid = ::fork();
+    REQUIRE(Pid >= 0);
+    if (Pid == 0)
+      run(std::move(reducer), afterRun);
+    ::close(std::exchange(Output[1], -1));
+    ::close(std::exchange(Listening[1], -1));
+    REQUIRE(::read(Listening[0], &Ports, sizeof Ports) == sizeof Ports);
+    const auto end = Clock::now() + Patience;
+    while (Clock::now() < end && !serves())
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  ~DaemonProcess() {
+    if (Pid > 0) {
+      ::kill(Pid, SIGKILL);
+      ::waitpid(Pid, nullptr, 0);
+    }
+    for (const int it : {Output[0], Listening[0]})
+      ::close(it);
+  }
+  DaemonProcess(const DaemonProcess &) = delete;
+  DaemonProcess &operator=(const DaemonProcess &) = delete;
+
+  void signal(int number) const { ::kill(Pid, number); }
+  [[nodiscard]] std::uint16_t port() const { return Ports.Callers; }
+  /// Waits for the end of the process. Its exit status, or minus the signal that ended it.
+  int wait() {
+    Log = readUntil(Output[0], [](const std::string &) { return false; });
+    int status = 0;
+    ::waitpid(std::exchange(Pid, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+  /// Last line of the log, after wait().
+  [[nodiscard]] std::string lastLine() const {
+    const auto text = Log.substr(0, Log.find_last_not_of('\n') + 1);
+    return text.substr(text.find_last_of('\n') + 1);
+  }
+
+  std::string Log; ///< Standard output, after wait().
+
+private:
+  [[noreturn]] void run(SlowReducer reducer, const std::function<void()> &afterRun) const {
+    ::dup2(Output[1], STDOUT_FILENO);
+    ::close(Output[1]);
+    asio::io_context io;
+    const testing::ScriptedServer platform(io, [](testing::ScriptedServer::Connection &it) {
+      if (it.In.find("\r\n\r\n") != std::string::npos)
+        it.send(platformAnswer(std::exchange(it.In, {})));
+    });
+    std::thread([&io] { io.run(); }).detach();
+    LocalSettings settings;
+    settings.Self.Node = NodeId("n1");
+    settings.Callers = settings.Peers = settings.Admin = {"127.0.0.1", 0};
+    settings.PlatformUrl = "http://" + platform.address();
+    int status = 0;
+    try {
+      Logger logger(LogFormat::KeyValue, LogLevel::Info, settings.Self.Node);
+      status = runDaemon(settings, "/nonexistent", reducer, logger, [this](const DaemonPorts &it) {
+        if (::write(Listening[1], &it, sizeof it) != sizeof it)
+          ::_exit(HarnessFailed);
+      });
+    } catch (const std::exception &) {
+      ::_exit(HarnessFailed);
+    }
+    if (afterRun)
+      afterRun();
+    ::_exit(status);
+  }
+  [[nodiscard]] bool serves() const {
+    Caller caller(Ports.Callers);
+    caller.send();
+    return isAnswer(caller.answer());
+  }
+
+  pid_t Pid = 0;
+  std::array<int, 2> Output{};
+  std::array<int, 2> Listening{};
+  DaemonPorts Ports;
+};
+
+} // namespace
+
+TEST_CASE("SIGHUP does not end a process with a request in flight") {
+  DaemonProcess daemon(SlowReducer(300ms));
+  Caller caller(daemon.port());
+  caller.send();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  daemon.signal(SIGHUP);
+  CHECK(isAnswer(caller.answer()));
+  daemon.signal(SIGTERM);
+  CHECK(daemon.wait() == 0);
+  CHECK(daemon.Log.find("settings file refused") != std::string::npos);
+}
