Install the handlers of signals before the listeners

Both daemons listened first and installed their handlers afterwards. A SIGTERM in between, as from a deployment that is taken back, ended the process at once; callers whose connections the system had accepted got no answer. The handlers now come first. A signal that arrives before the loop runs is handled after the first event, as any later one.

The test raises SIGTERM while the directory is made, when the listener for callers is open. On the code before, signal 15 ended the process.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -32,6 +32,9 @@
   asio::io_context io(1);
   Metrics metrics;
   Loop loop(io, reducer, metrics, logger);
+  // Before the listeners: from the first connection on a signal must not end the process at once.
+  const detail::ShutdownSignals signals(io, loop, logger);
+  const detail::ReloadSignal reloads(io, settings, file, logger);
   const auto sink = [&loop](Event event) { loop.post(std::move(event)); };
 
   const auto callers =
@@ -57,8 +60,6 @@
 
   callers->start();
   admin->start();
-  const detail::ShutdownSignals signals(io, loop, logger);
-  const detail::ReloadSignal reloads(io, settings, file, logger);
   const DaemonPorts ports{callers->port(), peers->port(), admin->port()};
   logger.logProcess({LogLevel::Info,
                      "listening",
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -34,6 +34,9 @@
   asio::io_context io(1);
   Metrics metrics;
   Loop loop(io, reducer, metrics, logger);
+  // Before the listeners: from the first connection on a signal must not end the process at once.
+  const detail::ShutdownSignals signals(io, loop, logger);
+  const detail::ReloadSignal reloads(io, settings, file, logger);
   const auto sink = [&loop](Event event) { loop.post(std::move(event)); };
   const auto ready = [&reducer] { return reducer.ready(); };
   const auto sessions = makeSessionListener(io, {settings.Callers}, codecs, sink, metrics);
@@ -63,8 +66,6 @@
                      metrics, ready);
     more->start();
   }
-  const detail::ShutdownSignals signals(io, loop, logger);
-  const detail::ReloadSignal reloads(io, settings, file, logger);
   logger.logProcess({LogLevel::Info,
                      "started",
                      {{"release", settings.Self.Release},
--- a/src/daemon/tests/daemontests.cpp
+++ b/src/daemon/tests/daemontests.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/logger.h"
+#include "daemon/sessiondaemon.h"
 #include "net/bootclock.h"
 #include "net/tests/scriptedserver.h"
 
@@ -117,6 +118,44 @@
 
 bool isAnswer(const std::string &text) { return text.starts_with("HTTP/1.1 200"); }
 
+/// Handlers of doctest are inherited by a child process; a daemon starts without them.
+void resetSignals() {
+  for (const int it : {SIGTERM, SIGINT, SIGSEGV, SIGABRT, SIGFPE, SIGILL})
+    std::signal(it, SIG_DFL);
+}
+
+/// Runs a function in a process of its own. The exit status that it returns, or minus the signal that ended
+/// it.
+int statusOf(const std::function<int()> &body) {
+  std::fflush(nullptr);
+  const auto pid = ::fork();
+  REQUIRE(pid >= 0);
+  if (pid == 0) {
+    resetSignals();
+    int status = HarnessFailed;
+    try {
+      status = body();
+    } catch (const std::exception &) {
+      status = HarnessFailed;
+    }
+    ::_exit(status);
+  }
+  int status = 0;
+  ::waitpid(pid, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+struct NoCodecs : ICodecs {
+  [[nodiscard]] std::unique_ptr<ICallerCodec> caller() const override { return nullptr; }
+  [[nodiscard]] std::unique_ptr<IServerCodec> server() const override { return nullptr; }
+};
+
+struct NoDirectory : IDirectory {
+  void call(const DirectoryCall &, std::function<void(DirectoryAnswer)>) override {}
+  void promote(const PromotionCall &, std::function<void(PromotionAnswer)>) override {}
+  void stop() override {}
+};
+
 /// A daemon in a process of its own, which serves callers.
 class DaemonProcess {
 public:
@@ -166,6 +205,7 @@
 
 private:
   [[noreturn]] void run(SlowReducer reducer, const std::function<void()> &afterRun) const {
+    resetSignals();
     ::dup2(Output[1], STDOUT_FILENO);
     ::close(Output[1]);
     asio::io_context io;
@@ -217,3 +257,17 @@
   CHECK(daemon.wait() == 0);
   CHECK(daemon.Log.find("settings file refused") != std::string::npos);
 }
+
+TEST_CASE("SIGTERM that arrives while a daemon sets up its listeners starts a graceful shutdown") {
+  CHECK(statusOf([] {
+          LocalSettings settings;
+          settings.Callers = settings.Admin = {"127.0.0.1", 0};
+          SlowReducer reducer(0ms);
+          Logger logger(LogFormat::KeyValue, LogLevel::Error, NodeId("n1"));
+          return runSessionDaemon(settings, "/nonexistent", reducer, logger, NoCodecs(),
+                                  [](asio::io_context &, IMetrics &) {
+                                    std::raise(SIGTERM);
+                                    return std::make_unique<NoDirectory>();
+                                  });
+        }) == 0);
+}
