Keep the exit status of a process that takes itself down

After the loop has ended, the handlers of signals are removed together with the adapters. A further SIGTERM or SIGHUP at that moment ended the process by the signal, after `ended` was logged; a service manager takes that for a failure. Both signals are now blocked once the loop has ended.

On the code before, the test saw signal 15 instead of status 0.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "admin/admin.h"
 #include "callers/callers.h"
+#include "daemon/internal/processsignals.h"
 #include "daemon/internal/reloadsignal.h"
 #include "daemon/internal/shutdownsignals.h"
 #include "daemon/internal/wiring.h"
@@ -73,6 +74,7 @@
   const auto incarnation =
       std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now()).time_since_epoch();
   loop.run({detail::randomSeed(), static_cast<std::uint64_t>(incarnation.count())});
+  detail::blockSignalsAtEnd();
   logger.logProcess({LogLevel::Info, "ended", {}});
   return 0;
 }
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -3,6 +3,7 @@
 #include "daemon/sessiondaemon.h"
 
 #include "admin/admin.h"
+#include "daemon/internal/processsignals.h"
 #include "daemon/internal/reloadsignal.h"
 #include "daemon/internal/shutdownsignals.h"
 #include "daemon/internal/wiring.h"
@@ -76,6 +77,7 @@
   loop.run({detail::randomSeed(), detail::randomSeed()});
   links->stop();
   directory->stop();
+  detail::blockSignalsAtEnd();
   logger.logProcess({LogLevel::Info, "ended", {}});
   return 0;
 }
--- a/src/daemon/tests/daemontests.cpp
+++ b/src/daemon/tests/daemontests.cpp
@@ -271,3 +271,12 @@
                                   });
         }) == 0);
 }
+
+TEST_CASE("signals after the last answer do not change the exit status") {
+  DaemonProcess daemon(SlowReducer(0ms), [] {
+    std::raise(SIGTERM);
+    std::raise(SIGHUP);
+  });
+  daemon.signal(SIGTERM);
+  CHECK(daemon.wait() == 0);
+}
