Ignore signals that have no meaning

SIGUSR1, SIGUSR2, SIGALRM and SIGXFSZ ended either daemon at once, with requests in flight and without a line. Scripts send the first two to make a service reopen its log; SIGXFSZ comes when a log file reaches a limit of file sizes, where the write fails anyway. They are now ignored, as SIGPIPE was.

On the code before, the request in flight got no answer and signal 10 ended the process.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -15,7 +15,6 @@
 #include "targets/targets.h"
 
 #include <chrono>
-#include <csignal>
 
 namespace rosemaryhinge {
 
@@ -29,7 +28,7 @@
 
 int runDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer, ILogger &logger,
               const std::function<void(const DaemonPorts &)> &onListening) {
-  std::signal(SIGPIPE, SIG_IGN);
+  detail::ignoreStraySignals();
   asio::io_context io(1);
   Metrics metrics;
   Loop loop(io, reducer, metrics, logger);
--- a/src/daemon/internal/processsignals.cpp
+++ b/src/daemon/internal/processsignals.cpp
@@ -3,9 +3,15 @@
 #include "daemon/internal/processsignals.h"
 
 #include <csignal>
+#include <initializer_list>
 
 namespace rosemaryhinge::detail {
 
+void ignoreStraySignals() {
+  for (const int it : {SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2, SIGALRM})
+    std::signal(it, SIG_IGN);
+}
+
 void blockSignalsAtEnd() {
   sigset_t set;
   sigemptyset(&set);
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -13,7 +13,6 @@
 #include "wire/wire.h"
 
 #include <chrono>
-#include <csignal>
 
 namespace rosemaryhinge {
 
@@ -31,7 +30,7 @@
 
 int runSessionDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer,
                      ILogger &logger, const ICodecs &codecs, const DirectoryFactory &makeDirectory) {
-  std::signal(SIGPIPE, SIG_IGN);
+  detail::ignoreStraySignals();
   asio::io_context io(1);
   Metrics metrics;
   Loop loop(io, reducer, metrics, logger);
--- a/src/daemon/tests/daemontests.cpp
+++ b/src/daemon/tests/daemontests.cpp
@@ -280,3 +280,15 @@
   daemon.signal(SIGTERM);
   CHECK(daemon.wait() == 0);
 }
+
+TEST_CASE("signals without a meaning do not end a process with a request in flight") {
+  DaemonProcess daemon(SlowReducer(300ms));
+  Caller caller(daemon.port());
+  caller.send();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  for (const int it : {SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGXFSZ})
+    daemon.signal(it);
+  CHECK(isAnswer(caller.answer()));
+  daemon.signal(SIGTERM);
+  CHECK(daemon.wait() == 0);
+}
