Say in the last line why a process ended

`ended` had no fields. The log of a stopped proxy did not show whether its shutdown was complete, whether answers were left that callers had not taken, or how long it took. An exception of the loop was logged as `cannot run`, like a fault of the start, without `ended`.

The line now holds why (drained, answers_not_taken, interrupted, failed), ms since the first signal and, if there are any, the number of outstanding answers. Both daemons share it (src/daemon/internal/ending.h). The exit status after an exception stays 1.

--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "admin/admin.h"
 #include "callers/callers.h"
+#include "daemon/internal/ending.h"
 #include "daemon/internal/processsignals.h"
 #include "daemon/internal/reloadsignal.h"
 #include "daemon/internal/shutdownsignals.h"
@@ -56,8 +57,9 @@
   adminOptions.MaxConnections = AdminConnections;
   const auto admin = makeAdmin(makeHttpServer(io, metrics, adminOptions), sink, metrics,
                                [&] { return reducer.ready() && callers->hasKeys(); });
-  loop.setAdapters({callers.get(), peers.get(), targets.get(), platform.get(), admin.get()});
-
+  const Adapters adapters{callers.get(), peers.get(), targets.get(), platform.get(), admin.get()};
+  loop.setAdapters(adapters);
+  detail::Ending ending(loop, signals, adapters, logger);
   callers->start();
   admin->start();
   const DaemonPorts ports{callers->port(), peers->port(), admin->port()};
@@ -72,10 +74,8 @@
   // The incarnation has to grow from one start of a node to the next.
   const auto incarnation =
       std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now()).time_since_epoch();
-  loop.run({detail::randomSeed(), static_cast<std::uint64_t>(incarnation.count())});
-  detail::blockSignalsAtEnd();
-  logger.logProcess({LogLevel::Info, "ended", {}});
-  return 0;
+  ending.run({detail::randomSeed(), static_cast<std::uint64_t>(incarnation.count())});
+  return ending.finish();
 }
 
 } // namespace rosemaryhinge
--- /dev/null
+++ b/src/daemon/internal/ending.h
@@ -0,0 +1,39 @@
+// The end of a daemon: why its loop ended, what was outstanding then, and the log line about it.
+
+#pragma once
+
+#include "daemon/internal/shutdownsignals.h"
+#include "daemon/loop.h"
+
+#include <cstddef>
+#include <string>
+
+namespace rosemaryhinge::detail {
+
+/// Answers that are not given or not written yet, over all adapters.
+[[nodiscard]] std::size_t outstanding(const Adapters &adapters);
+
+/// Runs the loop to its end and reports it.
+class Ending {
+public:
+  /// All must outlive the object.
+  Ending(Loop &loop, const ShutdownSignals &signals, const Adapters &adapters, ILogger &logger);
+
+  /// Returns when the loop has ended. An exception of the loop ends it, too, and is kept for finish().
+  void run(const Started &started);
+  /// Whether the shutdown was completed as planned and all answers are written.
+  [[nodiscard]] bool drained() const;
+  /// Logs `ended` as the last line. Returns the exit status of the process.
+  int finish();
+
+private:
+  [[nodiscard]] const char *why() const;
+
+  Loop &Events;
+  const ShutdownSignals &Signals;
+  const Adapters &Out;
+  ILogger &Logger;
+  std::string Failure; ///< What the loop threw. Empty if it ended without an exception.
+};
+
+} // namespace rosemaryhinge::detail
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -3,6 +3,7 @@
 #include "daemon/sessiondaemon.h"
 
 #include "admin/admin.h"
+#include "daemon/internal/ending.h"
 #include "daemon/internal/processsignals.h"
 #include "daemon/internal/reloadsignal.h"
 #include "daemon/internal/shutdownsignals.h"
@@ -73,12 +74,11 @@
                       {"callers", std::to_string(sessions->port())},
                       {"admin", std::to_string(admin->port())}}});
   // The incarnation has to differ from one start of a node to the next.
-  loop.run({detail::randomSeed(), detail::randomSeed()});
+  detail::Ending ending(loop, signals, adapters, logger);
+  ending.run({detail::randomSeed(), detail::randomSeed()});
   links->stop();
   directory->stop();
-  detail::blockSignalsAtEnd();
-  logger.logProcess({LogLevel::Info, "ended", {}});
-  return 0;
+  return ending.finish();
 }
 
 } // namespace rosemaryhinge
--- a/src/daemon/internal/shutdownsignals.cpp
+++ b/src/daemon/internal/shutdownsignals.cpp
@@ -3,7 +3,6 @@
 #include "daemon/internal/shutdownsignals.h"
 
 #include <csignal>
-#include <utility>
 
 namespace rosemaryhinge::detail {
 
@@ -25,7 +24,8 @@
   const auto log = [&](const char *message) {
     Logger.logProcess({LogLevel::Info, message, {{"signal", std::to_string(number)}}});
   };
-  if (!std::exchange(Stopping, true)) {
+  if (!RequestedAt) {
+    RequestedAt = std::chrono::steady_clock::now();
     log("shutdown requested");
     Events.post(ShutdownRequested{});
     return;
@@ -35,6 +35,7 @@
     return;
   }
   log("ending at once");
+  Interrupted = true;
   Events.stop();
 }
 
--- a/src/daemon/internal/shutdownsignals.h
+++ b/src/daemon/internal/shutdownsignals.h
@@ -11,6 +11,8 @@
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <chrono>
+#include <optional>
 
 namespace rosemaryhinge::detail {
 
@@ -19,6 +21,13 @@
   /// All three must outlive the object.
   ShutdownSignals(asio::io_context &io, Loop &loop, ILogger &logger);
 
+  /// Time of the first signal.
+  [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> requestedAt() const {
+    return RequestedAt;
+  }
+  /// Whether SIGINT ended the process before its shutdown was complete.
+  [[nodiscard]] bool interrupted() const { return Interrupted; }
+
 private:
   void wait();
   void onSignal(int number);
@@ -26,7 +35,8 @@
   asio::signal_set Set;
   Loop &Events;
   ILogger &Logger;
-  bool Stopping = false; ///< The graceful shutdown has been requested.
+  std::optional<std::chrono::steady_clock::time_point> RequestedAt; ///< Set with the first signal.
+  bool Interrupted = false;
 };
 
 } // namespace rosemaryhinge::detail
--- a/src/daemon/tests/daemontests.cpp
+++ b/src/daemon/tests/daemontests.cpp
@@ -16,6 +16,9 @@
 #include <functional>
 #include <optional>
 #include <poll.h>
+#include <stdexcept>
+#include <string>
+#include <string_view>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -45,6 +48,8 @@
       else
         InFlight.emplace_back(now + ReadTime, request->Request.Id);
     }
+    if (FailsOnShutdown && std::holds_alternative<ShutdownRequested>(event))
+      throw std::runtime_error("test failure");
     Leaving = Leaving || std::holds_alternative<ShutdownRequested>(event);
     while (!InFlight.empty() && InFlight.front().first <= now) {
       out.push_back(Respond{InFlight.front().second, Success{}});
@@ -59,6 +64,8 @@
   }
   [[nodiscard]] bool ready() const override { return true; }
 
+  bool FailsOnShutdown = false;
+
 private:
   Duration ReadTime;
   std::deque<std::pair<TimePoint, RequestId>> InFlight;
@@ -99,16 +106,17 @@
   }
   void send() {
     const std::string body = R"({"sql":"SELECT 1"})";
+    send("POST /v1/db/d/query HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body);
+  }
+  void send(const std::string &bytes) {
     std::error_code ec;
-    asio::write(Socket,
-                asio::buffer("POST /v1/db/d/query HTTP/1.1\r\nHost: x\r\nContent-Length: " +
-                             std::to_string(body.size()) + "\r\n\r\n" + body),
-                ec);
+    asio::write(Socket, asio::buffer(bytes), ec);
   }
-  /// Head and start of the body of the next answer; empty if the connection ends without one.
-  std::string answer() {
+  /// The next answer up to the given text; incomplete if the connection ends before.
+  std::string answer(std::string_view last = "\r\n\r\n{") {
     return readUntil(Socket.native_handle(),
-                     [](const std::string &it) { return it.find("\r\n\r\n{") != std::string::npos; });
+                     [last](const std::string &it) { return it.find(last) != std::string::npos; });
   }
 
 private:
@@ -233,9 +241,9 @@
     ::_exit(status);
   }
   [[nodiscard]] bool serves() const {
-    Caller caller(Ports.Callers);
-    caller.send();
-    return isAnswer(caller.answer());
+    Caller caller(Ports.Admin);
+    caller.send("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    return caller.answer("\r\n\r\n").starts_with("HTTP/1.1 200");
   }
 
   pid_t Pid = 0;
@@ -292,3 +300,34 @@
   daemon.signal(SIGTERM);
   CHECK(daemon.wait() == 0);
 }
+
+TEST_CASE("the last line says why the process ended, and how long after the first signal") {
+  DaemonProcess planned(SlowReducer(300ms));
+  Caller caller(planned.port());
+  caller.send();
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  planned.signal(SIGTERM);
+  CHECK(planned.wait() == 0);
+  CHECK(planned.lastLine().find("message=ended node=n1 why=drained ms=") != std::string::npos);
+
+  DaemonProcess interrupted(SlowReducer(60s));
+  Caller waiting(interrupted.port());
+  waiting.send();
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  interrupted.signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  interrupted.signal(SIGINT);
+  CHECK(interrupted.wait() == 0);
+  CHECK(interrupted.lastLine().find("message=ended node=n1 why=interrupted ms=") != std::string::npos);
+  CHECK(interrupted.lastLine().find(" outstanding=1") != std::string::npos);
+}
+
+TEST_CASE("an exception of the loop is named in the last line") {
+  SlowReducer reducer(0ms);
+  reducer.FailsOnShutdown = true;
+  DaemonProcess daemon(reducer);
+  daemon.signal(SIGTERM);
+  CHECK(daemon.wait() == 1);
+  CHECK(daemon.lastLine().find("level=error message=ended node=n1 why=failed ms=") != std::string::npos);
+  CHECK(daemon.lastLine().find("test failure") != std::string::npos);
+}
