--- a/src/daemon/tests/daemontests.cpp
+++ b/src/daemon/tests/daemontests.cpp
@@ -42,6 +42,8 @@
   [[nodiscard]] Effects apply(const Event &event, TimePoint now) override {
     Effects out;
     if (const auto *request = std::get_if<RequestArrived>(&event)) {
+      for (std::size_t n = 0; n < LinesPerRequest; ++n)
+        out.push_back(Log{LogLevel::Info, "statement", {{"text", std::string(300, 'x')}}});
       if (Leaving)
         out.push_back(Respond{request->Request.Id, Refusal{RefusalReason::ShuttingDown, Ran::NotRun,
                                                            Duration{}, "this proxy is shutting down"}});
@@ -65,6 +67,7 @@
   [[nodiscard]] bool ready() const override { return true; }
 
   bool FailsOnShutdown = false;
+  std::size_t LinesPerRequest = 0; ///< Log lines.
 
 private:
   Duration ReadTime;
@@ -331,3 +334,20 @@
   CHECK(daemon.lastLine().find("level=error message=ended node=n1 why=failed ms=") != std::string::npos);
   CHECK(daemon.lastLine().find("test failure") != std::string::npos);
 }
+
+TEST_CASE("the last lines of a daemon are written though its log is over its rate and nobody reads it") {
+  SlowReducer reducer(0ms);
+  reducer.LinesPerRequest = 200;
+  DaemonProcess daemon(reducer);
+  Caller caller(daemon.port());
+  for (int n = 0; n < 20; ++n) {
+    caller.send();
+    CHECK(isAnswer(caller.answer()));
+  }
+  daemon.signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  CHECK(daemon.wait() == 0);
+  CHECK(daemon.Log.find("message=\"shutdown requested\"") != std::string::npos);
+  CHECK(daemon.Log.find("message=\"log lines left out\"") != std::string::npos);
+  CHECK(daemon.lastLine().find("message=ended") != std::string::npos);
+}
