Answer requests that reach rosemaryhinged while it ends

The process ended in the same moment as its last request was answered. A request that was on its way on an open connection then, also one that the system had received already, lost its connection without an answer; the caller could not know whether it had run.

After its shutdown is complete, the daemon now serves open connections for 500 ms more. What arrives is refused as not run, and the refusal ends the connection as before, so callers in use leave. Without open connections the process ends at once. A connection that is idle all that time is closed; a request that crosses the close gets no answer, which HTTP/1.1 does not let a server avoid.

--- a/src/callers/icallers.h
+++ b/src/callers/icallers.h
@@ -26,6 +26,8 @@
   [[nodiscard]] virtual std::uint16_t port() const = 0;
   /// Requests that are not answered, and answers that are not written yet.
   [[nodiscard]] virtual std::size_t pending() const = 0;
+  /// Open connections, idle ones included.
+  [[nodiscard]] virtual std::size_t connections() const = 0;
 };
 
 } // namespace rosemaryhinge
--- a/src/callers/internal/callers.cpp
+++ b/src/callers/internal/callers.cpp
@@ -47,6 +47,7 @@
   void stop() override { Server->stop(); }
   [[nodiscard]] std::uint16_t port() const override { return Server->port(); }
   [[nodiscard]] std::size_t pending() const override { return Server->pending(); }
+  [[nodiscard]] std::size_t connections() const override { return Server->connections(); }
 
 private:
   void refuse(HttpExchange exchange, const Refusal &refusal, int status) {
--- a/src/daemon/internal/daemon.cpp
+++ b/src/daemon/internal/daemon.cpp
@@ -24,6 +24,25 @@
 /// Longest time that an operator's command may take: `settings set --wait` waits for the fleet.
 constexpr std::chrono::milliseconds AdminTimeout{120'000};
 constexpr std::size_t AdminConnections = 256;
+/// Time for which open connections are served after the shutdown is complete. A request that is on its way
+/// then is refused as not run, and the refusal ends its connection.
+constexpr std::chrono::milliseconds LateRequestTime{500};
+/// Further time for answers to late requests to be written.
+constexpr std::chrono::milliseconds LateAnswerTime{2'000};
+constexpr std::chrono::milliseconds LateRequestCheck{10};
+
+/// Answers requests that arrive on open connections after the loop has ended.
+void answerLateRequests(asio::io_context &io, const ICallers &callers,
+                        const detail::ShutdownSignals &signals) {
+  const auto end = std::chrono::steady_clock::now() + LateRequestTime;
+  io.restart();
+  while (callers.connections() > 0 && !signals.interrupted()) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= end && (callers.pending() == 0 || now >= end + LateAnswerTime))
+      return;
+    io.run_for(LateRequestCheck);
+  }
+}
 
 } // namespace
 
@@ -59,7 +78,7 @@
                                [&] { return reducer.ready() && callers->hasKeys(); });
   const Adapters adapters{callers.get(), peers.get(), targets.get(), platform.get(), admin.get()};
   loop.setAdapters(adapters);
-  detail::Ending ending(loop, signals, adapters, logger);
+  detail::Ending ending(signals, adapters, logger);
   callers->start();
   admin->start();
   const DaemonPorts ports{callers->port(), peers->port(), admin->port()};
@@ -74,7 +93,9 @@
   // The incarnation has to grow from one start of a node to the next.
   const auto incarnation =
       std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now()).time_since_epoch();
-  ending.run({detail::randomSeed(), static_cast<std::uint64_t>(incarnation.count())});
+  ending.run([&] { loop.run({detail::randomSeed(), static_cast<std::uint64_t>(incarnation.count())}); });
+  if (ending.drained())
+    ending.run([&] { answerLateRequests(io, *callers, signals); });
   return ending.finish();
 }
 
--- a/src/daemon/internal/ending.cpp
+++ b/src/daemon/internal/ending.cpp
@@ -22,12 +22,12 @@
   return n;
 }
 
-Ending::Ending(Loop &loop, const ShutdownSignals &signals, const Adapters &adapters, ILogger &logger)
-    : Events(loop), Signals(signals), Out(adapters), Logger(logger) {}
+Ending::Ending(const ShutdownSignals &signals, const Adapters &adapters, ILogger &logger)
+    : Signals(signals), Out(adapters), Logger(logger) {}
 
-void Ending::run(const Started &started) {
+void Ending::run(const std::function<void()> &part) {
   try {
-    Events.run(started);
+    part();
   } catch (const std::exception &e) {
     Failure = std::string("exception: ") + e.what();
   }
--- a/src/daemon/internal/ending.h
+++ b/src/daemon/internal/ending.h
@@ -6,6 +6,7 @@
 #include "daemon/loop.h"
 
 #include <cstddef>
+#include <functional>
 #include <string>
 
 namespace rosemaryhinge::detail {
@@ -13,14 +14,14 @@
 /// Answers that are not given or not written yet, over all adapters.
 [[nodiscard]] std::size_t outstanding(const Adapters &adapters);
 
-/// Runs the loop to its end and reports it.
+/// Reports how the loop ended.
 class Ending {
 public:
   /// All must outlive the object.
-  Ending(Loop &loop, const ShutdownSignals &signals, const Adapters &adapters, ILogger &logger);
+  Ending(const ShutdownSignals &signals, const Adapters &adapters, ILogger &logger);
 
-  /// Returns when the loop has ended. An exception of the loop ends it, too, and is kept for finish().
-  void run(const Started &started);
+  /// Runs the loop or a part of it. An exception is kept for finish().
+  void run(const std::function<void()> &part);
   /// Whether the shutdown was completed as planned and all answers are written.
   [[nodiscard]] bool drained() const;
   /// Logs `ended` as the last line. Returns the exit status of the process.
@@ -29,7 +30,6 @@
 private:
   [[nodiscard]] const char *why() const;
 
-  Loop &Events;
   const ShutdownSignals &Signals;
   const Adapters &Out;
   ILogger &Logger;
--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -74,8 +74,8 @@
                       {"callers", std::to_string(sessions->port())},
                       {"admin", std::to_string(admin->port())}}});
   // The incarnation has to differ from one start of a node to the next.
-  detail::Ending ending(loop, signals, adapters, logger);
-  ending.run({detail::randomSeed(), detail::randomSeed()});
+  detail::Ending ending(signals, adapters, logger);
+  ending.run([&] { loop.run({detail::randomSeed(), detail::randomSeed()}); });
   links->stop();
   directory->stop();
   return ending.finish();
--- a/src/daemon/tests/daemontests.cpp
+++ b/src/daemon/tests/daemontests.cpp
@@ -127,6 +127,7 @@
   tcp::socket Socket;
 };
 
+bool isRefusal(const std::string &text) { return text.find("shutting_down") != std::string::npos; }
 bool isAnswer(const std::string &text) { return text.starts_with("HTTP/1.1 200"); }
 
 /// Handlers of doctest are inherited by a child process; a daemon starts without them.
@@ -351,3 +352,33 @@
   CHECK(daemon.Log.find("message=\"log lines left out\"") != std::string::npos);
   CHECK(daemon.lastLine().find("message=ended") != std::string::npos);
 }
+
+TEST_CASE("requests that arrive on open connections after SIGTERM are answered") {
+  DaemonProcess daemon(SlowReducer(100ms));
+  std::deque<Caller> idle;
+  for (int n = 0; n < 10; ++n)
+    idle.emplace_back(daemon.port());
+  Caller inFlight(daemon.port());
+  inFlight.send();
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  daemon.signal(SIGTERM);
+  // The request in flight is answered 80 ms after SIGTERM, and nothing else keeps the process.
+  std::size_t answered = 0;
+  for (auto &it : idle) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    it.send();
+    answered += isRefusal(it.answer()) ? 1 : 0;
+  }
+  CHECK(answered == idle.size());
+  CHECK(isAnswer(inFlight.answer()));
+  CHECK(daemon.wait() == 0);
+  CHECK(daemon.lastLine().find("why=drained") != std::string::npos);
+}
+
+TEST_CASE("a daemon without open connections ends as soon as it has drained") {
+  DaemonProcess daemon(SlowReducer(0ms));
+  const auto start = Clock::now();
+  daemon.signal(SIGTERM);
+  CHECK(daemon.wait() == 0);
+  CHECK(Clock::now() - start < std::chrono::milliseconds(250));
+}
--- a/src/daemon/tests/looptests.cpp
+++ b/src/daemon/tests/looptests.cpp
@@ -46,6 +46,7 @@
   void stop() override { Stopped = true; }
   [[nodiscard]] std::uint16_t port() const override { return 1; }
   [[nodiscard]] std::size_t pending() const override { return Unwritten; }
+  [[nodiscard]] std::size_t connections() const override { return 0; }
 };
 
 struct TestPeers : IPeers {
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -156,6 +156,7 @@
 
   [[nodiscard]] std::uint16_t port() const override { return BoundPort; }
   [[nodiscard]] std::size_t pending() const override { return Open.size() + *Unwritten; }
+  [[nodiscard]] std::size_t connections() const override { return State ? State->Open : 0; }
 
 private:
   restinio::request_handling_status_t take(restinio::request_handle_t request) {
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -70,6 +70,8 @@
   [[nodiscard]] virtual std::uint16_t port() const = 0;
   /// Answers that are not written to their sockets yet, and requests that are not answered yet.
   [[nodiscard]] virtual std::size_t pending() const = 0;
+  /// Open connections, idle ones included.
+  [[nodiscard]] virtual std::size_t connections() const = 0;
 };
 
 } // namespace rosemaryhinge
--- a/src/http/tests/fakehttpserver.h
+++ b/src/http/tests/fakehttpserver.h
@@ -31,6 +31,7 @@
   void stop() override {}
   [[nodiscard]] std::uint16_t port() const override { return 1; }
   [[nodiscard]] std::size_t pending() const override { return Last - Answers.size(); }
+  [[nodiscard]] std::size_t connections() const override { return 0; }
 
 private:
   HttpExchange Last = 0;
--- a/src/http/tests/httpservertests.cpp
+++ b/src/http/tests/httpservertests.cpp
@@ -193,3 +193,21 @@
   late.connect({asio::ip::make_address("127.0.0.1"), port}, ec);
   CHECK(ec);
 }
+
+// Guards the end of a daemon, which waits for its last connections.
+TEST_CASE("open connections are counted, also after the server accepts no more") {
+  Fixture f;
+  CHECK(f.Server->connections() == 0);
+  Caller idle(f.Io, f.Server->port());
+  Caller busy(f.Io, f.Server->port());
+  REQUIRE(f.until([&] { return f.Server->connections() == 2; }));
+  f.Server->stop();
+  CHECK(f.Server->connections() == 2);
+  busy.send(post("/late", ""));
+  REQUIRE(f.until([&] { return f.Requests.size() == 1; }));
+  f.Server->respond(f.Requests[0].Exchange, {503, "text/plain", {}, "late-answer", true});
+  CHECK(f.until([&] { return busy.got("late-answer") && busy.Closed; }));
+  CHECK(f.until([&] { return f.Server->connections() == 1; }));
+  idle.close();
+  CHECK(f.until([&] { return f.Server->connections() == 0; }));
+}
