Refuse requests for loans that wait at a leaving lender

A leaving lender refused new requests but went on to grant those that waited. The completion of the shutdown counts loans only: a request that waited while a connection was being opened could be granted after the decision to end, and the process then ended with the borrower's statement at work. The borrower treats that as a lost link: a write is in doubt.

A leaving lender now refuses waiting requests at once, so its borrowers ask the next proxy and no loan starts after the decision. Loans in progress go on until their borrowers end them; a second test shows that for a transaction that spans the decision.

The test failed on the code before: the request was granted when the other loan ended.

--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -59,6 +59,10 @@
 }
 
 void Lender::onCapacity(Context &ctx, LendingServices &services) {
+  if (Leaving) {
+    refuseWaiting(ctx);
+    return;
+  }
   for (auto it = Waiting.begin(); it != Waiting.end();) {
     auto &queue = it->second;
     while (!queue.empty()) {
@@ -73,6 +77,13 @@
   }
 }
 
+void Lender::refuseWaiting(Context &ctx) {
+  for (const auto &[borrower, request] : Requests)
+    sendLoanEnd(ctx, borrower, LoanEndReason::Refused);
+  Requests.clear();
+  Waiting.clear();
+}
+
 void Lender::removeRequest(const Borrower &borrower) {
   const auto it = Requests.find(borrower);
   if (it == Requests.end())
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -37,12 +37,13 @@
   void onReply(Context &ctx, LendingServices &services, const LinkPool::Reply &reply,
                const LinkReplied &event);
   void onLinkClosed(Context &ctx, const LinkPool::Closed &closed);
-  /// Grants waiting requests the links that have become idle.
+  /// Grants waiting requests the links that have become idle. A leaving lender refuses them.
   void onCapacity(Context &ctx, LendingServices &services);
   void onTimer(Context &ctx, LendingServices &services);
   [[nodiscard]] std::optional<TimePoint> nextTimer() const { return NextSweep; }
 
-  /// Refuses new requests from now on. Existing loans continue until they end.
+  /// Refuses new requests from now on, and with the next onCapacity() those that wait. Existing loans
+  /// continue until they end.
   void startLeaving() { Leaving = true; }
   [[nodiscard]] std::size_t loans() const { return Loans.size(); }
 
@@ -66,6 +67,7 @@
 
   bool tryGrant(Context &ctx, LendingServices &services, const Borrower &borrower, const Request &request);
   void removeRequest(const Borrower &borrower);
+  void refuseWaiting(Context &ctx);
   void endLoan(Context &ctx, LendingServices &services, std::uint64_t number, bool close);
   void sendLoanEnd(Context &ctx, const Borrower &borrower, LoanEndReason why);
 
--- a/src/lending/tests/lendertests.cpp
+++ b/src/lending/tests/lendertests.cpp
@@ -230,3 +230,41 @@
   CHECK(it.sent().size() == 1);
   CHECK(it.Lending.loans() == 1);
 }
+
+TEST_CASE("a leaving lender refuses the requests that wait, instead of granting them near its end") {
+  Fixture it;
+  it.request(Near, 1);
+  it.accept();
+  it.request(Other, 2);
+  it.Out.clear();
+  it.Lending.startLeaving();
+  it.Lending.onCapacity(it.ctx(), it.Services);
+  REQUIRE(it.told<LoanEnd>(Other).size() == 1);
+  CHECK((it.told<LoanEnd>(Other).front().Why == LoanEndReason::Refused));
+  it.end(Near, 1);
+  CHECK(it.told<LoanGrant>(Other).empty());
+  CHECK(it.Lending.loans() == 0);
+}
+
+TEST_CASE("a loan at a leaving lender runs and answers commands until its borrower ends it") {
+  // Guards against transactions of borrowers that are cut off by a planned stop of their lender.
+  Fixture it;
+  it.request(Near, 1);
+  it.accept();
+  it.run(Near, 1, BeginTransaction{});
+  const auto link = it.sent().back().Link;
+  it.Lending.startLeaving();
+  it.Lending.onCapacity(it.ctx(), it.Services);
+  it.answer(link, done(), TransactionState::Open);
+  it.run(Near, 1, RunStatement{"s1", "WRITE 1 x", std::nullopt});
+  it.answer(link, done(), TransactionState::Open);
+  it.Now += 4s;
+  it.Lending.onTimer(it.ctx(), it.Services);
+  it.run(Near, 1, RunStatement{"s2", "COMMIT", std::nullopt});
+  it.answer(link, done(), TransactionState::Idle);
+  CHECK(it.told<LoanReply>(Near).size() == 3);
+  CHECK(it.told<LoanEnd>(Near).empty());
+  CHECK(it.Lending.loans() == 1);
+  it.end(Near, 1);
+  CHECK(it.Lending.loans() == 0);
+}
