--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -3,6 +3,9 @@
 #include "daemon/sessiondaemon.h"
 
 #include "admin/admin.h"
+#include "daemon/internal/ending.h"
+#include "daemon/internal/processsignals.h"
+#include "daemon/internal/reloadsignal.h"
 #include "daemon/internal/shutdownsignals.h"
 #include "daemon/internal/wiring.h"
 #include "daemon/loop.h"
@@ -10,10 +13,7 @@
 #include "peers/peers.h"
 #include "wire/wire.h"
 
-#include <asio/signal_set.hpp>
-
 #include <chrono>
-#include <csignal>
 
 namespace rosemaryhinge {
 
@@ -27,51 +27,17 @@
   return out;
 }
 
-/// Addresses and names cannot change while the process runs, so a reload only reports what it finds.
-void reload(const LocalSettings &settings, const std::string &file, ILogger &logger) {
-  const auto next = loadLocalSettings(file);
-  if (const auto *findings = std::get_if<Diagnostics>(&next)) {
-    for (const auto &it : *findings)
-      logger.log({LogLevel::Error, "settings file refused", {{"finding", it.str()}}});
-    return;
-  }
-  const bool same = formatLocalSettings(std::get<LocalSettings>(next)) == formatLocalSettings(settings);
-  logger.log(
-      {LogLevel::Info, "settings file read", {{"change", same ? "none" : "in force after a restart"}}});
-}
-
-/// Reports what a changed settings file holds, on each SIGHUP.
-class ReloadSignal {
-public:
-  ReloadSignal(asio::io_context &io, const LocalSettings &settings, std::string file, ILogger &logger)
-      : Set(io, SIGHUP), Settings(settings), File(std::move(file)), Logger(logger) {
-    wait();
-  }
-
-private:
-  void wait() {
-    Set.async_wait([this](std::error_code ec, int) {
-      if (ec)
-        return;
-      reload(Settings, File, Logger);
-      wait();
-    });
-  }
-
-  asio::signal_set Set;
-  const LocalSettings &Settings;
-  std::string File;
-  ILogger &Logger;
-};
-
 } // namespace
 
 int runSessionDaemon(const LocalSettings &settings, const std::string &file, IReducer &reducer,
                      ILogger &logger, const ICodecs &codecs, const DirectoryFactory &makeDirectory) {
-  std::signal(SIGPIPE, SIG_IGN);
+  detail::ignoreStraySignals();
   asio::io_context io(1);
   Metrics metrics;
   Loop loop(io, reducer, metrics, logger);
+  // Before the listeners: from the first connection on a signal must not end the process at once.
+  const detail::ShutdownSignals signals(io, loop, logger);
+  const detail::ReloadSignal reloads(io, settings, file, logger);
   const auto sink = [&loop](Event event) { loop.post(std::move(event)); };
   const auto ready = [&reducer] { return reducer.ready(); };
   const auto sessions = makeSessionListener(io, {settings.Callers}, codecs, sink, metrics);
@@ -101,20 +67,18 @@
                      metrics, ready);
     more->start();
   }
-  const detail::ShutdownSignals signals(io, loop, logger);
-  const ReloadSignal reloads(io, settings, file, logger);
-  logger.log({LogLevel::Info,
-              "started",
-              {{"release", settings.Self.Release},
-               {"availability_zone", settings.Self.AvailabilityZone.str()},
-               {"callers", std::to_string(sessions->port())},
-               {"admin", std::to_string(admin->port())}}});
+  logger.logProcess({LogLevel::Info,
+                     "started",
+                     {{"release", settings.Self.Release},
+                      {"availability_zone", settings.Self.AvailabilityZone.str()},
+                      {"callers", std::to_string(sessions->port())},
+                      {"admin", std::to_string(admin->port())}}});
   // The incarnation has to differ from one start of a node to the next.
-  loop.run({detail::randomSeed(), detail::randomSeed()});
+  detail::Ending ending(signals, adapters, logger);
+  ending.run([&] { loop.run({detail::randomSeed(), detail::randomSeed()}); });
   links->stop();
   directory->stop();
-  logger.log({LogLevel::Info, "ended", {}});
-  return 0;
+  return ending.finish();
 }
 
 } // namespace rosemaryhinge
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,24 +9,22 @@
 
 using namespace rosemaryhinge;
 
-int run(const LocalSettings &settings) {
+int run(const LocalSettings &settings, const std::string &file) {
   Logger logger(settings.LogFormat, settings.LogLevel, settings.Self.Node);
   if (settings.Self.Interface != CallerInterface::Requests) {
-    logger.log({LogLevel::Error, "cannot run", {{"why", "interface: this program serves requests only"}}});
+    logger.logProcess(
+        {LogLevel::Error, "cannot run", {{"why", "interface: this program serves requests only"}}});
     return 1;
   }
   try {
     detail::ReducerAdapter reducer(settings.Self);
-    return runDaemon(settings, reducer, logger);
+    return runDaemon(settings, file, reducer, logger);
   } catch (const std::exception &e) {
-    logger.log({LogLevel::Error, "cannot run", {{"why", e.what()}}});
+    logger.logProcess({LogLevel::Error, "cannot run", {{"why", e.what()}}});
     return 1;
   }
 }
 
 } // namespace
 
-int main(int argc, char **argv) {
-  return startDaemon(argc, argv, "rosemaryhinged",
-                     [](const LocalSettings &settings, const std::string &) { return run(settings); });
-}
+int main(int argc, char **argv) { return startDaemon(argc, argv, "rosemaryhinged", run); }
