Test what a leaving rosemaryhinged answers

No test of the request module covered a shutdown. The tests show that requests in flight, forwarded ones included, are answered and keep the drain waiting, that new ones are refused as not run, and that open transactions are served for the five seconds that a shutdown leaves them.

--- a/src/request/tests/forwarding.cpp
+++ b/src/request/tests/forwarding.cpp
@@ -174,3 +174,17 @@
   deliverForward(w, ForwardRequest{RequestId{9}, 1s, 2, 1, request});
   CHECK_FALSE(w.takeForward());
 }
+
+TEST_CASE("a leaving proxy answers forwarded requests in flight, and its drain waits for them") {
+  TestProxy w;
+  deliverForward(w, {RequestId{77}, 1s, 1, 1, w.request(1, true)});
+  const auto runs = w.take<Execute>();
+  REQUIRE(runs.size() == 1);
+  w.shutDown();
+  CHECK(w.Module.inFlight() == 1);
+  w.done(runs[0], {1, 1000}, TargetRole::Replica);
+  const auto answers = answersToPeer(w);
+  REQUIRE(answers.size() == 1);
+  CHECK(std::holds_alternative<Success>(answers[0]));
+  CHECK(w.Module.inFlight() == 0);
+}
--- a/src/request/tests/requests.cpp
+++ b/src/request/tests/requests.cpp
@@ -262,3 +262,25 @@
   CHECK((refusalIn(answers)->Ran == Ran::NotRun));
   CHECK(refusalIn(answers)->RetryAfter.has_value());
 }
+
+TEST_CASE("a leaving proxy answers requests in flight, and refuses new ones as not run") {
+  TestProxy w;
+  w.ask(w.request(1, true));
+  const auto runs = w.take<Execute>();
+  REQUIRE(runs.size() == 1);
+  w.shutDown();
+  w.ask(w.request(2, false));
+  const auto refused = w.take<Respond>();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].Id == RequestId{2});
+  CHECK((std::get<Refusal>(refused[0].Answer).Reason == RefusalReason::ShuttingDown));
+  CHECK((std::get<Refusal>(refused[0].Answer).Ran == Ran::NotRun));
+  CHECK(w.take<Execute>().empty());
+  // The drain waits for what is in flight.
+  CHECK(w.Module.inFlight() == 1);
+  w.done(runs[0], {1, 1000}, TargetRole::Replica);
+  const auto answered = w.take<Respond>();
+  REQUIRE(answered.size() == 1);
+  CHECK(std::holds_alternative<Success>(answered[0].Answer));
+  CHECK(w.Module.inFlight() == 0);
+}
--- a/src/request/tests/testproxy.h
+++ b/src/request/tests/testproxy.h
@@ -103,6 +103,7 @@
   TimePoint Now{100s};
   RequestModule Module;
   rosemaryhinge::Group Group;
+  bool Leaving = false;
 
   explicit TestProxy(RequestOptions options = {}) : Module(options) {
     Self.Node = NodeId("n0");
@@ -135,10 +136,14 @@
     auto ctx = context();
     Groups.update(ctx, Group);
   }
+  void shutDown() {
+    Leaving = true;
+    with([&](auto &ctx, auto &services) { Module.onShutdown(ctx, services); });
+  }
   /// Calls the handler with a fresh context and services.
   template <typename F> void with(F handler) {
     auto ctx = context();
-    Services services{Policies, Members, Slots, Groups, true, false};
+    Services services{Policies, Members, Slots, Groups, true, Leaving};
     handler(ctx, services);
   }
   void promote(int index, Term term, Lsn start) {
--- a/src/request/tests/transactions.cpp
+++ b/src/request/tests/transactions.cpp
@@ -127,3 +127,25 @@
   CHECK(take<Execute>().size() == 1);
   CHECK((refusal().Ran == Ran::NotRun));
 }
+
+TEST_CASE_FIXTURE(Fixture, "a leaving proxy runs the steps of open transactions, for five seconds at most") {
+  auto begin = step(TransactionStep::Begin);
+  begin.Statements.clear();
+  begin.Deadline = Now + 60s;
+  ask(begin);
+  done(take<Execute>().at(0), {});
+  Id = std::get<Success>(take<Respond>().at(0).Answer).Transaction;
+  shutDown();
+  advance(4s);
+  CHECK(Module.inFlight() == 1);
+  ask(step(TransactionStep::Statement));
+  const auto runs = take<Execute>();
+  REQUIRE(runs.size() == 1);
+  CHECK(Module.inFlight() == 2);
+  done(runs[0], {1, 1001});
+  REQUIRE(take<Respond>().size() == 1);
+  advance(2s);
+  CHECK(Module.inFlight() == 0);
+  ask(step(TransactionStep::Statement));
+  CHECK((refusal().Reason == RefusalReason::UnknownTransaction));
+}
