--- a/src/daemon/internal/ending.cpp
+++ b/src/daemon/internal/ending.cpp
@@ -9,19 +9,6 @@
 
 namespace rosemaryhinge::detail {
 
-std::size_t outstanding(const Adapters &adapters) {
-  std::size_t n = 0;
-  if (adapters.Callers)
-    n += adapters.Callers->pending();
-  if (adapters.Peers)
-    n += adapters.Peers->pending();
-  if (adapters.Admin)
-    n += adapters.Admin->pending();
-  if (adapters.Sessions)
-    n += adapters.Sessions->pending();
-  return n;
-}
-
 Ending::Ending(const ShutdownSignals &signals, const Adapters &adapters, ILogger &logger)
     : Signals(signals), Out(adapters), Logger(logger) {}
 
--- a/src/daemon/internal/ending.h
+++ b/src/daemon/internal/ending.h
@@ -5,15 +5,11 @@
 #include "daemon/internal/shutdownsignals.h"
 #include "daemon/loop.h"
 
-#include <cstddef>
 #include <functional>
 #include <string>
 
 namespace rosemaryhinge::detail {
 
-/// Answers that are not given or not written yet, over all adapters.
-[[nodiscard]] std::size_t outstanding(const Adapters &adapters);
-
 /// Reports how the loop ended.
 class Ending {
 public:
--- a/src/daemon/internal/loop.cpp
+++ b/src/daemon/internal/loop.cpp
@@ -41,6 +41,19 @@
 
 } // namespace
 
+std::size_t outstanding(const Adapters &adapters) {
+  std::size_t n = 0;
+  if (adapters.Callers)
+    n += adapters.Callers->pending();
+  if (adapters.Peers)
+    n += adapters.Peers->pending();
+  if (adapters.Admin)
+    n += adapters.Admin->pending();
+  if (adapters.Sessions)
+    n += adapters.Sessions->pending();
+  return n;
+}
+
 Loop::Loop(asio::io_context &io, IReducer &reducer, Metrics &metrics, ILogger &logger)
     : Io(io), Reducer(reducer), Counters(metrics), Logger(logger), Timer(io), WallTimer(io), KeysTimer(io),
       ShutdownTimer(io) {}
@@ -203,19 +216,6 @@
   });
 }
 
-std::size_t Loop::unwritten() const {
-  std::size_t n = 0;
-  if (Out.Callers)
-    n += Out.Callers->pending();
-  if (Out.Peers)
-    n += Out.Peers->pending();
-  if (Out.Admin)
-    n += Out.Admin->pending();
-  if (Out.Sessions)
-    n += Out.Sessions->pending();
-  return n;
-}
-
 void Loop::finishShutdown() {
   if (!ShuttingDown) {
     ShuttingDown = true;
@@ -223,7 +223,7 @@
     if (Out.Callers)
       Out.Callers->stop();
   }
-  if ((unwritten() == 0 && Queue.empty()) || std::chrono::steady_clock::now() >= ShutdownDeadline) {
+  if ((outstanding(Out) == 0 && Queue.empty()) || std::chrono::steady_clock::now() >= ShutdownDeadline) {
     Io.stop();
     return;
   }
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -35,6 +35,9 @@
   IDirectory *Directory = nullptr;
 };
 
+/// Answers that are not given or not written yet, over all adapters.
+[[nodiscard]] std::size_t outstanding(const Adapters &adapters);
+
 class Loop {
 public:
   /// All must outlive the loop.
@@ -64,7 +67,6 @@
   void readKeys();
   void takeKeys(const PlatformAnswer &answer);
   void finishShutdown();
-  [[nodiscard]] std::size_t unwritten() const;
 
   asio::io_context &Io;
   IReducer &Reducer;
