Fault soak of real processes: stand-in, callers, plan of faults and checks

Change: testing/platformsoak starts six proxies and stands in for the store, the duty address and three services, with callers through forwarders.

--- /dev/null
+++ b/testing/platformsoak/deployment.h
@@ -0,0 +1,53 @@
+// The whole deployment on loopback: store, duty address, servers, proxies, balancer, networks and callers.
+
+#pragma once
+
+#include "platformsoak/callers.h"
+#include "platformsoak/configoperator.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rosemaryhinge::platformsoak {
+
+struct DeploymentOptions {
+  std::string Program;
+  std::string Folder;
+  std::uint64_t Seed = 1;
+  int Services = 3;
+  int GraceS = 6;
+};
+
+/// Is never destroyed but for its proxies: threads of its parts run until the program ends.
+class Deployment {
+public:
+  Deployment(const DeploymentOptions &options, Observations &seen);
+  /// Starts the proxies and waits until all are ready.
+  bool start();
+  void startCallers();
+  /// Asks the callers to end, and waits for them.
+  void endCallers();
+  /// Ends the processes that still run.
+  void end() { Proxies.clear(); }
+
+  Observations &Seen;
+  ObjectStore Store;
+  ConfigOperator Operator;
+  std::vector<std::unique_ptr<DbService>> Services;
+  std::vector<std::unique_ptr<ProxyProcess>> Proxies;
+  std::vector<std::unique_ptr<Forwarder>> Networks;
+  std::unique_ptr<Balancer> Entry;
+  std::unique_ptr<CallerContext> Callers;
+
+private:
+  HttpReply duty(const HttpRequest &request);
+  /// Keeps the newest configuration in the store, and removes entries of servers that have gone.
+  void keepStore();
+  DeploymentOptions Options;
+  HttpServer Duties;
+  std::atomic<bool> Over{false};
+  std::vector<std::thread> Threads;
+};
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/faultplan.cpp
@@ -0,0 +1,177 @@
+// The plan of a run's faults.
+
+#include "platformsoak/faultplan.h"
+
+#include "base/overloaded.h"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <random>
+
+namespace rosemaryhinge::platformsoak {
+
+namespace {
+
+/// A draining server is gone and replaced after about 10 s.
+constexpr Millis DrainGapMs = 11'000;
+constexpr Millis StoreGapMs = 9'000;
+
+class Planner {
+public:
+  explicit Planner(const PlanOptions &options) : Options(options) {}
+
+  std::vector<PlannedFault> make() {
+    if (with("rolls"))
+      rolls();
+    else if (with("stops"))
+      singleStops();
+    if (with("hups"))
+      every("hups", 1'500, 4'000, [&] { return ReloadProxy{proxy()}; });
+    every("drain", DrainGapMs, DrainGapMs + 3'000, [&] {
+      return DrainServer{service(), false, number(0, 1)};
+    });
+    every("primary", DrainGapMs, DrainGapMs + 4'000, [&] { return DrainServer{service(), true, 0}; });
+    every("config", 2'000, 5'000, [&] { return ChangeConfiguration{seed("config")}; });
+    every("slow", StoreGapMs, 2 * StoreGapMs, [&] { return SlowStore{span(100, 400), span(3'000, 6'000)}; });
+    every("down", StoreGapMs, 2 * StoreGapMs, [&] {
+      return StoreDown{span(2'000, 5'000), number(0, 1) == 1};
+    });
+    every("restored", StoreGapMs, 2 * StoreGapMs, [&] {
+      return RestoreStore{span(1'000, 6'000), span(200, 2'000)};
+    });
+    every("delay", 3'000, 6'000, [&] { return DelayCallers{proxy(), span(10, 60), span(2'000, 5'000)}; });
+    every("hold", 3'000, 6'000, [&] { return HoldAnswers{proxy(), span(200, 1'500)}; });
+    every("slowcallers", 6'000, 9'000, [&] { return SlowCallers{span(2'000, 6'000)}; });
+    std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
+    return std::move(Out);
+  }
+
+private:
+  [[nodiscard]] bool with(std::string_view name) const { return Options.With.contains(name); }
+
+  /// Each trouble has random numbers of its own, so that it stays the same beside others.
+  std::mt19937_64 &random(std::string_view name) {
+    Trouble = name;
+    if (!Randoms.contains(Trouble)) {
+      std::seed_seq seeds(Trouble.begin(), Trouble.end());
+      std::vector<std::uint32_t> first(1);
+      seeds.generate(first.begin(), first.end());
+      Randoms[Trouble].seed(Options.Seed * 1'000'003 + first.front());
+    }
+    return Randoms[Trouble];
+  }
+  Millis span(Millis least, Millis most) {
+    return std::uniform_int_distribution<Millis>(least, most)(random(Trouble));
+  }
+  int number(int least, int most) { return static_cast<int>(span(least, most)); }
+  int proxy() { return number(0, Options.Proxies - 1); }
+  int service() { return number(0, Options.Services - 1); }
+  std::uint64_t seed(std::string_view name) { return random(name)(); }
+
+  template <typename Make> void every(std::string_view name, Millis least, Millis most, Make make) {
+    if (!with(name))
+      return;
+    random(name);
+    for (auto at = span(1'000, most); at < Options.LengthMs; at += span(least, most))
+      Out.push_back({at, make()});
+  }
+
+  StopProxy stop(int proxy) {
+    StopProxy out{proxy, span(500, 1'000), {}, {}};
+    out.FurtherTermsAfterMs = during("second", 2);
+    out.HupsAfterMs = during("hups", 3);
+    return out;
+  }
+
+  /// Up to so many times during a stop.
+  std::vector<Millis> during(std::string_view name, int most) {
+    std::vector<Millis> out;
+    if (!with(name))
+      return out;
+    const auto before = Trouble;
+    random(name);
+    for (auto n = number(0, most); n > 0; --n)
+      out.push_back(span(5, 5'800));
+    Trouble = before;
+    return out;
+  }
+
+  void singleStops() {
+    random("stops");
+    int last = -1;
+    for (auto at = span(500, 2'000); at < Options.LengthMs; at += span(2'500, 4'000)) {
+      int next = proxy();
+      while (next == last)
+        next = proxy();
+      last = next;
+      Out.push_back({at, stop(next)});
+    }
+  }
+
+  void rolls() {
+    random("rolls");
+    std::vector<int> order(static_cast<std::size_t>(Options.Proxies));
+    std::iota(order.begin(), order.end(), 0);
+    for (auto at = span(500, 2'000); at < Options.LengthMs; at += span(500, 8'000)) {
+      std::shuffle(order.begin(), order.end(), random("rolls"));
+      for (const auto it : order) {
+        Out.push_back({at, stop(it)});
+        at += span(500, 2'500);
+      }
+    }
+  }
+
+  const PlanOptions &Options;
+  std::vector<PlannedFault> Out;
+  std::map<std::string, std::mt19937_64, std::less<>> Randoms;
+  std::string Trouble;
+};
+
+std::string spanText(Millis ms) { return " for " + std::to_string(ms) + " ms"; }
+
+} // namespace
+
+const std::vector<std::string> &troubleNames() {
+  static const std::vector<std::string> Names = {"stops",   "rolls",  "second",     "hups", "drain",
+                                                 "primary", "config", "slow",       "down", "restored",
+                                                 "delay",   "hold",   "slowcallers"};
+  return Names;
+}
+
+std::vector<PlannedFault> makePlan(const PlanOptions &options) { return Planner(options).make(); }
+
+std::string describe(const Fault &fault) {
+  const auto proxy = [](int n) { return " proxy " + std::to_string(n + 1); };
+  return std::visit(
+      Overloaded{
+          [&](const StopProxy &it) {
+            return "stop" + proxy(it.Proxy) + ", " + std::to_string(it.FurtherTermsAfterMs.size()) +
+                   " further SIGTERM, " + std::to_string(it.HupsAfterMs.size()) + " SIGHUP";
+          },
+          [&](const ReloadProxy &it) { return "SIGHUP" + proxy(it.Proxy); },
+          [&](const DrainServer &it) {
+            return (it.Primary ? "drain primary of service " : "drain replica of service ") +
+                   std::to_string(it.Service);
+          },
+          [&](const ChangeConfiguration &) { return std::string("change configuration"); },
+          [&](const SlowStore &it) {
+            return "store slower by " + std::to_string(it.ExtraMs) + " ms" + spanText(it.ForMs);
+          },
+          [&](const StoreDown &it) {
+            return std::string(it.Silent ? "store silent" : "store busy") + spanText(it.ForMs);
+          },
+          [&](const RestoreStore &it) {
+            return "store away" + spanText(it.DownMs) + ", back from a copy of " + std::to_string(it.AgeMs) +
+                   " ms before";
+          },
+          [&](const DelayCallers &it) {
+            return "delay of " + std::to_string(it.DelayMs) + " ms to" + proxy(it.Proxy) + spanText(it.ForMs);
+          },
+          [&](const HoldAnswers &it) { return "answers held at" + proxy(it.Proxy) + spanText(it.ForMs); },
+          [&](const SlowCallers &it) { return "slow callers" + spanText(it.ForMs); },
+      },
+      fault);
+}
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/faultplan.h
@@ -0,0 +1,83 @@
+// The plan of a run's faults. The same options give the same plan.
+
+#pragma once
+
+#include "platformsoak/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace rosemaryhinge::platformsoak {
+
+/// SIGTERM, SIGKILL after the grace if the process still runs, and a new process after its end.
+struct StopProxy {
+  int Proxy = 0;
+  Millis RestartAfterMs = 0;
+  std::vector<Millis> FurtherTermsAfterMs, HupsAfterMs;
+};
+struct ReloadProxy {
+  int Proxy = 0;
+};
+struct DrainServer {
+  int Service = 0;
+  bool Primary = false;
+  int Replica = 0; ///< Which of the replicas, if not the primary.
+};
+struct ChangeConfiguration {
+  std::uint64_t Seed = 0;
+};
+struct SlowStore {
+  Millis ExtraMs = 0, ForMs = 0;
+};
+struct StoreDown {
+  Millis ForMs = 0;
+  bool Silent = false;
+};
+struct RestoreStore {
+  Millis AgeMs = 0, DownMs = 0;
+};
+struct DelayCallers {
+  int Proxy = 0;
+  Millis DelayMs = 0, ForMs = 0;
+};
+/// Answers of the proxy stay with it, as with callers that do not read.
+struct HoldAnswers {
+  int Proxy = 0;
+  Millis ForMs = 0;
+};
+struct SlowCallers {
+  Millis ForMs = 0;
+};
+
+using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
+                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers>;
+
+struct PlannedFault {
+  Millis At = 0;
+  platformsoak::Fault Fault;
+};
+
+/// Names of the troubles that a plan may hold: see troubleNames.
+using Troubles = std::set<std::string, std::less<>>;
+
+struct PlanOptions {
+  std::uint64_t Seed = 1;
+  Millis LengthMs = 60'000;
+  int Proxies = 6;
+  int Services = 3;
+  Troubles With;
+};
+
+/// stops: single SIGTERMs. rolls: over all proxies, overlapping. second, hups: besides these stops. The rest
+/// by the names of the faults above.
+[[nodiscard]] const std::vector<std::string> &troubleNames();
+/// In the order of their times.
+[[nodiscard]] std::vector<PlannedFault> makePlan(const PlanOptions &options);
+[[nodiscard]] std::string describe(const Fault &fault);
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/faultplayer.cpp
@@ -0,0 +1,124 @@
+// Plays a plan of faults on a deployment.
+
+#include "platformsoak/faultplayer.h"
+
+#include "base/overloaded.h"
+
+#include <csignal>
+#include <thread>
+
+namespace rosemaryhinge::platformsoak {
+
+namespace {
+
+constexpr Millis TickMs = 2;
+constexpr Millis GraceMs = 6'000;
+constexpr Millis DefaultRestartMs = 700;
+
+} // namespace
+
+FaultPlayer::FaultPlayer(Deployment &world)
+    : World(world), RestartAfter(world.Proxies.size(), DefaultRestartMs), Away(world.Proxies.size(), false) {}
+
+void FaultPlayer::play(const std::vector<PlannedFault> &plan, Millis lengthMs) {
+  const auto from = nowMs();
+  for (const auto &it : plan)
+    at(from + it.At, [this, &it] { apply(it.Fault); });
+  while (nowMs() < from + lengthMs) {
+    while (!Actions.empty() && Actions.begin()->first <= nowMs()) {
+      const auto action = std::move(Actions.begin()->second);
+      Actions.erase(Actions.begin());
+      action();
+    }
+    checkProxies();
+    sleepMs(TickMs);
+  }
+}
+
+void FaultPlayer::checkProxies() {
+  for (std::size_t n = 0; n < World.Proxies.size(); ++n) {
+    auto &proxy = *World.Proxies[n];
+    if (!proxy.check() || Away[n])
+      continue;
+    Away[n] = true;
+    at(nowMs() + RestartAfter[n], [this, n] {
+      Away[n] = false;
+      World.Proxies[n]->start();
+    });
+  }
+}
+
+void FaultPlayer::disrupt(Millis forMs, const char *what) {
+  World.Seen.addDisruption({nowMs(), nowMs() + forMs, what});
+}
+
+void FaultPlayer::stop(const StopProxy &fault) {
+  const auto index = static_cast<std::size_t>(fault.Proxy);
+  auto &proxy = *World.Proxies.at(index);
+  if (!proxy.serving()) {
+    World.Seen.line("left out: it is not running, or is stopping");
+    return;
+  }
+  RestartAfter[index] = fault.RestartAfterMs;
+  const auto number = proxy.lives().back().Number;
+  // Signals are for this process only, not for the next one.
+  const auto later = [this, &proxy, number](Millis after, int signal) {
+    at(nowMs() + after, [&proxy, number, signal] {
+      if (proxy.lives().back().Number == number)
+        proxy.signal(signal);
+    });
+  };
+  proxy.signal(SIGTERM);
+  for (const auto it : fault.FurtherTermsAfterMs)
+    later(it, SIGTERM);
+  for (const auto it : fault.HupsAfterMs)
+    later(it, SIGHUP);
+  later(GraceMs, SIGKILL);
+}
+
+void FaultPlayer::apply(const Fault &fault) {
+  World.Seen.line("fault: " + describe(fault));
+  std::visit(Overloaded{
+                 [&](const StopProxy &it) { stop(it); },
+                 [&](const ReloadProxy &it) {
+                   World.Proxies.at(static_cast<std::size_t>(it.Proxy))->signal(SIGHUP);
+                 },
+                 [&](const DrainServer &it) {
+                   auto &service = *World.Services.at(static_cast<std::size_t>(it.Service));
+                   const auto primary = service.primary();
+                   const auto replica = primary + 1 + static_cast<std::size_t>(it.Replica);
+                   service.drain(it.Primary ? primary : replica % service.options().Zones.size());
+                 },
+                 [&](const ChangeConfiguration &it) {
+                   std::thread([this, seed = it.Seed] { World.Operator.change(seed); }).detach();
+                 },
+                 [&](const SlowStore &it) {
+                   disrupt(it.ForMs, "slow store");
+                   World.Store.setSlow(it.ExtraMs);
+                   at(nowMs() + it.ForMs, [this] { World.Store.setSlow(0); });
+                 },
+                 [&](const StoreDown &it) {
+                   disrupt(it.ForMs, "store down");
+                   World.Store.setState(it.Silent ? StoreState::Silent : StoreState::Busy);
+                   at(nowMs() + it.ForMs, [this] { World.Store.setState(StoreState::Serving); });
+                 },
+                 [&](const RestoreStore &it) {
+                   disrupt(it.DownMs, "store restored");
+                   World.Store.setState(StoreState::Busy);
+                   at(nowMs() + it.DownMs, [this, age = it.AgeMs + it.DownMs] { World.Store.restore(age); });
+                 },
+                 [&](const DelayCallers &it) {
+                   auto &network = World.Networks.at(static_cast<std::size_t>(it.Proxy))->network();
+                   network.DelayMs = it.DelayMs;
+                   at(nowMs() + it.ForMs, [&network] { network.DelayMs = 1; });
+                 },
+                 [&](const HoldAnswers &it) {
+                   World.Networks.at(static_cast<std::size_t>(it.Proxy))->network().HoldAnswersUntil =
+                       nowMs() + it.ForMs;
+                 },
+                 [&](const SlowCallers &it) { World.Callers->SlowUntil = nowMs() + it.ForMs; },
+             },
+             fault);
+}
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/faultplayer.h
@@ -0,0 +1,34 @@
+// Plays a plan of faults on a deployment, and keeps the processes going.
+
+#pragma once
+
+#include "platformsoak/deployment.h"
+#include "platformsoak/faultplan.h"
+
+#include <functional>
+#include <map>
+
+namespace rosemaryhinge::platformsoak {
+
+/// All of it runs on one thread: the processes end with the thread that has started them.
+class FaultPlayer {
+public:
+  explicit FaultPlayer(Deployment &world);
+  /// Returns after the time.
+  void play(const std::vector<PlannedFault> &plan, Millis lengthMs);
+
+private:
+  void apply(const Fault &fault);
+  void stop(const StopProxy &fault);
+  void disrupt(Millis forMs, const char *what);
+  void at(Millis when, std::function<void()> action) { Actions.emplace(when, std::move(action)); }
+  /// Starts proxies that have ended.
+  void checkProxies();
+
+  Deployment &World;
+  std::multimap<Millis, std::function<void()>> Actions;
+  std::vector<Millis> RestartAfter; ///< By proxy.
+  std::vector<bool> Away;           ///< By proxy: its process has ended, and the next is on its way.
+};
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/objectstore.h
@@ -0,0 +1,79 @@
+// The platform's store: objects by kind and name, one revision counter, watches, and its troubles.
+
+#pragma once
+
+#include "platformsoak/clock.h"
+#include "platformsoak/httpserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemaryhinge::platformsoak {
+
+using Json = nlohmann::json;
+
+enum class StoreState { Serving, Busy, Silent };
+
+class ObjectStore {
+public:
+  ObjectStore();
+  [[nodiscard]] int port() const { return Front.port(); }
+  /// Writes like the operator or a server, and waits for the store's usual time. False while it is down.
+  bool write(const std::string &kind, const std::string &name, const Json &spec);
+  bool remove(const std::string &kind, const std::string &name);
+  /// Names and values of a kind.
+  [[nodiscard]] std::map<std::string, Json> all(const std::string &kind);
+
+  /// Extra time for each call.
+  void setSlow(Millis ms);
+  /// Busy: 503 to each call. Silent: connections end without an answer. Waiting watches are cut off.
+  void setState(StoreState state);
+  /// Puts a copy of about this age in the place of the objects, in a new era.
+  void restore(Millis age);
+
+private:
+  using Objects = std::map<std::string, std::map<std::string, Json>>;
+  struct Event {
+    std::uint64_t Revision;
+    std::string Kind;
+    Json Object;
+    bool Deleted;
+  };
+  struct Copy {
+    Millis At;
+    std::uint64_t Revision;
+    Objects Content;
+  };
+  HttpReply handle(const HttpRequest &request);
+  HttpReply dispatch(const HttpRequest &request);
+  HttpReply list(const std::string &kind, const HttpRequest &request);
+  HttpReply watch(const std::string &kind, const HttpRequest &request);
+  HttpReply put(const std::string &kind, std::string name, const HttpRequest &request);
+  // The lock is held.
+  const Json &writeLocked(const std::string &kind, const std::string &name, const Json &spec);
+  bool removeLocked(const std::string &kind, const std::string &name);
+  void changed(const std::string &kind, const Json &object, bool deleted);
+  void keepCopies();
+
+  std::mutex Lock;
+  std::condition_variable Changed;
+  Objects Content;
+  std::deque<Event> History;
+  std::deque<Copy> Copies;
+  std::uint64_t Revision = 100;
+  /// Of the oldest event that is still known.
+  std::uint64_t HistoryFrom = 100;
+  std::uint64_t Era = 1;
+  StoreState State = StoreState::Serving;
+  Millis SlowMs = 0;
+  HttpServer Front;
+};
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/observations.h
@@ -0,0 +1,102 @@
+// What callers, servers and the platform have seen, for the checks after the run.
+
+#pragma once
+
+#include "platformsoak/clock.h"
+
+#include <cstdint>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemaryhinge::platformsoak {
+
+enum class RouteKind : std::uint8_t { Primary, Bounded, ReadYourWrites };
+
+enum class Ending : std::uint8_t {
+  Answered, ///< Up to its READY.
+  Cut,      ///< The connection ended without a complete answer.
+  GivenUp,  ///< The caller left at its deadline.
+};
+
+/// A request of a caller.
+struct Request {
+  std::string Id, Session, Text, Host, Service;
+  RouteKind Kind = RouteKind::Primary;
+  int Proxy = 0;       ///< Index.
+  Millis OpenedAt = 0; ///< When the session's READY came.
+  Millis SentAt = 0;   ///< Its last byte.
+  Millis EndedAt = 0;
+  Millis TimeoutMs = 0;  ///< Of the route.
+  Millis DeadlineMs = 0; ///< How long the caller waits at most.
+  platformsoak::Ending Ending = Ending::Answered;
+  std::string Error; ///< Code; empty for a success.
+  std::string Signature, Rows;
+  /// A read: the least position that its log has to have, by the rule STALE.
+  std::uint64_t NeedsPosition = 0;
+};
+
+/// A server has received a request and run it.
+struct ServerRun {
+  std::string Server;
+  Millis ReceivedAt = 0;
+  std::optional<Millis> DoneAt; ///< Its work has ended; absent while it is at work.
+  bool ProxyGone = false;       ///< The connection had ended at the proxy's side when the work ended.
+  bool ServerBroke = false;     ///< The server itself ended the connection before its answer.
+  std::string Signature, Rows;
+  std::uint64_t Position = 0; ///< Of the log on which it ran.
+};
+
+/// One process of a proxy.
+struct ProcessLife {
+  int Proxy = 0;  ///< Index.
+  int Number = 0; ///< Counts the processes of this proxy from 1.
+  Millis StartedAt = 0;
+  std::vector<Millis> Terms, Hups;
+  std::optional<Millis> KilledAt, EndedAt;
+  std::string How; ///< Of its end.
+  std::string LogFile;
+};
+
+/// A span of unplanned disruption.
+struct Disruption {
+  Millis From = 0, Until = 0;
+  std::string What;
+};
+
+/// All that was observed. Its members may be called by any thread.
+class Observations {
+public:
+  explicit Observations(const std::string &folder) : Out(folder + "/record.txt") {}
+  /// Writes a line to the record of the run.
+  void line(std::string_view text);
+
+  void addRequest(Request request);
+  std::size_t startRun(const std::string &id, ServerRun run);
+  void finishRun(const std::string &id, std::size_t index, const ServerRun &run);
+  /// A write took effect, or a COMMIT with writes.
+  void addCommit(const std::string &id, std::uint64_t position);
+  void addDisruption(Disruption disruption);
+
+  [[nodiscard]] std::vector<Request> requests() const;
+  [[nodiscard]] std::map<std::string, std::vector<ServerRun>> runs() const;
+  /// Positions at which a statement took effect, by its id.
+  [[nodiscard]] std::map<std::string, std::vector<std::uint64_t>> commits() const;
+  /// The last position of a statement that took effect; 0 without one.
+  [[nodiscard]] std::uint64_t commitPosition(const std::string &id) const;
+  [[nodiscard]] std::vector<Disruption> disruptions() const;
+
+private:
+  mutable std::mutex Lock;
+  std::ofstream Out;
+  std::vector<Request> Requests;
+  std::map<std::string, std::vector<ServerRun>> Runs;
+  std::map<std::string, std::vector<std::uint64_t>> Commits;
+  std::vector<Disruption> Disruptions;
+};
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/proxyprocess.cpp
@@ -0,0 +1,131 @@
+// A proxy as a process of its own.
+
+#include "platformsoak/proxyprocess.h"
+
+#include "platformsoak/sockets.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace rosemaryhinge::platformsoak {
+
+namespace {
+
+constexpr Millis ProbeTimeoutMs = 500;
+
+std::string describeEnd(int status) {
+  return WIFSIGNALED(status) ? "by signal " + std::to_string(WTERMSIG(status))
+                             : "with status " + std::to_string(WEXITSTATUS(status));
+}
+
+} // namespace
+
+ProxyProcess::ProxyProcess(ProxyOptions options, Observations &seen)
+    : Options(std::move(options)), Seen(seen), Callers(reservePort()), Admin(reservePort()),
+      Peers(reservePort()), Metrics(reservePort()) {}
+
+ProxyProcess::~ProxyProcess() {
+  if (Pid <= 0)
+    return;
+  ::kill(Pid, SIGKILL);
+  ::waitpid(Pid, nullptr, 0);
+}
+
+void ProxyProcess::writeSettings(const std::string &file) const {
+  const auto address = [](int port) { return "127.0.0.1:" + std::to_string(port) + "\n"; };
+  std::ofstream(file) << "node: edge-" << Options.Zone << "-" << Options.Index + 1
+                      << "\navailability_zone: " << Options.Zone
+                      << "\naddresses:\n  callers: " << address(Callers) << "  peers: " << address(Peers)
+                      << "  admin: " << address(Admin) << "  metrics: " << address(Metrics)
+                      << Options.Settings;
+}
+
+void ProxyProcess::start() {
+  const std::lock_guard hold(Lock);
+  for (const auto port : {Callers, Admin, Peers, Metrics})
+    releasePort(port);
+  const auto name = Options.Folder + "/proxy-" + std::to_string(Options.Index + 1);
+  const auto settings = name + ".yaml";
+  writeSettings(settings);
+  ProcessLife life;
+  life.Proxy = Options.Index;
+  life.Number = static_cast<int>(Lives.size()) + 1;
+  life.StartedAt = nowMs();
+  life.LogFile = name + "." + std::to_string(life.Number) + ".log";
+  const auto parent = ::getpid();
+  Pid = ::fork();
+  if (Pid == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent)
+      ::_exit(1);
+    const int log = ::open(life.LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    ::execl(Options.Program.c_str(), "rosemaryhinge-platformd", "--settings", settings.c_str(), nullptr);
+    ::_exit(127);
+  }
+  Lives.push_back(life);
+  Seen.line("proxy " + std::to_string(Options.Index + 1) + " starts, process " + std::to_string(Pid));
+}
+
+bool ProxyProcess::signal(int number) {
+  const std::lock_guard hold(Lock);
+  if (Pid <= 0)
+    return false;
+  auto &life = Lives.back();
+  if (number == SIGTERM)
+    life.Terms.push_back(nowMs());
+  if (number == SIGHUP)
+    life.Hups.push_back(nowMs());
+  if (number == SIGKILL)
+    life.KilledAt = nowMs();
+  ::kill(Pid, number);
+  Seen.line("proxy " + std::to_string(Options.Index + 1) + " gets signal " + std::to_string(number));
+  return true;
+}
+
+bool ProxyProcess::check() {
+  const std::lock_guard hold(Lock);
+  int status = 0;
+  if (Pid <= 0 || ::waitpid(Pid, &status, WNOHANG) != Pid)
+    return false;
+  Pid = -1;
+  Lives.back().EndedAt = nowMs();
+  Lives.back().How = describeEnd(status);
+  Seen.line("proxy " + std::to_string(Options.Index + 1) + " ended " + Lives.back().How);
+  return true;
+}
+
+bool ProxyProcess::running() const {
+  const std::lock_guard hold(Lock);
+  return Pid > 0;
+}
+
+bool ProxyProcess::serving() const {
+  const std::lock_guard hold(Lock);
+  return Pid > 0 && Lives.back().Terms.empty();
+}
+
+bool ProxyProcess::answersReady() const {
+  const int fd = connectTo(Admin);
+  if (fd < 0)
+    return false;
+  sendAll(fd, "GET /readyz HTTP/1.1\r\nHost: proxy\r\n\r\n");
+  LineSocket socket(fd);
+  std::string line;
+  const bool ok =
+      socket.read(line, ProbeTimeoutMs) == ReadResult::Line && line.find(" 200") != std::string::npos;
+  ::close(fd);
+  return ok;
+}
+
+std::vector<ProcessLife> ProxyProcess::lives() const {
+  const std::lock_guard hold(Lock);
+  return Lives;
+}
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/proxyprocess.h
@@ -0,0 +1,54 @@
+// A proxy: the daemon as a process of its own, started again after each end.
+
+#pragma once
+
+#include "platformsoak/observations.h"
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rosemaryhinge::platformsoak {
+
+struct ProxyOptions {
+  int Index = 0;
+  std::string Zone;
+  std::string Program; ///< Path of the daemon.
+  std::string Folder;
+  std::string Settings; ///< YAML, all but its addresses.
+};
+
+/// Its members may be called by any thread.
+class ProxyProcess {
+public:
+  ProxyProcess(ProxyOptions options, Observations &seen);
+  ~ProxyProcess();
+  ProxyProcess(const ProxyProcess &) = delete;
+  ProxyProcess &operator=(const ProxyProcess &) = delete;
+
+  void start();
+  /// Sends the signal, if a process runs. False if none does.
+  bool signal(int number);
+  /// Notices the end of the process. True if it has just ended.
+  bool check();
+  /// GET /readyz at its admin address.
+  [[nodiscard]] bool answersReady() const;
+  [[nodiscard]] bool running() const;
+  /// Whether it runs and has not been asked to stop.
+  [[nodiscard]] bool serving() const;
+  [[nodiscard]] const std::string &zone() const { return Options.Zone; }
+  [[nodiscard]] int callersPort() const { return Callers; }
+  [[nodiscard]] std::vector<ProcessLife> lives() const;
+
+private:
+  void writeSettings(const std::string &file) const;
+  ProxyOptions Options;
+  Observations &Seen;
+  int Callers, Admin, Peers, Metrics;
+  mutable std::mutex Lock;
+  int Pid = -1;
+  std::vector<ProcessLife> Lives; ///< The last one is the present one.
+};
+
+} // namespace rosemaryhinge::platformsoak
--- /dev/null
+++ b/testing/platformsoak/serverconnection.h
@@ -0,0 +1,51 @@
+// A connection to a database server: its statements, one after the other.
+
+#pragma once
+
+#include "platformsoak/dbservice.h"
+#include "platformsoak/sockets.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rosemaryhinge::platformsoak {
+
+class ServerConnection {
+public:
+  ServerConnection(DbService &of, DbServer &server, int fd, int incarnation)
+      : Of(of), Server(server), Incarnation(incarnation), Socket(fd) {}
+  /// Serves until the connection ends, and closes it.
+  void serve();
+
+private:
+  bool greet();
+  /// The whole answer but its READY. Empty if the server has ended.
+  std::string run(const std::string &id, std::string text);
+  std::string runStatement(const std::string &id, const std::string &word, const std::string &rest);
+  std::string runOrder(const std::string &word, const std::string &rest);
+  std::string begin(const std::string &rest, bool lacks);
+  std::string read(const std::string &id, const std::string &item);
+  std::string write(const std::string &id, const std::string &item, const std::string &value);
+  std::string endTransaction(const std::string &id);
+  std::string refuse(const std::string &code);
+  std::string ready();
+  std::string statusRow();
+  std::string sign();
+  /// Notes what becomes of a request at this server. Work is called for it.
+  bool workOn(const std::string &id, const std::string &signature, const std::string &rows, Millis ms);
+  [[nodiscard]] bool present();
+
+  DbService &Of;
+  DbServer &Server;
+  int Incarnation;
+  LineSocket Socket;
+  char State = 'I';
+  bool ReadOnly = false;
+  std::uint64_t Term = 0; ///< Of the lead under which the transaction began.
+  std::vector<LoggedWrite> Writes;
+  std::map<std::string, std::string> Prepared; ///< READ or WRITE, by name.
+};
+
+} // namespace rosemaryhinge::platformsoak
