--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -5,6 +5,7 @@
 #include "base/overloaded.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <numeric>
 #include <random>
@@ -16,6 +17,8 @@
 /// A draining server is gone and replaced after about 10 s.
 constexpr Millis DrainGapMs = 11'000;
 constexpr Millis StoreGapMs = 9'000;
+constexpr Millis DuringStopMs = 1'500;
+constexpr std::array<Millis, 4> DelaysMs = {5, 15, 40, 120};
 
 class Planner {
 public:
@@ -40,8 +43,6 @@
     every("restored", StoreGapMs, 2 * StoreGapMs, [&] {
       return RestoreStore{span(1'000, 6'000), span(200, 2'000)};
     });
-    every("delay", 3'000, 6'000, [&] { return DelayCallers{proxy(), span(10, 60), span(2'000, 5'000)}; });
-    every("hold", 3'000, 6'000, [&] { return HoldAnswers{proxy(), span(200, 1'500)}; });
     every("slowcallers", 6'000, 9'000, [&] { return SlowCallers{span(2'000, 6'000)}; });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
@@ -84,6 +85,16 @@
     return out;
   }
 
+  /// Delays and held answers fall into the stops: there, sessions are closed and new ones still come.
+  void addStop(Millis at, int proxy) {
+    Out.push_back({at, stop(proxy)});
+    for (const auto it : during("delay", 2))
+      Out.push_back({at + it, DelayCallers{proxy, DelaysMs.at(static_cast<std::size_t>(it) % DelaysMs.size()),
+                                           DuringStopMs}});
+    for (const auto it : during("hold", 2))
+      Out.push_back({at + it, HoldAnswers{proxy, DuringStopMs}});
+  }
+
   /// Up to so many times during a stop.
   std::vector<Millis> during(std::string_view name, int most) {
     std::vector<Millis> out;
@@ -105,7 +116,7 @@
       while (next == last)
         next = proxy();
       last = next;
-      Out.push_back({at, stop(next)});
+      addStop(at, next);
     }
   }
 
@@ -116,7 +127,7 @@
     for (auto at = span(500, 2'000); at < Options.LengthMs; at += span(500, 8'000)) {
       std::shuffle(order.begin(), order.end(), random("rolls"));
       for (const auto it : order) {
-        Out.push_back({at, stop(it)});
+        addStop(at, it);
         at += span(500, 2'500);
       }
     }
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -48,8 +48,8 @@
   }
 }
 
-void FaultPlayer::disrupt(Millis forMs, const char *what) {
-  World.Seen.addDisruption({nowMs(), nowMs() + forMs, what});
+void FaultPlayer::disrupt(Millis forMs, const char *what, std::optional<int> callersOf) {
+  World.Seen.addDisruption({nowMs(), nowMs() + forMs, what, callersOf});
 }
 
 void FaultPlayer::stop(const StopProxy &fault) {
@@ -108,11 +108,13 @@
                    at(nowMs() + it.DownMs, [this, age = it.AgeMs + it.DownMs] { World.Store.restore(age); });
                  },
                  [&](const DelayCallers &it) {
+                   disrupt(it.ForMs, "delay", it.Proxy);
                    auto &network = World.Networks.at(static_cast<std::size_t>(it.Proxy))->network();
                    network.DelayMs = it.DelayMs;
                    at(nowMs() + it.ForMs, [&network] { network.DelayMs = 1; });
                  },
                  [&](const HoldAnswers &it) {
+                   disrupt(it.ForMs, "answers held", it.Proxy);
                    World.Networks.at(static_cast<std::size_t>(it.Proxy))->network().HoldAnswersUntil =
                        nowMs() + it.ForMs;
                  },
--- a/testing/platformsoak/lostrule.cpp
+++ b/testing/platformsoak/lostrule.cpp
@@ -51,6 +51,8 @@
     return "no planned work";
   case LostVerdict::NotTaken:
     return "not taken by a server, sent just before";
+  case LostVerdict::HeldUp:
+    return "not taken by a server, its connection was held up";
   case LostVerdict::ServerBroke:
     return "the server broke off";
   case LostVerdict::TimeReached:
@@ -69,6 +71,15 @@
     return LostVerdict::NotCut;
   if (runs.empty() && request.EndedAt <= request.SentAt + bounds.SlackMs)
     return LostVerdict::NotTaken;
+  const auto during = [&](const Disruption &it, Millis before) {
+    return it.From <= request.EndedAt && it.Until >= request.SentAt - before;
+  };
+  // The process may have closed the connection before the request reached it.
+  const bool held = std::any_of(disruptions.begin(), disruptions.end(), [&](const Disruption &it) {
+    return it.CallersOf == request.Proxy && during(it, 0);
+  });
+  if (runs.empty() && held)
+    return LostVerdict::HeldUp;
   if (request.EndedAt - request.SentAt >= std::min(request.TimeoutMs, request.DeadlineMs))
     return LostVerdict::TimeReached;
   if (!runs.empty() && runs.back().ServerBroke)
@@ -78,7 +89,7 @@
   if (workAtTheEnd(request, runs, life, bounds))
     return LostVerdict::WorkAtTheEnd;
   const bool disrupted = std::any_of(disruptions.begin(), disruptions.end(), [&](const Disruption &it) {
-    return it.From <= request.EndedAt && it.Until >= request.SentAt - bounds.StableWindowMs;
+    return !it.CallersOf && during(it, bounds.StableWindowMs);
   });
   return disrupted ? LostVerdict::Disrupted : LostVerdict::Lost;
 }
--- a/testing/platformsoak/lostrule.h
+++ b/testing/platformsoak/lostrule.h
@@ -22,6 +22,7 @@
   NotCut,        ///< It was answered, or its caller left.
   NoPlannedWork, ///< Neither SIGTERM nor SIGHUP of its machine is near enough.
   NotTaken,      ///< No server has it, and it was sent just before the end.
+  HeldUp,        ///< No server has it, and it or the end of its connection was held up on the way.
   ServerBroke,   ///< The server broke off.
   TimeReached,   ///< The route's timeout or the caller's deadline.
   WorkAtTheEnd,  ///< A server was at work in the last sixth of the grace, and it was sent early enough.
--- a/testing/platformsoak/observations.h
+++ b/testing/platformsoak/observations.h
@@ -66,6 +66,8 @@
 struct Disruption {
   Millis From = 0, Until = 0;
   std::string What;
+  /// Only the connections between this proxy and its callers are held up. Absent: all of the deployment.
+  std::optional<int> CallersOf = std::nullopt;
 };
 
 /// All that was observed. Its members may be called by any thread.
--- a/testing/platformsoak/report.cpp
+++ b/testing/platformsoak/report.cpp
@@ -85,7 +85,7 @@
     const auto found = runs.find(it.Id);
     const auto &own = found == runs.end() ? None : found->second;
     const auto verdict = judgeLost(it, own, *life, disruptions);
-    if (verdict != LostVerdict::NotTaken)
+    if (verdict != LostVerdict::NotTaken && verdict != LostVerdict::HeldUp)
       cut(it, own, *life, verdict, figures);
   }
 }
--- a/testing/platformsoak/tests/lostruletests.cpp
+++ b/testing/platformsoak/tests/lostruletests.cpp
@@ -118,3 +118,16 @@
   it.Disruptions = {{Term + 1'021, Term + 4'000, "store down"}};
   CHECK(it.judge() == LostVerdict::Lost);
 }
+
+TEST_CASE("a request that no server has may have met a closed connection where the network held it up") {
+  Case it(1'000, 1'400);
+  it.Runs.clear();
+  it.Disruptions = {{Term + 900, Term + 1'350, "answers held", 0}};
+  CHECK(it.judge() == LostVerdict::HeldUp);
+  it.Disruptions.front().CallersOf = 1;
+  CHECK(it.judge() == LostVerdict::Lost);
+  // A request that a server has run was read by the process.
+  Case ran(1'000, 1'400);
+  ran.Disruptions = {{Term + 900, Term + 1'350, "answers held", 0}};
+  CHECK(ran.judge() == LostVerdict::Lost);
+}
