--- a/testing/platformsoak/callers.cpp
+++ b/testing/platformsoak/callers.cpp
@@ -11,6 +11,8 @@
 
 constexpr Millis OpenTimeoutMs = 2'000;
 constexpr int Attempts = 3;
+/// The first workloads are of one kind each.
+constexpr std::size_t RouteKinds = 3;
 constexpr double DirectShare = 0.3;
 constexpr int Items = 400;
 constexpr int MaxStatements = 11;
@@ -33,15 +35,21 @@
 } // namespace
 
 const std::vector<Workload> &workloads() {
-  // As at Paalisoft: 60 current, 60 bounded and 277 read-your-writes operations a second.
+  // About as at Paalisoft: 60 current, 60 bounded and 277 read-your-writes operations a second. Of each kind,
+  // some sessions are in steady use: a stopping proxy finds no pause in which to close them.
   static const std::vector<Workload> All = {
-      {RouteKind::Primary, "p", 800, 2'500, 0, 0.2, 0.4, false, 57, 700},
+      {RouteKind::Primary, "p", 800, 2'500, 0, 0.2, 0.4, false, 40, 800},
       {RouteKind::Bounded, "b", 2'000, 5'000, 1'500, 0, 0.1, true, 24, 350},
-      {RouteKind::ReadYourWrites, "r", 800, 2'500, 2'500, 0.12, 0.12, false, 240, 800},
+      {RouteKind::ReadYourWrites, "r", 800, 2'500, 2'500, 0.12, 0.12, false, 200, 900},
+      {RouteKind::Primary, "p", 800, 2'500, 0, 0.2, 0.4, false, 4, 80},
+      {RouteKind::Bounded, "b", 2'000, 5'000, 1'500, 0, 0.1, false, 4, 80},
+      {RouteKind::ReadYourWrites, "r", 800, 2'500, 2'500, 0.12, 0.12, false, 6, 80},
   };
   return All;
 }
 
+std::span<const Workload> routeWorkloads() { return std::span(workloads()).first(RouteKinds); }
+
 Caller::Caller(CallerContext &context, const Workload &workload, std::string zone, int number,
                std::uint64_t seed)
     : Context(context), Work(workload), Zone(std::move(zone)), Number(number), Random(seed),
@@ -53,7 +61,7 @@
 void Caller::run() {
   std::exponential_distribution<double> pause(1.0 / static_cast<double>(Work.PauseMs));
   while (!Context.Over) {
-    const auto wait = static_cast<Millis>(pause(Random));
+    const auto wait = static_cast<Millis>(pause(Random)) / (Context.BurstUntil > nowMs() ? 2 : 1);
     if (Work.Fresh || !Session.isOpen())
       sleepMs(wait);
     else if (!Session.idle(wait)) {
--- a/testing/platformsoak/callers.h
+++ b/testing/platformsoak/callers.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
 };
 
 [[nodiscard]] const std::vector<Workload> &workloads();
+/// One of each kind of route.
+[[nodiscard]] std::span<const Workload> routeWorkloads();
 
 struct CallerCounts {
   std::atomic<int> Served{0}, Failed{0}, Sessions{0};
@@ -44,6 +47,8 @@
   std::atomic<bool> &Over;
   /// Callers read slowly until this time.
   std::atomic<Millis> SlowUntil{0};
+  /// Callers pause for half as long until this time.
+  std::atomic<Millis> BurstUntil{0};
   CallerCounts Counts{};
 };
 
--- a/testing/platformsoak/configoperator.cpp
+++ b/testing/platformsoak/configoperator.cpp
@@ -55,7 +55,7 @@
   Json routes = Json::array(), services = Json::array();
   for (std::size_t n = 0; n < Services.size(); ++n) {
     // A timeout is only ever longer than what the callers reckon with.
-    for (const auto &it : workloads())
+    for (const auto &it : routeWorkloads())
       routes.push_back(
           route(it.HostPrefix + std::to_string(n), Services[n], it, TimeoutStep * TimeoutStepMs));
     services.push_back({{"name", Services[n]},
@@ -66,7 +66,7 @@
                         {"syncReplicas", 1}});
   }
   for (const auto &it : Versions.back().Extra)
-    routes.push_back(route(it, Services.front(), workloads().front(), 0));
+    routes.push_back(route(it, Services.front(), routeWorkloads().front(), 0));
   return {{"version", Versions.back().Version},
           {"routes", routes},
           {"services", services},
--- a/testing/platformsoak/deployment.cpp
+++ b/testing/platformsoak/deployment.cpp
@@ -59,7 +59,7 @@
     Networks.push_back(std::make_unique<Forwarder>(Proxies.back()->callersPort()));
   }
   Entry = std::make_unique<Balancer>(Proxies);
-  Callers = std::make_unique<CallerContext>(Seen, *Entry, Services, Proxies, Networks, Over);
+  Callers.reset(new CallerContext{Seen, *Entry, Services, Proxies, Networks, Over});
 }
 
 HttpReply Deployment::duty(const HttpRequest &request) {
--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -44,6 +44,7 @@
       return RestoreStore{span(1'000, 6'000), span(200, 2'000)};
     });
     every("slowcallers", 6'000, 9'000, [&] { return SlowCallers{span(2'000, 6'000)}; });
+    every("burst", 5'000, 9'000, [&] { return Burst{span(3'000, 6'000)}; });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
   }
@@ -127,6 +128,8 @@
     for (auto at = span(500, 2'000); at < Options.LengthMs; at += span(500, 8'000)) {
       std::shuffle(order.begin(), order.end(), random("rolls"));
       for (const auto it : order) {
+        if (at >= Options.LengthMs)
+          break;
         addStop(at, it);
         at += span(500, 2'500);
       }
@@ -144,9 +147,9 @@
 } // namespace
 
 const std::vector<std::string> &troubleNames() {
-  static const std::vector<std::string> Names = {"stops",   "rolls",  "second",     "hups", "drain",
-                                                 "primary", "config", "slow",       "down", "restored",
-                                                 "delay",   "hold",   "slowcallers"};
+  static const std::vector<std::string> Names = {"stops",   "rolls",  "second",      "hups", "drain",
+                                                 "primary", "config", "slow",        "down", "restored",
+                                                 "delay",   "hold",   "slowcallers", "burst"};
   return Names;
 }
 
@@ -181,6 +184,7 @@
           },
           [&](const HoldAnswers &it) { return "answers held at" + proxy(it.Proxy) + spanText(it.ForMs); },
           [&](const SlowCallers &it) { return "slow callers" + spanText(it.ForMs); },
+          [&](const Burst &it) { return "burst" + spanText(it.ForMs); },
       },
       fault);
 }
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -53,9 +53,13 @@
 struct SlowCallers {
   Millis ForMs = 0;
 };
+/// Callers pause for half as long between operations.
+struct Burst {
+  Millis ForMs = 0;
+};
 
 using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
-                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers>;
+                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst>;
 
 struct PlannedFault {
   Millis At = 0;
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -119,6 +119,7 @@
                        nowMs() + it.ForMs;
                  },
                  [&](const SlowCallers &it) { World.Callers->SlowUntil = nowMs() + it.ForMs; },
+                 [&](const Burst &it) { World.Callers->BurstUntil = nowMs() + it.ForMs; },
              },
              fault);
 }
--- a/testing/platformsoak/proxyprocess.cpp
+++ b/testing/platformsoak/proxyprocess.cpp
@@ -62,7 +62,7 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent)
       ::_exit(1);
-    const int log = ::open(life.LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int log = ::open(life.LogFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0644);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
     ::execl(Options.Program.c_str(), "rosemaryhinge-platformd", "--settings", settings.c_str(), nullptr);
--- a/testing/platformsoak/tests/checktests.cpp
+++ b/testing/platformsoak/tests/checktests.cpp
@@ -31,6 +31,7 @@
 
 std::vector<std::string> rules(const std::vector<Violation> &found) {
   std::vector<std::string> out;
+  out.reserve(found.size());
   for (const auto &it : found)
     out.push_back(it.Rule);
   return out;
@@ -71,7 +72,7 @@
 
 TEST_CASE("a removed database may be found until 3 s after the acknowledgement") {
   const auto found = [](Millis sent, const std::vector<Disruption> &disruptions = {},
-                        Lives lives = oneProxy()) {
+                        const Lives &lives = oneProxy()) {
     const std::vector<ConfigProbe> probes = {{"x1", 0, sent, sent + 2, true}};
     return checkConfig(versions(), probes, lives, disruptions).size();
   };
