Fault soak: the end of a connection counts, not when a slow caller notices it

Cause: a caller that reads after a pause of 250 ms took the end of its connection for as late, which is above the slack of the rule (7 requests in 18 stops; no server had any of them). Change: the end is watched during the pause.

--- a/testing/platformsoak/callersession.cpp
+++ b/testing/platformsoak/callersession.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <atomic>
 #include <cstdio>
+#include <optional>
 #include <random>
 #include <unistd.h>
 
@@ -60,8 +61,10 @@
                     ? ReadResult::Line
                     : ReadResult::Ended;
   request.SentAt = nowMs();
-  if (SlowMs > 0)
-    sleepMs(SlowMs);
+  // What counts is when the connection ended, not when a slow caller notices it.
+  std::optional<Millis> endedAt;
+  if (SlowMs > 0 && Socket->waitEnd(SlowMs))
+    endedAt = nowMs();
   std::string line;
   while (result == ReadResult::Line && !out.Complete) {
     result = Socket->read(line, std::max<Millis>(0, until - nowMs()));
@@ -79,7 +82,7 @@
   }
   if (out.Complete)
     out.State = line.empty() ? 'I' : line.front();
-  request.EndedAt = nowMs();
+  request.EndedAt = out.Complete ? nowMs() : endedAt.value_or(nowMs());
   request.Ending = out.Complete                     ? Ending::Answered
                    : result == ReadResult::TimedOut ? Ending::GivenUp
                                                     : Ending::Cut;
--- a/testing/platformsoak/deployment.cpp
+++ b/testing/platformsoak/deployment.cpp
@@ -23,6 +23,7 @@
 
 std::vector<std::string> serviceNames(int count) {
   std::vector<std::string> out;
+  out.reserve(static_cast<std::size_t>(count));
   for (int n = 0; n < count; ++n)
     out.push_back("merchant-db" + std::to_string(n));
   return out;
--- a/testing/platformsoak/sockets.cpp
+++ b/testing/platformsoak/sockets.cpp
@@ -166,4 +166,9 @@
   return ::poll(&wait, 1, static_cast<int>(timeoutMs)) != 0;
 }
 
+bool LineSocket::waitEnd(Millis timeoutMs) const {
+  pollfd wait{Fd, POLLRDHUP, 0};
+  return ::poll(&wait, 1, static_cast<int>(timeoutMs)) != 0;
+}
+
 } // namespace rosemaryhinge::platformsoak
--- a/testing/platformsoak/sockets.h
+++ b/testing/platformsoak/sockets.h
@@ -37,6 +37,8 @@
   ReadResult read(std::string &line, Millis timeoutMs = -1);
   /// Waits until there is something to read, or the end of the connection.
   [[nodiscard]] bool waitReadable(Millis timeoutMs) const;
+  /// Waits until the other side has ended the connection, whatever is left to read. False after the time.
+  [[nodiscard]] bool waitEnd(Millis timeoutMs) const;
   [[nodiscard]] int fd() const { return Fd; }
 
 private:
