Fault soak: wait for a proxy's program before the next port is released

Cause: a child between fork and exec holds the listeners of all reserved ports. Change: the parent waits until the child runs its program; a server that starts again tries to listen for up to a second.

--- a/testing/platformsoak/dbservice.cpp
+++ b/testing/platformsoak/dbservice.cpp
@@ -20,6 +20,8 @@
 constexpr Millis AfterDrainMs = 1'500;
 constexpr Millis RestartMs = 700;
 constexpr int Fenced = 409;
+constexpr int ListenTries = 100;
+constexpr Millis ListenRetryMs = 10;
 
 } // namespace
 
@@ -38,7 +40,12 @@
 
 void DbService::start(DbServer &server) {
   releasePort(server.Port);
-  const int fd = listenOn(server.Port);
+  int fd = listenOn(server.Port);
+  // A proxy that is being started may hold the address for a moment more.
+  for (int n = 0; fd < 0 && n < ListenTries; ++n) {
+    sleepMs(ListenRetryMs);
+    fd = listenOn(server.Port);
+  }
   int incarnation = 0;
   {
     const std::lock_guard hold(Lock);
--- a/testing/platformsoak/proxyprocess.cpp
+++ b/testing/platformsoak/proxyprocess.cpp
@@ -4,9 +4,12 @@
 
 #include "platformsoak/sockets.h"
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -17,6 +20,15 @@
 
 constexpr Millis ProbeTimeoutMs = 500;
 
+/// Waits until the child runs its program. Until then it holds the sockets that the parent had at the fork,
+/// and a port that the parent releases for the next proxy stays in use.
+void awaitProgram(int pipeEnd) {
+  char byte = 0;
+  while (::read(pipeEnd, &byte, 1) < 0 && errno == EINTR) {
+  }
+  ::close(pipeEnd);
+}
+
 std::string describeEnd(int status) {
   return WIFSIGNALED(status) ? "by signal " + std::to_string(WTERMSIG(status))
                              : "with status " + std::to_string(WEXITSTATUS(status));
@@ -57,6 +69,9 @@
   life.StartedAt = nowMs();
   life.LogFile = name + "." + std::to_string(life.Number) + ".log";
   const auto parent = ::getpid();
+  std::array<int, 2> started{};
+  if (::pipe2(started.data(), O_CLOEXEC) != 0)
+    throw std::runtime_error("no pipe for the start of a proxy");
   Pid = ::fork();
   if (Pid == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -68,6 +83,8 @@
     ::execl(Options.Program.c_str(), "rosemaryhinge-platformd", "--settings", settings.c_str(), nullptr);
     ::_exit(127);
   }
+  ::close(started[1]);
+  awaitProgram(started[0]);
   Lives.push_back(life);
   Seen.line("proxy " + std::to_string(Options.Index + 1) + " starts, process " + std::to_string(Pid));
 }
