Fault soak: ports in blocks, signals to ready processes only, waits for a processor

Cause: runs side by side took ports of proxies that were down (13 bad ends in one run). SIGTERM or SIGHUP during the start of a process, before its handlers, ended it (one run each, at a load of 46). A process that had to wait for a processor for 226 ms closed idle sessions before it read their requests (5 requests in one run); nobody outside can tell that from a request it has read. Change: each run locks a block of ports; signals wait until the process was ready; requests that no server has do not count while their proxy had to wait for a processor for over 100 ms (/proc/PID/schedstat).

--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr Millis TickMs = 2;
+constexpr Millis TickMs = 5;
 constexpr Millis GraceMs = 6'000;
 constexpr Millis DefaultRestartMs = 700;
 
@@ -38,6 +38,7 @@
 void FaultPlayer::checkProxies() {
   for (std::size_t n = 0; n < World.Proxies.size(); ++n) {
     auto &proxy = *World.Proxies[n];
+    proxy.watchProcessor();
     if (!proxy.check() || Away[n])
       continue;
     Away[n] = true;
--- a/testing/platformsoak/observations.h
+++ b/testing/platformsoak/observations.h
@@ -66,7 +66,7 @@
 struct Disruption {
   Millis From = 0, Until = 0;
   std::string What;
-  /// Only the connections between this proxy and its callers are held up. Absent: all of the deployment.
+  /// Only this proxy and its connections with callers are held up. Absent: all of the deployment.
   std::optional<int> CallersOf = std::nullopt;
 };
 
--- a/testing/platformsoak/proxyprocess.cpp
+++ b/testing/platformsoak/proxyprocess.cpp
@@ -19,6 +19,11 @@
 namespace {
 
 constexpr Millis ProbeTimeoutMs = 500;
+constexpr std::int64_t NsInMs = 1'000'000;
+/// Half of the time after which a request counts as read by the process.
+constexpr Millis LongWaitMs = 100;
+/// The time between two looks, at most.
+constexpr Millis WatchSlackMs = 50;
 
 /// Waits until the child runs its program. Until then it holds the sockets that the parent had at the fork,
 /// and a port that the parent releases for the next proxy stays in use.
@@ -85,6 +90,8 @@
   }
   ::close(started[1]);
   awaitProgram(started[0]);
+  WasReady = false;
+  WaitedNs = 0;
   Lives.push_back(life);
   Seen.line("proxy " + std::to_string(Options.Index + 1) + " starts, process " + std::to_string(Pid));
 }
@@ -124,10 +131,10 @@
 
 bool ProxyProcess::serving() const {
   const std::lock_guard hold(Lock);
-  return Pid > 0 && Lives.back().Terms.empty();
+  return Pid > 0 && WasReady && Lives.back().Terms.empty();
 }
 
-bool ProxyProcess::answersReady() const {
+bool ProxyProcess::answersReady() {
   const int fd = connectTo(Admin);
   if (fd < 0)
     return false;
@@ -137,9 +144,25 @@
   const bool ok =
       socket.read(line, ProbeTimeoutMs) == ReadResult::Line && line.find(" 200") != std::string::npos;
   ::close(fd);
+  const std::lock_guard hold(Lock);
+  WasReady = WasReady || (ok && Pid > 0);
   return ok;
 }
 
+void ProxyProcess::watchProcessor() {
+  const std::lock_guard hold(Lock);
+  if (Pid <= 0)
+    return;
+  std::ifstream in("/proc/" + std::to_string(Pid) + "/schedstat");
+  std::int64_t ran = 0, waited = 0;
+  if (!(in >> ran >> waited))
+    return;
+  const auto ms = (waited - WaitedNs) / NsInMs;
+  WaitedNs = waited;
+  if (ms > LongWaitMs)
+    Seen.addDisruption({nowMs() - ms - WatchSlackMs, nowMs(), "waited for a processor", Options.Index});
+}
+
 std::vector<ProcessLife> ProxyProcess::lives() const {
   const std::lock_guard hold(Lock);
   return Lives;
--- a/testing/platformsoak/proxyprocess.h
+++ b/testing/platformsoak/proxyprocess.h
@@ -33,10 +33,13 @@
   /// Notices the end of the process. True if it has just ended.
   bool check();
   /// GET /readyz at its admin address.
-  [[nodiscard]] bool answersReady() const;
+  [[nodiscard]] bool answersReady();
   [[nodiscard]] bool running() const;
-  /// Whether it runs and has not been asked to stop.
+  /// Whether its present process was ready and has not been asked to stop. Before, signals may end it: it has
+  /// no handlers for them yet.
   [[nodiscard]] bool serving() const;
+  /// Notes the times at which the process had to wait for a processor for long.
+  void watchProcessor();
   [[nodiscard]] const std::string &zone() const { return Options.Zone; }
   [[nodiscard]] int callersPort() const { return Callers; }
   [[nodiscard]] std::vector<ProcessLife> lives() const;
@@ -48,6 +51,8 @@
   int Callers, Admin, Peers, Metrics;
   mutable std::mutex Lock;
   int Pid = -1;
+  bool WasReady = false;          ///< The present process.
+  std::int64_t WaitedNs = 0;      ///< For a processor, since the start of the process.
   std::vector<ProcessLife> Lives; ///< The last one is the present one.
 };
 
--- a/testing/platformsoak/sockets.cpp
+++ b/testing/platformsoak/sockets.cpp
@@ -21,7 +21,10 @@
 
 constexpr int Backlog = 512;
 constexpr int FirstPort = 12'000;
-constexpr int LastPort = 30'000;
+/// A run takes a block of ports. The listener at the first one keeps other runs away from the whole block,
+/// also from ports whose proxy or server is down for the moment.
+constexpr int BlockPorts = 128;
+constexpr int Blocks = 140;
 constexpr std::size_t ChunkBytes = 16'384;
 
 sockaddr_in loopback(int port) {
@@ -40,6 +43,7 @@
 struct Reservations {
   std::mutex Lock;
   std::map<int, int> Fds;
+  int Next = 0, End = 0; ///< Of the present block.
 };
 
 Reservations &reservations() {
@@ -106,9 +110,14 @@
   auto &all = reservations();
   const std::lock_guard hold(all.Lock);
   for (;;) {
-    const int port = std::uniform_int_distribution<int>(FirstPort, LastPort)(random);
-    if (all.Fds.contains(port))
-      continue;
+    if (all.Next == all.End) {
+      const int first = FirstPort + BlockPorts * std::uniform_int_distribution<int>(0, Blocks - 1)(random);
+      if (listenOn(first) < 0)
+        continue;
+      all.Next = first + 1;
+      all.End = first + BlockPorts;
+    }
+    const int port = all.Next++;
     if (const int fd = listenOn(port); fd >= 0) {
       all.Fds[port] = fd;
       return port;
