--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -82,7 +82,8 @@
   std::visit(Overloaded{
                  [&](const StopProxy &it) { stop(it); },
                  [&](const ReloadProxy &it) {
-                   World.Proxies.at(static_cast<std::size_t>(it.Proxy))->signal(SIGHUP);
+                   if (auto &proxy = *World.Proxies.at(static_cast<std::size_t>(it.Proxy)); proxy.serving())
+                     proxy.signal(SIGHUP);
                  },
                  [&](const DrainServer &it) {
                    auto &service = *World.Services.at(static_cast<std::size_t>(it.Service));
