--- a/src/wire/isessionlistener.h
+++ b/src/wire/isessionlistener.h
@@ -16,8 +16,8 @@
   virtual void greet(const AcceptSession &effect) = 0;
   virtual void refuse(const RefuseSession &effect) = 0;
   virtual void answer(const AnswerStatement &effect) = 0;
-  /// Closes a connection once what was written to it is sent. Statements that have arrived on it meanwhile are
-  /// refused as not run.
+  /// Closes a connection once what was written to it is sent. Statements that have arrived on it meanwhile
+  /// are refused as not run.
   virtual void close(const CloseSession &effect) = 0;
   /// Accepts what is in the queue of the operating system, then nothing more, and reports AcceptingStopped.
   virtual void stopAccepting() = 0;
