Ignore SIGHUP until its handler is installed

Cause: until the handler is installed, SIGHUP has its default action. The settings are read after it, so nothing is missed. The new test fails on the code before (ended by signal 1).

--- a/src/daemon/internal/options.cpp
+++ b/src/daemon/internal/options.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/options.h"
 
+#include <csignal>
 #include <iostream>
 #include <memory>
 #include <popt.h>
@@ -67,6 +68,8 @@
     std::cout << name << " " << NodeConfig().Release << "\n";
     return 0;
   }
+  // Until ReloadSignal handles it: the settings that are read now are the changed ones.
+  std::signal(SIGHUP, SIG_IGN);
   const auto settings = loadLocalSettings(options.Settings);
   if (const auto *findings = std::get_if<Diagnostics>(&settings)) {
     for (const auto &it : *findings)
--- a/src/daemon/tests/daemontests.cpp
+++ b/src/daemon/tests/daemontests.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/logger.h"
+#include "daemon/options.h"
 #include "daemon/sessiondaemon.h"
 #include "net/bootclock.h"
 #include "net/tests/scriptedserver.h"
@@ -13,6 +14,8 @@
 #include <csignal>
 #include <cstdio>
 #include <deque>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <optional>
 #include <poll.h>
@@ -30,7 +33,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds Patience{10};
+constexpr std::chrono::seconds MaxWait{10};
 constexpr int HarnessFailed = 99; ///< Exit status.
 
 /// Answers each read after a while, and refuses what comes during the shutdown. Complete once nothing is in
@@ -84,11 +87,11 @@
          keys;
 }
 
-/// Reads until the end of the stream, or until the text is complete; empty text after Patience.
+/// Reads until the end of the stream, or until the text is complete; empty text after MaxWait.
 std::string readUntil(int fd, const std::function<bool(const std::string &)> &complete) {
   std::string out;
   std::array<char, 4096> buf{};
-  const auto end = Clock::now() + Patience;
+  const auto end = Clock::now() + MaxWait;
   while (Clock::now() < end && !complete(out)) {
     pollfd in{fd, POLLIN, 0};
     if (::poll(&in, 1, 100) != 1)
@@ -183,7 +186,7 @@
     ::close(std::exchange(Output[1], -1));
     ::close(std::exchange(Listening[1], -1));
     REQUIRE(::read(Listening[0], &Ports, sizeof Ports) == sizeof Ports);
-    const auto end = Clock::now() + Patience;
+    const auto end = Clock::now() + MaxWait;
     while (Clock::now() < end && !serves())
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
@@ -270,6 +273,23 @@
   CHECK(daemon.Log.find("settings file refused") != std::string::npos);
 }
 
+TEST_CASE("SIGHUP does not end a daemon that is starting") {
+  const auto file = std::filesystem::temp_directory_path() / ("settings-" + std::to_string(::getpid()));
+  std::ofstream(file) << "node: n1\nregion: r\navailability_zone: z\nplatform: http://127.0.0.1:7000\n"
+                         "addresses: {callers: 127.0.0.1:1, peers: 127.0.0.1:2, admin: 127.0.0.1:3}\n";
+  const int status = statusOf([&] {
+    std::signal(SIGHUP, SIG_DFL);
+    std::string program = "daemon", option = "--settings", path = file;
+    std::array<char *, 4> arguments = {program.data(), option.data(), path.data(), nullptr};
+    return startDaemon(3, arguments.data(), program, [](const LocalSettings &, const std::string &) {
+      std::raise(SIGHUP);
+      return 7;
+    });
+  });
+  std::filesystem::remove(file);
+  CHECK(status == 7);
+}
+
 TEST_CASE("SIGTERM that arrives while a daemon sets up its listeners starts a graceful shutdown") {
   CHECK(statusOf([] {
           LocalSettings settings;
