Answer or leave alone what arrives while a session is closed

A review of the changes before found four orders of events, each shown by a test that failed then and passes now: - A session closed with too many statements ahead leaves a write unanswered, and a refusal of a later statement was sent on its connection. Answers carry no id, so the caller would have taken it for that of the write, which may have been committed. Such a close says so now, and nothing more is answered. - A session closed together with an answer, the usual case, ended as soon as the answer was written, with later statements unread. There is one way to the end of a connection now, which reads what has arrived first. - A statement that was in the loop's queue when its session was closed was dropped; it is refused as not run.

--- a/src/daemon/internal/loop.cpp
+++ b/src/daemon/internal/loop.cpp
@@ -92,10 +92,13 @@
     const auto event = std::move(Queue.front());
     Queue.pop_front();
     step(event);
+    if (EventsBeforeTimer && *EventsBeforeTimer > 0)
+      --*EventsBeforeTimer;
   }
-  // After the events that were received before: what is decided by the time that has passed sees them.
-  if (std::exchange(TimerDue, false))
+  if (EventsBeforeTimer == std::size_t{0}) {
+    EventsBeforeTimer.reset();
     step(TimerFired{});
+  }
   if (!Queue.empty())
     scheduleDrain();
   armTimer();
@@ -171,7 +174,7 @@
   Timer.set(*next, [this] {
     ArmedFor.reset();
     TimerFiredAt = bootNow();
-    TimerDue = true;
+    EventsBeforeTimer = Queue.size();
     scheduleDrain();
   });
 }
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -79,7 +79,9 @@
   BootTimer Timer;
   std::optional<TimePoint> ArmedFor;
   TimePoint TimerFiredAt;
-  bool TimerDue = false; ///< The timer has fired, and the decision logic has not been told.
+  /// The timer has fired, and the decision logic is told after this number of events: those that were
+  /// received before.
+  std::optional<std::size_t> EventsBeforeTimer;
   asio::steady_timer WallTimer;
   asio::steady_timer KeysTimer;
   asio::steady_timer ShutdownTimer;
--- a/src/daemon/tests/looptests.cpp
+++ b/src/daemon/tests/looptests.cpp
@@ -197,6 +197,32 @@
   CHECK(place(PeerLost{}) < place(TimerFired{}));
 }
 
+TEST_CASE("a timer waits for all events that were received before it fired, and for no others") {
+  Fixture f;
+  constexpr std::size_t Received = 1'000;
+  std::size_t before = 0;
+  f.Reducer.Next = bootNow() + 20ms;
+  f.Reducer.Rule = [&](const Event &event, TimePoint) -> Effects {
+    before += std::holds_alternative<PeerLost>(event) ? 1 : 0;
+    if (std::holds_alternative<PeerLost>(event) && before >= Received)
+      f.Subject.post(PeerLost{NodeId("p")}); // Events go on without end.
+    if (!std::holds_alternative<TimerFired>(event))
+      return {};
+    f.Reducer.Next.reset();
+    f.Subject.stop();
+    return {};
+  };
+  asio::steady_timer held(f.Io, std::chrono::milliseconds(5));
+  held.async_wait([&](std::error_code) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(40));
+    for (std::size_t n = 0; n < Received; ++n)
+      f.Subject.post(PeerLost{NodeId("p")});
+  });
+  f.run();
+  CHECK(f.Reducer.TimersFired == 1);
+  CHECK(before >= Received);
+}
+
 TEST_CASE("a broken invariant is counted and logged with the trail of events") {
   Fixture f;
   f.Reducer.Rule = [](const Event &event, TimePoint) -> Effects {
--- a/src/protocol/session.h
+++ b/src/protocol/session.h
@@ -134,9 +134,12 @@
   TransactionState State = TransactionState::Idle;
   std::optional<Position> At; ///< Log position that the server returned with its answer.
 };
-/// Closes a session that has no outstanding answers, or a connection on which none was started.
+/// Closes a session, or a connection on which none was started.
 struct CloseSession {
   SessionId Session;
+  /// A statement is left without an answer. Later ones get none either: the caller would take it for that of
+  /// the first.
+  bool LeavesUnanswered = false;
 };
 
 } // namespace rosemaryhinge
--- a/src/reducer/tests/sessiontests.cpp
+++ b/src/reducer/tests/sessiontests.cpp
@@ -534,6 +534,44 @@
   CHECK(started.take<ShutdownComplete>());
 }
 
+TEST_CASE("a leaving proxy without a configuration ends within its grace") {
+  SessionHarness started;
+  State logic;
+  logic.Self = started.Logic.Self;
+  started.Logic = std::move(logic);
+  started.Out.clear();
+  started.apply(Started{1, 8});
+  started.apply(ShutdownRequested{});
+  started.pass(5000ms);
+  started.open("settle");
+  started.pass(500ms);
+  CHECK(started.take<RefuseSession>());
+  CHECK(started.take<ShutdownComplete>());
+}
+
+TEST_CASE("a statement that is in the queue of events when its session is closed is refused as not run") {
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.apply(ShutdownRequested{});
+  proxy.pass(2300ms);
+  REQUIRE(proxy.take<CloseSession>());
+  proxy.write(session, "w1");
+  CHECK((codeOf(proxy, "w1") == Rejection::Busy));
+}
+
+TEST_CASE("a session that is closed with an unanswered statement says so") {
+  // Guards against a refusal of a later statement that the caller takes for that of a committed write.
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.write(session, "w0");
+  proxy.acceptLink();
+  for (int n = 1; n <= 33; ++n)
+    proxy.write(session, "w" + std::to_string(n));
+  const auto closed = proxy.take<CloseSession>();
+  REQUIRE(closed);
+  CHECK(closed->LeavesUnanswered);
+}
+
 TEST_CASE("a session opened before the first configuration is loaded waits for it instead of being refused "
           "for an unknown database") {
   SessionHarness started;
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -73,7 +73,7 @@
     return;
   }
   for (auto it = PendingSessions.begin(); it != PendingSessions.end();) {
-    if (ctx.Now < it->second.Until) {
+    if (ctx.Now < pendingUntil(it->second)) {
       ++it;
       continue;
     }
@@ -85,8 +85,15 @@
 
 void SessionsModule::onStatement(Context &ctx, SessionServices &services, const StatementArrived &event) {
   const auto it = Sessions.find(event.Session);
-  if (it == Sessions.end())
+  if (it == Sessions.end()) {
+    // It was in the queue of events when its session was closed, and the connection is still open.
+    if (!PendingSessions.contains(event.Session))
+      ctx.emit(AnswerStatement{
+          event.Session, event.Statement.Id,
+          StatementRejection{Rejection::Busy, "the session is closed; retry at another proxy"},
+          TransactionState::Idle, std::nullopt});
     return;
+  }
   auto &session = it->second;
   session.ReceivedStatement = true;
   if (session.Current) {
@@ -100,7 +107,7 @@
                   {"request", session.Current->Statement.Id},
                   {"why", "too many queued statements"}}});
     endWithoutAnswer(ctx, services, event.Session);
-    ctx.emit(CloseSession{event.Session});
+    ctx.emit(CloseSession{event.Session, true});
     return;
   }
   handleStatement(ctx, services, event.Session, session, event.Statement);
@@ -156,7 +163,7 @@
     out = Timers.begin()->first;
   const auto earlier = [&out](TimePoint it) { out = out ? std::min(*out, it) : it; };
   for (const auto &[id, it] : PendingSessions)
-    earlier(it.Until);
+    earlier(pendingUntil(it));
   if (LeavingSince)
     for (const auto &[id, connectedAt] : Connected)
       earlier(unusedCloseTime(connectedAt));
@@ -324,6 +331,10 @@
                   session.IdleSince + (session.ReceivedStatement ? IdleCloseDelay : UnusedCloseDelay));
 }
 
+TimePoint SessionsModule::pendingUntil(const PendingSession &session) const {
+  return LeavingSince ? std::min(session.Until, servingEndsAt()) : session.Until;
+}
+
 TimePoint SessionsModule::unusedCloseTime(TimePoint connectedAt) const {
   return std::min(servingEndsAt(), std::max(balancerDrainedAt(), connectedAt + UnusedCloseDelay));
 }
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -235,6 +235,12 @@
   /// During a graceful shutdown: when an idle session is closed.
   [[nodiscard]] TimePoint idleCloseTime(const Session &session) const;
   void startSession(Context &ctx, SessionServices &services, const SessionOpened &event);
+  struct PendingSession {
+    SessionOpened Opened;
+    TimePoint Until;
+  };
+  /// When a session that waits for the first configuration is refused.
+  [[nodiscard]] TimePoint pendingUntil(const PendingSession &session) const;
   void admitPendingSessions(Context &ctx, SessionServices &services);
   /// During a graceful shutdown: when a connection on which no session has started is closed.
   [[nodiscard]] TimePoint unusedCloseTime(TimePoint connectedAt) const;
@@ -244,11 +250,6 @@
   void endWithoutAnswer(Context &ctx, SessionServices &services, SessionId id);
   void erase(SessionId id);
 
-  struct PendingSession {
-    SessionOpened Opened;
-    TimePoint Until;
-  };
-
   /// Whether callers can connect. Only goes forward.
   enum class AcceptState : std::uint8_t { Accepting, Stopping, Stopped };
 
--- a/src/wire/internal/sessionlistener.cpp
+++ b/src/wire/internal/sessionlistener.cpp
@@ -63,7 +63,8 @@
   }
 
   void answer(const AnswerStatement &effect) override {
-    if (const auto it = find(effect.Session))
+    const auto it = find(effect.Session);
+    if (it && (!it->Ending || it->RefusesStatements))
       write(effect.Session, it, it->Codec->answer(effect));
   }
 
@@ -72,15 +73,8 @@
     if (!it)
       return;
     it->Ending = true;
-    it->RefusesStatements = true;
-    // A read that has completed is handled first.
-    asio::post(Acceptor.get_executor(), [this, id = effect.Session, it] {
-      if (it->Closed)
-        return;
-      receiveAvailable(id, it);
-      if (it->Writing.empty() && !it->Closed)
-        end(id, it);
-    });
+    it->RefusesStatements = !effect.LeavesUnanswered;
+    finishLater(effect.Session, it);
   }
 
   void stopAccepting() override {
@@ -175,11 +169,23 @@
     }
   }
 
+  /// Closes an ending connection once everything is written. A read that has completed is handled first.
+  void finishLater(SessionId id, const ConnectionPtr &it) {
+    asio::post(Acceptor.get_executor(), [this, id, it] {
+      if (it->Closed || !it->Writing.empty())
+        return;
+      if (it->RefusesStatements)
+        receiveAvailable(id, it);
+      if (!it->Closed && it->Writing.empty())
+        end(id, it);
+    });
+  }
+
   /// Takes what has arrived on a connection and was not read.
   void receiveAvailable(SessionId id, const ConnectionPtr &it) {
     std::array<char, ReadSize> buf{};
     std::error_code ec;
-    if (it->Socket.available(ec) > 0 && !ec)
+    while (!it->Closed && it->Socket.available(ec) > 0 && !ec)
       receive(id, it, {buf.data(), it->Socket.read_some(asio::buffer(buf), ec)});
   }
 
@@ -240,7 +246,7 @@
       else if (!it->Unsent.empty())
         flush(id, it);
       else if (it->Ending)
-        end(id, it);
+        finishLater(id, it);
     });
   }
 
--- a/src/wire/tests/sessionlistenertests.cpp
+++ b/src/wire/tests/sessionlistenertests.cpp
@@ -3,12 +3,14 @@
 #include "wire/wire.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <thread>
 #include <vector>
 
@@ -107,22 +109,71 @@
   CHECK(f.count<SessionClosed>() == 2);
 }
 
+namespace {
+
+/// A caller with a session.
+struct OpenSession {
+  explicit OpenSession(Fixture &fixture) : F(fixture), Socket(fixture.connect()) {
+    send('d');
+    F.Io.run_for(std::chrono::milliseconds(50));
+    REQUIRE(F.count<SessionOpened>() == 1);
+    Id = std::get<SessionOpened>(F.Events.back()).Session;
+  }
+  void send(char byte) {
+    asio::write(Socket, asio::buffer(&byte, 1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  /// What is received until the end of the connection.
+  std::string rest() {
+    std::string out;
+    asio::read(Socket, asio::dynamic_buffer(out), Error);
+    return out;
+  }
+
+  Fixture &F;
+  tcp::socket Socket;
+  SessionId Id;
+  std::error_code Error; ///< After rest(): how the connection ended.
+};
+
+} // namespace
+
 TEST_CASE("a statement that has arrived when its session is closed is refused as not run") {
   // Guards against writes that end without an answer because a leaving proxy found their session idle.
   Fixture f;
-  auto caller = f.connect();
-  asio::write(caller, asio::buffer("d", 1));
-  f.Io.run_for(std::chrono::milliseconds(50));
-  REQUIRE(f.count<SessionOpened>() == 1);
-  const auto session = std::get<SessionOpened>(f.Events.back()).Session;
-  asio::write(caller, asio::buffer("w", 1));
-  std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  f.Subject->close({session});
+  OpenSession caller(f);
+  caller.send('w');
+  f.Subject->close({caller.Id});
   f.Io.run_for(std::chrono::milliseconds(50));
-  std::string received;
-  std::error_code ec;
-  asio::read(caller, asio::dynamic_buffer(received), ec);
-  CHECK(received == "w!");
-  CHECK(ec == asio::error::eof);
+  CHECK(caller.rest() == "w!");
+  CHECK(caller.Error == asio::error::eof);
   CHECK(f.count<StatementArrived>() == 0);
 }
+
+TEST_CASE("a statement that follows the answer with which its session is closed is refused as not run") {
+  Fixture f;
+  OpenSession caller(f);
+  asio::post(f.Io, [&] {
+    const StatementRejection failed{Rejection::Failed, ""};
+    f.Subject->answer({caller.Id, "a", failed, TransactionState::Idle, std::nullopt});
+    f.Subject->close({caller.Id});
+    std::array<char, 2> buf{};
+    asio::read(caller.Socket, asio::buffer(buf));
+    CHECK(std::string(buf.data(), buf.size()) == "a?");
+    caller.send('w');
+  });
+  f.Io.run_for(std::chrono::milliseconds(100));
+  CHECK(caller.rest() == "w!");
+  CHECK(caller.Error == asio::error::eof);
+}
+
+TEST_CASE("nothing is answered on a connection that leaves a statement unanswered") {
+  // Guards against a refusal that the caller takes for that of an earlier write.
+  Fixture f;
+  OpenSession caller(f);
+  caller.send('w');
+  f.Subject->close({caller.Id, true});
+  f.Subject->answer({caller.Id, "w", StatementRejection{Rejection::Busy, ""}, TransactionState::Idle, {}});
+  f.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(caller.rest().empty());
+}
