--- a/src/reducer/tests/sessiontests.cpp
+++ b/src/reducer/tests/sessiontests.cpp
@@ -33,6 +33,17 @@
   return Rejection::Unknown;
 }
 
+/// A proxy that has not read a configuration yet.
+SessionHarness startWithoutConfiguration() {
+  SessionHarness out;
+  State logic;
+  logic.Self = out.Logic.Self;
+  out.Logic = std::move(logic);
+  out.Out.clear();
+  out.apply(Started{1, 8});
+  return out;
+}
+
 /// Opens a session with a transaction. Its connection keeps a leaving proxy running.
 SessionId openTransaction(SessionHarness &proxy) {
   const auto session = proxy.open("settle");
@@ -518,12 +529,7 @@
 }
 
 TEST_CASE("a leaving proxy does not end while a session waits for the first configuration") {
-  SessionHarness started;
-  State logic;
-  logic.Self = started.Logic.Self;
-  started.Logic = std::move(logic);
-  started.Out.clear();
-  started.apply(Started{1, 8});
+  auto started = startWithoutConfiguration();
   started.apply(ShutdownRequested{});
   started.pass(2000ms);
   started.open("settle");
@@ -535,12 +541,7 @@
 }
 
 TEST_CASE("a leaving proxy without a configuration ends within its grace") {
-  SessionHarness started;
-  State logic;
-  logic.Self = started.Logic.Self;
-  started.Logic = std::move(logic);
-  started.Out.clear();
-  started.apply(Started{1, 8});
+  auto started = startWithoutConfiguration();
   started.apply(ShutdownRequested{});
   started.pass(5000ms);
   started.open("settle");
@@ -574,12 +575,7 @@
 
 TEST_CASE("a session opened before the first configuration is loaded waits for it instead of being refused "
           "for an unknown database") {
-  SessionHarness started;
-  State logic;
-  logic.Self = started.Logic.Self;
-  started.Logic = std::move(logic);
-  started.Out.clear();
-  started.apply(Started{1, 8});
+  auto started = startWithoutConfiguration();
   const auto session = started.open("settle");
   CHECK_FALSE(started.take<RefuseSession>());
   Configuration configuration;
@@ -592,12 +588,7 @@
 }
 
 TEST_CASE("without a configuration, a session is refused as busy before its caller times out") {
-  SessionHarness started;
-  State logic;
-  logic.Self = started.Logic.Self;
-  started.Logic = std::move(logic);
-  started.Out.clear();
-  started.apply(Started{1, 8});
+  auto started = startWithoutConfiguration();
   started.open("settle");
   started.pass(1900ms);
   const auto refused = started.take<RefuseSession>();
