Run statements on links of their caller's workspace

A key now decides the workspace when a session starts and again at each statement, links and loans belong to a workspace, and at the connection limit the least recently used idle link of another workspace makes room. At equal priority a lender serves the workspace that uses fewer links first. Configurations without workspaces are served as before.

--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -2,11 +2,16 @@
 
 #include "lending/lender.h"
 
+#include <algorithm>
+#include <span>
+
 namespace rosemaryhinge {
 
 namespace {
 
 constexpr Duration SweepInterval = 200ms;
+/// Requests of a queue for which links are opened in one pass.
+constexpr std::size_t MaxOpenedFor = 16;
 /// Borrowers repeat a request that has waited this long, so older ones are dropped.
 constexpr Duration MaxRequestAge = 1s;
 /// Longer than the longest allowed pause within a transaction. Reclaims loans of borrowers that were
@@ -33,22 +38,26 @@
     sendLoanEnd(ctx, borrower, LoanEndReason::Silent);
     return;
   }
-  const Request one{request.Target, request.Priority, ctx.Now};
+  const Request one{request.Target, request.Priority, ctx.Now, request.Workspace};
   if (!NextSweep)
     NextSweep = ctx.Now + SweepInterval;
   auto &queue = Waiting[request.Target];
-  if (queue.empty() && tryGrant(ctx, services, borrower, one))
+  const bool first = std::none_of(queue.begin(), queue.end(), [&](const QueueKey &it) {
+    return Requests.at(std::get<Borrower>(it)).Workspace == one.Workspace;
+  });
+  if (first && tryGrant(ctx, services, borrower, one))
     return;
   Requests[borrower] = one;
   queue.insert({one.Priority, one.ArrivedAt, borrower});
-  services.Links.openLinks(ctx, services.Catalog, request.Target, queue.size());
+  openForWaiting(ctx, services, request.Target, queue);
   ctx.emit(SendToPeer{from, LoanQueued{request.Loan}});
 }
 
 bool Lender::tryGrant(Context &ctx, LendingServices &services, const Borrower &borrower,
                       const Request &request) {
   const auto number = ctx.nextNumber();
-  const auto link = services.Links.acquire(request.Target, {SessionId(), false, number}, {}, ctx.Now);
+  const auto link =
+      services.Links.acquire(request.Target, {SessionId(), false, number, request.Workspace}, {}, ctx.Now);
   if (!link)
     return false;
   Loans[number] = {borrower, *link, ctx.Now};
@@ -65,18 +74,67 @@
   }
   for (auto it = Waiting.begin(); it != Waiting.end();) {
     auto &queue = it->second;
-    while (!queue.empty()) {
-      const auto borrower = std::get<Borrower>(*queue.begin());
-      if (!tryGrant(ctx, services, borrower, Requests.at(borrower)))
-        break;
-      removeRequest(borrower);
-    }
+    grantWaiting(ctx, services, it->first, queue);
     if (!queue.empty())
-      services.Links.openLinks(ctx, services.Catalog, it->first, queue.size());
+      openForWaiting(ctx, services, it->first, queue);
     it = queue.empty() ? Waiting.erase(it) : std::next(it);
   }
 }
 
+std::vector<Lender::Candidate> Lender::grantOrder(const LinkPool &links, const TargetId &target,
+                                                  const std::set<QueueKey> &queue) const {
+  std::map<WorkspaceId, std::size_t> used;
+  std::vector<Candidate> out;
+  out.reserve(queue.size());
+  for (const auto &[priority, arrivedAt, borrower] : queue) {
+    const auto &workspace = Requests.at(borrower).Workspace;
+    const auto [it, added] = used.try_emplace(workspace, 0);
+    if (added && !workspace.empty())
+      it->second = links.busy(target, workspace);
+    out.push_back({priority, it->second, arrivedAt, borrower});
+    // A further request of the workspace counts as if those before it had been granted.
+    if (!workspace.empty())
+      ++it->second;
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+void Lender::grantWaiting(Context &ctx, LendingServices &services, const TargetId &target,
+                          const std::set<QueueKey> &queue) {
+  std::set<WorkspaceId> exhausted;
+  std::optional<Candidate> blocked;
+  for (const auto &it : grantOrder(services.Links, target, queue)) {
+    const auto request = Requests.at(it.Of);
+    // An idle link of a workspace that uses many is left to be replaced by one for the workspace that waits.
+    const bool takesTurn = blocked && (it.Priority > blocked->Priority || it.Used > blocked->Used + 1);
+    if (takesTurn || exhausted.contains(request.Workspace))
+      continue;
+    if (tryGrant(ctx, services, it.Of, request)) {
+      removeRequest(it.Of);
+      continue;
+    }
+    exhausted.insert(request.Workspace);
+    if (!blocked && services.Links.opening(target, request.Workspace) == 0)
+      blocked = it;
+  }
+}
+
+void Lender::openForWaiting(Context &ctx, LendingServices &services, const TargetId &target,
+                            const std::set<QueueKey> &queue) const {
+  if (!services.Catalog.configuration().Workspaces) {
+    services.Links.openLinks(ctx, services.Catalog, target, queue.size());
+    return;
+  }
+  std::map<WorkspaceId, std::size_t> wanted;
+  const auto order = grantOrder(services.Links, target, queue);
+  for (const auto &it : std::span(order).first(std::min(order.size(), MaxOpenedFor))) {
+    const auto &workspace = Requests.at(it.Of).Workspace;
+    services.Links.openLinks(ctx, services.Catalog, target, ++wanted[workspace], LinkPurpose::Statements,
+                             workspace);
+  }
+}
+
 void Lender::refuseWaiting(Context &ctx) {
   for (const auto &[borrower, request] : Requests)
     sendLoanEnd(ctx, borrower, LoanEndReason::Refused);
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <vector>
 
 namespace rosemaryhinge {
 
@@ -61,10 +62,29 @@
     TargetId Target;
     std::uint32_t Priority = 0;
     TimePoint ArrivedAt;
+    WorkspaceId Workspace;
   };
   /// Sort key of the requests waiting for one server: priority, then arrival time.
   using QueueKey = std::tuple<std::uint32_t, TimePoint, Borrower>;
 
+  /// A request that waits for a server, in the order in which requests are granted: by priority, then by the
+  /// number of links that its workspace uses, then by arrival. A workspace with many requests does not hold
+  /// up the others.
+  struct Candidate {
+    std::uint32_t Priority = 0;
+    std::size_t Used = 0; ///< Links in use, with those for earlier requests of the workspace.
+    TimePoint ArrivedAt;
+    Borrower Of;
+
+    auto operator<=>(const Candidate &) const = default;
+  };
+  [[nodiscard]] std::vector<Candidate> grantOrder(const LinkPool &links, const TargetId &target,
+                                                  const std::set<QueueKey> &queue) const;
+  void grantWaiting(Context &ctx, LendingServices &services, const TargetId &target,
+                    const std::set<QueueKey> &queue);
+  /// Opens links for the requests that wait for a server, by workspace.
+  void openForWaiting(Context &ctx, LendingServices &services, const TargetId &target,
+                      const std::set<QueueKey> &queue) const;
   bool tryGrant(Context &ctx, LendingServices &services, const Borrower &borrower, const Request &request);
   void removeRequest(const Borrower &borrower);
   void refuseWaiting(Context &ctx);
--- a/src/lending/tests/lendertests.cpp
+++ b/src/lending/tests/lendertests.cpp
@@ -31,8 +31,16 @@
   }
   static LoanId loan(std::uint64_t number) { return {7, number}; }
 
-  void request(const NodeId &from, std::uint64_t number, std::uint32_t priority = 1) {
-    Lending.onRequest(ctx(), Services, from, {loan(number), A, priority});
+  void request(const NodeId &from, std::uint64_t number, std::uint32_t priority = 1,
+               const WorkspaceId &workspace = {}) {
+    Lending.onRequest(ctx(), Services, from, {loan(number), A, priority, workspace});
+  }
+  /// Puts a configuration in force in which links belong to workspaces.
+  void addWorkspaces() {
+    auto next = Known.configuration();
+    ++next.Version;
+    next.Workspaces.emplace();
+    Known.accept(next);
   }
   /// Completes the opening of all pending links, then serves waiting requests.
   void accept() {
@@ -268,3 +276,36 @@
   it.end(Near, 1);
   CHECK(it.Lending.loans() == 0);
 }
+
+TEST_CASE("a request of a workspace without a link does not hold up requests of other workspaces") {
+  Fixture it;
+  it.addWorkspaces();
+  const WorkspaceId north("north");
+  const WorkspaceId south("south");
+  it.request(Near, 1, 1, north);
+  it.accept();
+  REQUIRE(it.told<LoanGrant>(Near).size() == 1);
+  // No link of the first one's workspace is idle, and none is opened in this test.
+  it.request(Near, 2, 1, south);
+  it.request(Other, 3, 1, north);
+  it.end(Near, 1);
+  CHECK(it.told<LoanGrant>(Other).size() == 1);
+  CHECK(it.told<LoanGrant>(Near).size() == 1);
+}
+
+TEST_CASE("at equal priority, a workspace that uses fewer links is served before one with many requests") {
+  // Guards against one workspace that floods a server and makes the others wait behind its queue.
+  Fixture it;
+  it.addWorkspaces();
+  const WorkspaceId many("many");
+  const WorkspaceId few("few");
+  for (std::uint64_t n = 1; n <= 8; ++n)
+    it.request(Near, n, 1, many);
+  it.accept();
+  REQUIRE(it.told<LoanGrant>(Near).size() == 4);
+  it.request(Other, 20, 1, few);
+  // A link of the flooding workspace is returned, and makes room for a link of the other one.
+  it.end(Near, 1);
+  it.accept();
+  CHECK(it.told<LoanGrant>(Other).size() == 1);
+}
--- a/src/links/internal/borrowing.cpp
+++ b/src/links/internal/borrowing.cpp
@@ -22,12 +22,16 @@
   if (!view)
     return;
   auto &server = Servers[target];
-  while (server.PendingLoanRequests < std::min(waiting, MaxPendingLoanRequests) &&
-         ctx.Now >= server.RetryAt) {
-    const auto id = addLink(ctx, server, target, view->Entry.Service, wish.Lender);
+  const auto wanted = std::min(waiting, MaxPendingLoanRequests);
+  auto asked =
+      catalog.configuration().Workspaces ? pending(server, wish.Workspace, true) : server.PendingLoanRequests;
+  for (; asked < wanted && server.PendingLoanRequests < MaxPendingLoanRequests && ctx.Now >= server.RetryAt;
+       ++asked) {
+    const auto id = addLink(ctx, server, target, view->Entry.Service, wish.Lender, wish.Workspace);
     ++server.PendingLoanRequests;
     ctx.emit(Count{"loans_requested_total"});
-    ctx.emit(SendToPeer{wish.Lender, LoanRequest{{ctx.Incarnation, id.Value}, target, wish.Priority}});
+    ctx.emit(SendToPeer{wish.Lender,
+                        LoanRequest{{ctx.Incarnation, id.Value}, target, wish.Priority, wish.Workspace}});
   }
   scheduleSweep(ctx.Now);
 }
--- a/src/links/internal/commands.cpp
+++ b/src/links/internal/commands.cpp
@@ -80,6 +80,8 @@
   auto &server = Servers[link.Target];
   if (link.PendingReplies.empty() && link.Lender.empty())
     ++server.LinksAwaitingReply;
+  if (!link.Workspace.empty() && link.Lender.empty() && !link.User.own() && !std::exchange(link.Used, true))
+    ctx.emit(Count{"statements_after_new_link_total"});
   for (const auto &it : commands)
     link.PendingReplies.push_back({stepOf(it), ctx.Now});
   if (!link.Lender.empty()) {
--- a/src/links/internal/opening.cpp
+++ b/src/links/internal/opening.cpp
@@ -37,11 +37,12 @@
 }
 
 LinkId LinkPool::addLink(Context &ctx, Server &server, const TargetId &target, const DatabaseId &service,
-                         const NodeId &lender) {
+                         const NodeId &lender, const WorkspaceId &workspace) {
   const LinkId id{ctx.nextNumber()};
   Link link;
   link.Target = target;
   link.Service = service;
+  link.Workspace = workspace;
   link.Since = ctx.Now;
   link.Lender = lender;
   Links.emplace(id, std::move(link));
@@ -49,8 +50,31 @@
   return id;
 }
 
+std::size_t LinkPool::pending(const Server &server, const WorkspaceId &workspace, bool borrowed) const {
+  return static_cast<std::size_t>(
+      std::count_if(server.Links.begin(), server.Links.end(), [&](const LinkId &it) {
+        const auto &link = Links.at(it);
+        return link.State == Phase::Opening && link.Workspace == workspace && link.Lender.empty() != borrowed;
+      }));
+}
+
+bool LinkPool::evictIdleLink(Context &ctx, Server &server, const WorkspaceId &workspace) {
+  std::optional<LinkId> oldest;
+  for (const auto &id : server.Links) {
+    const auto &link = Links.at(id);
+    const bool evictable = link.State == Phase::Idle && link.Lender.empty() && link.Workspace != workspace;
+    if (evictable && (!oldest || link.Since < Links.at(*oldest).Since))
+      oldest = id;
+  }
+  if (!oldest)
+    return false;
+  ctx.emit(Count{"links_evicted_total"});
+  close(ctx, *oldest, false);
+  return true;
+}
+
 void LinkPool::openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
-                         LinkPurpose purpose) {
+                         LinkPurpose purpose, const WorkspaceId &workspace) {
   const auto *view = catalog.server(target);
   if (!view)
     return;
@@ -58,13 +82,16 @@
   const std::size_t cap = maxOpenLinks(catalog, view->Entry.Service, purpose);
   if (server.Idle > 0 && atConcurrencyLimit(target))
     return;
-  while (server.Opening < std::min(waiting, MaxOpening) && server.Links.size() < cap &&
-         ctx.Now >= server.RetryAt) {
-    const auto id = addLink(ctx, server, target, view->Entry.Service, NodeId());
+  const auto wanted = std::min(waiting, MaxOpening);
+  auto opening = catalog.configuration().Workspaces ? pending(server, workspace, false) : server.Opening;
+  for (; opening < wanted && server.Opening < MaxOpening && ctx.Now >= server.RetryAt; ++opening) {
+    if (server.Links.size() >= cap && !evictIdleLink(ctx, server, workspace))
+      break;
+    const auto id = addLink(ctx, server, target, view->Entry.Service, NodeId(), workspace);
     ++server.Opening;
     ++server.PendingReplies;
     server.Health.sent(ctx.Now);
-    ctx.emit(OpenLink{id, target, view->Entry.Service, view->Entry.Address});
+    ctx.emit(OpenLink{id, target, view->Entry.Service, view->Entry.Address, workspace});
     ctx.emit(Count{"links_opened_total"});
   }
   scheduleSweep(ctx.Now);
@@ -125,6 +152,7 @@
     return out;
   }
   if (event.Why == LinkFailure::TooMany) {
+    static_cast<void>(evictIdleLink(ctx, server, link.Workspace));
     server.FullAt = ctx.Now;
     server.RetryAt = ctx.Now + FullRetryDelay + ctx.jitter(FullRetryDelay);
   } else if (!out.Opened) {
--- a/src/links/internal/sweep.cpp
+++ b/src/links/internal/sweep.cpp
@@ -29,10 +29,20 @@
 /// Keeps fewer links: servers hold the connections of VMs that lost power for 3 s, and restarted proxies have
 /// only the remaining connections until then.
 constexpr IdlePolicy LentIdlePolicy{0.3, 2s, 250ms};
+/// Where links belong to workspaces, a link that is closed is more often missed: the next one that is idle
+/// may belong to another workspace.
+constexpr IdlePolicy WorkspaceIdlePolicy{0.8, 8s, 1s};
 constexpr std::size_t MaxIdleLinks = 8;
 /// Idle time-out where the share of a proxy that holds links is less than one connection.
 constexpr Duration NoShareIdleTimeout = 40ms;
 
+/// \param lent Whether connections are lent.
+const IdlePolicy &idlePolicy(const Catalog &catalog, bool lent) {
+  if (catalog.configuration().Workspaces)
+    return WorkspaceIdlePolicy;
+  return lent ? LentIdlePolicy : DedicatedIdlePolicy;
+}
+
 } // namespace
 
 void LinkPool::scheduleSweep(TimePoint now) { NextSweep = NextSweep.value_or(now + SweepInterval); }
@@ -46,8 +56,9 @@
   const auto share = static_cast<double>(limits->MaxConnections) / static_cast<double>(few ? Zones : Proxies);
   if (share < 1)
     return 0;
-  const auto part = few ? LentIdlePolicy.KeptFraction : DedicatedIdlePolicy.KeptFraction;
-  return std::clamp(static_cast<std::size_t>(share * part), std::size_t{1}, MaxIdleLinks);
+  const auto kept = static_cast<std::size_t>(share * idlePolicy(catalog, few).KeptFraction);
+  const auto most = catalog.configuration().Workspaces ? kept : MaxIdleLinks;
+  return std::clamp(kept, std::size_t{1}, std::max(most, std::size_t{1}));
 }
 
 Duration LinkPool::idleTimeout(const Catalog &catalog, const TargetId &target, const Server &server) const {
@@ -55,8 +66,7 @@
   if (keep == 0)
     return NoShareIdleTimeout;
   const auto *view = catalog.server(target);
-  const auto &policy =
-      view && needsLending(catalog, view->Entry.Service) ? LentIdlePolicy : DedicatedIdlePolicy;
+  const auto &policy = idlePolicy(catalog, view && needsLending(catalog, view->Entry.Service));
   return server.Idle <= keep ? policy.KeptTimeout : policy.ExcessTimeout;
 }
 
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -21,6 +21,8 @@
     const auto &link = Links.at(id);
     if (link.State != Phase::Idle || (!link.Lender.empty() && user.Session == SessionId()))
       continue;
+    if (!user.own() && link.Workspace != user.Workspace)
+      continue;
     const int rank = link.Values == values ? 2 : detail::setsAllNamesOf(values, link.Values) ? 1 : 0;
     // Among equal ranks, choose the most recently used, so that surplus links reach the idle time-out.
     if (rank > bestRank || (rank == bestRank && Links.at(*best).Since < link.Since)) {
@@ -146,6 +148,29 @@
 
 std::size_t LinkPool::busy(const TargetId &target) const { return open(target) - idle(target); }
 
+std::size_t LinkPool::idle(const TargetId &target, const WorkspaceId &workspace) const {
+  return countLinks(target, workspace, Phase::Idle);
+}
+
+std::size_t LinkPool::opening(const TargetId &target, const WorkspaceId &workspace) const {
+  return countLinks(target, workspace, Phase::Opening);
+}
+
+std::size_t LinkPool::busy(const TargetId &target, const WorkspaceId &workspace) const {
+  return countLinks(target, workspace, Phase::Busy);
+}
+
+std::size_t LinkPool::countLinks(const TargetId &target, const WorkspaceId &workspace, Phase state) const {
+  const auto server = Servers.find(target);
+  if (server == Servers.end())
+    return 0;
+  const auto &links = server->second.Links;
+  return static_cast<std::size_t>(std::count_if(links.begin(), links.end(), [&](const LinkId &it) {
+    const auto &link = Links.at(it);
+    return link.State == state && link.Workspace == workspace;
+  }));
+}
+
 bool LinkPool::full(const TargetId &target, TimePoint now) const {
   const auto it = Servers.find(target);
   return it != Servers.end() && it->second.FullAt && now - *it->second.FullAt < FullValidity;
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -28,6 +28,7 @@
 struct LoanParameters {
   NodeId Lender;
   std::uint32_t Priority = 0; ///< Priority of the work that waits for the connection.
+  WorkspaceId Workspace{};    ///< Workspace of the work; empty if it has none.
 };
 
 /// Kind of command that a pending reply belongs to.
@@ -43,6 +44,11 @@
   SessionId Session; ///< Zero if the link is used for a primary change or lent to another proxy.
   bool ForPrimaryChange = false;
   std::uint64_t Loan = 0; ///< The lender's number for the loan; zero if the link is not lent.
+  /// Workspace of the statements to run; empty if they belong to none.
+  WorkspaceId Workspace{};
+
+  /// Whether the link is for commands of this proxy's own, which may run on a link of any workspace.
+  [[nodiscard]] bool own() const { return ForPrimaryChange || (Session == SessionId() && Loan == 0); }
 };
 
 /// What a link is opened for.
@@ -53,14 +59,16 @@
 
 class LinkPool {
 public:
-  /// Assigns an idle link to a user, preferring one that already has the session's values set. Returns
-  /// nullopt if no link is idle or, except for a primary change, the concurrency limit is reached.
+  /// Assigns an idle link of the user's workspace, preferring one that already has the session's values set.
+  /// Returns nullopt if no such link is idle or, except for a primary change, the concurrency limit is
+  /// reached.
   [[nodiscard]] std::optional<LinkId> acquire(const TargetId &target, LinkUser user,
                                               const SessionValues &values, TimePoint now);
-  /// Opens links for waiting work, unless enough are being opened, the connection limit is reached, or the
-  /// server is in a retry delay after a refusal or failure.
+  /// Opens links for waiting work of a workspace, unless enough are being opened or the server is in a retry
+  /// delay after a refusal or failure. At the connection limit, idle links of other workspaces are closed in
+  /// favour of the new ones; without any, nothing is opened.
   void openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
-                 LinkPurpose purpose = LinkPurpose::Statements);
+                 LinkPurpose purpose = LinkPurpose::Statements, const WorkspaceId &workspace = {});
   /// Keeps the next link that becomes idle for a primary change, for ReservationTime.
   void reserveForChange(const TargetId &target, TimePoint now);
   /// Like openLinks, but requests connections that another proxy lends for one transaction each.
@@ -128,6 +136,12 @@
   [[nodiscard]] std::size_t open(const TargetId &target) const;
   [[nodiscard]] std::size_t busy(const TargetId &target) const;
   [[nodiscard]] std::size_t idle(const TargetId &target) const;
+  /// Idle links that may run statements of a workspace.
+  [[nodiscard]] std::size_t idle(const TargetId &target, const WorkspaceId &workspace) const;
+  /// Links that are being opened for a workspace.
+  [[nodiscard]] std::size_t opening(const TargetId &target, const WorkspaceId &workspace) const;
+  /// Links of a workspace that are in use.
+  [[nodiscard]] std::size_t busy(const TargetId &target, const WorkspaceId &workspace) const;
   [[nodiscard]] bool full(const TargetId &target, TimePoint now) const;
   /// Whether using one more link would exceed the server's current concurrency limit for this proxy.
   [[nodiscard]] bool atConcurrencyLimit(const TargetId &target) const;
@@ -147,6 +161,7 @@
   struct Link {
     TargetId Target;
     DatabaseId Service;
+    WorkspaceId Workspace; ///< Named to the server when the link was opened; it cannot change.
     Phase State = Phase::Opening;
     TimePoint Since; ///< Start of the current phase, or of queueing at the lender.
     LinkUser User;
@@ -155,6 +170,7 @@
     SessionValues Values;                                  ///< Session values set on this connection.
     std::set<std::string> Prepared; ///< Names of statements prepared on this connection.
     std::deque<PendingReply> PendingReplies;
+    bool Used = false;   ///< A statement was sent on it.
     NodeId Lender;       ///< Empty unless the link is borrowed.
     bool Queued = false; ///< The lender has confirmed that the request is queued.
     /// For a borrowed link: session values and prepared statement to send with the next commands.
@@ -182,10 +198,16 @@
   /// The idle link of a server that needs the fewest commands before the session's statements.
   [[nodiscard]] std::optional<LinkId> bestIdleLink(const Server &server, const LinkUser &user,
                                                    const SessionValues &values) const;
+  [[nodiscard]] std::size_t countLinks(const TargetId &target, const WorkspaceId &workspace,
+                                       Phase state) const;
   void adjustConcurrencyLimit(Server &server, const StatementOutcome &outcome, LinkStep step, TimePoint now);
   /// Adds a link that is being opened, or requested from a lender.
   LinkId addLink(Context &ctx, Server &server, const TargetId &target, const DatabaseId &service,
-                 const NodeId &lender);
+                 const NodeId &lender, const WorkspaceId &workspace);
+  /// Links of a workspace that are being opened, or, if borrowed, requested from a lender.
+  [[nodiscard]] std::size_t pending(const Server &server, const WorkspaceId &workspace, bool borrowed) const;
+  /// Closes the idle link of another workspace that was used least recently. Returns false if there is none.
+  bool evictIdleLink(Context &ctx, Server &server, const WorkspaceId &workspace);
   void endLoan(Context &ctx, LinkId id, const Link &link, LoanEndReason why);
   void setPhase(Link &link, Phase next, TimePoint now);
   static void onOpenFailed(Context &ctx, const TargetId &target, Server &server, LinkFailure why);
--- a/src/links/tests/linkpooltests.cpp
+++ b/src/links/tests/linkpooltests.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 const TargetId A("a");
+const WorkspaceId North("north");
+const WorkspaceId South("south");
 
 class Pool {
 public:
@@ -26,7 +28,16 @@
     return *Ctx;
   }
 
-  void openLinks(std::size_t waiting) { Links.openLinks(ctx(), Known, A, waiting); }
+  /// Puts a configuration in force in which links belong to workspaces.
+  void addWorkspaces() {
+    auto next = Known.configuration();
+    ++next.Version;
+    next.Workspaces.emplace();
+    Known.accept(next);
+  }
+  void openLinks(std::size_t waiting, const WorkspaceId &workspace = {}) {
+    Links.openLinks(ctx(), Known, A, waiting, LinkPurpose::Statements, workspace);
+  }
   /// Completes the opening of all pending links.
   void accept() {
     for (const auto &it : std::exchange(Out, {}))
@@ -38,8 +49,8 @@
       if (const auto *open = std::get_if<OpenLink>(&it))
         static_cast<void>(Links.onClosed(ctx(), {open->Link, why}));
   }
-  std::optional<LinkId> acquire(const SessionValues &values = {}) {
-    return Links.acquire(A, {SessionId{1}, false}, values, Now);
+  std::optional<LinkId> acquire(const SessionValues &values = {}, const WorkspaceId &workspace = {}) {
+    return Links.acquire(A, {SessionId{1}, false, 0, workspace}, values, Now);
   }
   template <typename T> std::size_t count() const {
     return static_cast<std::size_t>(std::count_if(
@@ -264,3 +275,53 @@
     pool.Links.send(pool.ctx(), *link, {RunStatement{"s", "READ 1", std::nullopt}});
   }
 }
+
+TEST_CASE("statements of a workspace run on links of that workspace only, and the proxy's own on any") {
+  // Guards against a server that runs a caller's statement under the name of another workspace.
+  Pool pool;
+  pool.addWorkspaces();
+  pool.openLinks(1, North);
+  pool.accept();
+  CHECK_FALSE(pool.acquire({}, South));
+  CHECK(pool.Links.idle(A, South) == 0);
+  CHECK(pool.Links.idle(A, North) == 1);
+  const auto own = pool.Links.acquire(A, {}, {}, pool.Now);
+  REQUIRE(own);
+  pool.Links.release(pool.ctx(), *own);
+  CHECK((pool.acquire({}, North) == own));
+}
+
+TEST_CASE("at the connection limit, the least recently used idle link of another workspace makes room") {
+  // Guards against a workspace that gets no link at all while the links of others are idle.
+  Pool pool(2);
+  pool.addWorkspaces();
+  pool.openLinks(1, North);
+  pool.accept();
+  pool.Now += 10ms;
+  pool.openLinks(1, South);
+  pool.accept();
+  pool.Now += 10ms;
+  const WorkspaceId west("west");
+  pool.openLinks(1, west);
+  CHECK(pool.count<OpenLink>() == 1);
+  CHECK(pool.count<CloseLink>() == 1);
+  CHECK(pool.Links.idle(A, North) == 0);
+  CHECK(pool.Links.idle(A, South) == 1);
+  pool.accept();
+  // A link in use stays.
+  REQUIRE(pool.acquire({}, South));
+  REQUIRE(pool.acquire({}, west));
+  pool.openLinks(1, North);
+  CHECK(pool.count<OpenLink>() == 0);
+  CHECK(pool.Links.open(A) == 2);
+}
+
+TEST_CASE("links that are opened for one workspace do not count for another") {
+  Pool pool(12);
+  pool.addWorkspaces();
+  pool.openLinks(1, North);
+  pool.openLinks(1, South);
+  CHECK(pool.count<OpenLink>() == 2);
+  pool.openLinks(1, South);
+  CHECK(pool.count<OpenLink>() == 2);
+}
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -16,6 +16,8 @@
 constexpr int MaxWaitPercent = 60;
 /// Statements without a link after which the rest of a queue is left for the next pass.
 constexpr std::size_t MaxFailuresInPass = 4;
+/// The same where statements belong to workspaces: one that finds no link tells nothing of other workspaces.
+constexpr std::size_t MaxFailuresByWorkspace = 16;
 /// How long a replica that rejected a read as lagging is avoided.
 constexpr Duration LaggingBackoff = 400ms;
 /// Minimum interval between attempts to use the same server as the primary while none is known.
@@ -119,8 +121,10 @@
   const auto &statements = queue.Statements;
   std::size_t failures = 0;
   std::size_t left = statements.size();
+  const bool byWorkspace = services.Catalog.configuration().Workspaces.has_value();
+  const auto maxFailures = byWorkspace ? MaxFailuresByWorkspace : MaxFailuresInPass;
   attempt.Wanted.reset();
-  for (auto it = statements.begin(); it != statements.end() && failures < MaxFailuresInPass; --left) {
+  for (auto it = statements.begin(); it != statements.end() && failures < maxFailures; --left) {
     const auto key = *it;
     const auto id = std::get<SessionId>(key);
     const auto session = Sessions.find(id);
@@ -132,12 +136,12 @@
       ++failures;
     it = statements.upper_bound(key);
   }
-  if (failures < MaxFailuresInPass || left == 0 || !attempt.Wanted)
+  if (failures < maxFailures || left == 0 || !attempt.Wanted || byWorkspace)
     return;
   // The statements behind those that found no link would not find one either.
   const auto session = Sessions.find(std::get<SessionId>(*statements.begin()));
   if (session != Sessions.end() && session->second.Current)
-    requestLinks(ctx, services, *attempt.Wanted, attempt.LinksWanted[*attempt.Wanted] + left,
+    requestLinks(ctx, services, *attempt.Wanted, attempt.LinksWanted[{*attempt.Wanted, WorkspaceId()}] + left,
                  *session->second.Current);
 }
 
@@ -205,7 +209,8 @@
     const auto lag = lagged.find(target);
     const bool lags = lag != lagged.end() && ctx.Now - lag->second < LaggingBackoff;
     const bool avoid = lags || work.Avoid.contains(target) || view->LeavingSince;
-    const auto cost = detail::readCost(ctx.Self, *view, services.Links, primary == target, ctx.Now);
+    const auto cost =
+        detail::readCost(ctx.Self, *view, services.Links, work.Workspace, primary == target, ctx.Now);
     costs.emplace_back(avoid ? cost + 1s : cost, target);
   }
   std::sort(costs.begin(), costs.end());
@@ -221,9 +226,10 @@
   const auto lender =
       services.Lenders.lenderOf(ctx, services.Catalog, services.Links, services.Fleet, target);
   if (lender)
-    services.Links.borrowLinks(ctx, services.Catalog, target, waiting, {*lender, work.Route.Priority});
+    services.Links.borrowLinks(ctx, services.Catalog, target, waiting,
+                               {*lender, work.Route.Priority, work.Workspace});
   else
-    services.Links.openLinks(ctx, services.Catalog, target, waiting);
+    services.Links.openLinks(ctx, services.Catalog, target, waiting, LinkPurpose::Statements, work.Workspace);
 }
 
 bool SessionsModule::tryStart(Context &ctx, SessionServices &services, SessionId id, Session &session,
@@ -232,18 +238,18 @@
   std::optional<Position> after;
   const auto targets = candidates(ctx, services, session, work, after);
   for (const auto &target : targets) {
-    if (attempt.Exhausted.contains(target))
+    if (attempt.Exhausted.contains({target, work.Workspace}))
       continue;
-    const auto link = services.Links.acquire(target, {id, false}, session.Values, ctx.Now);
+    const auto link = services.Links.acquire(target, {id, false, 0, work.Workspace}, session.Values, ctx.Now);
     if (!link) {
-      attempt.Exhausted.insert(target);
+      attempt.Exhausted.insert({target, work.Workspace});
       continue;
     }
     if (!services.Catalog.primary(work.Route.Service) && !after)
       Services[work.Route.Service].PrimaryProbedAt[target] = ctx.Now;
     // This statement uses a more costly server; open a link to the cheapest one for the statements that
     // follow.
-    if (target != targets.front() && services.Links.idle(targets.front()) == 0)
+    if (target != targets.front() && services.Links.idle(targets.front(), work.Workspace) == 0)
       requestLinks(ctx, services, targets.front(), 1, work);
     work.After = after;
     removeWaiting(id, session);
@@ -253,7 +259,8 @@
   if (targets.empty())
     return false;
   attempt.Wanted = targets.front();
-  requestLinks(ctx, services, targets.front(), ++attempt.LinksWanted[targets.front()], work);
+  requestLinks(ctx, services, targets.front(), ++attempt.LinksWanted[{targets.front(), work.Workspace}],
+               work);
   return false;
 }
 
@@ -301,6 +308,11 @@
 
 void SessionsModule::sendStatement(Context &ctx, SessionServices &services, SessionId id, Session &session) {
   auto &work = *session.Current;
+  // The configuration may have changed since the statement arrived.
+  if (workspaceFor(services, session, work.Route) != work.Workspace) {
+    refuseUnsent(ctx, services, id, session, detail::unknownKey());
+    return;
+  }
   const PreparedShape *shape = nullptr;
   RunStatement run{work.Statement.Id, work.Statement.Text, std::nullopt};
   if (const auto *it = std::get_if<ExecuteStatement>(&work.Statement.Parsed)) {
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -260,6 +260,16 @@
   finish(ctx, services, id, session, told);
 }
 
+void SessionsModule::refuseUnsent(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                                  const StatementRejection &why) {
+  // Releasing the link rolls the transaction back.
+  if (session.Transaction)
+    failTransaction(ctx, services, session);
+  else if (session.Current->Attempt)
+    services.Links.release(ctx, session.Current->Attempt->Link);
+  finish(ctx, services, id, session, why);
+}
+
 void SessionsModule::onLinkClosed(Context &ctx, SessionServices &services, const LinkPool::Closed &closed) {
   const auto id = closed.User.Session;
   const auto it = Sessions.find(id);
--- a/src/sessions/internal/serverchoice.cpp
+++ b/src/sessions/internal/serverchoice.cpp
@@ -26,8 +26,8 @@
   return it != self.RegionByZone.end() && it->second == self.Region ? SameRegion : OtherRegion;
 }
 
-Duration readCost(const NodeConfig &self, const ServerView &server, const LinkPool &links, bool primary,
-                  TimePoint now) {
+Duration readCost(const NodeConfig &self, const ServerView &server, const LinkPool &links,
+                  const WorkspaceId &workspace, bool primary, TimePoint now) {
   const auto &target = server.Entry.Target;
   const auto &health = links.health(target);
   const auto rtt = roundTrip(self, server.Entry.AvailabilityZone);
@@ -35,7 +35,7 @@
                        ServerConcurrency;
   if (primary)
     out += PrimaryPenalty;
-  if (links.idle(target) == 0)
+  if (links.idle(target, workspace) == 0)
     out += links.full(target, now) ? FullPenalty : OpeningCost + rtt;
   if (links.atConcurrencyLimit(target))
     out += FullPenalty;
--- a/src/sessions/internal/serverchoice.h
+++ b/src/sessions/internal/serverchoice.h
@@ -12,7 +12,7 @@
 [[nodiscard]] Duration roundTrip(const NodeConfig &self, const AvailabilityZone &zone);
 /// Expected duration of a read at a server: network time, load and penalties.
 [[nodiscard]] Duration readCost(const NodeConfig &self, const ServerView &server, const LinkPool &links,
-                                bool primary, TimePoint now);
+                                const WorkspaceId &workspace, bool primary, TimePoint now);
 
 /// A leaving server gets new work only this long after the proxy learned that it is leaving, and only if no
 /// other server can serve.
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -38,6 +38,8 @@
   AccessMode Mode = AccessMode::Read;
   bool Commit = false;
   DatabaseRoute Route; ///< As of the start of the statement or its transaction.
+  /// Whose links it runs on; empty if the route needs no key.
+  WorkspaceId Workspace;
   TimePoint ArrivedAt;
   TimePoint Deadline;
   TimePoint LatestStart; ///< While it waits for a link: not sent after this time, since it could not finish.
@@ -61,6 +63,7 @@
 /// its first read, write or commit on.
 struct Transaction {
   DatabaseRoute Route;
+  WorkspaceId Workspace; ///< Of the key at BEGIN; empty if the route needs no key.
   bool ReadOnly = false;
   TimePoint BeganAt;
   TimePoint IdleSince; ///< When its last statement was answered.
@@ -95,6 +98,10 @@
 [[nodiscard]] inline StatementRejection shuttingDown() {
   return {Rejection::Busy, "the proxy is shutting down; retry at another one"};
 }
+/// Refusal of a caller whose key belongs to no workspace.
+[[nodiscard]] inline StatementRejection unknownKey() {
+  return {Rejection::Unauthorized, "the key is not known"};
+}
 /// Whether the statement, or the transaction that it belongs to, only reads.
 [[nodiscard]] inline bool isRead(const Session &session, const PendingStatement &work) {
   return session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -107,6 +107,11 @@
            StatementRejection{Rejection::NoDatabase, "the route was removed"});
     return;
   }
+  const auto workspace = workspaceFor(services, session, *route);
+  if (!workspace) {
+    rejectUnauthorized(ctx, services, id, session, statement.Id);
+    return;
+  }
   if (LeavingSince && ctx.Now >= transactionsEndAt()) {
     // It would be rolled back before its first statement.
     session.LastEndsOperation = true;
@@ -115,6 +120,7 @@
   }
   detail::Transaction next;
   next.Route = *route;
+  next.Workspace = *workspace;
   next.ReadOnly = std::get<BeginStatement>(statement.Parsed).ReadOnly;
   next.BeganAt = ctx.Now;
   next.IdleSince = ctx.Now;
@@ -144,6 +150,11 @@
            StatementRejection{Rejection::NoDatabase, "the route was removed"});
     return;
   }
+  const auto workspace = workspaceFor(services, session, *route);
+  if (!workspace || (session.Transaction && *workspace != session.Transaction->Workspace)) {
+    rejectUnauthorized(ctx, services, id, session, statement.Id);
+    return;
+  }
   if (LeavingSince && ctx.Now + expectedDuration(ctx, services, route->Service) >= servingEndsAt()) {
     const auto name = statement.Id;
     if (session.Transaction)
@@ -163,6 +174,7 @@
   work.Mode = mode;
   work.Commit = commit;
   work.Route = *route;
+  work.Workspace = *workspace;
   work.ArrivedAt = ctx.Now;
   work.Deadline = ctx.Now + route->StatementTimeout;
   work.LatestStart = work.Deadline;
@@ -170,6 +182,21 @@
   dispatch(ctx, services, id, session);
 }
 
+std::optional<WorkspaceId> SessionsModule::workspaceFor(const SessionServices &services,
+                                                        const Session &session, const DatabaseRoute &route) {
+  if (!services.Catalog.needsKey(route))
+    return WorkspaceId();
+  const auto *workspace = services.Catalog.workspaceOf(session.Key);
+  return workspace ? std::optional(workspace->Name) : std::nullopt;
+}
+
+void SessionsModule::rejectUnauthorized(Context &ctx, SessionServices &services, SessionId id,
+                                        Session &session, const std::string &statement) {
+  if (session.Transaction)
+    failTransaction(ctx, services, session);
+  answer(ctx, id, session, statement, detail::unknownKey());
+}
+
 void SessionsModule::refuseInShutdown(Context &ctx, SessionId id, Session &session,
                                       const std::string &statement) {
   ctx.emit(Count{"statements_refused_in_shutdown_total"});
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -45,15 +45,21 @@
 }
 
 void SessionsModule::startSession(Context &ctx, SessionServices &services, const SessionOpened &event) {
-  if (!services.Catalog.route(event.Database)) {
+  std::optional<StatementRejection> why;
+  const auto *route = services.Catalog.route(event.Database);
+  if (!route)
+    why = {Rejection::NoDatabase, "no route has this name"};
+  else if (services.Catalog.needsKey(*route) && !services.Catalog.workspaceOf(event.Key))
+    why = detail::unknownKey();
+  if (why) {
     ctx.emit(Count{"sessions_refused_total"});
     ctx.emit(Log{LogLevel::Info,
                  "session refused",
                  {{"session", std::to_string(event.Session.Value)},
                   {"database", event.Database},
                   {"configuration", std::to_string(services.Catalog.configuration().Version)},
-                  {"reason", std::string(toString(Rejection::NoDatabase))}}});
-    ctx.emit(RefuseSession{event.Session, {Rejection::NoDatabase, "no route has this name"}});
+                  {"reason", std::string(toString(why->Code))}}});
+    ctx.emit(RefuseSession{event.Session, *why});
     return;
   }
   auto &session = Sessions[event.Session];
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -134,6 +134,13 @@
                 const SessionStatement &statement);
   void startStatement(Context &ctx, SessionServices &services, SessionId id, Session &session,
                       SessionStatement statement, AccessMode mode, bool commit);
+  /// The workspace whose links run a session's statements on a route; empty if the route needs no key.
+  /// Returns nullopt if the session's key is not known (any more).
+  [[nodiscard]] static std::optional<WorkspaceId>
+  workspaceFor(const SessionServices &services, const Session &session, const DatabaseRoute &route);
+  /// Rejects a statement that has not been passed on to dispatch, and rolls back its transaction.
+  void rejectUnauthorized(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                          const std::string &statement);
   void answer(Context &ctx, SessionId id, Session &session, const std::string &statement,
               StatementOutcome outcome, std::optional<Position> at = std::nullopt);
   /// Refuses a statement that this proxy could not finish before the end of its shutdown grace.
@@ -141,9 +148,11 @@
   void nextQueued(Context &ctx, SessionServices &services, SessionId id);
 
   // Server selection and dispatch (internal/dispatch.cpp).
+  /// Links of a server that can run the statements of a workspace.
+  using LinkSet = std::pair<TargetId, WorkspaceId>;
   struct DispatchPass {
-    std::set<TargetId> Exhausted; ///< Servers found without an idle link in this pass.
-    std::map<TargetId, std::size_t> LinksWanted;
+    std::set<LinkSet> Exhausted; ///< Found without an idle link in this pass.
+    std::map<LinkSet, std::size_t> LinksWanted;
     std::optional<TargetId> Wanted; ///< The server that the last statement without a link preferred.
   };
   /// Whether only the primary can run the statement.
@@ -212,6 +221,9 @@
   bool retry(Context &ctx, SessionServices &services, SessionId id, Session &session,
              const StatementRejection &why);
   void resendRead(Context &ctx, SessionServices &services, SessionId id, Session &session);
+  /// Rejects the current statement, which has not been sent to a server, and rolls back its transaction.
+  void refuseUnsent(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                    const StatementRejection &why);
   void handleNoAnswer(Context &ctx, SessionServices &services, SessionId id, Session &session,
                       detail::NoAnswer cause);
   void finish(Context &ctx, SessionServices &services, SessionId id, Session &session,
