Accept keyed statements only with a proof of the configuration's age

Where strict_revocation is set, a keyed statement now needs a proof that is younger than revocation_ms, counted from the sending of the question to the store and carried to followers relative to the receipt of their request, so that no delay or suspension makes it look younger. The watch of the configuration is cut to a fifth of the bound there: one call a zone and second. Tests of directory and reducer cover delays, followers, releases without proofs and unreadable configurations.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -5,6 +5,7 @@
 
 #include "protocol/directory.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <span>
@@ -42,6 +43,15 @@
   [[nodiscard]] const Configuration &configuration() const { return Current; }
   /// Returns null if the database has no route.
   [[nodiscard]] const DatabaseRoute *route(std::string_view database) const;
+  /// Records that the store held no configuration after the known one up to this time: the time at which the
+  /// question was sent whose answer told so.
+  void proveConfiguration(TimePoint upTo) { ProvenUntil = std::max(ProvenUntil.value_or(upTo), upTo); }
+  [[nodiscard]] std::optional<TimePoint> configurationProvenUntil() const { return ProvenUntil; }
+  /// Whether a caller's key may be trusted by the known configuration: always without a bound, else while the
+  /// proof of its age is younger than the bound.
+  [[nodiscard]] bool keysProven(std::optional<Duration> bound, TimePoint now) const {
+    return !bound || (ProvenUntil && now - *ProvenUntil <= *bound - ProofMargin);
+  }
   /// Whether callers of a route have to name the key of a workspace.
   [[nodiscard]] bool needsKey(const DatabaseRoute &route) const {
     return Current.Workspaces && !route.Anonymous;
@@ -76,6 +86,10 @@
   /// Change counter; increases whenever the configuration, the servers or their roles change.
   [[nodiscard]] std::uint64_t changeCount() const { return ChangeCount; }
 
+  /// A proof is used only until this long before its bound, since clocks of VMs run at slightly different
+  /// rates.
+  static constexpr Duration ProofMargin = 100ms;
+
 private:
   struct RemovedServer {
     ServerEntry Entry;
@@ -101,6 +115,7 @@
   /// The last entries of removed servers. The store may come back from a copy that still has earlier ones.
   std::map<TargetId, RemovedServer> Removed;
   std::map<DatabaseId, Group> Groups;
+  std::optional<TimePoint> ProvenUntil;
   bool ServersLoaded = false;
   std::uint64_t ChangeCount = 0;
 };
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -17,8 +17,6 @@
 constexpr int MaxDoublings = 3;
 /// Added to the time of a watch and its grace before a watcher counts as having lost the store.
 constexpr Duration RelayMargin = 100ms;
-/// Knowledge of a proxy that watches the store in the long rhythm is younger than this.
-constexpr Duration MaxPeerConfirmationAge = DirectoryModule::WatchDuration + DirectoryModule::WatchGrace;
 /// Key of the rendezvous order in which proxies watch the store.
 constexpr std::string_view WatcherKey = "directory";
 /// Deletions that are remembered for proxies that follow; older ones get the whole.
@@ -37,7 +35,10 @@
 
 void DirectoryModule::onStarted(Context &ctx, DirectoryServices &services) {
   StartedAt = ctx.Now;
-  Relay.setMaxConfirmationAge(followedWatchDuration(ctx) + WatchGrace + RelayMargin);
+  const auto maxAge = [&](DirectoryKind kind) {
+    return watchDuration(ctx, kind, true) + WatchGrace + RelayMargin;
+  };
+  Relay.setMaxConfirmationAge(maxAge(DirectoryKind::Configuration), maxAge(DirectoryKind::Servers));
   if (services.Fleet.listed()) {
     for (auto &it : Feeds)
       requestChanges(ctx, services, it);
@@ -48,8 +49,30 @@
     it.RetryAt = listedBy;
 }
 
-Duration DirectoryModule::followedWatchDuration(const Context &ctx) {
-  return ctx.Self.PropagationBound / FollowedWatchDivisor;
+Duration DirectoryModule::watchDuration(const Context &ctx, DirectoryKind kind, bool followed) {
+  const Duration out = followed ? ctx.Self.PropagationBound / FollowedWatchDivisor : WatchDuration;
+  const auto &bound = ctx.Self.RevocationBound;
+  return bound && kind == DirectoryKind::Configuration ? std::min(out, *bound / RevocationWatchDivisor) : out;
+}
+
+void DirectoryModule::recordProof(Catalog &catalog, const Feed &feed, TimePoint askedAt) {
+  if (feed.Kind == DirectoryKind::Configuration && !feed.ConfigurationUnreadable && catalog.configured())
+    catalog.proveConfiguration(askedAt);
+}
+
+void DirectoryModule::logProof(Context &ctx, const Catalog &catalog) {
+  if (!ctx.Self.RevocationBound || !catalog.configuration().Workspaces)
+    return;
+  const bool proven = catalog.keysProven(ctx.Self.RevocationBound, ctx.Now);
+  if (proven != ProofLost)
+    return;
+  ProofLost = !proven;
+  if (proven)
+    ctx.emit(Log{LogLevel::Info, "keys proven again", {}});
+  else
+    ctx.emit(Log{LogLevel::Warn,
+                 "keys not proven",
+                 {{"why", "the configuration may have changed since it was read; callers with keys wait"}}});
 }
 
 void DirectoryModule::requestChanges(Context &ctx, DirectoryServices &services, Feed &feed) {
@@ -93,7 +116,7 @@
     return;
   }
   const bool followed = isLargeZone(services.Fleet.order(ctx.Self.AvailabilityZone, WatcherKey));
-  const auto wait = followed ? followedWatchDuration(ctx) : WatchDuration;
+  const auto wait = watchDuration(ctx, feed.Kind, followed);
   ctx.emit(DirectoryCall{*feed.Call, wait + WatchGrace, WatchDirectory{feed.Kind, feed.Sync.Revision, wait}});
 }
 
@@ -125,7 +148,9 @@
   feed->Listing = feed->Listing && known.Revision == 0;
   Relay.answerPending(ctx, services.Catalog, feed->Kind, known);
   const bool large = isLargeZone(services.Fleet.order(ctx.Self.AvailabilityZone, WatcherKey));
-  if (!current || reply.Age >= (large ? Relay.maxConfirmationAge() : MaxPeerConfirmationAge)) {
+  const auto maxAge =
+      large ? Relay.maxConfirmationAge(feed->Kind) : watchDuration(ctx, feed->Kind, false) + WatchGrace;
+  if (!current || reply.Age >= maxAge) {
     BackoffUntil[from] = ctx.Now + PeerBackoff;
     ++feed->StalePeerReplies;
   }
@@ -141,10 +166,13 @@
   if (reply.Complete) {
     known.CompactedBefore = known.Revision;
     applyList(ctx, catalog, feed, reply.Objects);
-    return;
+  } else {
+    for (const auto &it : reply.Objects)
+      applyObject(ctx, catalog, feed, it);
   }
-  for (const auto &it : reply.Objects)
-    applyObject(ctx, catalog, feed, it);
+  // The request was received after it was sent here, so this never makes the proof look younger.
+  if (reply.ProofOffset)
+    recordProof(catalog, feed, std::min(ctx.Now, feed.PeerRequestSentAt + *reply.ProofOffset));
 }
 
 void DirectoryModule::onPeerFailure(Context &ctx, DirectoryServices &services, Feed &feed) {
@@ -198,8 +226,10 @@
   auto &known = feed->Sync;
   std::visit(Overloaded{
                  [&](const DirectoryListing &it) {
-                   if (feed->PartialList.empty())
+                   if (feed->PartialList.empty()) {
                      feed->FirstPageRevision = it.Revision;
+                     feed->FirstPageAskedAt = feed->StoreCalledAt;
+                   }
                    if (storeEra(feed->FirstPageRevision) != storeEra(it.Revision)) {
                      startListing(ctx, *feed);
                      return;
@@ -212,6 +242,7 @@
                    known.ConfirmedAt = ctx.Now;
                    feed->Listing = false;
                    applyList(ctx, services.Catalog, *feed, std::exchange(feed->PartialList, {}));
+                   recordProof(services.Catalog, *feed, feed->FirstPageAskedAt);
                  },
                  [&](const DirectoryChanges &it) {
                    if (storeEra(it.Revision) != storeEra(known.Revision)) {
@@ -223,6 +254,7 @@
                    known.ConfirmedAt = ctx.Now;
                    for (const auto &object : it.Objects)
                      applyObject(ctx, services.Catalog, *feed, object);
+                   recordProof(services.Catalog, *feed, feed->StoreCalledAt);
                  },
                  [&](const DirectoryHistoryCompacted &) { startListing(ctx, *feed); },
                  [](const auto &) {},
@@ -271,6 +303,7 @@
             // Also one that is in force already: after a restoration of the store, a proxy that follows may
             // have read an older one up to a later revision than the one at which this was accepted here.
             feed.Sync.LastChangeRevision = feed.Sync.Revision;
+            feed.ConfigurationUnreadable = false;
             if (!catalog.accept(it))
               return;
             ctx.emit(Count{"configurations_accepted_total"});
@@ -302,6 +335,7 @@
                            {{"service", it.Service.str()}, {"server", after->str()}, {"source", "store"}}});
           },
           [&](const UnreadableObject &it) {
+            feed.ConfigurationUnreadable = feed.Kind == DirectoryKind::Configuration;
             ctx.emit(Count{"directory_unreadable_total"});
             ctx.emit(Log{LogLevel::Warn, "object cannot be used", {{"name", object.Name}, {"why", it.Why}}});
             if (feed.Kind == DirectoryKind::Servers && !object.Name.empty())
@@ -350,6 +384,7 @@
 }
 
 void DirectoryModule::onTimer(Context &ctx, DirectoryServices &services) {
+  logProof(ctx, services.Catalog);
   for (auto &it : Feeds) {
     Relay.answerPending(ctx, services.Catalog, it.Kind, it.Sync);
     const bool due = ctx.Now >= it.RetryAt || (!it.Started && services.Fleet.listed());
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -50,6 +50,10 @@
   /// The same where other proxies follow, as a part of the bound for configurations: they notice a watcher
   /// that has lost the store later than the watcher itself.
   static constexpr int FollowedWatchDivisor = 2;
+  /// Where withdrawn keys have to stop working within a bound, a watch of the configuration takes this part
+  /// of it at most: two watches and two relays then fit into the bound, and so does the way to another
+  /// watcher.
+  static constexpr int RevocationWatchDivisor = 5;
   /// Proxies of an availability zone that one may follow, in rendezvous order, and the size of a zone from
   /// which all but the first follow.
   static constexpr std::size_t MaxFollowedPerZone = 2;
@@ -86,6 +90,9 @@
     bool Listing = true;
     std::vector<DirectoryObject> PartialList; ///< Pages of a list that is not complete.
     std::uint64_t FirstPageRevision = 0;      ///< A later change may be missing from the pages before it.
+    TimePoint FirstPageAskedAt;
+    /// The store holds a configuration that cannot be read, so nothing is known of the present keys.
+    bool ConfigurationUnreadable = false;
     detail::SyncState Sync;
     TimePoint RetryAt;
     int StoreFailures = 0; ///< Of calls to the store, in a row.
@@ -102,7 +109,12 @@
   void requestChanges(Context &ctx, DirectoryServices &services, Feed &feed);
   void queryStore(Context &ctx, DirectoryServices &services, Feed &feed);
   void queryPeer(Context &ctx, Feed &feed, const NodeId &peer);
-  [[nodiscard]] static Duration followedWatchDuration(const Context &ctx);
+  /// \param followed Whether other proxies follow this one.
+  [[nodiscard]] static Duration watchDuration(const Context &ctx, DirectoryKind kind, bool followed);
+  /// Records what an answer of the store proves of the configuration's age.
+  static void recordProof(Catalog &catalog, const Feed &feed, TimePoint askedAt);
+  /// Logs when the proof of the configuration's age becomes too old, and when there is one again.
+  void logProof(Context &ctx, const Catalog &catalog);
   void onPeerFailure(Context &ctx, DirectoryServices &services, Feed &feed);
   [[nodiscard]] std::optional<NodeId> selectPeer(const Context &ctx, const FleetMap &fleet,
                                                  const Feed &feed) const;
@@ -120,6 +132,7 @@
   std::array<Feed, 2> Feeds{Feed(DirectoryKind::Configuration), Feed(DirectoryKind::Servers)};
   detail::ChangeRelay Relay;
   TimePoint StartedAt;
+  bool ProofLost = false; ///< It was logged that the proof of the configuration's age is too old.
   std::map<TargetId, TimePoint>
       PendingRemovals;                      ///< Servers whose entries have ended, with the time of removal.
   std::map<NodeId, TimePoint> BackoffUntil; ///< Proxies that did not answer or have lost the store.
--- a/src/directory/internal/changerelay.cpp
+++ b/src/directory/internal/changerelay.cpp
@@ -12,10 +12,13 @@
 
 } // namespace
 
-void ChangeRelay::answer(Context &ctx, const Catalog &catalog, const SyncState &known, const NodeId &to,
-                         const ChangesRequest &request) {
+void ChangeRelay::answer(Context &ctx, const Catalog &catalog, const SyncState &known,
+                         const PendingRequest &pending) {
+  const auto &request = pending.Request;
   ChangesReply out{request.Number, request.Kind, known.Revision, ctx.Now - known.ConfirmedAt, false, {}};
   if (request.Kind == DirectoryKind::Configuration) {
+    if (const auto provenUntil = catalog.configurationProvenUntil())
+      out.ProofOffset = *provenUntil - pending.ReceivedAt;
     if (catalog.configured() && known.LastChangeRevision > request.Revision)
       out.Objects.push_back({ConfigurationName, false, catalog.configuration()});
   } else {
@@ -31,28 +34,28 @@
       if (!out.Complete && revision > request.Revision)
         out.Objects.push_back({name, true, UnreadableObject{}});
   }
-  ctx.emit(SendToPeer{to, std::move(out)});
+  ctx.emit(SendToPeer{pending.From, std::move(out)});
 }
 
 void ChangeRelay::onRequest(Context &ctx, const Catalog &catalog, const SyncState &known, const NodeId &from,
                             const ChangesRequest &request) {
   const bool changed = known.Revision > 0 && (known.LastChangeRevision > request.Revision ||
                                               request.Revision < known.CompactedBefore);
-  const bool old = outdated(known, ctx.Now);
+  const bool old = outdated(request.Kind, known, ctx.Now);
   if (changed || old || PendingRequests.size() >= MaxPendingRequests)
-    answer(ctx, catalog, known, from, request);
+    answer(ctx, catalog, known, {from, request, ctx.Now});
   else
-    PendingRequests.push_back({from, request, ctx.Now + request.Wait});
+    PendingRequests.push_back({from, request, ctx.Now});
 }
 
 void ChangeRelay::answerPending(Context &ctx, const Catalog &catalog, DirectoryKind kind,
                                 const SyncState &known) {
-  const bool old = outdated(known, ctx.Now);
+  const bool old = outdated(kind, known, ctx.Now);
   std::erase_if(PendingRequests, [&](const PendingRequest &it) {
     if (it.Request.Kind != kind ||
-        (!old && ctx.Now < it.Deadline && known.LastChangeRevision <= it.Request.Revision))
+        (!old && ctx.Now < it.deadline() && known.LastChangeRevision <= it.Request.Revision))
       return false;
-    answer(ctx, catalog, known, it.From, it.Request);
+    answer(ctx, catalog, known, it);
     return true;
   });
 }
@@ -65,7 +68,8 @@
   std::optional<TimePoint> out;
   for (const auto &it : PendingRequests)
     if (it.Request.Kind == kind)
-      out = std::min({out.value_or(it.Deadline), it.Deadline, known.ConfirmedAt + MaxConfirmationAge});
+      out = std::min(
+          {out.value_or(it.deadline()), it.deadline(), known.ConfirmedAt + maxConfirmationAge(kind)});
   return out;
 }
 
--- a/src/directory/internal/changerelay.h
+++ b/src/directory/internal/changerelay.h
@@ -34,8 +34,13 @@
 
   /// Knowledge that the store has not confirmed for this long is told at once, so that those who follow this
   /// proxy go elsewhere. Above the time of a watch at the store with its grace.
-  [[nodiscard]] Duration maxConfirmationAge() const { return MaxConfirmationAge; }
-  void setMaxConfirmationAge(Duration value) { MaxConfirmationAge = value; }
+  [[nodiscard]] Duration maxConfirmationAge(DirectoryKind kind) const {
+    return kind == DirectoryKind::Configuration ? MaxConfigurationAge : MaxServersAge;
+  }
+  void setMaxConfirmationAge(Duration configuration, Duration servers) {
+    MaxConfigurationAge = configuration;
+    MaxServersAge = servers;
+  }
   /// Bound on requests that wait.
   static constexpr std::size_t MaxPendingRequests = 4'096;
 
@@ -43,18 +48,22 @@
   struct PendingRequest {
     NodeId From;
     ChangesRequest Request;
-    TimePoint Deadline;
+    TimePoint ReceivedAt;
+
+    [[nodiscard]] TimePoint deadline() const { return ReceivedAt + Request.Wait; }
   };
-  static void answer(Context &ctx, const Catalog &catalog, const SyncState &known, const NodeId &to,
-                     const ChangesRequest &request);
+  static void answer(Context &ctx, const Catalog &catalog, const SyncState &known,
+                     const PendingRequest &pending);
 
   /// Whether the store has not confirmed the knowledge for long. A proxy that has read nothing yet is asked
   /// to wait.
-  [[nodiscard]] bool outdated(const SyncState &known, TimePoint now) const {
-    return known.Revision > 0 && now - known.ConfirmedAt >= MaxConfirmationAge;
+  [[nodiscard]] bool outdated(DirectoryKind kind, const SyncState &known, TimePoint now) const {
+    return known.Revision > 0 && now - known.ConfirmedAt >= maxConfirmationAge(kind);
   }
 
-  Duration MaxConfirmationAge{}; ///< Set at the start of the proxy.
+  // Set at the start of the proxy.
+  Duration MaxConfigurationAge{};
+  Duration MaxServersAge{};
   std::vector<PendingRequest> PendingRequests;
 };
 
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -554,3 +554,95 @@
   REQUIRE(reply->second.Objects.size() == 1);
   CHECK(std::get<Configuration>(reply->second.Objects.front().Value).Version == 15);
 }
+
+TEST_CASE("an answer proves the configuration's age from the time at which the question was sent") {
+  // Guards against a proof that looks younger than it is: the answer was held up on its way, or this proxy
+  // was suspended before it read it.
+  Fixture store;
+  const auto asked = store.Now;
+  auto call = *store.take(DirectoryKind::Configuration);
+  store.Now += 900ms;
+  store.answer(call, DirectoryListing{{Fixture::configuration(1)}, false, 9});
+  CHECK((store.Known.configurationProvenUntil() == asked));
+  const auto watched = store.Now;
+  call = *store.take(DirectoryKind::Configuration);
+  store.Now += 2s;
+  store.answer(call, DirectoryChanges{{}, 9});
+  CHECK((store.Known.configurationProvenUntil() == watched));
+  CHECK(store.Known.keysProven(Duration(5s), watched + 4900ms));
+  CHECK_FALSE(store.Known.keysProven(Duration(5s), watched + 4901ms));
+  CHECK(store.Known.keysProven(std::nullopt, watched + 1h));
+}
+
+TEST_CASE("a configuration that cannot be read proves nothing until one can be read") {
+  Fixture store;
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryListing{{Fixture::configuration(1)}, false, 9});
+  const auto proven = store.Known.configurationProvenUntil();
+  store.advance(DirectoryModule::StartupPeriod);
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryChanges{{{"main", false, UnreadableObject{"odd"}}}, 10});
+  store.Now += 1s;
+  store.answer(*store.take(DirectoryKind::Configuration), DirectoryChanges{{}, 10});
+  CHECK((store.Known.configurationProvenUntil() == proven));
+  store.Now += 1s;
+  const auto asked = store.Now;
+  store.answer(*store.take(DirectoryKind::Configuration), DirectoryChanges{{Fixture::configuration(2)}, 11});
+  CHECK((store.Known.configurationProvenUntil() <= asked));
+  CHECK((store.Known.configurationProvenUntil() > proven));
+}
+
+TEST_CASE("a follower counts a proof from its own request, whatever the delays") {
+  Follower it;
+  it.answer(*it.take(DirectoryKind::Configuration), DirectoryListing{{Fixture::configuration(1)}, false, 9});
+  const auto asked = it.Now;
+  auto request = it.takeSent<ChangesRequest>();
+  REQUIRE(request);
+  REQUIRE((request->second.Kind == DirectoryKind::Configuration));
+  // The answer says that the proof was 300 ms younger than the request when that was received, and is held up
+  // for 1 s.
+  it.Now += 1s;
+  it.Fixture::reply(request->first, {request->second.Number,
+                                     DirectoryKind::Configuration,
+                                     9,
+                                     300ms,
+                                     false,
+                                     {Fixture::configuration(2)},
+                                     Duration(300ms)});
+  CHECK((it.Known.configurationProvenUntil() == asked + 300ms));
+  // A proxy of an earlier release sends no proof.
+  request = it.takeSent<ChangesRequest>();
+  REQUIRE(request);
+  it.Now += 100ms;
+  it.Fixture::reply(request->first,
+                    {request->second.Number, DirectoryKind::Configuration, 9, 0ms, false, {}});
+  CHECK((it.Known.configurationProvenUntil() == asked + 300ms));
+}
+
+TEST_CASE("who follows is told the proof relative to the receipt of its request") {
+  Fixture store;
+  const auto asked = store.Now;
+  store.Now += 100ms;
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryListing{{Fixture::configuration(1)}, false, 9});
+  store.Now += 400ms;
+  store.Module.onRequest(store.ctx(), store.Services, NodeId("n1"), {7, DirectoryKind::Configuration, 9, 1s});
+  store.advance(1s);
+  const auto reply = store.takeSent<ChangesReply>();
+  REQUIRE(reply);
+  CHECK((reply->second.ProofOffset == asked - (asked + 500ms)));
+}
+
+TEST_CASE("where withdrawn keys have to stop within a bound, watches of the configuration are short") {
+  Fixture store;
+  store.Self.RevocationBound = 5s;
+  store.answer(*store.take(DirectoryKind::Configuration),
+               DirectoryListing{{Fixture::configuration(1)}, false, 9});
+  store.answer(*store.take(DirectoryKind::Servers), DirectoryListing{{}, false, 9});
+  store.advance(DirectoryModule::StartupPeriod);
+  const auto configuration = store.take(DirectoryKind::Configuration);
+  const auto servers = store.take(DirectoryKind::Servers);
+  REQUIRE((configuration && servers));
+  CHECK((std::get<WatchDirectory>(configuration->Request).Wait == 1s));
+  CHECK((std::get<WatchDirectory>(servers->Request).Wait == DirectoryModule::WatchDuration));
+}
--- a/src/reducer/tests/workspacetests.cpp
+++ b/src/reducer/tests/workspacetests.cpp
@@ -16,7 +16,8 @@
 /// A proxy whose configuration has two workspaces. The route "open" is anonymous.
 class Proxy : public SessionHarness {
 public:
-  Proxy() {
+  explicit Proxy(std::optional<Duration> revocationBound = std::nullopt) {
+    Logic.Self.RevocationBound = revocationBound;
     // While a fleet starts, watches are paused after each change.
     pass(DirectoryModule::StartupPeriod + 1s);
     Configuration next = Logic.Catalog.configuration();
@@ -25,6 +26,7 @@
     next.Routes.push_back(open);
     next.Workspaces = {{North, {NorthKey}, 0, 100, 100}, {South, {SouthKey}, 0, 100, 100}};
     configure(next);
+    answerWatch(DirectoryKind::Configuration, {}, Revision);
   }
 
   void configure(Configuration next) {
@@ -138,3 +140,25 @@
   CHECK((proxy.codeOf("w1") == Rejection::Unauthorized));
   CHECK_FALSE(proxy.take<SendOnLink>());
 }
+
+TEST_CASE("without a proof of the configuration's age, a keyed statement is refused as not run at once") {
+  // Guards against a key that was withdrawn while this proxy heard nothing of the store.
+  Proxy proxy(5s);
+  const auto session = proxy.open("settle", NorthKey);
+  const auto anonymous = proxy.open("open", KeyDigest{});
+  proxy.write(session, "w1");
+  CHECK(proxy.accept().second == North);
+  CHECK(proxy.take<SendOnLink>());
+  // The watch that is in progress is not answered.
+  proxy.pass(5s);
+  proxy.write(session, "w2");
+  CHECK((proxy.codeOf("w2") == Rejection::Busy));
+  proxy.open("settle", NorthKey);
+  const auto refused = proxy.take<RefuseSession>();
+  REQUIRE(refused);
+  CHECK((refused->Why.Code == Rejection::Busy));
+  proxy.Out.clear();
+  proxy.write(anonymous, "w3");
+  CHECK(proxy.accept().second == WorkspaceId());
+  CHECK(proxy.take<SendOnLink>());
+}
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -309,7 +309,7 @@
 void SessionsModule::sendStatement(Context &ctx, SessionServices &services, SessionId id, Session &session) {
   auto &work = *session.Current;
   // The configuration may have changed since the statement arrived.
-  if (workspaceFor(services, session, work.Route) != work.Workspace) {
+  if (workspaceFor(services.Catalog, session.Key, work.Route) != work.Workspace) {
     refuseUnsent(ctx, services, id, session, detail::unknownKey());
     return;
   }
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -10,6 +10,8 @@
 /// Limits on the state kept per session.
 constexpr std::size_t MaxValues = 256;
 constexpr std::size_t MaxPreparedStatements = 1'024;
+/// After which a caller whose key could not be checked is asked to return, with as much again at random.
+constexpr Duration ProofRetryDelay = 500ms;
 const std::string NoSignature = "-";
 
 StatementResultRows done() { return {{}, NoSignature}; }
@@ -107,9 +109,8 @@
            StatementRejection{Rejection::NoDatabase, "the route was removed"});
     return;
   }
-  const auto workspace = workspaceFor(services, session, *route);
-  if (!workspace) {
-    rejectUnauthorized(ctx, services, id, session, statement.Id);
+  if (const auto why = refusalOfKey(ctx, services.Catalog, session.Key, *route)) {
+    answer(ctx, id, session, statement.Id, *why);
     return;
   }
   if (LeavingSince && ctx.Now >= transactionsEndAt()) {
@@ -120,7 +121,7 @@
   }
   detail::Transaction next;
   next.Route = *route;
-  next.Workspace = *workspace;
+  next.Workspace = workspaceFor(services.Catalog, session.Key, *route).value_or(WorkspaceId());
   next.ReadOnly = std::get<BeginStatement>(statement.Parsed).ReadOnly;
   next.BeganAt = ctx.Now;
   next.IdleSince = ctx.Now;
@@ -150,9 +151,13 @@
            StatementRejection{Rejection::NoDatabase, "the route was removed"});
     return;
   }
-  const auto workspace = workspaceFor(services, session, *route);
-  if (!workspace || (session.Transaction && *workspace != session.Transaction->Workspace)) {
-    rejectUnauthorized(ctx, services, id, session, statement.Id);
+  const auto workspace = workspaceFor(services.Catalog, session.Key, *route).value_or(WorkspaceId());
+  auto why = refusalOfKey(ctx, services.Catalog, session.Key, *route);
+  if (!why && session.Transaction && workspace != session.Transaction->Workspace)
+    why = detail::unknownKey();
+  if (why) {
+    const auto name = statement.Id;
+    rejectAndRollBack(ctx, services, id, session, name, *why);
     return;
   }
   if (LeavingSince && ctx.Now + expectedDuration(ctx, services, route->Service) >= servingEndsAt()) {
@@ -174,7 +179,7 @@
   work.Mode = mode;
   work.Commit = commit;
   work.Route = *route;
-  work.Workspace = *workspace;
+  work.Workspace = workspace;
   work.ArrivedAt = ctx.Now;
   work.Deadline = ctx.Now + route->StatementTimeout;
   work.LatestStart = work.Deadline;
@@ -182,19 +187,37 @@
   dispatch(ctx, services, id, session);
 }
 
-std::optional<WorkspaceId> SessionsModule::workspaceFor(const SessionServices &services,
-                                                        const Session &session, const DatabaseRoute &route) {
-  if (!services.Catalog.needsKey(route))
+std::optional<WorkspaceId> SessionsModule::workspaceFor(const Catalog &catalog, const KeyDigest &key,
+                                                        const DatabaseRoute &route) {
+  if (!catalog.needsKey(route))
     return WorkspaceId();
-  const auto *workspace = services.Catalog.workspaceOf(session.Key);
+  const auto *workspace = catalog.workspaceOf(key);
   return workspace ? std::optional(workspace->Name) : std::nullopt;
 }
 
-void SessionsModule::rejectUnauthorized(Context &ctx, SessionServices &services, SessionId id,
-                                        Session &session, const std::string &statement) {
+std::optional<StatementRejection> SessionsModule::refusalOfKey(Context &ctx, const Catalog &catalog,
+                                                               const KeyDigest &key,
+                                                               const DatabaseRoute &route) {
+  if (!catalog.needsKey(route))
+    return std::nullopt;
+  // Without a proof, a key that is not known may be new as well.
+  if (!catalog.keysProven(ctx.Self.RevocationBound, ctx.Now)) {
+    ctx.emit(Count{"statements_refused_unproven_total"});
+    const auto retryAfter = (ProofRetryDelay + ctx.jitter(ProofRetryDelay)) / 1ms;
+    return StatementRejection{Rejection::Busy,
+                              "the key cannot be checked; retry in " + std::to_string(retryAfter) + " ms"};
+  }
+  if (catalog.workspaceOf(key))
+    return std::nullopt;
+  return detail::unknownKey();
+}
+
+void SessionsModule::rejectAndRollBack(Context &ctx, SessionServices &services, SessionId id,
+                                       Session &session, const std::string &statement,
+                                       const StatementRejection &why) {
   if (session.Transaction)
     failTransaction(ctx, services, session);
-  answer(ctx, id, session, statement, detail::unknownKey());
+  answer(ctx, id, session, statement, why);
 }
 
 void SessionsModule::refuseInShutdown(Context &ctx, SessionId id, Session &session,
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -49,8 +49,8 @@
   const auto *route = services.Catalog.route(event.Database);
   if (!route)
     why = {Rejection::NoDatabase, "no route has this name"};
-  else if (services.Catalog.needsKey(*route) && !services.Catalog.workspaceOf(event.Key))
-    why = detail::unknownKey();
+  else
+    why = refusalOfKey(ctx, services.Catalog, event.Key, *route);
   if (why) {
     ctx.emit(Count{"sessions_refused_total"});
     ctx.emit(Log{LogLevel::Info,
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -134,13 +134,16 @@
                 const SessionStatement &statement);
   void startStatement(Context &ctx, SessionServices &services, SessionId id, Session &session,
                       SessionStatement statement, AccessMode mode, bool commit);
-  /// The workspace whose links run a session's statements on a route; empty if the route needs no key.
-  /// Returns nullopt if the session's key is not known (any more).
-  [[nodiscard]] static std::optional<WorkspaceId>
-  workspaceFor(const SessionServices &services, const Session &session, const DatabaseRoute &route);
+  /// The workspace whose links run statements of a key's caller on a route; empty if the route needs no key.
+  /// Returns nullopt if the key is not known (any more).
+  [[nodiscard]] static std::optional<WorkspaceId> workspaceFor(const Catalog &catalog, const KeyDigest &key,
+                                                               const DatabaseRoute &route);
+  /// Why a caller with this key may not start anything on a route now; empty if it may.
+  [[nodiscard]] static std::optional<StatementRejection>
+  refusalOfKey(Context &ctx, const Catalog &catalog, const KeyDigest &key, const DatabaseRoute &route);
   /// Rejects a statement that has not been passed on to dispatch, and rolls back its transaction.
-  void rejectUnauthorized(Context &ctx, SessionServices &services, SessionId id, Session &session,
-                          const std::string &statement);
+  void rejectAndRollBack(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                         const std::string &statement, const StatementRejection &why);
   void answer(Context &ctx, SessionId id, Session &session, const std::string &statement,
               StatementOutcome outcome, std::optional<Position> at = std::nullopt);
   /// Refuses a statement that this proxy could not finish before the end of its shutdown grace.
