Grant operations of a workspace only within its quota, over all proxies

The limit is now divided among the availability zones; in each one proxy keeps token buckets under a lease in the store, and every operation takes a token before its first statement is sent. Empty zones get tokens from others, and a zone without a holder is served by those of the other zones. A new holder starts with empty buckets, so a takeover never grants twice.

--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -15,10 +15,11 @@
 class SessionEventHandler {
 public:
   SessionEventHandler(State &state, Context &ctx)
-      : S(state),
-        Ctx(ctx), SessionDeps{state.Catalog, state.Links, state.Fleet, state.Positions, state.Lenders},
+      : S(state), Ctx(ctx), SessionDeps{state.Catalog,   state.Links,   state.Fleet,
+                                        state.Positions, state.Lenders, state.Quota},
         LeadershipDeps{state.Catalog, state.Links, state.Sessions, state.Fleet, state.Era},
-        LendingDeps{state.Catalog, state.Links}, DirectoryDeps{state.Catalog, state.Fleet} {}
+        LendingDeps{state.Catalog, state.Links},
+        DirectoryDeps{state.Catalog, state.Fleet}, QuotaDeps{state.Catalog, state.Fleet} {}
 
   void operator()(const Started &) {
     S.Fleet.onStarted(Ctx);
@@ -32,6 +33,7 @@
     S.Links.setFleet(S.Fleet.size(), S.Fleet.zones());
     S.Links.onTimer(Ctx, S.Catalog);
     S.Lender.onTimer(Ctx, LendingDeps);
+    S.Quota.onTimer(Ctx, QuotaDeps);
     backOffFromSilentLenders();
     S.Sessions.onTimer(Ctx, SessionDeps);
     if (const auto next = S.Leadership.nextTimer(); !next || Ctx.Now >= *next)
@@ -45,6 +47,7 @@
     S.Leadership.startLeaving();
     S.Fleet.startLeaving(Ctx);
     S.Lender.startLeaving();
+    S.Quota.startLeaving(Ctx, QuotaDeps);
     checkDrain();
   }
 
@@ -106,6 +109,8 @@
       S.Fleet.onAnswer(Ctx, event);
       // The directory waits for the first list of proxies.
       S.Directory.onTimer(Ctx, DirectoryDeps);
+    } else if (event.Call.Owner == Module::Quota) {
+      S.Quota.onAnswer(Ctx, QuotaDeps, event);
     } else if (event.Call.Owner == Module::Leadership) {
       S.Leadership.onDirectoryAnswer(Ctx, LeadershipDeps, event);
     } else {
@@ -125,6 +130,7 @@
     S.Directory.onPeerLost(Ctx, DirectoryDeps, event.Node);
     S.Positions.onPeerLost(Ctx, event.Node);
     S.Lender.onPeerLost(Ctx, LendingDeps, event.Node);
+    S.Quota.onPeerLost(Ctx, event.Node);
     const auto borrowed = S.Links.lentBy(event.Node);
     if (!borrowed.empty())
       S.Lenders.backOff(event.Node, Ctx.Now);
@@ -138,6 +144,16 @@
 
   template <typename T> void operator()(const T &) {}
 
+  /// Asks for the tokens that operations wait for, and starts or refuses those that are decided.
+  void admitByQuota() {
+    S.Quota.sendRequests(Ctx, QuotaDeps);
+    for (auto decisions = S.Quota.takeDecisions(); !decisions.empty(); decisions = S.Quota.takeDecisions()) {
+      for (const auto &it : decisions)
+        S.Sessions.onQuotaDecision(Ctx, SessionDeps, it);
+      S.Quota.sendRequests(Ctx, QuotaDeps);
+    }
+  }
+
 private:
   void onMessage(const NodeId &from, const ChangesRequest &message) {
     S.Directory.onRequest(Ctx, DirectoryDeps, from, message);
@@ -154,6 +170,13 @@
   void onMessage(const NodeId &from, const PositionReply &message) {
     S.Sessions.onPositionReply(Ctx, SessionDeps, from, message);
   }
+  void onMessage(const NodeId &from, const QuotaRequest &message) {
+    S.Quota.onRequest(Ctx, QuotaDeps, from, message);
+  }
+  void onMessage(const NodeId &from, const QuotaReply &message) {
+    S.Quota.onReply(Ctx, QuotaDeps, from, message);
+  }
+  void onMessage(const NodeId &from, const QuotaHandover &message) { S.Quota.onHandover(Ctx, from, message); }
   void onMessage(const NodeId &from, const LoanRequest &message) {
     S.Lender.onRequest(Ctx, LendingDeps, from, message);
   }
@@ -209,6 +232,7 @@
                  "store restored",
                  {{"era", std::to_string(era)}, {"era_before", std::to_string(before)}}});
     S.Fleet.onStoreRestored(Ctx);
+    S.Quota.onStoreRestored(Ctx.Now);
     S.Leadership.onStoreRestored(Ctx, LeadershipDeps);
   }
 
@@ -239,22 +263,25 @@
   LeadershipServices LeadershipDeps;
   LendingServices LendingDeps;
   DirectoryServices DirectoryDeps;
+  QuotaServices QuotaDeps;
 };
 
 } // namespace
 
 void onSessionEvent(State &state, Context &ctx, const Event &event) {
-  std::visit(SessionEventHandler(state, ctx), event);
+  SessionEventHandler handler(state, ctx);
+  std::visit(handler, event);
+  handler.admitByQuota();
   state.Sessions.closeAnswered(ctx);
   LendingServices lending{state.Catalog, state.Links};
   state.Lender.onCapacity(ctx, lending);
 }
 
 std::optional<TimePoint> nextSessionTimer(const State &state) {
-  const std::array<std::optional<TimePoint>, 7> times = {
+  const std::array<std::optional<TimePoint>, 8> times = {
       state.Directory.nextTimer(),  state.Links.nextTimer(), state.Sessions.nextTimer(),
       state.Leadership.nextTimer(), state.Drain.nextTimer(), state.Lender.nextTimer(),
-      state.Fleet.nextTimer()};
+      state.Fleet.nextTimer(),      state.Quota.nextTimer()};
   std::optional<TimePoint> out;
   for (const auto &it : times)
     if (it && (!out || *it < *out))
--- a/src/reducer/state.h
+++ b/src/reducer/state.h
@@ -16,6 +16,7 @@
 #include "membership/membershipmodule.h"
 #include "positions/positionexchange.h"
 #include "protocol/rules.h"
+#include "quota/quotamodule.h"
 #include "request/requestmodule.h"
 #include "sessions/sessionsmodule.h"
 #include "settings/settingsmodule.h"
@@ -54,6 +55,7 @@
   FleetMap Fleet;
   PositionExchange Positions;
   LenderChoice Lenders;
+  QuotaModule Quota;
   rosemaryhinge::Lender Lender;
   SessionsModule Sessions;
   LeadershipModule Leadership;
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -356,6 +356,8 @@
 void SessionsModule::finish(Context &ctx, SessionServices &services, SessionId id, Session &session,
                             StatementOutcome outcome, std::optional<Position> at) {
   removeWaiting(id, session);
+  if (session.Current->AwaitingToken)
+    services.Quota.cancel(id);
   const auto work = *std::exchange(session.Current, std::nullopt);
   WritesInFlight[work.Route.Service].erase({work.SentAt, id});
   logOutcome(ctx, id, session, work, outcome);
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -40,6 +40,7 @@
   DatabaseRoute Route; ///< As of the start of the statement or its transaction.
   /// Whose links it runs on; empty if the route needs no key.
   WorkspaceId Workspace;
+  bool AwaitingToken = false; ///< Waits for a token of the workspace's quota.
   TimePoint ArrivedAt;
   TimePoint Deadline;
   TimePoint LatestStart; ///< While it waits for a link: not sent after this time, since it could not finish.
@@ -64,6 +65,7 @@
 struct Transaction {
   DatabaseRoute Route;
   WorkspaceId Workspace; ///< Of the key at BEGIN; empty if the route needs no key.
+  bool Admitted = false; ///< It has its token of the workspace's quota.
   bool ReadOnly = false;
   TimePoint BeganAt;
   TimePoint IdleSince; ///< When its last statement was answered.
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t MaxPreparedStatements = 1'024;
 /// After which a caller whose key could not be checked is asked to return, with as much again at random.
 constexpr Duration ProofRetryDelay = 500ms;
+/// Spreads the return of callers that were refused for their workspace's quota.
+constexpr Duration RefusalJitter = 50ms;
 const std::string NoSignature = "-";
 
 StatementResultRows done() { return {{}, NoSignature}; }
@@ -184,9 +186,41 @@
   work.Deadline = ctx.Now + route->StatementTimeout;
   work.LatestStart = work.Deadline;
   session.Current = std::move(work);
+  if (needsToken(ctx, services, session)) {
+    session.Current->AwaitingToken = true;
+    services.Quota.request(session.Current->Workspace, id, ctx.Now);
+    scheduleTimer(id, session);
+    return;
+  }
   dispatch(ctx, services, id, session);
 }
 
+bool SessionsModule::needsToken(const Context &ctx, const SessionServices &services, const Session &session) {
+  return QuotaModule::enabled(ctx.Self, services.Catalog) && !session.Current->Workspace.empty() &&
+         !(session.Transaction && session.Transaction->Admitted);
+}
+
+void SessionsModule::onQuotaDecision(Context &ctx, SessionServices &services, const QuotaDecision &decision) {
+  const auto it = Sessions.find(decision.Session);
+  if (it == Sessions.end() || !it->second.Current || !it->second.Current->AwaitingToken)
+    return;
+  auto &session = it->second;
+  session.Current->AwaitingToken = false;
+  if (decision.Outcome == QuotaDecision::Result::Granted) {
+    if (session.Transaction)
+      session.Transaction->Admitted = true;
+    dispatch(ctx, services, decision.Session, session);
+    return;
+  }
+  const bool over = decision.Outcome == QuotaDecision::Result::OverLimit;
+  ctx.emit(Count{over ? "statements_refused_over_quota_total" : "statements_refused_quota_unknown_total"});
+  const auto retryAfter = (decision.RetryAfter + ctx.jitter(RefusalJitter)) / 1ms;
+  refuseUnsent(ctx, services, decision.Session, session,
+               {Rejection::Busy, std::string(over ? "the workspace's quota is used up"
+                                                  : "the workspace's quota cannot be checked") +
+                                     "; retry in " + std::to_string(retryAfter) + " ms"});
+}
+
 std::optional<WorkspaceId> SessionsModule::workspaceFor(const Catalog &catalog, const KeyDigest &key,
                                                         const DatabaseRoute &route) {
   if (!catalog.needsKey(route))
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -149,6 +149,7 @@
   } else if (session.Current && session.Current->Attempt) {
     services.Links.release(ctx, session.Current->Attempt->Link);
   }
+  services.Quota.cancel(id);
   erase(id);
   onCapacity(ctx, services);
 }
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -13,6 +13,7 @@
 #include "links/linkpool.h"
 #include "positions/positionexchange.h"
 #include "protocol/context.h"
+#include "quota/quotamodule.h"
 #include "sessions/internal/session.h"
 #include "sessions/internal/waitestimator.h"
 
@@ -29,6 +30,7 @@
   const FleetMap &Fleet;
   PositionExchange &Exchange;
   const LenderChoice &Lenders;
+  QuotaModule &Quota;
 };
 
 class SessionsModule {
@@ -45,6 +47,7 @@
                          const PositionRequest &request);
   void onPositionReply(Context &ctx, SessionServices &services, const NodeId &from,
                        const PositionReply &reply);
+  void onQuotaDecision(Context &ctx, SessionServices &services, const QuotaDecision &decision);
   /// Retries waiting statements. Called when a server connection becomes idle, a primary is found or the
   /// servers change.
   void onCapacity(Context &ctx, SessionServices &services);
@@ -141,6 +144,9 @@
   /// Why a caller with this key may not start anything on a route now; empty if it may.
   [[nodiscard]] static std::optional<StatementRejection>
   refusalOfKey(Context &ctx, const Catalog &catalog, const KeyDigest &key, const DatabaseRoute &route);
+  /// Whether the operation that the session's statement begins needs a token of its workspace's quota.
+  [[nodiscard]] static bool needsToken(const Context &ctx, const SessionServices &services,
+                                       const Session &session);
   /// Rejects a statement that has not been passed on to dispatch, and rolls back its transaction.
   void rejectAndRollBack(Context &ctx, SessionServices &services, SessionId id, Session &session,
                          const std::string &statement, const StatementRejection &why);
