--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -5,6 +5,7 @@
 
 #include "protocol/directory.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <span>
@@ -42,6 +43,21 @@
   [[nodiscard]] const Configuration &configuration() const { return Current; }
   /// Returns null if the database has no route.
   [[nodiscard]] const DatabaseRoute *route(std::string_view database) const;
+  /// Records that the store held no configuration after the known one up to this time: the time at which the
+  /// question was sent whose answer told so.
+  void proveConfiguration(TimePoint upTo) { ProvenUntil = std::max(ProvenUntil.value_or(upTo), upTo); }
+  [[nodiscard]] std::optional<TimePoint> configurationProvenUntil() const { return ProvenUntil; }
+  /// Whether a caller's key may be trusted by the known configuration: always without a bound, else while the
+  /// proof of its age is younger than the bound.
+  [[nodiscard]] bool keysProven(std::optional<Duration> bound, TimePoint now) const {
+    return !bound || (ProvenUntil && now - *ProvenUntil <= *bound - ProofMargin);
+  }
+  /// Whether callers of a route have to name the key of a workspace.
+  [[nodiscard]] bool needsKey(const DatabaseRoute &route) const {
+    return Current.Workspaces && !route.Anonymous;
+  }
+  /// Returns null if no workspace has the key.
+  [[nodiscard]] const Workspace *workspaceOf(const KeyDigest &key) const;
   [[nodiscard]] const ServiceLimits *limits(const DatabaseId &service) const;
 
   void updateServer(ServerEntry entry, TimePoint now);
@@ -70,6 +86,10 @@
   /// Change counter; increases whenever the configuration, the servers or their roles change.
   [[nodiscard]] std::uint64_t changeCount() const { return ChangeCount; }
 
+  /// A proof is used only until this long before its bound, since clocks of VMs run at slightly different
+  /// rates.
+  static constexpr Duration ProofMargin = 100ms;
+
 private:
   struct RemovedServer {
     ServerEntry Entry;
@@ -89,11 +109,13 @@
 
   Configuration Current;
   std::map<std::string, std::size_t, std::less<>> RouteByDatabase;
+  std::map<KeyDigest, std::size_t> WorkspaceByKey; ///< Positions in Current.Workspaces.
   std::map<TargetId, ServerView> Servers;
   std::map<TargetId, std::uint64_t> MisroutedAtRevision; ///< Entries that are ignored.
   /// The last entries of removed servers. The store may come back from a copy that still has earlier ones.
   std::map<TargetId, RemovedServer> Removed;
   std::map<DatabaseId, Group> Groups;
+  std::optional<TimePoint> ProvenUntil;
   bool ServersLoaded = false;
   std::uint64_t ChangeCount = 0;
 };
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -38,6 +38,9 @@
   AccessMode Mode = AccessMode::Read;
   bool Commit = false;
   DatabaseRoute Route; ///< As of the start of the statement or its transaction.
+  /// Whose links it runs on; empty if the route needs no key.
+  WorkspaceId Workspace;
+  bool AwaitingToken = false; ///< Waits for a token of the workspace's quota.
   TimePoint ArrivedAt;
   TimePoint Deadline;
   TimePoint LatestStart; ///< While it waits for a link: not sent after this time, since it could not finish.
@@ -61,6 +64,8 @@
 /// its first read, write or commit on.
 struct Transaction {
   DatabaseRoute Route;
+  WorkspaceId Workspace; ///< Of the key at BEGIN; empty if the route needs no key.
+  bool Admitted = false; ///< It has its token of the workspace's quota.
   bool ReadOnly = false;
   TimePoint BeganAt;
   TimePoint IdleSince; ///< When its last statement was answered.
@@ -74,7 +79,7 @@
 
 struct Session {
   std::string Database;
-  std::string Caller;
+  KeyDigest Key;
   SessionValues Values;
   std::map<std::string, PreparedShape> Prepared;
   /// Log position of the session's last acknowledged commit at each service.
@@ -95,6 +100,10 @@
 [[nodiscard]] inline StatementRejection shuttingDown() {
   return {Rejection::Busy, "the proxy is shutting down; retry at another one"};
 }
+/// Refusal of a caller whose key belongs to no workspace.
+[[nodiscard]] inline StatementRejection unknownKey() {
+  return {Rejection::Unauthorized, "the key is not known"};
+}
 /// Whether the statement, or the transaction that it belongs to, only reads.
 [[nodiscard]] inline bool isRead(const Session &session, const PendingStatement &work) {
   return session.Transaction ? session.Transaction->ReadOnly : work.Mode == AccessMode::Read;
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -10,6 +10,10 @@
 /// Limits on the state kept per session.
 constexpr std::size_t MaxValues = 256;
 constexpr std::size_t MaxPreparedStatements = 1'024;
+/// After which a caller whose key could not be checked is asked to return, with as much again at random.
+constexpr Duration ProofRetryDelay = 500ms;
+/// Spreads the return of callers that were refused for their workspace's quota.
+constexpr Duration RefusalJitter = 50ms;
 const std::string NoSignature = "-";
 
 StatementResultRows done() { return {{}, NoSignature}; }
@@ -107,6 +111,10 @@
            StatementRejection{Rejection::NoDatabase, "the route was removed"});
     return;
   }
+  if (const auto why = refusalOfKey(ctx, services.Catalog, session.Key, *route)) {
+    answer(ctx, id, session, statement.Id, *why);
+    return;
+  }
   if (LeavingSince && ctx.Now >= transactionsEndAt()) {
     // It would be rolled back before its first statement.
     session.LastEndsOperation = true;
@@ -115,6 +123,7 @@
   }
   detail::Transaction next;
   next.Route = *route;
+  next.Workspace = workspaceFor(services.Catalog, session.Key, *route).value_or(WorkspaceId());
   next.ReadOnly = std::get<BeginStatement>(statement.Parsed).ReadOnly;
   next.BeganAt = ctx.Now;
   next.IdleSince = ctx.Now;
@@ -144,6 +153,15 @@
            StatementRejection{Rejection::NoDatabase, "the route was removed"});
     return;
   }
+  const auto workspace = workspaceFor(services.Catalog, session.Key, *route).value_or(WorkspaceId());
+  auto why = refusalOfKey(ctx, services.Catalog, session.Key, *route);
+  if (!why && session.Transaction && workspace != session.Transaction->Workspace)
+    why = detail::unknownKey();
+  if (why) {
+    const auto name = statement.Id;
+    rejectAndRollBack(ctx, services, id, session, name, *why);
+    return;
+  }
   if (LeavingSince && ctx.Now + expectedDuration(ctx, services, route->Service) >= servingEndsAt()) {
     const auto name = statement.Id;
     if (session.Transaction)
@@ -163,13 +181,79 @@
   work.Mode = mode;
   work.Commit = commit;
   work.Route = *route;
+  work.Workspace = workspace;
   work.ArrivedAt = ctx.Now;
   work.Deadline = ctx.Now + route->StatementTimeout;
   work.LatestStart = work.Deadline;
   session.Current = std::move(work);
+  if (needsToken(ctx, services, session)) {
+    session.Current->AwaitingToken = true;
+    services.Quota.request(session.Current->Workspace, id, ctx.Now);
+    scheduleTimer(id, session);
+    return;
+  }
   dispatch(ctx, services, id, session);
 }
 
+bool SessionsModule::needsToken(const Context &ctx, const SessionServices &services, const Session &session) {
+  return QuotaModule::enabled(ctx.Self, services.Catalog) && !session.Current->Workspace.empty() &&
+         !(session.Transaction && session.Transaction->Admitted);
+}
+
+void SessionsModule::onQuotaDecision(Context &ctx, SessionServices &services, const QuotaDecision &decision) {
+  const auto it = Sessions.find(decision.Session);
+  if (it == Sessions.end() || !it->second.Current || !it->second.Current->AwaitingToken)
+    return;
+  auto &session = it->second;
+  session.Current->AwaitingToken = false;
+  if (decision.Outcome == QuotaDecision::Result::Granted) {
+    if (session.Transaction)
+      session.Transaction->Admitted = true;
+    dispatch(ctx, services, decision.Session, session);
+    return;
+  }
+  const bool over = decision.Outcome == QuotaDecision::Result::OverLimit;
+  ctx.emit(Count{over ? "statements_refused_over_quota_total" : "statements_refused_quota_unknown_total"});
+  const auto retryAfter = (decision.RetryAfter + ctx.jitter(RefusalJitter)) / 1ms;
+  refuseUnsent(ctx, services, decision.Session, session,
+               {Rejection::Busy, std::string(over ? "the workspace's quota is used up"
+                                                  : "the workspace's quota cannot be checked") +
+                                     "; retry in " + std::to_string(retryAfter) + " ms"});
+}
+
+std::optional<WorkspaceId> SessionsModule::workspaceFor(const Catalog &catalog, const KeyDigest &key,
+                                                        const DatabaseRoute &route) {
+  if (!catalog.needsKey(route))
+    return WorkspaceId();
+  const auto *workspace = catalog.workspaceOf(key);
+  return workspace ? std::optional(workspace->Name) : std::nullopt;
+}
+
+std::optional<StatementRejection> SessionsModule::refusalOfKey(Context &ctx, const Catalog &catalog,
+                                                               const KeyDigest &key,
+                                                               const DatabaseRoute &route) {
+  if (!catalog.needsKey(route))
+    return std::nullopt;
+  // Without a proof, a key that is not known may be new as well.
+  if (!catalog.keysProven(ctx.Self.RevocationBound, ctx.Now)) {
+    ctx.emit(Count{"statements_refused_unproven_total"});
+    const auto retryAfter = (ProofRetryDelay + ctx.jitter(ProofRetryDelay)) / 1ms;
+    return StatementRejection{Rejection::Busy,
+                              "the key cannot be checked; retry in " + std::to_string(retryAfter) + " ms"};
+  }
+  if (catalog.workspaceOf(key))
+    return std::nullopt;
+  return detail::unknownKey();
+}
+
+void SessionsModule::rejectAndRollBack(Context &ctx, SessionServices &services, SessionId id,
+                                       Session &session, const std::string &statement,
+                                       const StatementRejection &why) {
+  if (session.Transaction)
+    failTransaction(ctx, services, session);
+  answer(ctx, id, session, statement, why);
+}
+
 void SessionsModule::refuseInShutdown(Context &ctx, SessionId id, Session &session,
                                       const std::string &statement) {
   ctx.emit(Count{"statements_refused_in_shutdown_total"});
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -45,20 +45,26 @@
 }
 
 void SessionsModule::startSession(Context &ctx, SessionServices &services, const SessionOpened &event) {
-  if (!services.Catalog.route(event.Database)) {
+  std::optional<StatementRejection> why;
+  const auto *route = services.Catalog.route(event.Database);
+  if (!route)
+    why = {Rejection::NoDatabase, "no route has this name"};
+  else
+    why = refusalOfKey(ctx, services.Catalog, event.Key, *route);
+  if (why) {
     ctx.emit(Count{"sessions_refused_total"});
     ctx.emit(Log{LogLevel::Info,
                  "session refused",
                  {{"session", std::to_string(event.Session.Value)},
                   {"database", event.Database},
                   {"configuration", std::to_string(services.Catalog.configuration().Version)},
-                  {"reason", std::string(toString(Rejection::NoDatabase))}}});
-    ctx.emit(RefuseSession{event.Session, {Rejection::NoDatabase, "no route has this name"}});
+                  {"reason", std::string(toString(why->Code))}}});
+    ctx.emit(RefuseSession{event.Session, *why});
     return;
   }
   auto &session = Sessions[event.Session];
   session.Database = event.Database;
-  session.Caller = event.Caller;
+  session.Key = event.Key;
   session.IdleSince = ctx.Now;
   ctx.emit(Count{"sessions_opened_total"});
   ctx.emit(AcceptSession{event.Session});
@@ -143,6 +149,7 @@
   } else if (session.Current && session.Current->Attempt) {
     services.Links.release(ctx, session.Current->Attempt->Link);
   }
+  services.Quota.cancel(id);
   erase(id);
   onCapacity(ctx, services);
 }
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -13,6 +13,7 @@
 #include "links/linkpool.h"
 #include "positions/positionexchange.h"
 #include "protocol/context.h"
+#include "quota/quotamodule.h"
 #include "sessions/internal/session.h"
 #include "sessions/internal/waitestimator.h"
 
@@ -29,6 +30,7 @@
   const FleetMap &Fleet;
   PositionExchange &Exchange;
   const LenderChoice &Lenders;
+  QuotaModule &Quota;
 };
 
 class SessionsModule {
@@ -45,6 +47,7 @@
                          const PositionRequest &request);
   void onPositionReply(Context &ctx, SessionServices &services, const NodeId &from,
                        const PositionReply &reply);
+  void onQuotaDecision(Context &ctx, SessionServices &services, const QuotaDecision &decision);
   /// Retries waiting statements. Called when a server connection becomes idle, a primary is found or the
   /// servers change.
   void onCapacity(Context &ctx, SessionServices &services);
@@ -134,6 +137,19 @@
                 const SessionStatement &statement);
   void startStatement(Context &ctx, SessionServices &services, SessionId id, Session &session,
                       SessionStatement statement, AccessMode mode, bool commit);
+  /// The workspace whose links run statements of a key's caller on a route; empty if the route needs no key.
+  /// Returns nullopt if the key is not known (any more).
+  [[nodiscard]] static std::optional<WorkspaceId> workspaceFor(const Catalog &catalog, const KeyDigest &key,
+                                                               const DatabaseRoute &route);
+  /// Why a caller with this key may not start anything on a route now; empty if it may.
+  [[nodiscard]] static std::optional<StatementRejection>
+  refusalOfKey(Context &ctx, const Catalog &catalog, const KeyDigest &key, const DatabaseRoute &route);
+  /// Whether the operation that the session's statement begins needs a token of its workspace's quota.
+  [[nodiscard]] static bool needsToken(const Context &ctx, const SessionServices &services,
+                                       const Session &session);
+  /// Rejects a statement that has not been passed on to dispatch, and rolls back its transaction.
+  void rejectAndRollBack(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                         const std::string &statement, const StatementRejection &why);
   void answer(Context &ctx, SessionId id, Session &session, const std::string &statement,
               StatementOutcome outcome, std::optional<Position> at = std::nullopt);
   /// Refuses a statement that this proxy could not finish before the end of its shutdown grace.
@@ -141,9 +157,11 @@
   void nextQueued(Context &ctx, SessionServices &services, SessionId id);
 
   // Server selection and dispatch (internal/dispatch.cpp).
+  /// Links of a server that can run the statements of a workspace.
+  using LinkSet = std::pair<TargetId, WorkspaceId>;
   struct DispatchPass {
-    std::set<TargetId> Exhausted; ///< Servers found without an idle link in this pass.
-    std::map<TargetId, std::size_t> LinksWanted;
+    std::set<LinkSet> Exhausted; ///< Found without an idle link in this pass.
+    std::map<LinkSet, std::size_t> LinksWanted;
     std::optional<TargetId> Wanted; ///< The server that the last statement without a link preferred.
   };
   /// Whether only the primary can run the statement.
@@ -212,6 +230,9 @@
   bool retry(Context &ctx, SessionServices &services, SessionId id, Session &session,
              const StatementRejection &why);
   void resendRead(Context &ctx, SessionServices &services, SessionId id, Session &session);
+  /// Rejects the current statement, which has not been sent to a server, and rolls back its transaction.
+  void refuseUnsent(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                    const StatementRejection &why);
   void handleNoAnswer(Context &ctx, SessionServices &services, SessionId id, Session &session,
                       detail::NoAnswer cause);
   void finish(Context &ctx, SessionServices &services, SessionId id, Session &session,
