Let only the configuration itself end the proof of its age

Any unreadable object of the kind, such as one of another writer, switched the proof off, and all keyed statements were refused until it was gone. Found by review; tests of directory pass.

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -21,6 +21,8 @@
 constexpr std::string_view WatcherKey = "directory";
 /// Deletions that are remembered for proxies that follow; older ones get the whole.
 constexpr std::size_t MaxDeleted = 1'000;
+/// Name of the object that holds the configuration in force.
+constexpr std::string_view ConfigurationName = "main";
 
 const char *kindName(DirectoryKind kind) {
   return kind == DirectoryKind::Configuration ? "configuration" : "servers";
@@ -335,7 +337,9 @@
                            {{"service", it.Service.str()}, {"server", after->str()}, {"source", "store"}}});
           },
           [&](const UnreadableObject &it) {
-            feed.ConfigurationUnreadable = feed.Kind == DirectoryKind::Configuration;
+            feed.ConfigurationUnreadable =
+                feed.ConfigurationUnreadable || (feed.Kind == DirectoryKind::Configuration &&
+                                                 (object.Name.empty() || object.Name == ConfigurationName));
             ctx.emit(Count{"directory_unreadable_total"});
             ctx.emit(Log{LogLevel::Warn, "object cannot be used", {{"name", object.Name}, {"why", it.Why}}});
             if (feed.Kind == DirectoryKind::Servers && !object.Name.empty())
