--- a/src/quota/internal/quotashare.cpp
+++ b/src/quota/internal/quotashare.cpp
@@ -9,9 +9,13 @@
 
 namespace {
 
-/// Part of the slack that the buckets hold. The rest covers operations that reach a server twice, as reads do
+/// Part of the tolerances that is granted. The rest covers operations that reach a server twice, as reads do
 /// that are sent again.
-constexpr double SlackInBuckets = 0.5;
+constexpr double GrantedTolerance = 0.5;
+/// Part of the burst that a bucket holds. The rest is added to its rate, over the window of the limit: the
+/// limit counts operations in any window, and a bucket that held all of the burst would refuse, in the middle
+/// of a window, what still fits into it.
+constexpr double BurstInBucket = 0.5;
 /// Least capacity of a zone's bucket: below one token it would never grant anything.
 constexpr double MinCapacity = 1;
 
@@ -39,13 +43,18 @@
 
 QuotaShare quotaShare(const NodeConfig &self, const Workspace &workspace, const AvailabilityZone &zone) {
   const auto bounds = self.Quota.value_or(QuotaBounds{});
-  const double capacity = workspace.Burst + bounds.Slack * SlackInBuckets;
+  const double window = std::chrono::duration<double>(bounds.Window).count();
+  const double slack = bounds.Slack * GrantedTolerance;
+  const double limit =
+      (workspace.RatePerSecond * window + workspace.Burst) * (1 + bounds.Overshoot * GrantedTolerance) +
+      slack;
+  const double capacity = std::max(workspace.Burst * BurstInBucket + slack, std::min(limit, MinCapacity));
   const auto zones = quotaZones(self).size();
   const auto divisible = static_cast<std::size_t>(std::floor(capacity / MinCapacity));
   const auto parts = std::clamp<std::size_t>(divisible, 1, zones);
   if (parts < zones && !hasShare(self, workspace, zone, parts))
     return {};
-  return {workspace.RatePerSecond / static_cast<double>(parts), capacity / static_cast<double>(parts)};
+  return {(limit - capacity) / window / static_cast<double>(parts), capacity / static_cast<double>(parts)};
 }
 
 } // namespace rosemaryhinge::detail
--- a/src/quota/internal/quotashare.h
+++ b/src/quota/internal/quotashare.h
@@ -17,8 +17,9 @@
 
 /// The availability zones of the settings, this proxy's own included.
 [[nodiscard]] std::vector<AvailabilityZone> quotaZones(const NodeConfig &self);
-/// The share of a zone. The shares of all zones add up to the rate, and to the burst with half of the slack.
-/// A workspace whose capacity is too small to be divided has its whole share in fewer zones.
+/// The share of a zone. Over any window of the limit, the buckets of all zones together grant the limit with
+/// half of its tolerances at most. A workspace whose capacity is too small to be divided has its whole share
+/// in fewer zones.
 [[nodiscard]] QuotaShare quotaShare(const NodeConfig &self, const Workspace &workspace,
                                     const AvailabilityZone &zone);
 
