--- a/src/quota/internal/quotaclient.cpp
+++ b/src/quota/internal/quotaclient.cpp
@@ -45,8 +45,9 @@
     return !node.empty() && !queue.Tried.contains(node) &&
            (it == BackoffUntil.end() || ctx.Now >= it->second);
   };
-  if (usable(KnownHolder))
-    return KnownHolder;
+  for (const auto &it : {KnownHolder, queue.Named})
+    if (usable(it))
+      return it;
   const auto &near = fleet.order(ctx.Self.AvailabilityZone, HolderKey);
   for (std::size_t n = 0; n < std::min(near.size(), NearCandidates); ++n)
     if (usable(near[n]))
@@ -102,6 +103,7 @@
   decide(queue, reply.Granted, QuotaDecision::Result::Granted, {});
   if (reply.NotHolder) {
     queue.Tried.insert(from);
+    queue.Named = reply.Holder;
     if (isNear(ctx, fleet, from) && (KnownHolder == from || KnownHolder.empty()))
       KnownHolder = reply.Holder;
     return;
@@ -113,7 +115,9 @@
     return;
   const auto missing = asked - reply.Granted;
   queue.AskAt = ctx.Now + std::clamp(reply.RetryAfter, MinRefusalPause, MaxRefusalPause);
-  if (missing > 1 || reply.RetryAfter > MaxHold)
+  const bool fitsSoon = missing == 1 && !queue.Waiters.empty() &&
+                        ctx.Now + reply.RetryAfter <= queue.Waiters.front().Since + MaxHold;
+  if (!fitsSoon)
     decide(queue, missing, QuotaDecision::Result::OverLimit, reply.RetryAfter);
 }
 
--- a/src/quota/internal/quotaclient.h
+++ b/src/quota/internal/quotaclient.h
@@ -51,8 +51,8 @@
   static constexpr Duration NearTimeout = 150ms;
   static constexpr Duration FarTimeout = 300ms;
   static constexpr Duration SilentBackoff = 1s;
-  /// An operation that is to fit within this time waits for it.
-  static constexpr Duration MaxHold = 200ms;
+  /// An operation that is to fit within this time, counted from its arrival, waits for it.
+  static constexpr Duration MaxHold = 120ms;
   /// Pause after a refusal before the holder is asked about the workspace again. What arrives meanwhile
   /// waits: the longest pause is short for a caller that is refused after it.
   static constexpr Duration MinRefusalPause = 50ms;
@@ -75,6 +75,7 @@
     std::deque<Waiter> Waiters; ///< The first Asked.Operations of them are asked for.
     std::optional<Asked> Pending;
     std::set<NodeId> Tried; ///< Without success since the last answer of a holder.
+    NodeId Named;           ///< Holder that the last proxy which was none has named; empty if it has not.
     TimePoint AskAt;        ///< Not before.
   };
 
--- a/src/quota/internal/quotaholder.cpp
+++ b/src/quota/internal/quotaholder.cpp
@@ -58,7 +58,9 @@
   QuotaAnswers out;
   auto &it = account(ctx, catalog, request.Workspace);
   if (request.FromHolder) {
-    const auto granted = it.Bucket.take(request.Operations, it.Bucket.capacity() * ReservedPart, ctx.Now);
+    // A small bucket has to be able to give one token away.
+    const double reserve = std::min(it.Bucket.capacity() * ReservedPart, it.Bucket.capacity() - 1);
+    const auto granted = it.Bucket.take(request.Operations, std::max(0.0, reserve), ctx.Now);
     if (granted > 0)
       ctx.emit(Count{"quota_transferred_total", static_cast<double>(granted)});
     out.push_back({from, {request.Number, granted, EmptyBackoff, false, NodeId()}});
--- a/src/quota/internal/quotalease.cpp
+++ b/src/quota/internal/quotalease.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr Duration CallTimeout = 800ms;
+/// A store that is slow for all still confirms renewals in time.
+constexpr Duration CallTimeout = 1500ms;
 constexpr Duration RetryDelay = 300ms;
 /// Time for which what was read of the lease tells who holds it.
 constexpr Duration HolderValidity = 10s;
@@ -19,7 +20,7 @@
 
 void QuotaLeaseKeeper::onAsked(TimePoint now) {
   AskedAt = now;
-  NextCallAt = std::min(NextCallAt, SeenAt + ReadInterval);
+  NextCallAt = std::min(NextCallAt, std::max(SeenAt, CallSentAt) + ReadInterval);
 }
 
 void QuotaLeaseKeeper::onHandover(std::uint64_t revision, TimePoint now) {
@@ -29,11 +30,11 @@
 }
 
 std::optional<std::uint64_t> QuotaLeaseKeeper::handOver(TimePoint now) {
+  // The answer to a write that is in progress must not make this proxy the holder.
+  Call.reset();
   if (!HeldFrom)
     return std::nullopt;
   HeldFrom.reset();
-  // The answer to a write that is in progress must not make this proxy the holder again.
-  Call.reset();
   HandedOverAt = now;
   NextCallAt = now + TakeoverTime;
   return Known ? Known->Revision : 0;
@@ -85,10 +86,13 @@
   SeenAt = now;
 }
 
-bool QuotaLeaseKeeper::mayTake(const Context &ctx) const {
-  // A proxy that acts on a lease which the store has forgotten stops within this time.
+bool QuotaLeaseKeeper::mayTake(const Context &ctx, const StoreEra &era) const {
   if (RestoredAt && ctx.Now - *RestoredAt < TakeoverTime)
     return false;
+  // The store may have been restored before this process has started. A proxy that acts on a lease which it
+  // has forgotten stops within this time.
+  if ((!Known || Known->Holder != ctx.Self.Node) && !era.knownFor(TakeoverTime, ctx.Now))
+    return false;
   if (HandedOverAt && ctx.Now - *HandedOverAt < TakeoverTime)
     return false;
   if (!Known || Known->Holder == ctx.Self.Node)
@@ -96,7 +100,8 @@
   return Known->Revision == OfferedRevision || ctx.Now - SeenSince >= TakeoverTime;
 }
 
-QuotaLeaseKeeper::Change QuotaLeaseKeeper::onAnswer(Context &ctx, const DirectoryAnswer &event) {
+QuotaLeaseKeeper::Change QuotaLeaseKeeper::onAnswer(Context &ctx, const StoreEra &era,
+                                                    const DirectoryAnswer &event) {
   if (Call != event.Call)
     return Change::None;
   Call.reset();
@@ -115,7 +120,7 @@
         one && one->AvailabilityZone == ctx.Self.AvailabilityZone)
       lease = *one;
   observe(lease, ctx.Now);
-  if (mayTake(ctx))
+  if (mayTake(ctx, era))
     write(ctx, lease.value_or(QuotaLease{}));
   else
     NextCallAt = ctx.Now + (AskedAt ? ReadInterval : IdleReadInterval);
--- a/src/quota/internal/quotalease.h
+++ b/src/quota/internal/quotalease.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "catalog/storeera.h"
 #include "protocol/context.h"
 
 #include <optional>
@@ -19,7 +20,7 @@
 
   /// \param first Whether this proxy comes first in the order of its zone, and takes the lease unasked.
   Change onTimer(Context &ctx, bool first);
-  Change onAnswer(Context &ctx, const DirectoryAnswer &event);
+  Change onAnswer(Context &ctx, const StoreEra &era, const DirectoryAnswer &event);
   /// Another proxy asked this one for tokens: the holder may be gone.
   void onAsked(TimePoint now);
   /// The holder has stopped to act on the lease of this revision.
@@ -40,12 +41,12 @@
   [[nodiscard]] std::optional<TimePoint> nextTimer(bool first) const;
 
   /// From the sending of the last confirmed write.
-  static constexpr Duration HoldTime = 8s;
-  static constexpr Duration RenewInterval = 2s;
+  static constexpr Duration HoldTime = 9s;
+  static constexpr Duration RenewInterval = 3s;
   /// Time without a confirmed renewal, after it was due, until the lease is handed over.
   static constexpr Duration FailingTime = 3s;
   /// Longer than HoldTime, since clocks of VMs run at slightly different rates.
-  static constexpr Duration TakeoverTime = 9s;
+  static constexpr Duration TakeoverTime = 10s;
   /// Time for which the lease is read after this proxy was asked for tokens.
   static constexpr Duration AskedTime = 3s;
   static constexpr Duration ReadInterval = 1s;
@@ -56,7 +57,7 @@
   void read(Context &ctx);
   void write(Context &ctx, const QuotaLease &base);
   void observe(const std::optional<QuotaLease> &lease, TimePoint now);
-  [[nodiscard]] bool mayTake(const Context &ctx) const;
+  [[nodiscard]] bool mayTake(const Context &ctx, const StoreEra &era) const;
   Change onStored(Context &ctx, const QuotaLease &stored);
   Change onConflict(Context &ctx, const QuotaLease &current);
   Change lose();
--- a/src/quota/quotamodule.cpp
+++ b/src/quota/quotamodule.cpp
@@ -48,7 +48,7 @@
 }
 
 void QuotaModule::onAnswer(Context &ctx, const QuotaServices &services, const DirectoryAnswer &event) {
-  apply(ctx, services, Lease.onAnswer(ctx, event));
+  apply(ctx, services, Lease.onAnswer(ctx, services.Era, event));
 }
 
 void QuotaModule::onRequest(Context &ctx, const QuotaServices &services, const NodeId &from,
@@ -68,7 +68,7 @@
 void QuotaModule::onReply(Context &ctx, const QuotaServices &services, const NodeId &from,
                           const QuotaReply &reply) {
   Client.onReply(ctx, services.Fleet, from, reply);
-  if (Holder.active())
+  if (Holder.active() && Lease.held(ctx.Now))
     deliver(ctx, services.Fleet, Holder.onReply(ctx, services.Catalog, services.Fleet, from, reply));
 }
 
--- a/src/quota/quotamodule.h
+++ b/src/quota/quotamodule.h
@@ -20,6 +20,7 @@
 struct QuotaServices {
   const rosemaryhinge::Catalog &Catalog;
   const FleetMap &Fleet;
+  const StoreEra &Era;
 };
 
 class QuotaModule {
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -19,7 +19,7 @@
                                         state.Positions, state.Lenders, state.Quota},
         LeadershipDeps{state.Catalog, state.Links, state.Sessions, state.Fleet, state.Era},
         LendingDeps{state.Catalog, state.Links},
-        DirectoryDeps{state.Catalog, state.Fleet}, QuotaDeps{state.Catalog, state.Fleet} {}
+        DirectoryDeps{state.Catalog, state.Fleet}, QuotaDeps{state.Catalog, state.Fleet, state.Era} {}
 
   void operator()(const Started &) {
     S.Fleet.onStarted(Ctx);
