Do not let one workspace end a pass over the waiting statements

Sixteen waiting statements of one workspace ended each pass, so a link that was borrowed for another one was returned unused; and the lender held all idle links back for a workspace that could open none. Passes do not nest any more, and the link reserved for a change of primary is not closed for a workspace.

--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -106,8 +106,10 @@
   std::optional<Candidate> blocked;
   for (const auto &it : grantOrder(services.Links, target, queue)) {
     const auto request = Requests.at(it.Of);
-    // An idle link of a workspace that uses many is left to be replaced by one for the workspace that waits.
-    const bool takesTurn = blocked && (it.Priority > blocked->Priority || it.Used > blocked->Used + 1);
+    // The last idle link of workspaces that use many is left to be replaced by one for the workspace that
+    // waits.
+    const bool takesTurn = blocked && services.Links.idle(target) <= 1 &&
+                           (it.Priority > blocked->Priority || it.Used > blocked->Used + 1);
     if (takesTurn || exhausted.contains(request.Workspace))
       continue;
     if (tryGrant(ctx, services, it.Of, request)) {
@@ -115,7 +117,8 @@
       continue;
     }
     exhausted.insert(request.Workspace);
-    if (!blocked && services.Links.opening(target, request.Workspace) == 0)
+    if (!blocked && services.Links.opening(target, request.Workspace) == 0 &&
+        services.Links.mayOpen(target, ctx.Now))
       blocked = it;
   }
 }
--- a/src/links/internal/opening.cpp
+++ b/src/links/internal/opening.cpp
@@ -58,7 +58,15 @@
       }));
 }
 
+bool LinkPool::mayOpen(const TargetId &target, TimePoint now) const {
+  const auto it = Servers.find(target);
+  return it == Servers.end() || (now >= it->second.RetryAt && it->second.Opening < MaxOpening);
+}
+
 bool LinkPool::evictIdleLink(Context &ctx, Server &server, const WorkspaceId &workspace) {
+  // The last idle link may be reserved for a change of primary.
+  if (ctx.Now < server.ReservedUntil && server.Idle <= 1)
+    return false;
   std::optional<LinkId> oldest;
   for (const auto &id : server.Links) {
     const auto &link = Links.at(id);
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -138,6 +138,8 @@
   [[nodiscard]] std::size_t idle(const TargetId &target) const;
   /// Idle links that may run statements of a workspace.
   [[nodiscard]] std::size_t idle(const TargetId &target, const WorkspaceId &workspace) const;
+  /// Whether a link may be opened now, in place of an idle one if the connection limit is reached.
+  [[nodiscard]] bool mayOpen(const TargetId &target, TimePoint now) const;
   /// Links that are being opened for a workspace.
   [[nodiscard]] std::size_t opening(const TargetId &target, const WorkspaceId &workspace) const;
   /// Links of a workspace that are in use.
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -16,8 +16,9 @@
 constexpr int MaxWaitPercent = 60;
 /// Statements without a link after which the rest of a queue is left for the next pass.
 constexpr std::size_t MaxFailuresInPass = 4;
-/// The same where statements belong to workspaces: one that finds no link tells nothing of other workspaces.
-constexpr std::size_t MaxFailuresByWorkspace = 16;
+/// Where statements belong to workspaces, one that finds no link tells nothing of other workspaces. A pass
+/// then ends after this number of statements.
+constexpr std::size_t MaxStatementsInPass = 256;
 /// How long a replica that rejected a read as lagging is avoided.
 constexpr Duration LaggingBackoff = 400ms;
 /// Minimum interval between attempts to use the same server as the primary while none is known.
@@ -103,6 +104,9 @@
 }
 
 void SessionsModule::onCapacity(Context &ctx, SessionServices &services) {
+  // A statement that is refused in a pass frees its link; the next event passes it on.
+  if (std::exchange(InPass, true))
+    return;
   queryPrimaryForRequesters(ctx, services);
   for (const auto &[id, service] : Services)
     if (!service.AwaitingLease.empty())
@@ -114,6 +118,7 @@
     startWaiting(ctx, services, queues.ForPrimary, attempt);
     startWaiting(ctx, services, queues.ForAnyServer, attempt);
   }
+  InPass = false;
 }
 
 void SessionsModule::startWaiting(Context &ctx, SessionServices &services, WaitQueue &queue,
@@ -122,7 +127,7 @@
   std::size_t failures = 0;
   std::size_t left = statements.size();
   const bool byWorkspace = services.Catalog.configuration().Workspaces.has_value();
-  const auto maxFailures = byWorkspace ? MaxFailuresByWorkspace : MaxFailuresInPass;
+  const auto maxFailures = byWorkspace ? MaxStatementsInPass : MaxFailuresInPass;
   attempt.Wanted.reset();
   for (auto it = statements.begin(); it != statements.end() && failures < maxFailures; --left) {
     const auto key = *it;
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -384,6 +384,7 @@
                  {"session", std::to_string(id.Value)},
                  {"database", session.Database},
                  {"service", work.Route.Service.str()},
+                 {"workspace", work.Workspace.str()},
                  {"server", work.Target.str()},
                  {"tries", std::to_string(work.SendCount)},
                  {"ms", millis(ctx.Now - work.ArrivedAt)},
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -280,6 +280,7 @@
   std::map<SessionId, Session> Sessions;
   std::map<DatabaseId, WaitQueues> Waiting;
   std::size_t WaitingCount = 0;
+  bool InPass = false;       ///< A pass over the waiting statements is in progress.
   TimePoint NextWaitingPass; ///< When waiting statements are tried again without an event.
   std::map<DatabaseId, Service> Services;
   std::map<DatabaseId, std::set<std::pair<TimePoint, SessionId>>> WritesInFlight;
