--- a/src/links/internal/sweep.cpp
+++ b/src/links/internal/sweep.cpp
@@ -31,7 +31,7 @@
 constexpr IdlePolicy LentIdlePolicy{0.3, 2s, 250ms};
 /// Where links belong to workspaces, a link that is closed is more often missed: the next one that is idle
 /// may belong to another workspace.
-constexpr IdlePolicy WorkspaceIdlePolicy{0.8, 8s, 1s};
+constexpr IdlePolicy WorkspaceIdlePolicy{0.4, 8s, 500ms};
 constexpr std::size_t MaxIdleLinks = 8;
 /// Idle time-out where the share of a proxy that holds links is less than one connection.
 constexpr Duration NoShareIdleTimeout = 40ms;
