--- a/src/quota/quotamodule.cpp
+++ b/src/quota/quotamodule.cpp
@@ -22,15 +22,16 @@
   using Change = detail::QuotaLeaseKeeper::Change;
   if (change == Change::None)
     return;
-  const bool taken = change == Change::Taken;
-  ctx.emit(Count{taken ? "quota_leases_taken_total" : "quota_leases_lost_total"});
-  ctx.emit(Log{taken ? LogLevel::Info : LogLevel::Warn,
-               taken ? "quota lease taken" : "quota lease lost",
-               {{"availability_zone", ctx.Self.AvailabilityZone.str()}}});
-  if (taken)
+  const std::vector<LogField> fields = {{"availability_zone", ctx.Self.AvailabilityZone.str()}};
+  if (change == Change::Taken) {
+    ctx.emit(Count{"quota_leases_taken_total"});
+    ctx.emit(Log{LogLevel::Info, "quota lease taken", fields});
     Holder.start(ctx.Now);
-  else
-    deliver(ctx, services.Fleet, Holder.stop());
+    return;
+  }
+  ctx.emit(Count{"quota_leases_lost_total"});
+  ctx.emit(Log{LogLevel::Warn, "quota lease lost", fields});
+  deliver(ctx, services.Fleet, Holder.stop());
 }
 
 void QuotaModule::onTimer(Context &ctx, const QuotaServices &services) {
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -213,7 +213,10 @@
     return;
   }
   const bool over = decision.Outcome == QuotaDecision::Result::OverLimit;
-  ctx.emit(Count{over ? "statements_refused_over_quota_total" : "statements_refused_quota_unknown_total"});
+  if (over)
+    ctx.emit(Count{"statements_refused_over_quota_total"});
+  else
+    ctx.emit(Count{"statements_refused_quota_unknown_total"});
   const auto retryAfter = (decision.RetryAfter + ctx.jitter(RefusalJitter)) / 1ms;
   refuseUnsent(ctx, services, decision.Session, session,
                {Rejection::Busy, std::string(over ? "the workspace's quota is used up"
