--- a/src/quota/quotamodule.cpp
+++ b/src/quota/quotamodule.cpp
@@ -22,15 +22,16 @@
   using Change = detail::QuotaLeaseKeeper::Change;
   if (change == Change::None)
     return;
-  const bool taken = change == Change::Taken;
-  ctx.emit(Count{taken ? "quota_leases_taken_total" : "quota_leases_lost_total"});
-  ctx.emit(Log{taken ? LogLevel::Info : LogLevel::Warn,
-               taken ? "quota lease taken" : "quota lease lost",
-               {{"availability_zone", ctx.Self.AvailabilityZone.str()}}});
-  if (taken)
+  const std::vector<LogField> fields = {{"availability_zone", ctx.Self.AvailabilityZone.str()}};
+  if (change == Change::Taken) {
+    ctx.emit(Count{"quota_leases_taken_total"});
+    ctx.emit(Log{LogLevel::Info, "quota lease taken", fields});
     Holder.start(ctx.Now);
-  else
-    deliver(ctx, services.Fleet, Holder.stop());
+    return;
+  }
+  ctx.emit(Count{"quota_leases_lost_total"});
+  ctx.emit(Log{LogLevel::Warn, "quota lease lost", fields});
+  deliver(ctx, services.Fleet, Holder.stop());
 }
 
 void QuotaModule::onTimer(Context &ctx, const QuotaServices &services) {
@@ -48,7 +49,7 @@
 }
 
 void QuotaModule::onAnswer(Context &ctx, const QuotaServices &services, const DirectoryAnswer &event) {
-  apply(ctx, services, Lease.onAnswer(ctx, event));
+  apply(ctx, services, Lease.onAnswer(ctx, services.Era, event));
 }
 
 void QuotaModule::onRequest(Context &ctx, const QuotaServices &services, const NodeId &from,
@@ -68,7 +69,7 @@
 void QuotaModule::onReply(Context &ctx, const QuotaServices &services, const NodeId &from,
                           const QuotaReply &reply) {
   Client.onReply(ctx, services.Fleet, from, reply);
-  if (Holder.active())
+  if (Holder.active() && Lease.held(ctx.Now))
     deliver(ctx, services.Fleet, Holder.onReply(ctx, services.Catalog, services.Fleet, from, reply));
 }
 
