Go on with the tokens that are left after outages and planned stops

A holder that gets its own lease back goes on with its buckets, a handover carries the tokens that are left, and after a restart buckets fill from the start of the process.

--- a/src/peers/internal/quotacodec.cpp
+++ b/src/peers/internal/quotacodec.cpp
@@ -2,6 +2,8 @@
 
 #include "peers/internal/quotacodec.h"
 
+#include <cmath>
+
 namespace rosemaryhinge::detail {
 
 using flatbuffers::FlatBufferBuilder;
@@ -22,8 +24,12 @@
 
 Offset<void> encodeQuota(FlatBufferBuilder &builder, const QuotaHandover &it, wire::Message &type) {
   type = wire::Message::QuotaHandover;
+  std::vector<Offset<wire::QuotaLevel>> levels;
+  levels.reserve(it.Levels.size());
+  for (const auto &one : it.Levels)
+    levels.push_back(wire::CreateQuotaLevel(builder, builder.CreateString(one.Workspace.str()), one.Tokens));
   const auto zone = builder.CreateString(it.AvailabilityZone.str());
-  return wire::CreateQuotaHandover(builder, zone, it.Revision).Union();
+  return wire::CreateQuotaHandover(builder, zone, it.Revision, builder.CreateVector(levels)).Union();
 }
 
 std::optional<PeerMessage> decodeQuota(const wire::Envelope &envelope, FrameReader &reader) {
@@ -31,7 +37,12 @@
     return QuotaRequest{it->number(), reader.id<WorkspaceId>(it->workspace()), it->operations(),
                         it->from_holder()};
   if (const auto *it = envelope.message_as_QuotaHandover())
-    return QuotaHandover{reader.id<AvailabilityZone>(it->availability_zone()), it->revision()};
+    return QuotaHandover{reader.id<AvailabilityZone>(it->availability_zone()), it->revision(),
+                         reader.list<QuotaLevel>(it->levels(), [&](const auto *one) {
+                           if (!std::isfinite(one->tokens()) || one->tokens() < 0)
+                             reader.refuse();
+                           return QuotaLevel{reader.id<WorkspaceId>(one->workspace()), one->tokens()};
+                         })};
   const auto *it = envelope.message_as_QuotaReply();
   if (it == nullptr)
     return std::nullopt;
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -217,11 +217,17 @@
   bool NotHolder = false; ///< The sender does not keep the quotas of its zone.
   NodeId Holder;          ///< With NotHolder: who does; empty if it is not known.
 };
+/// Tokens that a holder has left for a workspace.
+struct QuotaLevel {
+  WorkspaceId Workspace;
+  double Tokens = 0;
+};
 /// The sender has stopped to keep the quotas of a zone. The receiver may take the lease that has this
-/// revision.
+/// revision, and go on with what is left.
 struct QuotaHandover {
   rosemaryhinge::AvailabilityZone AvailabilityZone;
   std::uint64_t Revision = 0;
+  std::vector<QuotaLevel> Levels{};
 };
 
 using PeerMessage =
--- a/src/quota/internal/quotaholder.cpp
+++ b/src/quota/internal/quotaholder.cpp
@@ -16,18 +16,34 @@
 
 } // namespace
 
-void QuotaHolder::start(TimePoint now) {
-  StartedAt = now;
+void QuotaHolder::start(TimePoint emptyAt) {
+  StartedAt = emptyAt;
   Accounts.clear();
   WaitingCount = 0;
 }
 
+void QuotaHolder::start(const std::vector<QuotaLevel> &levels, TimePoint stoppedAt) {
+  start(stoppedAt);
+  for (const auto &it : levels)
+    Accounts.try_emplace(it.Workspace, TokenBucket(stoppedAt, it.Tokens));
+}
+
+std::vector<QuotaLevel> QuotaHolder::levels() const {
+  std::vector<QuotaLevel> out;
+  for (const auto &[workspace, it] : Accounts)
+    out.push_back({workspace, it.Bucket.tokens()});
+  return out;
+}
+
 QuotaAnswers QuotaHolder::stop() {
   QuotaAnswers out;
   for (auto &[workspace, it] : Accounts)
     for (const auto &waiting : it.Queue)
       out.push_back({waiting.From, {waiting.Number, waiting.Granted, {}, true, NodeId()}});
-  Accounts.clear();
+  for (auto &[workspace, it] : Accounts) {
+    it.Queue.clear();
+    it.Pending.reset();
+  }
   WaitingCount = 0;
   StartedAt.reset();
   return out;
@@ -35,7 +51,7 @@
 
 QuotaHolder::Account &QuotaHolder::account(Context &ctx, const Catalog &catalog,
                                            const WorkspaceId &workspace) {
-  const auto [it, added] = Accounts.try_emplace(workspace, *StartedAt);
+  const auto [it, added] = Accounts.try_emplace(workspace, TokenBucket(*StartedAt));
   auto &out = it->second;
   const auto &configuration = catalog.configuration();
   if (out.ConfigurationVersion == configuration.Version)
--- a/src/quota/internal/quotaholder.h
+++ b/src/quota/internal/quotaholder.h
@@ -24,10 +24,16 @@
 
 class QuotaHolder {
 public:
-  /// Begins with empty buckets: what the former holder has granted is not known.
-  void start(TimePoint now);
-  /// Answers what waits as not granted, and forgets the buckets.
+  /// Begins with buckets that were empty at a time: what a former holder granted until then is not known.
+  void start(TimePoint emptyAt);
+  /// Begins with what a former holder had left when it stopped.
+  void start(const std::vector<QuotaLevel> &levels, TimePoint stoppedAt);
+  /// Goes on with the buckets as they were when this proxy stopped.
+  void resume(TimePoint now) { StartedAt = StartedAt.value_or(now); }
+  /// Answers what waits as not granted.
   QuotaAnswers stop();
+  /// Tokens that are left, in whole or in part.
+  [[nodiscard]] std::vector<QuotaLevel> levels() const;
   [[nodiscard]] bool active() const { return StartedAt.has_value(); }
 
   QuotaAnswers onRequest(Context &ctx, const Catalog &catalog, const FleetMap &fleet, const NodeId &from,
@@ -64,7 +70,7 @@
     TimePoint SentAt;
   };
   struct Account {
-    explicit Account(TimePoint now) : Bucket(now) {}
+    explicit Account(TokenBucket bucket) : Bucket(bucket) {}
 
     TokenBucket Bucket;
     std::uint64_t ConfigurationVersion = 0; ///< From which the limits of the bucket are.
--- a/src/quota/internal/quotalease.cpp
+++ b/src/quota/internal/quotalease.cpp
@@ -36,7 +36,7 @@
     return std::nullopt;
   HeldFrom.reset();
   HandedOverAt = now;
-  NextCallAt = now + TakeoverTime;
+  NextCallAt = now + HandoverTime;
   return Known ? Known->Revision : 0;
 }
 
@@ -71,6 +71,7 @@
 void QuotaLeaseKeeper::write(Context &ctx, const QuotaLease &base) {
   Call = ctx.call(Module::Quota);
   CallSentAt = ctx.Now;
+  Base = base.Revision > 0 ? std::optional(base) : std::nullopt;
   const QuotaLease next{ctx.Self.AvailabilityZone, ctx.Self.Node, ctx.Incarnation, base.Renewals + 1,
                         base.Revision};
   ctx.emit(DirectoryCall{*Call, CallTimeout, PutQuotaLease{next}});
@@ -93,7 +94,7 @@
   // has forgotten stops within this time.
   if ((!Known || Known->Holder != ctx.Self.Node) && !era.knownFor(TakeoverTime, ctx.Now))
     return false;
-  if (HandedOverAt && ctx.Now - *HandedOverAt < TakeoverTime)
+  if (HandedOverAt && ctx.Now - *HandedOverAt < HandoverTime)
     return false;
   if (!Known || Known->Holder == ctx.Self.Node)
     return true;
@@ -128,11 +129,20 @@
 }
 
 QuotaLeaseKeeper::Change QuotaLeaseKeeper::onStored(Context &ctx, const QuotaLease &stored) {
-  const bool taken = !HeldFrom;
+  const auto out = HeldFrom ? Change::None : changeFrom(ctx, Base);
   observe(stored, ctx.Now);
   HeldFrom = CallSentAt;
   NextCallAt = CallSentAt + RenewInterval;
-  return taken ? Change::Taken : Change::None;
+  return out;
+}
+
+QuotaLeaseKeeper::Change QuotaLeaseKeeper::changeFrom(const Context &ctx,
+                                                      const std::optional<QuotaLease> &former) const {
+  if (!former)
+    return Change::Taken;
+  if (former->Holder == ctx.Self.Node)
+    return former->Incarnation == ctx.Incarnation ? Change::Resumed : Change::TakenAtStart;
+  return former->Revision == OfferedRevision ? Change::TakenOver : Change::Taken;
 }
 
 QuotaLeaseKeeper::Change QuotaLeaseKeeper::onConflict(Context &ctx, const QuotaLease &current) {
--- a/src/quota/internal/quotalease.h
+++ b/src/quota/internal/quotalease.h
@@ -16,7 +16,14 @@
 class QuotaLeaseKeeper {
 public:
   /// What an event has changed for this proxy.
-  enum class Change : std::uint8_t { None, Taken, Lost };
+  enum class Change : std::uint8_t {
+    None,
+    Taken,        ///< From a holder of which nothing is known.
+    TakenAtStart, ///< From an earlier process of this node, which ended before this one started.
+    TakenOver,    ///< From a holder that has handed it over.
+    Resumed,      ///< This process held it before, and no other one since.
+    Lost,
+  };
 
   /// \param first Whether this proxy comes first in the order of its zone, and takes the lease unasked.
   Change onTimer(Context &ctx, bool first);
@@ -44,7 +51,9 @@
   static constexpr Duration HoldTime = 9s;
   static constexpr Duration RenewInterval = 3s;
   /// Time without a confirmed renewal, after it was due, until the lease is handed over.
-  static constexpr Duration FailingTime = 3s;
+  static constexpr Duration FailingTime = 5s;
+  /// Time for which a proxy that has handed the lease over leaves it to others.
+  static constexpr Duration HandoverTime = 2s;
   /// Longer than HoldTime, since clocks of VMs run at slightly different rates.
   static constexpr Duration TakeoverTime = 10s;
   /// Time for which the lease is read after this proxy was asked for tokens.
@@ -60,6 +69,8 @@
   [[nodiscard]] bool mayTake(const Context &ctx, const StoreEra &era) const;
   Change onStored(Context &ctx, const QuotaLease &stored);
   Change onConflict(Context &ctx, const QuotaLease &current);
+  /// What taking the lease in the place of another one means.
+  [[nodiscard]] Change changeFrom(const Context &ctx, const std::optional<QuotaLease> &former) const;
   Change lose();
 
   std::optional<QuotaLease> Known; ///< As last read or written; empty if there was none.
@@ -70,6 +81,7 @@
       HeldFrom;               ///< Sending of the last confirmed write; set while this proxy is the holder.
   std::optional<CallId> Call; ///< Pending; at most one at a time.
   TimePoint CallSentAt;
+  std::optional<QuotaLease> Base; ///< What the pending write replaces.
   TimePoint NextCallAt;
   std::optional<TimePoint> AskedAt;
   std::optional<TimePoint> RestoredAt;
--- a/src/quota/internal/tokenbucket.h
+++ b/src/quota/internal/tokenbucket.h
@@ -11,8 +11,7 @@
 
 class TokenBucket {
 public:
-  /// Starts empty.
-  explicit TokenBucket(TimePoint now) : FilledAt(now) {}
+  explicit TokenBucket(TimePoint now, double tokens = 0) : Tokens(tokens), FilledAt(now) {}
 
   /// \param rate Tokens a second.
   /// \param capacity Tokens that an unused bucket holds.
@@ -46,6 +45,7 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing / Rate));
   }
   [[nodiscard]] double capacity() const { return Capacity; }
+  [[nodiscard]] double tokens() const { return Tokens; }
 
 private:
   static double seconds(Duration it) { return std::chrono::duration<double>(it).count(); }
--- a/src/quota/quotamodule.cpp
+++ b/src/quota/quotamodule.cpp
@@ -23,18 +23,32 @@
   if (change == Change::None)
     return;
   const std::vector<LogField> fields = {{"availability_zone", ctx.Self.AvailabilityZone.str()}};
-  if (change == Change::Taken) {
-    ctx.emit(Count{"quota_leases_taken_total"});
-    ctx.emit(Log{LogLevel::Info, "quota lease taken", fields});
-    Holder.start(ctx.Now);
+  if (change == Change::Lost) {
+    ctx.emit(Count{"quota_leases_lost_total"});
+    ctx.emit(Log{LogLevel::Warn, "quota lease lost", fields});
+    deliver(ctx, services.Fleet, Holder.stop());
     return;
   }
-  ctx.emit(Count{"quota_leases_lost_total"});
-  ctx.emit(Log{LogLevel::Warn, "quota lease lost", fields});
-  deliver(ctx, services.Fleet, Holder.stop());
+  ctx.emit(Count{"quota_leases_taken_total"});
+  ctx.emit(Log{LogLevel::Info, "quota lease taken", fields});
+  switch (change) {
+  case Change::Resumed:
+    Holder.resume(ctx.Now);
+    break;
+  case Change::TakenOver:
+    Holder.start(OfferedLevels, OfferedAt);
+    break;
+  case Change::TakenAtStart:
+    Holder.start(ProcessStartedAt.value_or(ctx.Now));
+    break;
+  default:
+    Holder.start(ctx.Now);
+    break;
+  }
 }
 
 void QuotaModule::onTimer(Context &ctx, const QuotaServices &services) {
+  ProcessStartedAt = ProcessStartedAt.value_or(ctx.Now);
   Enabled = enabled(ctx.Self, services.Catalog);
   if (!Enabled)
     return;
@@ -77,6 +91,8 @@
   if (Leaving || handover.AvailabilityZone != ctx.Self.AvailabilityZone)
     return;
   ctx.emit(Log{LogLevel::Info, "quota lease offered", {{"peer", from.str()}}});
+  OfferedLevels = handover.Levels;
+  OfferedAt = ctx.Now;
   Lease.onHandover(handover.Revision, ctx.Now);
 }
 
@@ -103,6 +119,7 @@
   const auto revision = Lease.handOver(ctx.Now);
   if (!revision)
     return;
+  const auto levels = Holder.levels();
   deliver(ctx, services.Fleet, Holder.stop());
   const auto &order = services.Fleet.order(ctx.Self.AvailabilityZone, HolderKey);
   const auto next =
@@ -113,7 +130,7 @@
                {{"availability_zone", ctx.Self.AvailabilityZone.str()},
                 {"peer", next == order.end() ? "-" : next->str()}}});
   if (next != order.end())
-    ctx.emit(SendToPeer{*next, QuotaHandover{ctx.Self.AvailabilityZone, *revision}});
+    ctx.emit(SendToPeer{*next, QuotaHandover{ctx.Self.AvailabilityZone, *revision, levels}});
 }
 
 void QuotaModule::startLeaving(Context &ctx, const QuotaServices &services) {
--- a/src/quota/quotamodule.h
+++ b/src/quota/quotamodule.h
@@ -61,8 +61,11 @@
   detail::QuotaClient Client;
   detail::QuotaHolder Holder;
   detail::QuotaLeaseKeeper Lease;
-  bool Enabled = false; ///< As of the last timer event.
-  bool First = false;   ///< This proxy comes first in the order of its zone.
+  std::vector<QuotaLevel> OfferedLevels; ///< Of the last handover to this proxy.
+  TimePoint OfferedAt;
+  std::optional<TimePoint> ProcessStartedAt; ///< Time of the first timer event.
+  bool Enabled = false;                      ///< As of the last timer event.
+  bool First = false;                        ///< This proxy comes first in the order of its zone.
   bool Leaving = false;
 };
 
