Fault soak: workspaces, withdrawn keys and floods

Cause: the soak of real processes knew no workspaces, so nothing outside the proxies checked keys, their withdrawal and quotas. Change: the configuration has three workspaces with two keys each; the routes of two services are keyed, the others anonymous. Callers use keys, some withdrawn or unknown ones. The processes get the settings of revocation and quotas. Two new troubles: withdraw (a key is withdrawn, while one or all proxies get no answers from the store, or none is cut off) and flood (the callers of a workspace pause for a sixth as long). Four checks, from what callers and servers see: UNASKED, ROUTE, CONFIG and QUOTA. The summary counts refusals by code.

--- a/testing/platformsoak/callers.cpp
+++ b/testing/platformsoak/callers.cpp
@@ -24,14 +24,26 @@
 constexpr double BigReadShare = 0.1;
 constexpr Millis SlowReadMs = 250;
 constexpr Millis ReconnectPauseMs = 50;
+constexpr int FloodFactor = 6;
+/// Of the sessions whose key is refused; the others go on with it.
+constexpr double LeaveRefusedShare = 0.3;
 
 /// Nothing of the attempt is kept.
 bool isPromise(const std::string &code) {
-  constexpr std::array<std::string_view, 6> Promises = {"BUSY",     "ABORTED",   "LAGGING",
+  constexpr std::array<std::string_view, 7> Promises = {"NOAUTH",   "BUSY",      "ABORTED", "LAGGING",
                                                         "READONLY", "MISROUTED", "TOOMANY"};
   return std::find(Promises.begin(), Promises.end(), code) != Promises.end();
 }
 
+/// The workspace of a caller, by the shares of the workspaces.
+std::size_t tenantOf(int number) {
+  auto left = number % CallerShares;
+  std::size_t out = 0;
+  while (left >= Tenants.at(out).Share)
+    left -= Tenants.at(out++).Share;
+  return out;
+}
+
 } // namespace
 
 const std::vector<Workload> &workloads() {
@@ -56,12 +68,20 @@
       Session(context.Seen, workload.HostPrefix + std::to_string(number)),
       Service(*context.Services.at(static_cast<std::size_t>(number) % context.Services.size())),
       Host(workload.HostPrefix + std::to_string(static_cast<std::size_t>(number) % context.Services.size())),
+      Tenant(isAnonymous(static_cast<std::size_t>(number) % context.Services.size())
+                 ? std::nullopt
+                 : std::optional(tenantOf(number))),
       Direct(roll() < DirectShare) {}
 
+int Caller::haste() const {
+  const bool floods = Tenant == Context.FloodTenant.load() && Context.FloodUntil > nowMs();
+  return (Context.BurstUntil > nowMs() ? 2 : 1) * (floods ? FloodFactor : 1);
+}
+
 void Caller::run() {
   std::exponential_distribution<double> pause(1.0 / static_cast<double>(Work.PauseMs));
   while (!Context.Over) {
-    const auto wait = static_cast<Millis>(pause(Random)) / (Context.BurstUntil > nowMs() ? 2 : 1);
+    const auto wait = static_cast<Millis>(pause(Random)) / haste();
     if (Work.Fresh || !Session.isOpen())
       sleepMs(wait);
     else if (!Session.idle(wait)) {
@@ -82,7 +102,10 @@
   const int port = Direct ? Context.Proxies[proxy]->callersPort() : Context.Networks[proxy]->port();
   OwnCommit = 0;
   ++Context.Counts.Sessions;
-  return Session.open(port, static_cast<int>(proxy), Host, OpenTimeoutMs).empty();
+  return Session
+      .open(port, static_cast<int>(proxy), Host, OpenTimeoutMs,
+            Tenant ? Context.Operator.chooseKey(*Tenant, roll()) : "")
+      .empty();
 }
 
 void Caller::operation() {
@@ -154,7 +177,8 @@
   LastId = request.Id;
   auto out = Session.query(std::move(request));
   // Operations end outside a transaction, or the session ends.
-  if (out.Complete && out.State != 'I' && text == "ROLLBACK")
+  if (out.Complete &&
+      ((out.State != 'I' && text == "ROLLBACK") || (out.Error == "NOAUTH" && roll() < LeaveRefusedShare)))
     Session.close();
   return out;
 }
--- a/testing/platformsoak/callers.h
+++ b/testing/platformsoak/callers.h
@@ -4,6 +4,7 @@
 
 #include "platformsoak/balancer.h"
 #include "platformsoak/callersession.h"
+#include "platformsoak/configoperator.h"
 #include "platformsoak/dbservice.h"
 #include "platformsoak/forwarder.h"
 
@@ -33,6 +34,9 @@
 /// One of each kind of route.
 [[nodiscard]] std::span<const Workload> routeWorkloads();
 
+/// Whether the routes of this service ask for no key.
+[[nodiscard]] inline bool isAnonymous(std::size_t service) { return service == 0; }
+
 struct CallerCounts {
   std::atomic<int> Served{0}, Failed{0}, Sessions{0};
 };
@@ -45,10 +49,14 @@
   std::vector<std::unique_ptr<ProxyProcess>> &Proxies;
   std::vector<std::unique_ptr<Forwarder>> &Networks;
   std::atomic<bool> &Over;
+  const ConfigOperator &Operator;
   /// Callers read slowly until this time.
   std::atomic<Millis> SlowUntil{0};
   /// Callers pause for half as long until this time.
   std::atomic<Millis> BurstUntil{0};
+  /// Callers of this workspace pause for a fraction of the usual time until this time.
+  std::atomic<std::size_t> FloodTenant{0};
+  std::atomic<Millis> FloodUntil{0};
   CallerCounts Counts{};
 };
 
@@ -64,6 +72,7 @@
   Outcome attempt(int number);
   Outcome transaction();
   bool open(int attempt);
+  [[nodiscard]] int haste() const;
   Answer send(const std::string &text);
   Outcome after(const Answer &answer, bool mayHaveRun) const;
   std::string randomItem();
@@ -80,7 +89,8 @@
   CallerSession Session;
   DbService &Service;
   std::string Host;
-  bool Direct; ///< Its connections leave the forwarder out.
+  std::optional<std::size_t> Tenant; ///< Index; absent on an anonymous route.
+  bool Direct;                       ///< Its connections leave the forwarder out.
   Millis EndBy = 0;
   std::uint64_t Needs = 0;
   std::uint64_t OwnCommit = 0; ///< Of this session.
--- a/testing/platformsoak/callersession.cpp
+++ b/testing/platformsoak/callersession.cpp
@@ -27,15 +27,17 @@
   return out.data();
 }
 
-std::string CallerSession::open(int port, int proxy, const std::string &database, Millis timeoutMs) {
+std::string CallerSession::open(int port, int proxy, const std::string &database, Millis timeoutMs,
+                                const std::string &key) {
   close();
   const int fd = connectTo(port);
   if (fd < 0)
     return "-";
   Proxy = proxy;
+  Key = key;
   Socket = std::make_unique<LineSocket>(fd);
   std::string line;
-  if (sendAll(fd, "STARTUP " + database + " " + Name + "\r\n") &&
+  if (sendAll(fd, "STARTUP " + database + " " + (key.empty() ? Name : key) + "\r\n") &&
       Socket->read(line, timeoutMs) == ReadResult::Line) {
     if (line.starts_with("READY")) {
       OpenedAt = nowMs();
@@ -53,9 +55,10 @@
   if (request.Id.empty())
     request.Id = newRequestId();
   request.Session = Name;
+  request.Key = Key;
   request.Proxy = Proxy;
   request.OpenedAt = OpenedAt;
-  request.SentAt = nowMs();
+  request.FirstByteAt = request.SentAt = nowMs();
   const auto until = request.SentAt + request.DeadlineMs;
   auto result = sendAll(Socket->fd(), "QUERY " + request.Id + " " + request.Text + "\r\n")
                     ? ReadResult::Line
--- a/testing/platformsoak/callersession.h
+++ b/testing/platformsoak/callersession.h
@@ -24,7 +24,9 @@
   CallerSession &operator=(const CallerSession &) = delete;
 
   /// Opens a connection and its session. The error's code, "" for success, "-" for none that came.
-  std::string open(int port, int proxy, const std::string &database, Millis timeoutMs);
+  /// With an empty key, the session tells its name instead.
+  std::string open(int port, int proxy, const std::string &database, Millis timeoutMs,
+                   const std::string &key = {});
   /// The fields of the request but its id, times and answer are the caller's to set.
   Answer query(Request request);
   /// Waits for the time. False if the session has ended meanwhile, or has got what it has not asked for.
@@ -37,7 +39,7 @@
 
 private:
   Observations &Seen;
-  std::string Name;
+  std::string Name, Key;
   std::unique_ptr<LineSocket> Socket;
   int Proxy = 0;
   Millis OpenedAt = 0;
--- a/testing/platformsoak/deployment.cpp
+++ b/testing/platformsoak/deployment.cpp
@@ -43,9 +43,12 @@
   }
   Operator.begin();
   std::ostringstream rest;
-  rest << "region: north\ninterface: sessions\nplatform: http://127.0.0.1:" << Store.port()
-       << "\nduties: http://127.0.0.1:" << Duties.port() << "\nshutdown_grace_s: " << options.GraceS
-       << "\npromotion_fencing: true\nfirst_start: true\npropagation_ms: 3000\nregions:\n";
+  rest << "region: north\ninterface: sessions\nduties: http://127.0.0.1:" << Duties.port()
+       << "\nshutdown_grace_s: " << options.GraceS
+       << "\npromotion_fencing: true\nfirst_start: true\npropagation_ms: 3000\nstrict_revocation: "
+          "true\nrevocation_ms: "
+       << RevocationMs << "\nquota_window_s: " << QuotaWindowMs / 1'000
+       << "\nquota_overshoot: " << QuotaOvershoot << "\nquota_slack: " << QuotaSlack << "\nregions:\n";
   for (const auto *it : Zones)
     rest << "  " << it << ": north\n";
   rest << "log:\n  format: key_value\n  level: info\n";
@@ -55,12 +58,14 @@
     one.Zone = Zones.at(static_cast<std::size_t>(ProxyZones.at(n)));
     one.Program = options.Program;
     one.Folder = options.Folder;
-    one.Settings = rest.str();
+    StoreNetworks.push_back(std::make_unique<Forwarder>(Store.port()));
+    one.Settings =
+        "platform: http://127.0.0.1:" + std::to_string(StoreNetworks.back()->port()) + "\n" + rest.str();
     Proxies.push_back(std::make_unique<ProxyProcess>(one, seen));
     Networks.push_back(std::make_unique<Forwarder>(Proxies.back()->callersPort()));
   }
   Entry = std::make_unique<Balancer>(Proxies);
-  Callers.reset(new CallerContext{Seen, *Entry, Services, Proxies, Networks, Over});
+  Callers.reset(new CallerContext{Seen, *Entry, Services, Proxies, Networks, Over, Operator});
 }
 
 HttpReply Deployment::duty(const HttpRequest &request) {
--- a/testing/platformsoak/deployment.h
+++ b/testing/platformsoak/deployment.h
@@ -37,6 +37,7 @@
   std::vector<std::unique_ptr<DbService>> Services;
   std::vector<std::unique_ptr<ProxyProcess>> Proxies;
   std::vector<std::unique_ptr<Forwarder>> Networks;
+  std::vector<std::unique_ptr<Forwarder>> StoreNetworks; ///< From each proxy to the store.
   std::unique_ptr<Balancer> Entry;
   std::unique_ptr<CallerContext> Callers;
 
--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -3,6 +3,7 @@
 #include "platformsoak/faultplan.h"
 
 #include "base/overloaded.h"
+#include "platformsoak/workspaces.h"
 
 #include <algorithm>
 #include <array>
@@ -45,6 +46,10 @@
     });
     every("slowcallers", 6'000, 9'000, [&] { return SlowCallers{span(2'000, 6'000)}; });
     every("burst", 5'000, 9'000, [&] { return Burst{span(3'000, 6'000)}; });
+    every("withdraw", 5'000, 8'000, [&] { return withdrawal(); });
+    every("flood", 6'000, 10'000, [&] {
+      return Flood{number(0, static_cast<int>(Tenants.size()) - 1), span(4'000, 7'000)};
+    });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
   }
@@ -79,6 +84,17 @@
       Out.push_back({at, make()});
   }
 
+  /// With no proxy, one, or all of them cut off from the store.
+  WithdrawKey withdrawal() {
+    WithdrawKey out{seed("withdraw"), {}, span(4'000, 9'000)};
+    const auto cut = number(0, 2);
+    if (cut == 1)
+      out.CutProxies.push_back(proxy());
+    for (int n = 0; cut == 2 && n < Options.Proxies; ++n)
+      out.CutProxies.push_back(n);
+    return out;
+  }
+
   StopProxy stop(int proxy) {
     StopProxy out{proxy, span(500, 1'000), {}, {}};
     out.FurtherTermsAfterMs = during("second", 2);
@@ -147,9 +163,9 @@
 } // namespace
 
 const std::vector<std::string> &troubleNames() {
-  static const std::vector<std::string> Names = {"stops",   "rolls",  "second",      "hups", "drain",
-                                                 "primary", "config", "slow",        "down", "restored",
-                                                 "delay",   "hold",   "slowcallers", "burst"};
+  static const std::vector<std::string> Names = {
+      "stops", "rolls",    "second", "hups", "drain",       "primary", "config",   "slow",
+      "down",  "restored", "delay",  "hold", "slowcallers", "burst",   "withdraw", "flood"};
   return Names;
 }
 
@@ -185,6 +201,14 @@
           [&](const HoldAnswers &it) { return "answers held at" + proxy(it.Proxy) + spanText(it.ForMs); },
           [&](const SlowCallers &it) { return "slow callers" + spanText(it.ForMs); },
           [&](const Burst &it) { return "burst" + spanText(it.ForMs); },
+          [&](const WithdrawKey &it) {
+            return "withdraw a key, " + std::to_string(it.CutProxies.size()) + " proxies cut off the store" +
+                   spanText(it.CutForMs);
+          },
+          [&](const Flood &it) {
+            return "flood of " + std::string(Tenants.at(static_cast<std::size_t>(it.Tenant)).Name) +
+                   spanText(it.ForMs);
+          },
       },
       fault);
 }
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -58,8 +58,20 @@
   Millis ForMs = 0;
 };
 
+/// A workspace's key is withdrawn, after some proxies have lost the answers of the store.
+struct WithdrawKey {
+  std::uint64_t Seed = 0;
+  std::vector<int> CutProxies;
+  Millis CutForMs = 0;
+};
+/// A workspace sends many times its usual load.
+struct Flood {
+  int Tenant = 0;
+  Millis ForMs = 0;
+};
+
 using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
-                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst>;
+                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood>;
 
 struct PlannedFault {
   Millis At = 0;
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -14,6 +14,8 @@
 constexpr Millis TickMs = 5;
 constexpr Millis GraceMs = 6'000;
 constexpr Millis DefaultRestartMs = 700;
+/// From a cut to the change of the configuration.
+constexpr Millis AfterCutMs = 300;
 
 } // namespace
 
@@ -77,6 +79,16 @@
   later(GraceMs, SIGKILL);
 }
 
+void FaultPlayer::withdraw(const WithdrawKey &fault) {
+  if (!fault.CutProxies.empty())
+    disrupt(fault.CutForMs, "store cut off");
+  for (const auto it : fault.CutProxies)
+    World.StoreNetworks.at(static_cast<std::size_t>(it))->network().HoldAnswersUntil =
+        nowMs() + fault.CutForMs;
+  at(nowMs() + AfterCutMs,
+     [this, seed = fault.Seed] { std::thread([this, seed] { World.Operator.withdrawKey(seed); }).detach(); });
+}
+
 void FaultPlayer::apply(const Fault &fault) {
   World.Seen.line("fault: " + describe(fault));
   std::visit(Overloaded{
@@ -122,6 +134,11 @@
                  },
                  [&](const SlowCallers &it) { World.Callers->SlowUntil = nowMs() + it.ForMs; },
                  [&](const Burst &it) { World.Callers->BurstUntil = nowMs() + it.ForMs; },
+                 [&](const WithdrawKey &it) { withdraw(it); },
+                 [&](const Flood &it) {
+                   World.Callers->FloodTenant = static_cast<std::size_t>(it.Tenant);
+                   World.Callers->FloodUntil = nowMs() + it.ForMs;
+                 },
              },
              fault);
 }
--- a/testing/platformsoak/faultplayer.h
+++ b/testing/platformsoak/faultplayer.h
@@ -20,6 +20,7 @@
 private:
   void apply(const Fault &fault);
   void stop(const StopProxy &fault);
+  void withdraw(const WithdrawKey &fault);
   void disrupt(Millis forMs, const char *what, std::optional<int> callersOf = std::nullopt);
   void at(Millis when, std::function<void()> action) { Actions.emplace(when, std::move(action)); }
   /// Starts proxies that have ended.
--- a/testing/platformsoak/main.cpp
+++ b/testing/platformsoak/main.cpp
@@ -3,6 +3,7 @@
 
 #include "platformsoak/faultplayer.h"
 #include "platformsoak/report.h"
+#include "platformsoak/workspacechecks.h"
 
 #include <algorithm>
 #include <array>
@@ -62,7 +63,7 @@
                  "PATH"},
       poptOption{"with", 0, POPT_ARG_STRING, &with, 0,
                  "troubles, separated by commas: stops rolls second hups drain primary config slow down "
-                 "restored delay hold slowcallers burst, or all",
+                 "restored delay hold slowcallers burst withdraw flood, or all",
                  "NAMES"},
       poptOption{"plan", 0, POPT_ARG_NONE, &planOnly, 0, "print the plan only", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -97,11 +98,18 @@
   figures.Sessions = world.Callers->Counts.Sessions;
   Report report(std::cout, lives);
   report.stops(figures);
+  report.refusals(requests, figures);
   report.cuts(requests, runs, disruptions, figures);
   report.violations(checkTwice(world.Seen.commits()), figures);
   report.violations(checkAnswers(requests, runs), figures);
   report.violations(checkConfig(world.Operator.versions(), world.Operator.probes(), lives, disruptions),
                     figures);
+  const auto arrivals = world.Seen.arrivals();
+  const auto keys = world.Operator.keys();
+  report.violations(checkUsers(requests, arrivals, keys), figures);
+  report.violations(checkUnknownKeys(requests, arrivals, keys), figures);
+  report.violations(checkWithdrawnKeys(requests, arrivals, keys), figures);
+  report.violations(checkQuotas(Tenants, arrivals), figures);
   report.summary(figures);
   if (figures.Served < LeastServedPerS * seconds)
     return NotPossible;
--- a/testing/platformsoak/observations.cpp
+++ b/testing/platformsoak/observations.cpp
@@ -31,6 +31,12 @@
   Commits[id].push_back(position);
 }
 
+void Observations::addArrival(Arrival arrival) {
+  const std::lock_guard hold(Lock);
+  arrival.At = nowMs();
+  Arrivals.push_back(std::move(arrival));
+}
+
 void Observations::addDisruption(Disruption disruption) {
   const std::lock_guard hold(Lock);
   Disruptions.push_back(std::move(disruption));
@@ -57,6 +63,11 @@
   return it == Commits.end() ? 0 : it->second.back();
 }
 
+std::vector<Arrival> Observations::arrivals() const {
+  const std::lock_guard hold(Lock);
+  return Arrivals;
+}
+
 std::vector<Disruption> Observations::disruptions() const {
   const std::lock_guard hold(Lock);
   return Disruptions;
--- a/testing/platformsoak/observations.h
+++ b/testing/platformsoak/observations.h
@@ -27,13 +27,15 @@
 struct Request {
   std::string Id, Session, Text, Host, Service;
   RouteKind Kind = RouteKind::Primary;
-  int Proxy = 0;       ///< Index.
-  Millis OpenedAt = 0; ///< When the session's READY came.
-  Millis SentAt = 0;   ///< Its last byte.
+  int Proxy = 0;          ///< Index.
+  Millis OpenedAt = 0;    ///< When the session's READY came.
+  Millis SentAt = 0;      ///< Its last byte.
+  Millis FirstByteAt = 0; ///< Not earlier than this.
   Millis EndedAt = 0;
   Millis TimeoutMs = 0;  ///< Of the route.
   Millis DeadlineMs = 0; ///< How long the caller waits at most.
   platformsoak::Ending Ending = Ending::Answered;
+  std::string Key;   ///< Of its session; empty on an anonymous route.
   std::string Error; ///< Code; empty for a success.
   std::string Signature, Rows;
   /// A read: the least position that its log has to have, by the rule STALE.
@@ -51,6 +53,13 @@
   std::uint64_t Position = 0; ///< Of the log on which it ran.
 };
 
+/// A statement of a caller has reached a server, whether or not the server runs it.
+struct Arrival {
+  std::string Id, User, Server; ///< User: the name under which the connection was opened.
+  Millis At = 0;
+  bool Operation = false; ///< A single statement, or the first one of a transaction.
+};
+
 /// One process of a proxy.
 struct ProcessLife {
   int Proxy = 0;  ///< Index.
@@ -82,6 +91,8 @@
   void finishRun(const std::string &id, std::size_t index, const ServerRun &run);
   /// A write took effect, or a COMMIT with writes.
   void addCommit(const std::string &id, std::uint64_t position);
+  /// Sets its time.
+  void addArrival(Arrival arrival);
   void addDisruption(Disruption disruption);
 
   [[nodiscard]] std::vector<Request> requests() const;
@@ -90,6 +101,8 @@
   [[nodiscard]] std::map<std::string, std::vector<std::uint64_t>> commits() const;
   /// The last position of a statement that took effect; 0 without one.
   [[nodiscard]] std::uint64_t commitPosition(const std::string &id) const;
+  /// In the order of their times.
+  [[nodiscard]] std::vector<Arrival> arrivals() const;
   [[nodiscard]] std::vector<Disruption> disruptions() const;
 
 private:
@@ -98,6 +111,7 @@
   std::vector<Request> Requests;
   std::map<std::string, std::vector<ServerRun>> Runs;
   std::map<std::string, std::vector<std::uint64_t>> Commits;
+  std::vector<Arrival> Arrivals;
   std::vector<Disruption> Disruptions;
 };
 
--- a/testing/platformsoak/report.cpp
+++ b/testing/platformsoak/report.cpp
@@ -90,6 +90,12 @@
   }
 }
 
+void Report::refusals(const std::vector<Request> &requests, RunFigures &figures) {
+  for (const auto &it : requests)
+    if (!it.Error.empty())
+      ++figures.Refusals[it.Error + (it.Key.empty() ? " (anonymous)" : "")];
+}
+
 void Report::violations(const std::vector<Violation> &found, RunFigures &figures) {
   for (const auto &it : found)
     if (static_cast<std::size_t>(++figures.Rules[it.Rule]) <= ViolationsShown)
@@ -101,6 +107,8 @@
       << " operations served, " << figures.Failed << " failed, " << figures.Sessions << " sessions; LOST "
       << figures.Lost << " (" << figures.LostUnnamed << " not named in the log), cut with a run "
       << figures.ServedWhileCut << ", log lines left out " << figures.LinesLeftOut;
+  for (const auto &[code, count] : figures.Refusals)
+    Out << ", " << code << " " << count;
   for (const auto &[rule, count] : figures.Rules)
     Out << ", " << rule << " " << count;
   Out << std::endl;
--- a/testing/platformsoak/report.h
+++ b/testing/platformsoak/report.h
@@ -18,7 +18,8 @@
   int ServedWhileCut = 0; ///< Cut requests that a server had, with any verdict.
   int BadEnds = 0;        ///< Stopped processes without an orderly end, or ends without a stop.
   std::uint64_t LinesLeftOut = 0;
-  std::map<std::string, int> Rules; ///< Violations by rule.
+  std::map<std::string, int> Refusals; ///< Of statements on keyed (or anonymous) routes, by code.
+  std::map<std::string, int> Rules;    ///< Violations by rule.
 };
 
 class Report {
@@ -27,6 +28,7 @@
   void stops(RunFigures &figures);
   void cuts(const std::vector<Request> &requests, const Runs &runs,
             const std::vector<Disruption> &disruptions, RunFigures &figures);
+  void refusals(const std::vector<Request> &requests, RunFigures &figures);
   void violations(const std::vector<Violation> &found, RunFigures &figures);
   void summary(const RunFigures &figures);
 
--- a/testing/platformsoak/serverconnection.cpp
+++ b/testing/platformsoak/serverconnection.cpp
@@ -40,6 +40,7 @@
   if (Socket.read(line) != ReadResult::Line)
     return false;
   const auto fields = words(line);
+  User = fields.size() > 2 ? fields[2] : "";
   std::string refusal;
   {
     const std::lock_guard hold(Of.Lock);
@@ -131,6 +132,8 @@
   }
   if (State == 'E')
     return "ERROR MALFORMED the transaction has failed\r\n";
+  if (id != "-")
+    Of.Seen.addArrival({id, User, Server.Id, 0, State == 'I' || std::exchange(First, false)});
   if (lacks)
     return refuse("LAGGING");
   return runStatement(id, word, text);
@@ -160,6 +163,7 @@
   if (!ReadOnly && !Server.Leads)
     return "ERROR READONLY " + Server.Id + "\r\n";
   State = 'T';
+  First = true;
   Term = Server.Term;
   Writes.clear();
   return "COMPLETE -\r\n";
--- a/testing/platformsoak/serverconnection.h
+++ b/testing/platformsoak/serverconnection.h
@@ -43,6 +43,8 @@
   LineSocket Socket;
   char State = 'I';
   bool ReadOnly = false;
+  std::string User;       ///< Under whose name it was opened.
+  bool First = false;     ///< The transaction has got no statement yet.
   std::uint64_t Term = 0; ///< Of the lead under which the transaction began.
   std::vector<LoggedWrite> Writes;
   std::map<std::string, std::string> Prepared; ///< READ or WRITE, by name.
