Local settings: print large numbers without an exponent

Cause: std::to_chars chooses the shortest form, so the bound of revocation_ms was reported as 6e+05. daemon-tests failed with it (localsettingstests.cpp, line 127) since the setting was added. Change: numbers are printed in fixed notation.

--- a/src/daemon/internal/localsettings.cpp
+++ b/src/daemon/internal/localsettings.cpp
@@ -177,8 +177,8 @@
 
 /// The shortest text that reads as the same number.
 std::string formatNumber(double value) {
-  std::array<char, 32> buf{};
-  const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), value);
+  std::array<char, 64> buf{};
+  const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), value, std::chars_format::fixed);
   return {buf.data(), end};
 }
 
