Refuse commands that a proxy with sessions cannot carry out

Cause: POST /admin/settings.verify, settings.history and report at rosemaryhinge-platformd asked for an object of a store that this daemon does not connect. The loop called the missing adapter and the process ended with signal 11. Each event is in one list, of both caller interfaces or of one; an event without a list, or one of sessions without a handler, does not compile, and an event of the other interface is ignored and counted as a broken invariant. The loop drops effects whose adapter is missing, counts them (effects_without_adapter_total) and logs each kind once.

--- a/src/daemon/internal/loop.cpp
+++ b/src/daemon/internal/loop.cpp
@@ -79,7 +79,7 @@
 void Loop::run(const Started &started) {
   post(started);
   readWallClock();
-  if (Out.Callers)
+  if (Out.Callers && Out.Platform)
     readKeys();
   Io.run();
 }
@@ -112,42 +112,60 @@
 }
 
 void Loop::apply(const Effect &effect) {
-  std::visit(Overloaded{
-                 [&](const Respond &it) { Out.Callers->respond(it.Id, it.Answer); },
-                 [&](const SendToPeer &it) { Out.Peers->send(it); },
-                 [&](const PeerAddress &it) { Out.Peers->setAddress(it); },
-                 [&](const TargetAddress &it) { Out.Targets->setAddress(it); },
-                 [&](const OpenConnection &it) { Out.Targets->open(it); },
-                 [&](const CloseConnection &it) { Out.Targets->close(it); },
-                 [&](const Execute &it) { Out.Targets->execute(it); },
-                 [&](const ControlCall &it) { Out.Targets->control(it); },
-                 [&](const PlatformCall &it) {
-                   Out.Platform->call(it, [this](PlatformAnswer answer) { post(std::move(answer)); });
-                 },
-                 [&](const AdminReply &it) { Out.Admin->reply(it); },
-                 [&](const Log &it) { Logger.log(it); },
-                 [&](const CountRefusal &it) { Counters.countRefusal(it.Reason); },
-                 [&](const CountRetry &it) { Counters.countRetry(it.Reason); },
-                 [&](const Count &it) { Counters.count(it.Name, it.Value); },
-                 [&](const Observe &it) { Counters.observe(it.Name, it.Value); },
-                 [&](const InvariantBroken &it) { invariantBroken(it); },
-                 [&](const ShutdownComplete &) { finishShutdown(); },
-                 [&](const AcceptSession &it) { Out.Sessions->greet(it); },
-                 [&](const RefuseSession &it) { Out.Sessions->refuse(it); },
-                 [&](const AnswerStatement &it) { Out.Sessions->answer(it); },
-                 [&](const CloseSession &it) { Out.Sessions->close(it); },
-                 [&](const StopAccepting &) { Out.Sessions->stopAccepting(); },
-                 [&](const OpenLink &it) { Out.Links->open(it); },
-                 [&](const SendOnLink &it) { Out.Links->send(it); },
-                 [&](const CloseLink &it) { Out.Links->close(it); },
-                 [&](const DirectoryCall &it) {
-                   Out.Directory->call(it, [this](DirectoryAnswer answer) { post(std::move(answer)); });
-                 },
-                 [&](const PromotionCall &it) {
-                   Out.Directory->promote(it, [this](PromotionAnswer answer) { post(std::move(answer)); });
-                 },
-             },
-             effect);
+  const auto to = [&](auto *adapter, auto action) {
+    if (adapter)
+      action(*adapter);
+    else
+      withoutAdapter(effect);
+  };
+  std::visit(
+      Overloaded{
+          [&](const Respond &it) { to(Out.Callers, [&](auto &out) { out.respond(it.Id, it.Answer); }); },
+          [&](const SendToPeer &it) { to(Out.Peers, [&](auto &out) { out.send(it); }); },
+          [&](const PeerAddress &it) { to(Out.Peers, [&](auto &out) { out.setAddress(it); }); },
+          [&](const TargetAddress &it) { to(Out.Targets, [&](auto &out) { out.setAddress(it); }); },
+          [&](const OpenConnection &it) { to(Out.Targets, [&](auto &out) { out.open(it); }); },
+          [&](const CloseConnection &it) { to(Out.Targets, [&](auto &out) { out.close(it); }); },
+          [&](const Execute &it) { to(Out.Targets, [&](auto &out) { out.execute(it); }); },
+          [&](const ControlCall &it) { to(Out.Targets, [&](auto &out) { out.control(it); }); },
+          [&](const PlatformCall &it) {
+            to(Out.Platform,
+               [&](auto &out) { out.call(it, [this](PlatformAnswer answer) { post(std::move(answer)); }); });
+          },
+          [&](const AdminReply &it) { to(Out.Admin, [&](auto &out) { out.reply(it); }); },
+          [&](const Log &it) { Logger.log(it); },
+          [&](const CountRefusal &it) { Counters.countRefusal(it.Reason); },
+          [&](const CountRetry &it) { Counters.countRetry(it.Reason); },
+          [&](const Count &it) { Counters.count(it.Name, it.Value); },
+          [&](const Observe &it) { Counters.observe(it.Name, it.Value); },
+          [&](const InvariantBroken &it) { invariantBroken(it); },
+          [&](const ShutdownComplete &) { finishShutdown(); },
+          [&](const AcceptSession &it) { to(Out.Sessions, [&](auto &out) { out.greet(it); }); },
+          [&](const RefuseSession &it) { to(Out.Sessions, [&](auto &out) { out.refuse(it); }); },
+          [&](const AnswerStatement &it) { to(Out.Sessions, [&](auto &out) { out.answer(it); }); },
+          [&](const CloseSession &it) { to(Out.Sessions, [&](auto &out) { out.close(it); }); },
+          [&](const StopAccepting &) { to(Out.Sessions, [&](auto &out) { out.stopAccepting(); }); },
+          [&](const OpenLink &it) { to(Out.Links, [&](auto &out) { out.open(it); }); },
+          [&](const SendOnLink &it) { to(Out.Links, [&](auto &out) { out.send(it); }); },
+          [&](const CloseLink &it) { to(Out.Links, [&](auto &out) { out.close(it); }); },
+          [&](const DirectoryCall &it) {
+            to(Out.Directory,
+               [&](auto &out) { out.call(it, [this](DirectoryAnswer answer) { post(std::move(answer)); }); });
+          },
+          [&](const PromotionCall &it) {
+            to(Out.Directory, [&](auto &out) {
+              out.promote(it, [this](PromotionAnswer answer) { post(std::move(answer)); });
+            });
+          },
+      },
+      effect);
+}
+
+void Loop::withoutAdapter(const Effect &effect) {
+  Counters.count("effects_without_adapter_total");
+  // One line for each kind: the same decision may come with each event.
+  if (!std::exchange(ReportedWithoutAdapter.at(effect.index()), true))
+    Logger.log({LogLevel::Error, "effect without an adapter", {{"effect", std::to_string(effect.index())}}});
 }
 
 void Loop::invariantBroken(const InvariantBroken &effect) {
--- a/src/daemon/loop.h
+++ b/src/daemon/loop.h
@@ -16,14 +16,17 @@
 #include "wire/ilinkconnector.h"
 #include "wire/isessionlistener.h"
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstddef>
 #include <deque>
+#include <variant>
 
 namespace rosemaryhinge {
 
-/// A proxy has the adapters of its caller interface; the others are null and get no effects.
+/// A proxy has the adapters of its caller interface; the others are null. Effects for them are dropped and
+/// counted.
 struct Adapters {
   ICallers *Callers = nullptr;
   IPeers *Peers = nullptr;
@@ -61,6 +64,7 @@
   void drain();
   void step(const Event &event);
   void apply(const Effect &effect);
+  void withoutAdapter(const Effect &effect);
   void invariantBroken(const InvariantBroken &effect);
   void armTimer();
   void readWallClock();
@@ -87,6 +91,7 @@
   asio::steady_timer ShutdownTimer;
   bool ShuttingDown = false;
   std::chrono::steady_clock::time_point ShutdownDeadline;
+  std::array<bool, std::variant_size_v<Effect>> ReportedWithoutAdapter{}; ///< By kind of effect.
   detail::Trail Trail;
 };
 
--- a/src/daemon/tests/looptests.cpp
+++ b/src/daemon/tests/looptests.cpp
@@ -315,3 +315,27 @@
   io.run_for(20ms);
   CHECK(io.stopped());
 }
+
+TEST_CASE("an effect whose adapter the proxy does not have is counted and logged, and the loop goes on") {
+  // Guards against the end of the process by a decision that belongs to the other caller interface.
+  Fixture f;
+  f.Subject.setAdapters({});
+  const Effects lost = {Respond{},         SendToPeer{},      PeerAddress{},   TargetAddress{},
+                        OpenConnection{},  CloseConnection{}, Execute{},       ControlCall{},
+                        PlatformCall{},    AdminReply{},      AcceptSession{}, RefuseSession{},
+                        AnswerStatement{}, CloseSession{},    StopAccepting{}, OpenLink{},
+                        SendOnLink{},      CloseLink{},       DirectoryCall{}, PromotionCall{}};
+  f.Reducer.Rule = [&](const Event &event, TimePoint) -> Effects {
+    if (!std::holds_alternative<Started>(event))
+      return {};
+    auto out = lost;
+    out.emplace_back(ShutdownComplete{});
+    return out;
+  };
+  f.run();
+  CHECK(f.Counters.text().find("effects_without_adapter_total " + std::to_string(lost.size())) !=
+        std::string::npos);
+  const auto &entries = f.Logger.Entries;
+  CHECK(std::any_of(entries.begin(), entries.end(),
+                    [](const Log &it) { return it.Message == "effect without an adapter"; }));
+}
--- a/src/reducer/internal/adminviews.cpp
+++ b/src/reducer/internal/adminviews.cpp
@@ -14,6 +14,7 @@
 
 constexpr int HttpOk = 200;
 constexpr int HttpNotFound = 404;
+constexpr int HttpNotImplemented = 501;
 
 std::int64_t toMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -108,4 +109,10 @@
   return {request.Id, HttpNotFound, error.dump()};
 }
 
+AdminReply commandNotServed(const AdminRequest &request) {
+  json error = {{"error", request.Command + " is not served by proxies whose callers keep sessions"},
+                {"next", "the configuration of these proxies is an object of the platform's store"}};
+  return {request.Id, HttpNotImplemented, error.dump()};
+}
+
 } // namespace rosemaryhinge::detail
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -3,6 +3,7 @@
 #include "reducer/internal/sessionevents.h"
 
 #include "base/overloaded.h"
+#include "protocol/eventinterface.h"
 #include "protocol/storerevision.h"
 
 #include <algorithm>
@@ -142,7 +143,11 @@
     }
   }
 
-  template <typename T> void operator()(const T &) {}
+  void operator()(const AdminRequest &) {}
+  void operator()(const WallClockRead &) {}
+  /// An event of sessions without a handler does not compile.
+  template <typename T>
+  requires(RequestEvents::Has<T>) void operator()(const T &) {}
 
   /// Asks for the tokens that operations wait for, and starts or refuses those that are decided.
   void admitByQuota() {
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -3,6 +3,7 @@
 #include "reducer/reducer.h"
 
 #include "base/overloaded.h"
+#include "protocol/eventinterface.h"
 #include "reducer/internal/adminviews.h"
 #include "reducer/internal/sessionevents.h"
 
@@ -247,9 +248,12 @@
 }
 
 void Dispatcher::operator()(const AdminRequest &event) {
-  if (event.Command.starts_with("settings."))
+  const bool settings = event.Command.starts_with("settings."), report = event.Command.starts_with("report");
+  if ((settings || report) && S.Self.Interface == CallerInterface::Sessions)
+    Ctx.emit(detail::commandNotServed(event));
+  else if (settings)
     S.Settings.onAdmin(Ctx, S.Membership, event);
-  else if (event.Command.starts_with("report"))
+  else if (report)
     S.Journal.onAdmin(Ctx, S.Membership, event);
   else
     Ctx.emit(detail::adminView(S, event, Ctx.Now));
@@ -271,7 +275,14 @@
   std::vector<JournalEntry> journal;
   Context ctx{now,     state.Self, state.Incarnation, state.Rules, state.Random,
               effects, journal,    state.NextNumber,  state.Wall};
-  std::visit(Dispatcher(state, ctx), event);
+  std::visit(
+      [&]<typename T>(const T &it) {
+        if (const auto of = interfaceOf<T>(); !of || *of == state.Self.Interface)
+          Dispatcher(state, ctx)(it);
+        else
+          ctx.emit(InvariantBroken{"caller interface", "an event of the other interface was ignored"});
+      },
+      event);
   if (!journal.empty())
     state.Journal.append(ctx, journal);
   return effects;
