Begin with few statements at a server that has started or recovered

A server that joined, restarted or answered again after a silence got as many statements at once as there were links: 12 of 12 idle links in the tests of the pool, on links of this proxy as well as on lent ones. A server that failed half of its reads, or hung, kept getting work at the full limit.

ServerPace replaces the limit in LinkPool. It begins with 2 after a start, grows by one for each answer while the reads take less than twice what they take at the other servers of the service, and falls to three quarters above three times, on BUSY or on repeated failures. Servers that have been healthy for long, or that a proxy finds at its own start, are limited as before. A server of whose last 20 answers more than a quarter failed, while a peer's do not, gets one statement at a time until eight in a row are good. Lent links that are not used yet count as statements of a start phase; queries of the proxy itself are exempt. The cost of a read counts the limit as the server's concurrency.

--- a/src/links/internal/commands.cpp
+++ b/src/links/internal/commands.cpp
@@ -1,5 +1,4 @@
-// Commands on links and the replies to them: session values, prepared statements, pending replies, and the
-// limit on concurrent work that follows from the replies.
+// Commands on links and the replies to them: session values, prepared statements and pending replies.
 
 #include "links/linkpool.h"
 
@@ -15,12 +14,6 @@
 /// Number of prepared statements on one link at which the session state of the link is discarded.
 constexpr std::size_t MaxPrepared = 256;
 constexpr std::size_t MaxNames = 4'096;
-/// When a server rejects work as busy, the concurrency limit becomes the number of links with pending replies
-/// times LimitFactor, at most once per LowerInterval. MinLimit is enough to keep a server busy if this proxy
-/// is the only one with work for it.
-constexpr double LimitFactor = 0.8;
-constexpr Duration LowerInterval = 100ms;
-constexpr double MinLimit = 6;
 
 LinkStep stepOf(const LinkCommand &command) {
   return std::visit(Overloaded{
@@ -78,12 +71,22 @@
 void LinkPool::send(Context &ctx, LinkId id, std::vector<LinkCommand> commands) {
   auto &link = Links.at(id);
   auto &server = Servers[link.Target];
+  endUnusedGrant(server, link);
   if (link.PendingReplies.empty() && link.Lender.empty())
     ++server.LinksAwaitingReply;
   if (!link.Workspace.empty() && link.Lender.empty() && !link.User.own() && !std::exchange(link.Used, true))
     ctx.emit(Count{"statements_after_new_link_total"});
-  for (const auto &it : commands)
-    link.PendingReplies.push_back({stepOf(it), ctx.Now});
+  for (std::size_t n = 0; n < commands.size(); ++n) {
+    if (const auto *begin = std::get_if<BeginTransaction>(&commands[n]))
+      link.InReadOnlyTransaction = begin->ReadOnly;
+    const auto *run = std::get_if<RunStatement>(&commands[n]);
+    // A single read carries a position, or is rolled back at once.
+    const bool single = run && (run->After || (n + 1 < commands.size() &&
+                                               std::holds_alternative<RollbackTransaction>(commands[n + 1])));
+    const bool inTransaction =
+        run && link.ServerState == TransactionState::Open && link.InReadOnlyTransaction;
+    link.PendingReplies.push_back({stepOf(commands[n]), ctx.Now, single || inTransaction});
+  }
   if (!link.Lender.empty()) {
     ctx.emit(SendToPeer{link.Lender, LoanCommands{{ctx.Incarnation, id.Value},
                                                   std::exchange(link.NextValues, {}),
@@ -107,8 +110,8 @@
   if (link.Lender.empty()) {
     auto &server = Servers[link.Target];
     --server.PendingReplies;
-    server.Health.received(ctx.Now, server.PendingReplies > 0);
-    adjustConcurrencyLimit(server, event.Outcome, awaited.Step, ctx.Now);
+    recordAnswer(ctx, link.Target, server);
+    adjustPace(ctx, link.Target, server, awaited, event.Outcome);
     if (link.PendingReplies.empty())
       --server.LinksAwaitingReply;
   }
@@ -123,24 +126,4 @@
   return out;
 }
 
-void LinkPool::adjustConcurrencyLimit(Server &server, const StatementOutcome &outcome, LinkStep step,
-                                      TimePoint now) {
-  const auto *why = std::get_if<StatementRejection>(&outcome);
-  if (!why && step == LinkStep::Statement) {
-    server.ConcurrencyLimit =
-        std::min(InitialConcurrencyLimit, server.ConcurrencyLimit + 1 / server.ConcurrencyLimit);
-  } else if (why && why->Code == Rejection::Busy &&
-             (!server.LimitLoweredAt || now - *server.LimitLoweredAt >= LowerInterval)) {
-    server.LimitLoweredAt = now;
-    server.ConcurrencyLimit =
-        std::max(MinLimit, static_cast<double>(server.LinksAwaitingReply) * LimitFactor);
-  }
-}
-
-bool LinkPool::atConcurrencyLimit(const TargetId &target) const {
-  const auto it = Servers.find(target);
-  return it != Servers.end() &&
-         static_cast<double>(it->second.LinksAwaitingReply + 1) > it->second.ConcurrencyLimit;
-}
-
 } // namespace rosemaryhinge
--- a/src/links/internal/opening.cpp
+++ b/src/links/internal/opening.cpp
@@ -2,6 +2,8 @@
 
 #include "links/linkpool.h"
 
+#include "links/roundtrip.h"
+
 #include <algorithm>
 
 namespace rosemaryhinge {
@@ -45,6 +47,7 @@
   link.Workspace = workspace;
   link.Since = ctx.Now;
   link.Lender = lender;
+  server.Service = service;
   Links.emplace(id, std::move(link));
   server.Links.insert(id);
   return id;
@@ -78,7 +81,9 @@
   const auto *view = catalog.server(target);
   if (!view)
     return;
+  findStartedServers(catalog);
   auto &server = Servers[target];
+  server.RoundTrip = detail::roundTrip(ctx.Self, view->Entry.AvailabilityZone);
   const std::size_t cap = maxOpenLinks(catalog, view->Entry.Service, purpose);
   if (server.Idle > 0 && atConcurrencyLimit(target))
     return;
@@ -110,7 +115,10 @@
   }
   --server.Opening;
   --server.PendingReplies;
-  server.Health.received(ctx.Now, server.PendingReplies > 0);
+  // Links that failed to open do not show that the server was lost if it answered on others meanwhile.
+  if (server.LostAt && server.Health.lastReplyAt().value_or(TimePoint()) < *server.LostAt)
+    server.StartsWithNextAnswer = true;
+  recordAnswer(ctx, it->second.Target, server);
   if (const auto since = std::exchange(server.LostAt, std::nullopt))
     ctx.emit(
         Log{LogLevel::Info,
--- a/src/links/internal/sweep.cpp
+++ b/src/links/internal/sweep.cpp
@@ -109,10 +109,15 @@
 }
 
 void LinkPool::onTimer(Context &ctx, const Catalog &catalog) {
+  findStartedServers(catalog);
   if (!NextSweep || ctx.Now < *NextSweep)
     return;
   for (const auto &[id, silent] : overdueLinks(ctx.Now, catalog))
     closeOverdue(ctx, catalog, id, silent);
+  // A report from a lender is no evidence about this proxy's own links.
+  for (auto &[target, server] : Servers)
+    if (server.Health.refusedSince(ctx.Now) || server.Health.silence(ctx.Now) >= ServerHealth::SuspectAfter)
+      server.StartsWithNextAnswer = true;
   std::erase_if(Servers,
                 [&](const auto &it) { return it.second.Links.empty() && !catalog.server(it.first); });
   NextSweep = Links.empty() ? std::nullopt : std::optional(ctx.Now + SweepInterval);
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -33,22 +33,31 @@
   return best;
 }
 
-std::optional<LinkId> LinkPool::acquire(const TargetId &target, LinkUser user, const SessionValues &values,
-                                        TimePoint now) {
+std::optional<LinkId> LinkPool::acquire(const TargetId &target, const LinkUser &user,
+                                        const SessionValues &values, TimePoint now) {
   const auto server = Servers.find(target);
-  if (server == Servers.end() || server->second.Idle == 0)
-    return std::nullopt;
-  if (!user.ForPrimaryChange &&
-      (atConcurrencyLimit(target) || (now < server->second.ReservedUntil && server->second.Idle <= 1)))
+  if (server == Servers.end())
     return std::nullopt;
-  const auto best = bestIdleLink(server->second, user, values);
-  if (!best)
+  // Callers' work waits for the answers to this proxy's own queries, so a small limit does not delay these.
+  const bool exempt = user.own() && server->second.Pace.restrained();
+  const bool held =
+      !user.ForPrimaryChange && ((atConcurrencyLimit(target) && !exempt) ||
+                                 (now < server->second.ReservedUntil && server->second.Idle <= 1));
+  const auto best =
+      held || server->second.Idle == 0 ? std::nullopt : bestIdleLink(server->second, user, values);
+  if (!best) {
+    server->second.Pace.onLimitReached(now);
     return std::nullopt;
+  }
   if (user.ForPrimaryChange)
     server->second.ReservedUntil = TimePoint();
   auto &link = Links.at(*best);
   link.User = user;
   link.InUse = true;
+  if (user.Loan != 0) {
+    link.GrantUnused = true;
+    ++server->second.UnusedGrants;
+  }
   setPhase(link, Phase::Busy, now);
   return best;
 }
@@ -62,6 +71,7 @@
   if (it == Links.end())
     return;
   auto &link = it->second;
+  endUnusedGrant(Servers[link.Target], link);
   link.InUse = false;
   link.User = {};
   if (!link.Lender.empty()) {
@@ -113,6 +123,9 @@
     --server.PendingReplies;
   }
   server.Links.erase(id);
+  endUnusedGrant(server, link);
+  if (silent)
+    recordSilence(ctx, link);
   if (borrowed) {
     // The end of a loan is no evidence about the health of the server.
     Links.erase(it);
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -11,6 +11,7 @@
 
 #include "catalog/catalog.h"
 #include "links/serverhealth.h"
+#include "links/serverpace.h"
 #include "protocol/context.h"
 
 #include <algorithm>
@@ -62,7 +63,7 @@
   /// Assigns an idle link of the user's workspace, preferring one that already has the session's values set.
   /// Returns nullopt if no such link is idle or, except for a primary change, the concurrency limit is
   /// reached.
-  [[nodiscard]] std::optional<LinkId> acquire(const TargetId &target, LinkUser user,
+  [[nodiscard]] std::optional<LinkId> acquire(const TargetId &target, const LinkUser &user,
                                               const SessionValues &values, TimePoint now);
   /// Opens links for waiting work of a workspace, unless enough are being opened or the server is in a retry
   /// delay after a refusal or failure. At the connection limit, idle links of other workspaces are closed in
@@ -145,18 +146,20 @@
   [[nodiscard]] bool full(const TargetId &target, TimePoint now) const;
   /// Whether using one more link would exceed the server's current concurrency limit for this proxy.
   [[nodiscard]] bool atConcurrencyLimit(const TargetId &target) const;
+  /// The server's current concurrency limit for this proxy, if it is restrained; else the highest limit.
+  [[nodiscard]] int maxConcurrency(const TargetId &target) const;
   [[nodiscard]] std::optional<TargetId> targetOf(LinkId link) const;
   [[nodiscard]] std::size_t size() const { return Links.size(); }
 
   static constexpr Duration ReservationTime = 100ms;
-  /// Initial and maximum limit on links with pending replies at one server.
-  static constexpr double InitialConcurrencyLimit = 64;
 
 private:
   enum class Phase : std::uint8_t { Opening, Idle, Busy };
   struct PendingReply {
     LinkStep Step;
     TimePoint SentAt;
+    /// A read, whose duration and failure can be compared with those of reads at other servers.
+    bool Comparable = false;
   };
   struct Link {
     TargetId Target;
@@ -170,9 +173,12 @@
     SessionValues Values;                                  ///< Session values set on this connection.
     std::set<std::string> Prepared; ///< Names of statements prepared on this connection.
     std::deque<PendingReply> PendingReplies;
-    bool Used = false;   ///< A statement was sent on it.
-    NodeId Lender;       ///< Empty unless the link is borrowed.
-    bool Queued = false; ///< The lender has confirmed that the request is queued.
+    bool Used = false; ///< A statement was sent on it.
+    /// It was lent, and the borrower has not sent a command yet.
+    bool GrantUnused = false;
+    bool InReadOnlyTransaction = false; ///< As of the last BEGIN.
+    NodeId Lender;                      ///< Empty unless the link is borrowed.
+    bool Queued = false;                ///< The lender has confirmed that the request is queued.
     /// For a borrowed link: session values and prepared statement to send with the next commands.
     SessionValues NextValues;
     std::optional<PreparedShape> NextShape;
@@ -184,14 +190,15 @@
     std::size_t PendingLoanRequests = 0; ///< Loan requests not yet granted or refused.
     std::size_t PendingReplies = 0;      ///< Pending replies and opening attempts on own links.
     std::size_t LinksAwaitingReply = 0;  ///< Own links with at least one pending reply.
-    /// Maximum number of links with pending replies. Decreases when the server rejects work as busy, and
-    /// increases with each successful statement.
-    double ConcurrencyLimit = InitialConcurrencyLimit;
-    std::optional<TimePoint> LimitLoweredAt;
-    std::optional<TimePoint> FullAt; ///< When the server last refused a connection as one too many.
-    TimePoint RetryAt;               ///< Earliest time to open a new link.
-    std::optional<TimePoint> LostAt; ///< Since when no link could be opened.
-    TimePoint ReservedUntil;         ///< One idle link is kept for a primary change until then.
+    std::size_t UnusedGrants = 0;        ///< Lent links on which no command was sent yet.
+    DatabaseId Service;
+    Duration RoundTrip{};              ///< Network time that is part of the measured durations.
+    ServerPace Pace;                   ///< Limits the links with pending replies.
+    bool StartsWithNextAnswer = false; ///< It is new or was suspect, and has not answered since.
+    std::optional<TimePoint> FullAt;   ///< When the server last refused a connection as one too many.
+    TimePoint RetryAt;                 ///< Earliest time to open a new link.
+    std::optional<TimePoint> LostAt;   ///< Since when no link could be opened.
+    TimePoint ReservedUntil;           ///< One idle link is kept for a primary change until then.
     ServerHealth Health;
   };
 
@@ -200,7 +207,19 @@
                                                    const SessionValues &values) const;
   [[nodiscard]] std::size_t countLinks(const TargetId &target, const WorkspaceId &workspace,
                                        Phase state) const;
-  void adjustConcurrencyLimit(Server &server, const StatementOutcome &outcome, LinkStep step, TimePoint now);
+  /// Own links that count towards the concurrency limit.
+  [[nodiscard]] static std::size_t inProgress(const Server &server);
+  [[nodiscard]] PeerMeasure peersOf(const TargetId &target, const Server &server, TimePoint now) const;
+  void adjustPace(Context &ctx, const TargetId &target, Server &server, const PendingReply &awaited,
+                  const StatementOutcome &outcome);
+  /// Adjusts the pace if a link is closed because the server does not reply.
+  void recordSilence(Context &ctx, const Link &link);
+  /// Records a reply or an opened link. A server that was suspect starts again.
+  void recordAnswer(Context &ctx, const TargetId &target, Server &server);
+  static void reportPace(Context &ctx, const TargetId &target, const Server &server, PaceChange change);
+  /// Finds servers that joined or restarted since the last call.
+  void findStartedServers(const Catalog &catalog);
+  void endUnusedGrant(Server &server, Link &link);
   /// Adds a link that is being opened, or requested from a lender.
   LinkId addLink(Context &ctx, Server &server, const TargetId &target, const DatabaseId &service,
                  const NodeId &lender, const WorkspaceId &workspace);
@@ -226,6 +245,9 @@
 
   std::map<LinkId, Link> Links;
   std::map<TargetId, Server> Servers;
+  /// Servers in the catalog and the start that each reported. Not set until the catalog has been loaded.
+  std::optional<std::map<TargetId, std::uint64_t>> ListedServers;
+  std::uint64_t ListedAtChange = 0; ///< Change counter of the catalog that ListedServers is from.
   std::map<PreparedShape, std::string> PreparedNames;
   std::uint64_t LastNameNumber = 0;
   std::size_t Proxies = 1;
--- a/src/links/tests/linkpooltests.cpp
+++ b/src/links/tests/linkpooltests.cpp
@@ -325,3 +325,193 @@
   pool.openLinks(1, South);
   CHECK(pool.count<OpenLink>() == 2);
 }
+
+namespace {
+
+ServerEntry replica(const TargetId &target, std::uint64_t revision, std::uint64_t startedAt) {
+  return {target, DatabaseId("yard"), "10.0.0.1:80", AvailabilityZone("z"), TargetRole::Replica,
+          false,  revision,           startedAt};
+}
+
+/// A pool with twelve idle links to a server, whose catalog is loaded.
+class RunningPool : public Pool {
+public:
+  RunningPool() : Pool(12) {
+    Known.updateServer(replica(A, 2, 1'000), Now);
+    Known.setServersLoaded();
+    Links.onTimer(ctx(), Known);
+    openAll();
+  }
+  void openAll() {
+    while (Links.open(A) < 12) {
+      openLinks(4);
+      accept();
+    }
+  }
+  /// Sends statements until the pool gives no more links. Returns the links.
+  std::vector<LinkId> sendAll() {
+    std::vector<LinkId> out;
+    while (const auto link = acquire()) {
+      Links.send(ctx(), *link, {RunStatement{"s", "READ 1", Position{}}});
+      out.push_back(*link);
+    }
+    return out;
+  }
+  void answer(const std::vector<LinkId> &links) {
+    for (const auto &link : links) {
+      static_cast<void>(
+          Links.onReply(ctx(), {link, StatementResultRows{{}, "signed"}, TransactionState::Idle, {}, {}}));
+      Links.release(ctx(), link);
+    }
+  }
+  std::size_t counted(std::string_view name) const {
+    return static_cast<std::size_t>(std::count_if(Out.begin(), Out.end(), [&](const Effect &it) {
+      const auto *count = std::get_if<Count>(&it);
+      return count && count->Name == name;
+    }));
+  }
+  std::size_t logged(std::string_view message) const {
+    return static_cast<std::size_t>(std::count_if(Out.begin(), Out.end(), [&](const Effect &it) {
+      const auto *log = std::get_if<Log>(&it);
+      return log && log->Message == message;
+    }));
+  }
+};
+
+} // namespace
+
+TEST_CASE("a server that the proxy finds at its own start is not limited") {
+  // Guards deployments that are served by the earlier limit: a restarted proxy finds servers that run.
+  RunningPool pool;
+  CHECK(pool.sendAll().size() == 12);
+}
+
+TEST_CASE("a server that answers again after a silence gets two statements, and more with its answers") {
+  // Guards against flooding a recovered server: all twelve idle links were used at once.
+  RunningPool pool;
+  const auto hung = pool.sendAll();
+  pool.pass(600ms);
+  pool.Out.clear();
+  pool.answer(hung);
+  CHECK(pool.logged("server starts with a small limit") == 1);
+  auto sent = pool.sendAll();
+  CHECK(sent.size() == 2);
+  pool.Now += 10ms;
+  pool.answer(sent);
+  sent = pool.sendAll();
+  CHECK(sent.size() == 4);
+  for (int round = 0; round < 8; ++round) {
+    pool.Now += 10ms;
+    pool.answer(sent);
+    sent = pool.sendAll();
+  }
+  CHECK(sent.size() == 12);
+}
+
+TEST_CASE("the start and the end of a start phase are counted, and logged once each") {
+  RunningPool pool;
+  const auto hung = pool.sendAll();
+  pool.pass(600ms);
+  pool.Out.clear();
+  pool.answer(hung);
+  for (int n = 0; n < 20; ++n) {
+    const auto link = pool.acquire();
+    REQUIRE(link);
+    pool.Links.send(pool.ctx(), *link, {RunStatement{"s", "READ 1", Position{}}});
+    pool.Now += 10ms;
+    pool.answer({*link});
+  }
+  CHECK(pool.logged("server starts with a small limit") == 1);
+  CHECK(pool.logged("server's start phase ended") == 1);
+  CHECK(pool.counted("pace_starts_total") == 1);
+  CHECK(pool.counted("pace_ends_total") == 1);
+  CHECK(pool.counted("pace_decreases_total") == 0);
+  const auto link = pool.acquire();
+  REQUIRE(link);
+  pool.Links.send(pool.ctx(), *link, {RunStatement{"s", "READ 1", Position{}}});
+  static_cast<void>(
+      pool.Links.onReply(pool.ctx(), {*link, StatementRejection{Rejection::Busy, ""}, {}, {}, {}}));
+  CHECK(pool.counted("pace_decreases_total") == 1);
+}
+
+TEST_CASE("lent links that the borrower has not used yet count towards the limit of a recovered server") {
+  // Guards against a flood by borrowers: a lender would grant all idle links in one pass.
+  RunningPool pool;
+  const auto hung = pool.sendAll();
+  pool.pass(600ms);
+  pool.answer(hung);
+  std::vector<LinkId> granted;
+  while (const auto link = pool.Links.acquire(A, {SessionId(), false, granted.size() + 1, {}}, {}, pool.Now))
+    granted.push_back(*link);
+  CHECK(granted.size() == 2);
+  // A loan that ends unused gives its place back.
+  pool.Links.release(pool.ctx(), granted.front());
+  CHECK(pool.Links.acquire(A, {SessionId(), false, 9, {}}, {}, pool.Now));
+}
+
+TEST_CASE("a server that was lost and accepts links again starts with a small limit") {
+  RunningPool pool;
+  for (const auto &link : pool.sendAll())
+    static_cast<void>(pool.Links.onClosed(pool.ctx(), {link, LinkFailure::Lost}));
+  pool.Now += 300ms;
+  pool.openLinks(1);
+  pool.refuse(LinkFailure::Refused);
+  pool.Now += 3s;
+  pool.openAll();
+  CHECK(pool.sendAll().size() == 2);
+}
+
+TEST_CASE("a server that joined, or whose entry tells of a restart, starts with a small limit") {
+  RunningPool pool;
+  const TargetId joined("b");
+  pool.Known.updateServer(replica(joined, 3, 5'000), pool.Now);
+  pool.Known.updateServer(replica(A, 4, 9'000), pool.Now);
+  pool.Links.onTimer(pool.ctx(), pool.Known);
+  const auto sent = pool.sendAll();
+  pool.Now += 10ms;
+  pool.answer(sent);
+  CHECK(pool.sendAll().size() == 2);
+  pool.Out.clear();
+  pool.Links.openLinks(pool.ctx(), pool.Known, joined, 4);
+  pool.accept();
+  std::size_t begun = 0;
+  while (const auto link = pool.Links.acquire(joined, {SessionId{1}, false, 0, {}}, {}, pool.Now)) {
+    pool.Links.send(pool.ctx(), *link, {RunStatement{"s", "READ 1", Position{}}});
+    ++begun;
+  }
+  CHECK(begun == 2);
+}
+
+TEST_CASE("a server whose entry was missing while its links stayed open is not limited") {
+  // Guards against small limits at healthy servers after a fault of the store.
+  RunningPool pool;
+  const auto busy = pool.sendAll();
+  pool.Known.removeServer(A, pool.Now);
+  pool.Links.onTimer(pool.ctx(), pool.Known);
+  pool.Known.updateServer(replica(A, 5, 1'000), pool.Now);
+  pool.Links.onTimer(pool.ctx(), pool.Known);
+  pool.answer(busy);
+  CHECK(pool.sendAll().size() == 12);
+}
+
+TEST_CASE("one link that cannot be opened does not limit a server that answers on others") {
+  RunningPool pool;
+  const auto links = pool.sendAll();
+  static_cast<void>(pool.Links.onClosed(pool.ctx(), {links[0], LinkFailure::Lost}));
+  pool.openLinks(1);
+  pool.refuse(LinkFailure::Timeout);
+  pool.Now += 250ms;
+  pool.answer({links.begin() + 1, links.end()});
+  pool.openAll();
+  CHECK(pool.sendAll().size() == 12);
+}
+
+TEST_CASE("a recovered server's small limit does not hold back the proxy's own queries") {
+  // Guards against starved writes: where promotions are not fenced, they wait for the query of a lease.
+  RunningPool pool;
+  const auto hung = pool.sendAll();
+  pool.pass(600ms);
+  pool.answer(hung);
+  REQUIRE(pool.sendAll().size() == 2);
+  CHECK(pool.Links.acquire(A, {}, {}, pool.Now));
+}
--- a/src/sessions/internal/serverchoice.cpp
+++ b/src/sessions/internal/serverchoice.cpp
@@ -1,12 +1,11 @@
 #include "sessions/internal/serverchoice.h"
 
+#include <algorithm>
+
 namespace rosemaryhinge::detail {
 
 namespace {
 
-constexpr Duration SameZone = 500us;
-constexpr Duration SameRegion = 3ms;
-constexpr Duration OtherRegion = 25ms;
 /// Number of statements that a server runs concurrently.
 constexpr int ServerConcurrency = 3;
 /// Keeps reads off the primary, which also serves all writes.
@@ -19,20 +18,15 @@
 
 } // namespace
 
-Duration roundTrip(const NodeConfig &self, const AvailabilityZone &zone) {
-  if (zone == self.AvailabilityZone)
-    return SameZone;
-  const auto it = self.RegionByZone.find(zone);
-  return it != self.RegionByZone.end() && it->second == self.Region ? SameRegion : OtherRegion;
-}
-
 Duration readCost(const NodeConfig &self, const ServerView &server, const LinkPool &links,
                   const WorkspaceId &workspace, bool primary, TimePoint now) {
   const auto &target = server.Entry.Target;
   const auto &health = links.health(target);
   const auto rtt = roundTrip(self, server.Entry.AvailabilityZone);
-  auto out = rtt + health.smoothedDuration(now) * static_cast<int>(links.busy(target) + ServerConcurrency) /
-                       ServerConcurrency;
+  // A server in its start phase is given fewer statements than it could run.
+  const int concurrency = std::min(ServerConcurrency, links.maxConcurrency(target));
+  auto out =
+      rtt + health.smoothedDuration(now) * (static_cast<int>(links.busy(target)) + concurrency) / concurrency;
   if (primary)
     out += PrimaryPenalty;
   if (links.idle(target, workspace) == 0)
--- a/src/sessions/internal/serverchoice.h
+++ b/src/sessions/internal/serverchoice.h
@@ -4,12 +4,11 @@
 
 #include "catalog/catalog.h"
 #include "links/linkpool.h"
+#include "links/roundtrip.h"
 #include "protocol/nodeconfig.h"
 
 namespace rosemaryhinge::detail {
 
-/// Estimated network round-trip time to a server in this availability zone.
-[[nodiscard]] Duration roundTrip(const NodeConfig &self, const AvailabilityZone &zone);
 /// Expected duration of a read at a server: network time, load and penalties.
 [[nodiscard]] Duration readCost(const NodeConfig &self, const ServerView &server, const LinkPool &links,
                                 const WorkspaceId &workspace, bool primary, TimePoint now);
