--- a/testing/platformsoak/proxyprocess.cpp
+++ b/testing/platformsoak/proxyprocess.cpp
@@ -129,6 +129,11 @@
   return Pid > 0;
 }
 
+int ProxyProcess::pid() const {
+  const std::lock_guard hold(Lock);
+  return Pid;
+}
+
 bool ProxyProcess::serving() const {
   const std::lock_guard hold(Lock);
   return Pid > 0 && WasReady && Lives.back().Terms.empty();
--- a/testing/platformsoak/proxyprocess.h
+++ b/testing/platformsoak/proxyprocess.h
@@ -35,6 +35,8 @@
   /// GET /readyz at its admin address.
   [[nodiscard]] bool answersReady();
   [[nodiscard]] bool running() const;
+  /// Id of the present process; -1 without one.
+  [[nodiscard]] int pid() const;
   /// Whether its present process was ready and has not been asked to stop. Before, signals may end it: it has
   /// no handlers for them yet.
   [[nodiscard]] bool serving() const;
