Limit what callers' connections hold, in bytes, time and number

Cause: received statements, incomplete messages and unread answers had bounds only for each connection, so that a group of clients filled the memory of the VM; connections that started no session, stopped within a message or read nothing were kept for ever; free memory was not returned. Change: a connection with 256 KiB or 32 statements unanswered is not read. An eighth of memory_mb bounds the received bytes of all connections, another eighth their unread answers; beyond it the largest holders are closed. Connections are closed after 10 s without a session, 15 s within a message, or 15 s without accepting any of an answer. Sessions stay below max_descriptors less 500. Memory is released once usage has fallen to half of its peak.

--- a/src/daemon/internal/sessiondaemon.cpp
+++ b/src/daemon/internal/sessiondaemon.cpp
@@ -40,7 +40,9 @@
   const detail::ReloadSignal reloads(io, settings, file, logger);
   const auto sink = [&loop](Event event) { loop.post(std::move(event)); };
   const auto ready = [&reducer] { return reducer.ready(); };
-  const auto sessions = makeSessionListener(io, {settings.Callers}, codecs, sink, metrics);
+  const auto sessions =
+      makeSessionListener(io, {settings.Callers, callerLimits(settings.MemoryMb, settings.MaxDescriptors)},
+                          codecs, sink, metrics);
   const auto links = makeLinkConnector(io, codecs, sink, metrics);
   const auto directory = makeDirectory(io, metrics);
   const auto admin =
--- a/src/wire/icodec.h
+++ b/src/wire/icodec.h
@@ -5,6 +5,7 @@
 #include "protocol/link.h"
 #include "protocol/session.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +35,8 @@
 
   /// Takes bytes as they arrive and appends the messages that are complete.
   virtual void decode(std::string_view bytes, std::vector<CallerMessage> &out) = 0;
+  /// Bytes of the message that is not complete yet.
+  [[nodiscard]] virtual std::size_t incomplete() const = 0;
   [[nodiscard]] virtual std::string greeting() = 0;
   [[nodiscard]] virtual std::string refusal(const StatementRejection &why) = 0;
   [[nodiscard]] virtual std::string answer(const AnswerStatement &answer) = 0;
--- a/src/wire/internal/linkconnector.cpp
+++ b/src/wire/internal/linkconnector.cpp
@@ -1,6 +1,7 @@
 // Connections to servers.
 
 #include "base/overloaded.h"
+#include "wire/internal/buffers.h"
 #include "wire/internal/socketoptions.h"
 #include "wire/wire.h"
 
@@ -149,7 +150,7 @@
     it->Writing.swap(it->Unsent);
     asio::async_write(it->Socket, asio::buffer(it->Writing),
                       [this, link, it](std::error_code ec, std::size_t) {
-                        it->Writing.clear();
+                        detail::clearBuffer(it->Writing);
                         if (it->Closed)
                           return;
                         if (ec)
--- a/src/wire/tests/sessionlistenertests.cpp
+++ b/src/wire/tests/sessionlistenertests.cpp
@@ -11,7 +11,10 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace rosemaryhinge;
@@ -20,21 +23,27 @@
 
 using asio::ip::tcp;
 
-/// The byte d starts a session; any other is a statement of that name.
+/// The byte d starts a session, ( begins a message that any other byte completes and that means nothing; any
+/// other byte is a statement of that name.
 struct ByteCodec : ICallerCodec {
   void decode(std::string_view bytes, std::vector<CallerMessage> &out) override {
     for (const char it : bytes)
-      if (it == 'd')
+      if (Incomplete || it == '(')
+        Incomplete = !Incomplete;
+      else if (it == 'd')
         out.emplace_back(SessionStart{"d", {}});
       else
         out.emplace_back(SessionStatement{std::string(1, it), "text", MalformedStatement{}});
   }
+  [[nodiscard]] std::size_t incomplete() const override { return Incomplete ? 1 : 0; }
   [[nodiscard]] std::string greeting() override { return "+"; }
   [[nodiscard]] std::string refusal(const StatementRejection &) override { return "-"; }
   [[nodiscard]] std::string answer(const AnswerStatement &it) override {
     const auto *why = std::get_if<StatementRejection>(&it.Outcome);
     return it.StatementId + (why && why->Code == Rejection::Busy ? "!" : "?");
   }
+
+  bool Incomplete = false; ///< The last byte was (.
 };
 
 struct ByteCodecs : ICodecs {
@@ -44,18 +53,33 @@
   [[nodiscard]] std::unique_ptr<IServerCodec> server() const override { return nullptr; }
 };
 
-struct NoMetrics : IMetrics {
-  void count(std::string_view, double) override {}
+struct Counts : IMetrics {
+  void count(std::string_view name, double value) override { Values[std::string(name)] += value; }
   void observe(std::string_view, Duration) override {}
+
+  std::map<std::string, double> Values;
 };
 
+/// The usual times, a hundredth as long.
+CallerLimits shortTimes() {
+  CallerLimits out;
+  out.SessionStart = std::chrono::milliseconds(100);
+  out.Message = out.Answer = std::chrono::milliseconds(150);
+  out.CheckInterval = std::chrono::milliseconds(10);
+  return out;
+}
+
 struct Fixture {
+  explicit Fixture(const CallerLimits &limits = {}) : Limits(limits) {}
+
+  CallerLimits Limits;
   asio::io_context Io;
   ByteCodecs Codecs;
-  NoMetrics Counters;
+  Counts Counters;
   std::vector<Event> Events;
   std::unique_ptr<ISessionListener> Subject = makeSessionListener(
-      Io, {{"127.0.0.1", 0}}, Codecs, [this](Event event) { Events.push_back(std::move(event)); }, Counters);
+      Io, {{"127.0.0.1", 0}, Limits}, Codecs, [this](Event event) { Events.push_back(std::move(event)); },
+      Counters);
   asio::io_context CallerIo;
 
   tcp::socket connect() {
@@ -177,3 +201,92 @@
   f.Io.run_for(std::chrono::milliseconds(50));
   CHECK(caller.rest().empty());
 }
+
+TEST_CASE("statements beyond the limit wait until earlier ones are answered, in their order") {
+  // Guards against a queue without a bound, and against closing a caller that only sends ahead.
+  Fixture f;
+  OpenSession caller(f);
+  std::string sent;
+  for (int n = 0; n < 100; ++n)
+    sent += static_cast<char>('A' + n % 26);
+  asio::write(caller.Socket, asio::buffer(sent));
+  f.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(f.count<StatementArrived>() == ReceivedStatements::MaxStatements);
+  std::string arrived;
+  for (std::size_t n = 0; n < f.Events.size(); ++n) {
+    const auto *it = std::get_if<StatementArrived>(&f.Events[n]);
+    if (!it)
+      continue;
+    arrived += it->Statement.Id;
+    const auto id = it->Statement.Id;
+    f.Subject->answer({caller.Id, id, StatementRejection{Rejection::Failed, ""}, TransactionState::Idle, {}});
+    f.Io.run_for(std::chrono::milliseconds(1));
+  }
+  CHECK(arrived == sent);
+}
+
+TEST_CASE("statements that wait when their session is closed are refused as not run") {
+  // Guards against writes that end without an answer because they waited in the proxy.
+  Fixture f;
+  OpenSession caller(f);
+  asio::write(caller.Socket, asio::buffer(std::string(ReceivedStatements::MaxStatements, 'a') + "w"));
+  f.Io.run_for(std::chrono::milliseconds(50));
+  f.Subject->close({caller.Id});
+  f.Io.run_for(std::chrono::milliseconds(50));
+  CHECK(caller.rest() == "w!");
+}
+
+TEST_CASE("connections that start no session, or do not complete a message, are closed after a time") {
+  // Guards against groups of clients that stop half-way and are kept for ever.
+  Fixture f(shortTimes());
+  auto silent = f.connect();
+  auto incomplete = f.connect();
+  auto idle = f.connect();
+  asio::write(incomplete, asio::buffer("d(", 2));
+  asio::write(idle, asio::buffer("d((", 3));
+  f.Io.run_for(std::chrono::milliseconds(400));
+  CHECK(f.count<SessionOpened>() == 2);
+  CHECK(f.count<SessionClosed>() == 2);
+  CHECK(f.Counters.Values["callers_closed_total{reason=\"no_session\"}"] == 1);
+  CHECK(f.Counters.Values["callers_closed_total{reason=\"incomplete_message\"}"] == 1);
+}
+
+TEST_CASE("a caller that accepts none of its answer is closed after a time, one that reads slowly is not") {
+  // Guards against answers that are kept for callers that have stopped reading.
+  constexpr std::size_t Large = std::size_t{32} << 20;
+  auto limits = shortTimes();
+  limits.MaxUnsent = limits.UnreadBytes = 3 * Large;
+  Fixture f(limits);
+  OpenSession stopped(f);
+  const auto answer = [&f](SessionId id) {
+    const StatementRejection failed{Rejection::Failed, ""};
+    f.Subject->answer({id, std::string(Large, 'x'), failed, TransactionState::Idle, std::nullopt});
+  };
+  auto slow = f.connect();
+  asio::write(slow, asio::buffer("d", 1));
+  f.Io.run_for(std::chrono::milliseconds(20));
+  answer(stopped.Id);
+  answer(std::get<SessionOpened>(f.Events.back()).Session);
+  std::vector<char> buf(std::size_t{512} << 10);
+  for (int n = 0; n < 40; ++n) {
+    if (slow.available() > 0)
+      slow.read_some(asio::buffer(buf));
+    f.Io.run_for(std::chrono::milliseconds(10));
+  }
+  CHECK(f.count<SessionClosed>() == 1);
+  CHECK(f.Counters.Values["callers_closed_total{reason=\"answer_not_accepted\"}"] == 1);
+}
+
+TEST_CASE("the caller with the most unread answers is closed when their budget is used up") {
+  // Guards against a budget that closes callers that read.
+  constexpr std::size_t Large = std::size_t{8} << 20;
+  CallerLimits limits;
+  limits.MaxUnsent = 2 * Large;
+  limits.UnreadBytes = Large;
+  Fixture f(limits);
+  OpenSession caller(f);
+  const StatementRejection failed{Rejection::Failed, ""};
+  f.Subject->answer({caller.Id, std::string(Large, 'x'), failed, TransactionState::Idle, std::nullopt});
+  CHECK(f.count<SessionClosed>() == 1);
+  CHECK(f.Counters.Values["callers_closed_total{reason=\"unread_answers\"}"] == 1);
+}
