--- a/src/daemon/internal/localsettings.cpp
+++ b/src/daemon/internal/localsettings.cpp
@@ -241,6 +241,7 @@
   if (const auto bound = readMillis(in, root, "propagation_ms", MinPropagation, MaxPropagation))
     out.Self.PropagationBound = *bound;
   readWorkspaces(in, root, out.Self);
+  out.Self.TargetPace = in.choice(root, "", "target_pace", SwitchNames, 0) == 1;
   out.MemoryMb = readCount(in, root, "memory_mb", MinMemoryMb, MaxMemoryMb, "megabytes");
   out.MaxDescriptors = readCount(in, root, "max_descriptors", MinDescriptors, MaxDescriptors, "descriptors");
   out.Self.PromotionFencing = in.choice(root, "", "promotion_fencing", SwitchNames, 0) == 1;
@@ -276,6 +277,7 @@
                     "quota_slack",
                     "memory_mb",
                     "max_descriptors",
+                    "target_pace",
                     "seeds",
                     "log"}))
     return;
@@ -366,6 +368,7 @@
     pair("first_start", SwitchNames.at(settings.Self.FirstStart ? 1 : 0));
     pair("propagation_ms", std::to_string(settings.Self.PropagationBound / 1ms));
     pair("promotion_fencing", SwitchNames.at(settings.Self.PromotionFencing ? 1 : 0));
+    pair("target_pace", SwitchNames.at(settings.Self.TargetPace ? 1 : 0));
     pair("strict_revocation", SwitchNames.at(settings.Self.RevocationBound ? 1 : 0));
     if (const auto &bound = settings.Self.RevocationBound)
       pair("revocation_ms", std::to_string(*bound / 1ms));
--- a/src/daemon/tests/localsettingstests.cpp
+++ b/src/daemon/tests/localsettingstests.cpp
@@ -110,10 +110,11 @@
   CHECK_FALSE(plain.Self.RevocationBound);
   CHECK_FALSE(plain.Self.Quota);
   CHECK_FALSE(plain.MemoryMb);
+  CHECK_FALSE(plain.Self.TargetPace);
   CHECK_FALSE(plain.MaxDescriptors);
   const auto set = std::get<LocalSettings>(parseLocalSettings(
       sessions + "strict_revocation: true\nrevocation_ms: 7000\nquota_window_s: 5\nquota_overshoot: 0.1\n"
-                 "quota_slack: 20\nmemory_mb: 160\nmax_descriptors: 4300\n",
+                 "quota_slack: 20\nmemory_mb: 160\nmax_descriptors: 4300\ntarget_pace: true\n",
       "f"));
   CHECK((set.Self.RevocationBound == Duration(7s)));
   REQUIRE(set.Self.Quota);
@@ -121,6 +122,7 @@
   CHECK(set.Self.Quota->Overshoot == doctest::Approx(0.1));
   CHECK(set.Self.Quota->Slack == 20);
   CHECK(set.MemoryMb == 160U);
+  CHECK(set.Self.TargetPace);
   CHECK(set.MaxDescriptors == 4'300U);
   const auto text = formatLocalSettings(set);
   CHECK(formatLocalSettings(std::get<LocalSettings>(parseLocalSettings(text, "f"))) == text);
--- a/src/links/internal/pace.cpp
+++ b/src/links/internal/pace.cpp
@@ -65,7 +65,7 @@
   const bool recovered = server.StartsWithNextAnswer || server.Health.suspect(ctx.Now);
   server.StartsWithNextAnswer = false;
   server.Health.received(ctx.Now, server.PendingReplies > 0);
-  if (recovered)
+  if (recovered && ctx.Self.TargetPace)
     reportPace(ctx, target, server, server.Pace.start(ctx.Now));
 }
 
@@ -112,14 +112,14 @@
     change = server.Pace.onSuccess(awaited.SentAt, duration, typical, ctx.Now);
   } else if (why && why->Code == Rejection::Busy) {
     change = server.Pace.onBusy(server.LinksAwaitingReply, ctx.Now);
-  } else if (why && isServerFailure(*why, awaited.Step, awaited.Comparable)) {
+  } else if (why && ctx.Self.TargetPace && isServerFailure(*why, awaited.Step, awaited.Comparable)) {
     change = server.Pace.onFailure(peersOf(target, server, ctx.Now), ctx.Now);
   }
   reportPace(ctx, target, server, change);
 }
 
 void LinkPool::recordSilence(Context &ctx, const Link &link) {
-  if (!link.Lender.empty() || link.PendingReplies.empty())
+  if (!ctx.Self.TargetPace || !link.Lender.empty() || link.PendingReplies.empty())
     return;
   const auto &awaited = link.PendingReplies.front();
   if (awaited.Step != LinkStep::Begin && awaited.Step != LinkStep::Statement)
--- a/src/links/tests/linkpooltests.cpp
+++ b/src/links/tests/linkpooltests.cpp
@@ -15,6 +15,7 @@
 class Pool {
 public:
   explicit Pool(std::uint32_t connections = 3) {
+    Self.TargetPace = true;
     Configuration configuration;
     configuration.Version = 1;
     configuration.Services = {{DatabaseId("yard"), connections, 1}};
--- a/src/protocol/nodeconfig.h
+++ b/src/protocol/nodeconfig.h
@@ -59,6 +59,9 @@
   /// CallerInterface::Sessions only: time after which a key that was taken out of the configuration must not
   /// start anything at any proxy, whether it has heard of that or not. Empty if no such bound is required.
   std::optional<Duration> RevocationBound;
+  /// CallerInterface::Sessions only: whether a server that has started, recovered or fails many statements is
+  /// given few statements until its answers are good (links/serverpace.h).
+  bool TargetPace = false;
   /// CallerInterface::Sessions only: empty if the limits of workspaces are not enforced.
   std::optional<QuotaBounds> Quota;
 };
