Fault soak: a cut from the store that holds from its first byte

Cause: with answers held, a read that was already waiting still passed one answer on, so a watch told a cut-off proxy of the withdrawn key. The flood stayed at the edge of the quota in a trial without quotas. Change: a network can be cut, which delays what arrives from either side until its end. Callers of a flooding workspace pause for a twelfth of the usual time.

--- a/testing/platformsoak/callers.cpp
+++ b/testing/platformsoak/callers.cpp
@@ -24,7 +24,7 @@
 constexpr double BigReadShare = 0.1;
 constexpr Millis SlowReadMs = 250;
 constexpr Millis ReconnectPauseMs = 50;
-constexpr int FloodFactor = 6;
+constexpr int FloodFactor = 12;
 /// Of the sessions whose key is refused; the others go on with it.
 constexpr double LeaveRefusedShare = 0.3;
 
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -58,7 +58,7 @@
   Millis ForMs = 0;
 };
 
-/// A workspace's key is withdrawn, after some proxies have lost the answers of the store.
+/// A workspace's key is withdrawn, after some proxies have been cut off from the store.
 struct WithdrawKey {
   std::uint64_t Seed = 0;
   std::vector<int> CutProxies;
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -83,8 +83,7 @@
   if (!fault.CutProxies.empty())
     disrupt(fault.CutForMs, "store cut off");
   for (const auto it : fault.CutProxies)
-    World.StoreNetworks.at(static_cast<std::size_t>(it))->network().HoldAnswersUntil =
-        nowMs() + fault.CutForMs;
+    World.StoreNetworks.at(static_cast<std::size_t>(it))->network().CutUntil = nowMs() + fault.CutForMs;
   at(nowMs() + AfterCutMs,
      [this, seed = fault.Seed] { std::thread([this, seed] { World.Operator.withdrawKey(seed); }).detach(); });
 }
--- a/testing/platformsoak/forwarder.cpp
+++ b/testing/platformsoak/forwarder.cpp
@@ -58,7 +58,7 @@
   };
 
   void take(std::size_t n) {
-    Chunks.push_back({nowMs() + Now.DelayMs, std::string(Buf.data(), n)});
+    Chunks.push_back({std::max(nowMs() + Now.DelayMs, Now.CutUntil.load()), std::string(Buf.data(), n)});
     if (!Writing)
       pass();
   }
--- a/testing/platformsoak/forwarder.h
+++ b/testing/platformsoak/forwarder.h
@@ -18,6 +18,8 @@
   std::atomic<Millis> DelayMs{1}; ///< One way.
   /// Nothing is read from the proxy until this time, so that its answers stay with it.
   std::atomic<Millis> HoldAnswersUntil{0};
+  /// What arrives from either side is passed on only at this time.
+  std::atomic<Millis> CutUntil{0};
 };
 
 /// Forwards until the program ends. An end of either side is passed on after the bytes before it.
