Fault soak: servers of a new term have applied the log before it

Cause: right after a promotion, a replica of the stand-in reported the new term but still kept its lag of 60 ms, so it lacked commits of the old term. The proxy had asked for the right position. Change: a server has applied at least the log with which its term began. The check is unchanged.

--- a/testing/platformsoak/dbservice.cpp
+++ b/testing/platformsoak/dbservice.cpp
@@ -199,6 +199,7 @@
       term = std::max(term, it->Term);
     // All commits of this log that were acknowledged are at each replica that receives.
     Position = std::max(server.Received, Position);
+    TermStart = Position;
     for (const auto &it : Servers) {
       it->HeldTerm = 0;
       it->Term = term + 1;
@@ -218,7 +219,7 @@
   auto out = server.Received;
   for (auto it = Commits.rbegin(); it != Commits.rend() && it->At + Options.ReplicaLagMs > nowMs(); ++it)
     out = std::min(out, it->Position - 1);
-  return out;
+  return std::max(out, TermStart);
 }
 
 std::string DbService::valueAt(const std::string &item, std::uint64_t position) const {
--- a/testing/platformsoak/dbservice.h
+++ b/testing/platformsoak/dbservice.h
@@ -97,6 +97,8 @@
   std::vector<Commit> Commits; ///< In the order of their positions.
   std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>> Versions; ///< By item.
   std::uint64_t Position = 1'200;
+  /// Of the log when the present term began. A server of the term has applied it.
+  std::uint64_t TermStart = 0;
   std::uint64_t LastToken = 0;
   std::uint64_t Ids = 0;
   std::atomic<std::uint64_t> Signatures{0};
