Limit the memory of session values and prepared statements

Cause: a session may keep 256 values and 1,024 prepared statements of up to 1 MiB each, so that legal and answered messages filled the memory of the VM. Change: an eighth of memory_mb (32 MiB if it is absent) bounds the values and prepared statements of all sessions.

--- a/src/daemon/internal/localsettings.cpp
+++ b/src/daemon/internal/localsettings.cpp
@@ -29,6 +29,8 @@
 constexpr double MinQuotaWindow = 1;   ///< Seconds.
 constexpr double MaxQuotaWindow = 600; ///< Seconds.
 constexpr double MaxQuotaSlack = 1'000'000;
+/// Share of the memory for values and prepared statements of sessions.
+constexpr std::size_t SessionStateDivisor = 8;
 constexpr double MinMemoryMb = 16;
 constexpr double MaxMemoryMb = 1'048'576;
 constexpr double MinDescriptors = 64;
@@ -242,6 +244,8 @@
     out.Self.PropagationBound = *bound;
   readWorkspaces(in, root, out.Self);
   out.MemoryMb = readCount(in, root, "memory_mb", MinMemoryMb, MaxMemoryMb, "megabytes");
+  if (out.MemoryMb)
+    out.Self.SessionStateBytes = (std::size_t{*out.MemoryMb} << 20) / SessionStateDivisor;
   out.MaxDescriptors = readCount(in, root, "max_descriptors", MinDescriptors, MaxDescriptors, "descriptors");
   out.Self.PromotionFencing = in.choice(root, "", "promotion_fencing", SwitchNames, 0) == 1;
   YAML::Mark mark;
--- a/src/protocol/nodeconfig.h
+++ b/src/protocol/nodeconfig.h
@@ -59,6 +59,8 @@
   /// CallerInterface::Sessions only: time after which a key that was taken out of the configuration must not
   /// start anything at any proxy, whether it has heard of that or not. Empty if no such bound is required.
   std::optional<Duration> RevocationBound;
+  /// CallerInterface::Sessions only: budget for the values and prepared statements of all sessions.
+  std::size_t SessionStateBytes = std::size_t{32} << 20;
   /// CallerInterface::Sessions only: empty if the limits of workspaces are not enforced.
   std::optional<QuotaBounds> Quota;
 };
--- a/src/reducer/tests/sessiontests.cpp
+++ b/src/reducer/tests/sessiontests.cpp
@@ -595,3 +595,27 @@
   REQUIRE(refused);
   CHECK((refused->Why.Code == Rejection::Busy));
 }
+
+TEST_CASE("the session whose values and prepared statements take the most is closed beyond their budget") {
+  // Guards against callers that fill the memory with legal statements, and against closing the others.
+  SessionHarness proxy;
+  constexpr std::size_t Budget = 10'000;
+  proxy.Logic.Self.SessionStateBytes = Budget;
+  const auto small = proxy.open("settle");
+  const auto large = proxy.open("settle");
+  proxy.send(small, "s0", SetStatement{"name", "value"});
+  for (int n = 0; n < 10; ++n) {
+    // Replacing and removing frees what was taken.
+    proxy.send(large, "s1", SetStatement{"name", std::string(Budget / 2, 'x')});
+    proxy.send(large, "s2", PrepareStatement{"p", AccessMode::Read, std::string(Budget / 4, 'x')});
+    proxy.send(large, "s3", DeallocateStatement{"p"});
+  }
+  CHECK_FALSE(proxy.take<CloseSession>());
+  proxy.send(large, "s4", PrepareStatement{"p", AccessMode::Read, std::string(Budget / 2, 'x')});
+  proxy.send(small, "s5", SetStatement{"name", "other"});
+  const auto closed = proxy.take<CloseSession>();
+  REQUIRE(closed);
+  CHECK((closed->Session == large));
+  CHECK_FALSE(closed->LeavesUnanswered);
+  CHECK_FALSE(proxy.take<CloseSession>());
+}
--- a/src/sessions/internal/session.h
+++ b/src/sessions/internal/session.h
@@ -82,6 +82,7 @@
   KeyDigest Key;
   SessionValues Values;
   std::map<std::string, PreparedShape> Prepared;
+  std::size_t StateBytes = 0; ///< Of its values and prepared statements.
   /// Log position of the session's last acknowledged commit at each service.
   std::map<DatabaseId, Position> WrittenUpTo;
   std::set<DatabaseId> WrittenAtUnknownPosition; ///< Services that acknowledged a commit without a position.
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -10,6 +10,8 @@
 /// Limits on the state kept per session.
 constexpr std::size_t MaxValues = 256;
 constexpr std::size_t MaxPreparedStatements = 1'024;
+/// Memory of a value or a prepared statement besides its texts.
+constexpr std::size_t StateOverhead = 128;
 /// After which a caller whose key could not be checked is asked to return, with as much again at random.
 constexpr Duration ProofRetryDelay = 500ms;
 /// Spreads the return of callers that were refused for their workspace's quota.
@@ -62,21 +64,19 @@
             startStatement(ctx, services, id, session, statement, it.Mode, false);
           },
           [&](const SetStatement &it) {
-            if (session.Values.size() >= MaxValues && !session.Values.contains(it.Name)) {
+            if (!setValue(id, session, it)) {
               answer(ctx, id, session, statement.Id,
                      StatementRejection{Rejection::TooLarge, "too many session values"});
               return;
             }
-            session.Values[it.Name] = it.Value;
             answer(ctx, id, session, statement.Id, done());
           },
           [&](const PrepareStatement &it) {
-            if (session.Prepared.size() >= MaxPreparedStatements && !session.Prepared.contains(it.Name)) {
+            if (!prepare(id, session, it)) {
               answer(ctx, id, session, statement.Id,
                      StatementRejection{Rejection::TooLarge, "too many prepared statements"});
               return;
             }
-            session.Prepared[it.Name] = {it.Mode, it.Shape};
             answer(ctx, id, session, statement.Id, done());
           },
           [&](const ExecuteStatement &it) {
@@ -88,7 +88,7 @@
               startStatement(ctx, services, id, session, statement, shape->second.Mode, false);
           },
           [&](const DeallocateStatement &it) {
-            session.Prepared.erase(it.Name);
+            deallocate(id, session, it.Name);
             answer(ctx, id, session, statement.Id, done());
           },
           [&](const MalformedStatement &) {
@@ -99,6 +99,37 @@
       statement.Parsed);
 }
 
+bool SessionsModule::setValue(SessionId id, Session &session, const SetStatement &statement) {
+  if (session.Values.size() >= MaxValues && !session.Values.contains(statement.Name))
+    return false;
+  const auto [it, added] = session.Values.try_emplace(statement.Name);
+  session.StateBytes += added ? StateOverhead + statement.Name.size() : 0;
+  session.StateBytes += statement.Value.size();
+  session.StateBytes -= it->second.size();
+  it->second = statement.Value;
+  State.set(id, session.StateBytes);
+  return true;
+}
+
+bool SessionsModule::prepare(SessionId id, Session &session, const PrepareStatement &statement) {
+  if (session.Prepared.size() >= MaxPreparedStatements && !session.Prepared.contains(statement.Name))
+    return false;
+  deallocate(id, session, statement.Name);
+  session.Prepared[statement.Name] = {statement.Mode, statement.Shape};
+  session.StateBytes += StateOverhead + statement.Name.size() + statement.Shape.size();
+  State.set(id, session.StateBytes);
+  return true;
+}
+
+void SessionsModule::deallocate(SessionId id, Session &session, const std::string &name) {
+  const auto it = session.Prepared.find(name);
+  if (it == session.Prepared.end())
+    return;
+  session.StateBytes -= StateOverhead + name.size() + it->second.Shape.size();
+  session.Prepared.erase(it);
+  State.set(id, session.StateBytes);
+}
+
 void SessionsModule::begin(Context &ctx, SessionServices &services, SessionId id, Session &session,
                            const SessionStatement &statement) {
   if (session.Transaction) {
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -90,6 +90,7 @@
 }
 
 void SessionsModule::onStatement(Context &ctx, SessionServices &services, const StatementArrived &event) {
+  closeLargeSessions(ctx, services);
   const auto it = Sessions.find(event.Session);
   if (it == Sessions.end()) {
     // It was in the queue of events when its session was closed, and the connection is still open.
@@ -161,9 +162,27 @@
     Timers.erase({*it->second.TimerAt, id});
   if (const auto &work = it->second.Current; work && work->Attempt)
     WritesInFlight[work->Route.Service].erase({work->SentAt, id});
+  State.set(id, 0);
   Sessions.erase(it);
 }
 
+void SessionsModule::closeLargeSessions(Context &ctx, SessionServices &services) {
+  State.setLimit(ctx.Self.SessionStateBytes);
+  for (const auto &id : State.excess()) {
+    const auto it = Sessions.find(id);
+    if (it == Sessions.end())
+      continue;
+    const bool unanswered = it->second.Current.has_value();
+    ctx.emit(Count{"callers_closed_total{reason=\"session_state\"}"});
+    ctx.emit(Log{LogLevel::Warn,
+                 "session closed",
+                 {{"session", std::to_string(id.Value)},
+                  {"why", "its values and prepared statements take too much memory"}}});
+    endWithoutAnswer(ctx, services, id);
+    ctx.emit(CloseSession{id, unanswered});
+  }
+}
+
 std::optional<TimePoint> SessionsModule::nextTimer() const {
   std::optional<TimePoint> out;
   if (!Timers.empty())
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "base/bytebudget.h"
 #include "catalog/catalog.h"
 #include "freshness/positionhistory.h"
 #include "freshness/primarylease.h"
@@ -135,6 +136,14 @@
              const SessionStatement &statement);
   void rollback(Context &ctx, SessionServices &services, SessionId id, Session &session,
                 const SessionStatement &statement);
+  /// Sets a value of the session; false if it has too many.
+  bool setValue(SessionId id, Session &session, const SetStatement &statement);
+  /// Keeps a prepared statement; false if the session has too many.
+  bool prepare(SessionId id, Session &session, const PrepareStatement &statement);
+  void deallocate(SessionId id, Session &session, const std::string &name);
+  /// Closes the sessions whose values and prepared statements take the most memory, once the budget for them
+  /// is used up.
+  void closeLargeSessions(Context &ctx, SessionServices &services);
   void startStatement(Context &ctx, SessionServices &services, SessionId id, Session &session,
                       SessionStatement statement, AccessMode mode, bool commit);
   /// The workspace whose links run statements of a key's caller on a route; empty if the route needs no key.
@@ -278,6 +287,7 @@
   std::map<SessionId, TimePoint> Connected; ///< No session has started yet; with the time of connecting.
   std::map<SessionId, PendingSession> PendingSessions; ///< Opened before the first configuration was read.
   std::map<SessionId, Session> Sessions;
+  ByteBudget<SessionId> State{0}; ///< Values and prepared statements; the limit is that of the node.
   std::map<DatabaseId, WaitQueues> Waiting;
   std::size_t WaitingCount = 0;
   TimePoint NextWaitingPass; ///< When waiting statements are tried again without an event.
