--- a/src/protocol/nodeconfig.h
+++ b/src/protocol/nodeconfig.h
@@ -62,6 +62,8 @@
   /// CallerInterface::Sessions only: whether a server that has started, recovered or fails many statements is
   /// given few statements until its answers are good (links/serverpace.h).
   bool TargetPace = false;
+  /// CallerInterface::Sessions only: budget for the values and prepared statements of all sessions.
+  std::size_t SessionStateBytes = std::size_t{32} << 20;
   /// CallerInterface::Sessions only: empty if the limits of workspaces are not enforced.
   std::optional<QuotaBounds> Quota;
 };
--- a/src/sessions/tests/serverchoicetests.cpp
+++ b/src/sessions/tests/serverchoicetests.cpp
@@ -18,6 +18,7 @@
 public:
   Choice() {
     Self.AvailabilityZone = AvailabilityZone("z");
+    Self.TargetPace = true;
     Configuration configuration;
     configuration.Version = 1;
     configuration.Services = {{DatabaseId("yard"), 8, 1}};
