Reword names and comments that stopped a newcomer

A reader who knew only the code named them: a bound on failures that was called one on statements, a flag that said the opposite of what it is for, comments that no longer matched, and one key in three files. A quota test that restarted proxies now moves the load, as its name says. No behaviour changes.

--- a/src/base/bytebudget.h
+++ b/src/base/bytebudget.h
@@ -30,8 +30,8 @@
     held = bytes;
   }
   [[nodiscard]] std::size_t total() const { return Total; }
-  /// If the budget is used up: those that hold the most, until no more than three quarters of it would be
-  /// left.
+  /// The largest holders whose removal brings the total down to three quarters of the limit, so that not each
+  /// further byte removes one. Empty while the total is within the limit.
   [[nodiscard]] std::vector<Id> excess() const {
     std::vector<Id> out;
     if (Total <= Limit)
--- a/src/lending/lender.cpp
+++ b/src/lending/lender.cpp
@@ -11,7 +11,7 @@
 
 constexpr Duration SweepInterval = 200ms;
 /// Requests of a queue for which links are opened in one pass.
-constexpr std::size_t MaxOpenedFor = 16;
+constexpr std::size_t MaxRequestsWithNewLinks = 16;
 /// Borrowers repeat a request that has waited this long, so older ones are dropped.
 constexpr Duration MaxRequestAge = 1s;
 /// Longer than the longest allowed pause within a transaction. Reclaims loans of borrowers that were
@@ -105,15 +105,15 @@
   std::set<WorkspaceId> exhausted;
   std::optional<Candidate> blocked;
   for (const auto &it : grantOrder(services.Links, target, queue)) {
-    const auto request = Requests.at(it.Of);
-    // The last idle link of workspaces that use many is left to be replaced by one for the workspace that
-    // waits.
-    const bool takesTurn = blocked && services.Links.idle(target) <= 1 &&
-                           (it.Priority > blocked->Priority || it.Used > blocked->Used + 1);
-    if (takesTurn || exhausted.contains(request.Workspace))
+    const auto request = Requests.at(it.From);
+    // The last idle link is not given to a request of lower rank: it is to be closed, so that a link can be
+    // opened for the workspace that is blocked.
+    const bool wouldOvertake = blocked && services.Links.idle(target) <= 1 &&
+                               (it.Priority > blocked->Priority || it.Used > blocked->Used + 1);
+    if (wouldOvertake || exhausted.contains(request.Workspace))
       continue;
-    if (tryGrant(ctx, services, it.Of, request)) {
-      removeRequest(it.Of);
+    if (tryGrant(ctx, services, it.From, request)) {
+      removeRequest(it.From);
       continue;
     }
     exhausted.insert(request.Workspace);
@@ -131,8 +131,8 @@
   }
   std::map<WorkspaceId, std::size_t> wanted;
   const auto order = grantOrder(services.Links, target, queue);
-  for (const auto &it : std::span(order).first(std::min(order.size(), MaxOpenedFor))) {
-    const auto &workspace = Requests.at(it.Of).Workspace;
+  for (const auto &it : std::span(order).first(std::min(order.size(), MaxRequestsWithNewLinks))) {
+    const auto &workspace = Requests.at(it.From).Workspace;
     services.Links.openLinks(ctx, services.Catalog, target, ++wanted[workspace], LinkPurpose::Statements,
                              workspace);
   }
--- a/src/lending/lender.h
+++ b/src/lending/lender.h
@@ -74,7 +74,7 @@
     std::uint32_t Priority = 0;
     std::size_t Used = 0; ///< Links in use, with those for earlier requests of the workspace.
     TimePoint ArrivedAt;
-    Borrower Of;
+    Borrower From;
 
     auto operator<=>(const Candidate &) const = default;
   };
--- a/src/links/internal/opening.cpp
+++ b/src/links/internal/opening.cpp
@@ -89,7 +89,7 @@
   const auto *view = catalog.server(target);
   if (!view)
     return;
-  findStartedServers(catalog);
+  markStartedServers(catalog);
   auto &server = Servers[target];
   server.RoundTrip = detail::roundTrip(ctx.Self, view->Entry.AvailabilityZone);
   const std::size_t cap = maxOpenLinks(catalog, view->Entry.Service, purpose);
@@ -125,7 +125,7 @@
   --server.PendingReplies;
   // Links that failed to open do not show that the server was lost if it answered on others meanwhile.
   if (server.LostAt && server.Health.lastReplyAt().value_or(TimePoint()) < *server.LostAt)
-    server.StartsWithNextAnswer = true;
+    server.RestartPaceOnNextAnswer = true;
   recordAnswer(ctx, it->second.Target, server);
   if (const auto since = std::exchange(server.LostAt, std::nullopt))
     ctx.emit(
--- a/src/links/internal/pace.cpp
+++ b/src/links/internal/pace.cpp
@@ -62,14 +62,14 @@
 }
 
 void LinkPool::recordAnswer(Context &ctx, const TargetId &target, Server &server) {
-  const bool recovered = server.StartsWithNextAnswer || server.Health.suspect(ctx.Now);
-  server.StartsWithNextAnswer = false;
+  const bool recovered = server.RestartPaceOnNextAnswer || server.Health.suspect(ctx.Now);
+  server.RestartPaceOnNextAnswer = false;
   server.Health.received(ctx.Now, server.PendingReplies > 0);
   if (recovered && ctx.Self.TargetPace)
     reportPace(ctx, target, server, server.Pace.start(ctx.Now));
 }
 
-void LinkPool::findStartedServers(const Catalog &catalog) {
+void LinkPool::markStartedServers(const Catalog &catalog) {
   if (!catalog.serversLoaded() || (ListedServers && ListedAtChange == catalog.changeCount()))
     return;
   ListedAtChange = catalog.changeCount();
@@ -87,7 +87,7 @@
       // A server whose entry was only missing for a while has kept its links.
       const auto known = Servers.find(target);
       if (restarted || (joined && (known == Servers.end() || known->second.Links.empty())))
-        Servers[target].StartsWithNextAnswer = true;
+        Servers[target].RestartPaceOnNextAnswer = true;
     }
   ListedServers = std::move(listed);
 }
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -194,13 +194,13 @@
     std::size_t LinksAwaitingReply = 0;  ///< Own links with at least one pending reply.
     std::size_t UnusedGrants = 0;        ///< Lent links on which no command was sent yet.
     DatabaseId Service;
-    Duration RoundTrip{};              ///< Network time that is part of the measured durations.
-    ServerPace Pace;                   ///< Limits the links with pending replies.
-    bool StartsWithNextAnswer = false; ///< It is new or was suspect, and has not answered since.
-    std::optional<TimePoint> FullAt;   ///< When the server last refused a connection as one too many.
-    TimePoint RetryAt;                 ///< Earliest time to open a new link.
-    std::optional<TimePoint> LostAt;   ///< Since when no link could be opened.
-    TimePoint ReservedUntil;           ///< One idle link is kept for a primary change until then.
+    Duration RoundTrip{};                 ///< Network time that is part of the measured durations.
+    ServerPace Pace;                      ///< Limits the links with pending replies.
+    bool RestartPaceOnNextAnswer = false; ///< It is new or was suspect, and has not answered since.
+    std::optional<TimePoint> FullAt;      ///< When the server last refused a connection as one too many.
+    TimePoint RetryAt;                    ///< Earliest time to open a new link.
+    std::optional<TimePoint> LostAt;      ///< Since when no link could be opened.
+    TimePoint ReservedUntil;              ///< One idle link is kept for a primary change until then.
     ServerHealth Health;
   };
 
@@ -219,8 +219,8 @@
   /// Records a reply or an opened link. A server that was suspect starts again.
   void recordAnswer(Context &ctx, const TargetId &target, Server &server);
   static void reportPace(Context &ctx, const TargetId &target, const Server &server, PaceChange change);
-  /// Finds servers that joined or restarted since the last call.
-  void findStartedServers(const Catalog &catalog);
+  /// Marks the servers that joined or restarted since the last call.
+  void markStartedServers(const Catalog &catalog);
   void endUnusedGrant(Server &server, Link &link);
   /// Adds a link that is being opened, or requested from a lender.
   LinkId addLink(Context &ctx, Server &server, const TargetId &target, const DatabaseId &service,
--- a/src/links/serverpace.cpp
+++ b/src/links/serverpace.cpp
@@ -13,7 +13,8 @@
 constexpr int GrowBelow = 2;
 /// Durations above this multiple of the typical duration lower the limit.
 constexpr int LowerAbove = 3;
-constexpr double StartFactor = 0.75;
+/// Factor of a decrease in a start phase.
+constexpr double StartPhaseDecrease = 0.75;
 constexpr double MinStartLimit = 1;
 constexpr Duration LowerInterval = 100ms;
 
@@ -161,7 +162,7 @@
   if (LoweredAt && now - *LoweredAt < LowerInterval)
     return PaceChange::None;
   LoweredAt = now;
-  Limit = std::max(MinStartLimit, Limit * StartFactor);
+  Limit = std::max(MinStartLimit, Limit * StartPhaseDecrease);
   return PaceChange::Decreased;
 }
 
--- a/src/quota/internal/quotaclient.cpp
+++ b/src/quota/internal/quotaclient.cpp
@@ -1,5 +1,6 @@
 #include "quota/internal/quotaclient.h"
 
+#include "quota/internal/holderorder.h"
 #include "quota/internal/quotashare.h"
 
 #include <algorithm>
@@ -8,7 +9,6 @@
 
 namespace {
 
-constexpr std::string_view HolderKey = "quota";
 /// After which a caller is asked to return if no holder answered.
 constexpr Duration UnavailableRetry = 300ms;
 
@@ -48,7 +48,7 @@
   for (const auto &it : {KnownHolder, queue.Named})
     if (usable(it))
       return it;
-  const auto &near = fleet.order(ctx.Self.AvailabilityZone, HolderKey);
+  const auto &near = fleet.order(ctx.Self.AvailabilityZone, HolderOrderKey);
   for (std::size_t n = 0; n < std::min(near.size(), NearCandidates); ++n)
     if (usable(near[n]))
       return near[n];
@@ -60,13 +60,13 @@
   std::stable_partition(zones.begin(), zones.end(),
                         [&](const AvailabilityZone &it) { return regionOf(it) == ctx.Self.Region; });
   for (const auto &zone : zones)
-    if (const auto &order = fleet.order(zone, HolderKey); !order.empty() && usable(order.front()))
+    if (const auto &order = fleet.order(zone, HolderOrderKey); !order.empty() && usable(order.front()))
       return order.front();
   return std::nullopt;
 }
 
 bool QuotaClient::isNear(const Context &ctx, const FleetMap &fleet, const NodeId &node) {
-  const auto &near = fleet.order(ctx.Self.AvailabilityZone, HolderKey);
+  const auto &near = fleet.order(ctx.Self.AvailabilityZone, HolderOrderKey);
   return std::find(near.begin(), near.end(), node) != near.end();
 }
 
--- a/src/quota/internal/quotaholder.cpp
+++ b/src/quota/internal/quotaholder.cpp
@@ -1,5 +1,6 @@
 #include "quota/internal/quotaholder.h"
 
+#include "quota/internal/holderorder.h"
 #include "quota/internal/quotashare.h"
 
 #include <algorithm>
@@ -11,8 +12,6 @@
 /// Longest time after which a caller is told to come back.
 constexpr Duration MaxRetryAfter = 5s;
 constexpr Duration LogInterval = 1s;
-/// Key of the rendezvous order of a zone's proxies.
-constexpr std::string_view HolderKey = "quota";
 
 } // namespace
 
@@ -115,7 +114,7 @@
 NodeId QuotaHolder::holderOf(const FleetMap &fleet, const AvailabilityZone &zone) const {
   if (const auto it = KnownHolders.find(zone); it != KnownHolders.end())
     return it->second;
-  const auto &order = fleet.order(zone, HolderKey);
+  const auto &order = fleet.order(zone, HolderOrderKey);
   return order.empty() ? NodeId() : order.front();
 }
 
--- a/src/quota/internal/quotaholder.h
+++ b/src/quota/internal/quotaholder.h
@@ -30,7 +30,7 @@
   void start(const std::vector<QuotaLevel> &levels, TimePoint stoppedAt);
   /// Goes on with the buckets as they were when this proxy stopped.
   void resume(TimePoint now) { StartedAt = StartedAt.value_or(now); }
-  /// Answers what waits as not granted.
+  /// Answers the waiting requests with what they were granted so far, and that this proxy is no holder.
   QuotaAnswers stop();
   /// Tokens that are left, in whole or in part.
   [[nodiscard]] std::vector<QuotaLevel> levels() const;
@@ -52,7 +52,7 @@
   static constexpr Duration TransferTimeout = 300ms;
   /// Part of a bucket's capacity that is not given to other zones.
   static constexpr double ReservedPart = 0.25;
-  /// Bound on the requests that wait; further ones are answered at once.
+  /// Bound on the requests that wait. Beyond it, those of the workspace that sent the last one are refused.
   static constexpr std::size_t MaxWaiting = 10'000;
 
 private:
--- a/src/quota/internal/quotalease.cpp
+++ b/src/quota/internal/quotalease.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// A store that is slow for all still confirms renewals in time.
+/// Below the interval of renewals, so that a call without an answer is repeated before the next one is due.
 constexpr Duration CallTimeout = 1500ms;
 constexpr Duration RetryDelay = 300ms;
 /// Time for which what was read of the lease tells who holds it.
--- a/src/quota/internal/quotashare.cpp
+++ b/src/quota/internal/quotashare.cpp
@@ -19,7 +19,8 @@
 /// Least capacity of a zone's bucket: below one token it would never grant anything.
 constexpr double MinCapacity = 1;
 
-/// The zones with a share, in an order of their own for each workspace.
+/// Whether a zone is among the `count` zones that hold the workspace's limit. The order of the zones differs
+/// by workspace.
 bool hasShare(const NodeConfig &self, const Workspace &workspace, const AvailabilityZone &zone,
               std::size_t count) {
   std::vector<std::pair<std::uint64_t, AvailabilityZone>> order;
--- a/src/quota/quotamodule.cpp
+++ b/src/quota/quotamodule.cpp
@@ -1,19 +1,15 @@
 #include "quota/quotamodule.h"
 
+#include "quota/internal/holderorder.h"
+
 #include <algorithm>
 
 namespace rosemaryhinge {
 
-namespace {
-
-constexpr std::string_view HolderKey = "quota";
-
-} // namespace
-
 bool QuotaModule::comesFirst(const Context &ctx, const FleetMap &fleet) {
   if (!fleet.listed())
     return false;
-  const auto &order = fleet.order(ctx.Self.AvailabilityZone, HolderKey);
+  const auto &order = fleet.order(ctx.Self.AvailabilityZone, detail::HolderOrderKey);
   return !order.empty() && order.front() == ctx.Self.Node;
 }
 
@@ -121,7 +117,7 @@
     return;
   const auto levels = Holder.levels();
   deliver(ctx, services.Fleet, Holder.stop());
-  const auto &order = services.Fleet.order(ctx.Self.AvailabilityZone, HolderKey);
+  const auto &order = services.Fleet.order(ctx.Self.AvailabilityZone, detail::HolderOrderKey);
   const auto next =
       std::find_if(order.begin(), order.end(), [&](const NodeId &it) { return it != ctx.Self.Node; });
   ctx.emit(Count{"quota_leases_handed_over_total"});
--- a/src/quota/tests/quotafleettests.cpp
+++ b/src/quota/tests/quotafleettests.cpp
@@ -203,14 +203,13 @@
 }
 
 TEST_CASE("callers that move to other proxies take no tokens with them") {
+  // Guards against a limit that grows when the load of one zone goes to others: both had granted it.
   QuotaFleet fleet(3, 3, Rate, Burst);
   fleet.pass(15s);
-  std::vector<TimePoint> grantedAt;
   Load load(fleet);
   load.run(3s, Rate / 1.6 * 7);
-  // All proxies of one zone lose their callers: they end, and come back without any state.
   for (int n = 0; n < 3; ++n)
-    fleet.restart("n0-" + std::to_string(n));
+    fleet.proxy("n0-" + std::to_string(n)).Up = false;
   load.run(6s, Rate / 1.6 * 7);
   load.finish();
   CHECK(static_cast<double>(load.mostGranted()) <= limit());
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -16,9 +16,8 @@
 constexpr int MaxWaitPercent = 60;
 /// Statements without a link after which the rest of a queue is left for the next pass.
 constexpr std::size_t MaxFailuresInPass = 4;
-/// Where statements belong to workspaces, one that finds no link tells nothing of other workspaces. A pass
-/// then ends after this number of statements.
-constexpr std::size_t MaxStatementsInPass = 256;
+/// The same where statements belong to workspaces: one without a link tells nothing about other workspaces.
+constexpr std::size_t MaxFailuresWithWorkspaces = 256;
 /// How long a replica that rejected a read as lagging is avoided.
 constexpr Duration LaggingBackoff = 400ms;
 /// Minimum interval between attempts to use the same server as the primary while none is known.
@@ -127,7 +126,7 @@
   std::size_t failures = 0;
   std::size_t left = statements.size();
   const bool byWorkspace = services.Catalog.configuration().Workspaces.has_value();
-  const auto maxFailures = byWorkspace ? MaxStatementsInPass : MaxFailuresInPass;
+  const auto maxFailures = byWorkspace ? MaxFailuresWithWorkspaces : MaxFailuresInPass;
   attempt.Wanted.reset();
   for (auto it = statements.begin(); it != statements.end() && failures < maxFailures; --left) {
     const auto key = *it;
--- a/testing/misbehavingclients/main.cpp
+++ b/testing/misbehavingclients/main.cpp
@@ -19,9 +19,10 @@
 namespace platformsoak = rosemaryhinge::platformsoak;
 
 constexpr int Held = 0, Broken = 1, NotPossible = 2;
-/// Resident memory after a group has left. The two budgets for callers together are a quarter of memory_mb.
+/// Resident memory after a group has left. The three budgets for callers together are three
+/// eighths of memory_mb; the rest is the process itself.
 constexpr double AfterwardsMb = MemoryMb / 2.0;
-/// Ends a run whose process does not recover. Not a measured limit.
+/// Ends a run whose process does not recover. Above the time after which stalled callers are closed.
 constexpr Millis RecoveryMs = 30'000;
 constexpr Millis RecoveryPollMs = 100;
 
