--- a/src/links/internal/sweep.cpp
+++ b/src/links/internal/sweep.cpp
@@ -109,7 +109,7 @@
 }
 
 void LinkPool::onTimer(Context &ctx, const Catalog &catalog) {
-  findStartedServers(catalog);
+  markStartedServers(catalog);
   if (!NextSweep || ctx.Now < *NextSweep)
     return;
   for (const auto &[id, silent] : overdueLinks(ctx.Now, catalog))
@@ -117,7 +117,7 @@
   // A report from a lender is no evidence about this proxy's own links.
   for (auto &[target, server] : Servers)
     if (server.Health.refusedSince(ctx.Now) || server.Health.silence(ctx.Now) >= ServerHealth::SuspectAfter)
-      server.StartsWithNextAnswer = true;
+      server.RestartPaceOnNextAnswer = true;
   std::erase_if(Servers,
                 [&](const auto &it) { return it.second.Links.empty() && !catalog.server(it.first); });
   NextSweep = Links.empty() ? std::nullopt : std::optional(ctx.Now + SweepInterval);
