--- a/src/peers/internal/changescodec.cpp
+++ b/src/peers/internal/changescodec.cpp
@@ -197,9 +197,9 @@
   for (const auto &one : objects)
     list.push_back(encodeObject(builder, one));
   const auto all = builder.CreateVector(list);
-  return wire::CreateChangesReply(builder, number, static_cast<std::uint8_t>(kind), revision, age.count(),
-                                  whole, all,
-                                  proof ? flatbuffers::Optional(proof->count()) : flatbuffers::nullopt)
+  return wire::CreateChangesReply(
+             builder, number, static_cast<std::uint8_t>(kind), revision, age.count(), whole, all,
+             proof ? flatbuffers::Optional<std::int64_t>(proof->count()) : flatbuffers::nullopt)
       .Union();
 }
 
--- a/src/quota/tests/quotafixture.h
+++ b/src/quota/tests/quotafixture.h
@@ -61,9 +61,10 @@
   /// Lets time pass in small steps.
   void pass(Duration time) {
     for (const auto end = Now + time; Now < end; Now += Step)
-      for (auto &[name, it] : Proxies)
-        if (it->Up)
-          run(*it, [&](Context &ctx, const QuotaServices &services) { it->Quota.onTimer(ctx, services); });
+      for (const auto &entry : Proxies)
+        if (auto &proxy = *entry.second; proxy.Up)
+          run(proxy,
+              [&](Context &ctx, const QuotaServices &services) { proxy.Quota.onTimer(ctx, services); });
   }
 
   /// Starts an operation at a proxy, and returns the number under which its decision is found.
--- a/testing/misbehavingclients/groups.cpp
+++ b/testing/misbehavingclients/groups.cpp
@@ -14,8 +14,12 @@
 std::string numbered(int count, const std::string &prefix, const std::string &middle, bool large) {
   std::string out;
   for (int n = 0; n < count; ++n) {
-    const auto line = prefix + std::to_string(n) + middle;
-    out += large ? largeStatement(line) : line + "\r\n";
+    auto line = prefix;
+    line.append(std::to_string(n)).append(middle);
+    if (large)
+      out += largeStatement(line);
+    else
+      out.append(line).append("\r\n");
   }
   return out;
 }
--- a/testing/platformsoak/tests/workspacechecktests.cpp
+++ b/testing/platformsoak/tests/workspacechecktests.cpp
@@ -26,6 +26,7 @@
 
 std::vector<Arrival> operations(int count, Millis from, Millis everyMs) {
   std::vector<Arrival> out;
+  out.reserve(static_cast<std::size_t>(count));
   for (int n = 0; n < count; ++n)
     out.push_back(
         {std::to_string(from) + "." + std::to_string(n), "kauppa", "i-1", from + n * everyMs, true});
