--- a/src/quota/internal/quotaholder.cpp
+++ b/src/quota/internal/quotaholder.cpp
@@ -36,10 +36,9 @@
 
 QuotaAnswers QuotaHolder::stop() {
   QuotaAnswers out;
-  for (auto &[workspace, it] : Accounts)
+  for (auto &[workspace, it] : Accounts) {
     for (const auto &waiting : it.Queue)
       out.push_back({waiting.From, {waiting.Number, waiting.Granted, {}, true, NodeId()}});
-  for (auto &[workspace, it] : Accounts) {
     it.Queue.clear();
     it.Pending.reset();
   }
