Look for started targets only where their pace is limited

LinkPool compared the servers of the whole catalogue after each change of it, on opening links and on each timer, although what it marks is read only where target_pace is set. Deployments without the setting no longer pay for it; behaviour stays.

--- a/src/links/internal/opening.cpp
+++ b/src/links/internal/opening.cpp
@@ -89,7 +89,8 @@
   const auto *view = catalog.server(target);
   if (!view)
     return;
-  markStartedServers(catalog);
+  if (ctx.Self.TargetPace)
+    markStartedServers(catalog);
   auto &server = Servers[target];
   server.RoundTrip = detail::roundTrip(ctx.Self, view->Entry.AvailabilityZone);
   const std::size_t cap = maxOpenLinks(catalog, view->Entry.Service, purpose);
--- a/src/links/internal/sweep.cpp
+++ b/src/links/internal/sweep.cpp
@@ -109,7 +109,8 @@
 }
 
 void LinkPool::onTimer(Context &ctx, const Catalog &catalog) {
-  markStartedServers(catalog);
+  if (ctx.Self.TargetPace)
+    markStartedServers(catalog);
   if (!NextSweep || ctx.Now < *NextSweep)
     return;
   for (const auto &[id, silent] : overdueLinks(ctx.Now, catalog))
