Tell from which knowledge of the configuration a caller was refused

Both lines now carry the version, the revision up to which changes are known, when the store last confirmed that, and who told it. A reply of a followed proxy that comes after this proxy has stopped waiting is logged and counted (directory_late_replies_total); before, it was dropped without a trace. No decision changes.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace rosemaryhinge {
@@ -27,6 +28,13 @@
   bool WasPrimary = false;
 };
 
+/// What the knowledge of the configuration rests on.
+struct ConfigurationSource {
+  NodeId From;                ///< The proxy that told it last; empty if it was the store.
+  std::uint64_t Revision = 0; ///< Of the store, up to which its changes are known.
+  TimePoint ConfirmedAt;      ///< When the store last confirmed that, here or at that proxy.
+};
+
 namespace detail {
 
 /// How a server's entry compares with an earlier one of the same server.
@@ -47,6 +55,8 @@
   /// question was sent whose answer told so.
   void proveConfiguration(TimePoint upTo) { ProvenUntil = std::max(ProvenUntil.value_or(upTo), upTo); }
   [[nodiscard]] std::optional<TimePoint> configurationProvenUntil() const { return ProvenUntil; }
+  void setConfigurationSource(ConfigurationSource source) { Source = std::move(source); }
+  [[nodiscard]] const ConfigurationSource &configurationSource() const { return Source; }
   /// Whether a caller's key may be trusted by the known configuration: always without a bound, else while the
   /// proof of its age is younger than the bound.
   [[nodiscard]] bool keysProven(std::optional<Duration> bound, TimePoint now) const {
@@ -116,6 +126,7 @@
   std::map<TargetId, RemovedServer> Removed;
   std::map<DatabaseId, Group> Groups;
   std::optional<TimePoint> ProvenUntil;
+  ConfigurationSource Source;
   bool ServersLoaded = false;
   std::uint64_t ChangeCount = 0;
 };
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -62,6 +62,11 @@
     catalog.proveConfiguration(askedAt);
 }
 
+void DirectoryModule::recordSource(Catalog &catalog, const Feed &feed, const NodeId &from) {
+  if (feed.Kind == DirectoryKind::Configuration)
+    catalog.setConfigurationSource({from, feed.Sync.Revision, feed.Sync.ConfirmedAt});
+}
+
 void DirectoryModule::logProof(Context &ctx, const Catalog &catalog) {
   if (!ctx.Self.RevocationBound || !catalog.configuration().Workspaces)
     return;
@@ -137,15 +142,25 @@
   const auto feed = std::find_if(Feeds.begin(), Feeds.end(), [&](const Feed &it) {
     return it.PendingPeer == from && it.PeerRequestNumber == reply.Number && it.Kind == reply.Kind;
   });
-  if (feed == Feeds.end())
+  if (feed == Feeds.end()) {
+    ctx.emit(Count{"directory_late_replies_total"});
+    ctx.emit(Log{LogLevel::Info,
+                 "reply of a followed proxy came late",
+                 {{"peer", from.str()},
+                  {"kind", kindName(reply.Kind)},
+                  {"objects", std::to_string(reply.Objects.size())},
+                  {"revision", std::to_string(storeNumber(reply.Revision))}}});
     return;
+  }
   feed->PendingPeer = NodeId();
   feed->UnansweredPeerRequests = 0;
   auto &known = feed->Sync;
   // A proxy that has not learnt of a restoration of the store knows entries that are gone.
   const bool current = storeEra(reply.Revision) >= storeEra(known.Revision);
-  if (current)
+  if (current) {
     applyReply(ctx, services.Catalog, *feed, reply);
+    recordSource(services.Catalog, *feed, from);
+  }
   // A watch can go on from here, whoever told it.
   feed->Listing = feed->Listing && known.Revision == 0;
   Relay.answerPending(ctx, services.Catalog, feed->Kind, known);
@@ -262,6 +277,7 @@
                  [](const auto &) {},
              },
              event.Result);
+  recordSource(services.Catalog, *feed, NodeId());
   Relay.answerPending(ctx, services.Catalog, feed->Kind, known);
   const auto *changes = std::get_if<DirectoryChanges>(&event.Result);
   if (changes && !changes->Objects.empty() && ctx.Now - StartedAt < StartupPeriod)
@@ -313,6 +329,7 @@
                          "configuration in force",
                          {{"version", std::to_string(it.Version)},
                           {"routes", std::to_string(it.Routes.size())},
+                          {"revision", std::to_string(storeNumber(feed.Sync.Revision))},
                           {"known_ms", std::to_string((ctx.Now - feed.Sync.ConfirmedAt) / 1ms)}}});
           },
           [&](const ServerEntry &it) {
--- a/src/sessions/internal/statements.cpp
+++ b/src/sessions/internal/statements.cpp
@@ -1,6 +1,7 @@
 // Handles statements that need no server, and creates the work item for those that do.
 
 #include "base/overloaded.h"
+#include "sessions/internal/configurationlog.h"
 #include "sessions/sessionsmodule.h"
 
 namespace rosemaryhinge {
@@ -130,6 +131,19 @@
   State.set(id, session.StateBytes);
 }
 
+void SessionsModule::refuseWithoutRoute(Context &ctx, SessionServices &services, SessionId id,
+                                        Session &session, const std::string &statement) {
+  Log line{LogLevel::Info,
+           "statement refused",
+           {{"request", statement},
+            {"session", std::to_string(id.Value)},
+            {"database", session.Database},
+            {"reason", std::string(toString(Rejection::NoDatabase))}}};
+  detail::addConfiguration(line, services.Catalog, ctx.Now);
+  ctx.emit(std::move(line));
+  answer(ctx, id, session, statement, StatementRejection{Rejection::NoDatabase, "the route was removed"});
+}
+
 void SessionsModule::begin(Context &ctx, SessionServices &services, SessionId id, Session &session,
                            const SessionStatement &statement) {
   if (session.Transaction) {
@@ -138,8 +152,7 @@
   }
   const auto *route = services.Catalog.route(session.Database);
   if (!route) {
-    answer(ctx, id, session, statement.Id,
-           StatementRejection{Rejection::NoDatabase, "the route was removed"});
+    refuseWithoutRoute(ctx, services, id, session, statement.Id);
     return;
   }
   if (const auto why = refusalOfKey(ctx, services.Catalog, session.Key, *route)) {
@@ -180,8 +193,7 @@
   const auto *route =
       session.Transaction ? &session.Transaction->Route : services.Catalog.route(session.Database);
   if (!route) {
-    answer(ctx, id, session, statement.Id,
-           StatementRejection{Rejection::NoDatabase, "the route was removed"});
+    refuseWithoutRoute(ctx, services, id, session, statement.Id);
     return;
   }
   const auto workspace = workspaceFor(services.Catalog, session.Key, *route).value_or(WorkspaceId());
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -2,6 +2,8 @@
 
 #include "sessions/sessionsmodule.h"
 
+#include "sessions/internal/configurationlog.h"
+
 #include <algorithm>
 
 namespace rosemaryhinge {
@@ -53,12 +55,13 @@
     why = refusalOfKey(ctx, services.Catalog, event.Key, *route);
   if (why) {
     ctx.emit(Count{"sessions_refused_total"});
-    ctx.emit(Log{LogLevel::Info,
-                 "session refused",
-                 {{"session", std::to_string(event.Session.Value)},
-                  {"database", event.Database},
-                  {"configuration", std::to_string(services.Catalog.configuration().Version)},
-                  {"reason", std::string(toString(why->Code))}}});
+    Log line{LogLevel::Info,
+             "session refused",
+             {{"session", std::to_string(event.Session.Value)},
+              {"database", event.Database},
+              {"reason", std::string(toString(why->Code))}}};
+    detail::addConfiguration(line, services.Catalog, ctx.Now);
+    ctx.emit(std::move(line));
     ctx.emit(RefuseSession{event.Session, *why});
     return;
   }
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -132,6 +132,9 @@
   // Statement handling within the proxy (internal/statements.cpp).
   void handleStatement(Context &ctx, SessionServices &services, SessionId id, Session &session,
                        SessionStatement statement);
+  /// The database has no route any more.
+  void refuseWithoutRoute(Context &ctx, SessionServices &services, SessionId id, Session &session,
+                          const std::string &statement);
   void begin(Context &ctx, SessionServices &services, SessionId id, Session &session,
              const SessionStatement &statement);
   void rollback(Context &ctx, SessionServices &services, SessionId id, Session &session,
