Let nothing older undo what another proxy has told

Since a proxy asks the store and others at once while the store fails, an answer of the store may be older than what a proxy has told meanwhile. A watch that tells nothing beyond the known revision, and a list for which there is no need any more, are now passed over; so is a request to another proxy once the store answers again.

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -101,10 +101,9 @@
 
 std::optional<TimePoint> DirectoryModule::nextStoreCall(const Feed &feed) {
   const bool asked = !feed.PendingPeer.empty();
-  if (feed.Call || (asked && feed.Following && feed.StoreFailures == 0))
+  if (feed.Call || (asked && feed.StoreFailures == 0))
     return std::nullopt;
-  const bool othersAnswer = asked && feed.StoreFailures > 0;
-  return othersAnswer ? std::max(feed.RetryAt, feed.StoreCalledAt + StoreRetryInterval) : feed.RetryAt;
+  return asked ? std::max(feed.RetryAt, feed.StoreCalledAt + StoreRetryInterval) : feed.RetryAt;
 }
 
 std::optional<NodeId> DirectoryModule::firstAvailable(const Context &ctx,
@@ -146,7 +145,6 @@
 
 void DirectoryModule::queryPeer(Context &ctx, Feed &feed, const NodeId &peer) {
   feed.PendingPeer = peer;
-  feed.Following = feed.StoreFailures == 0;
   feed.PeerRequestNumber = ctx.nextNumber();
   feed.PeerRequestSentAt = ctx.Now;
   feed.PeerRequestWait = feed.Listing ? FirstListWait : PeerRequestWait;
@@ -180,7 +178,10 @@
     recordSource(services.Catalog, *feed, from);
   }
   // A watch can go on from here, whoever told it.
-  feed->Listing = feed->Listing && known.Revision == 0;
+  if (known.Revision > 0) {
+    feed->Listing = false;
+    feed->PartialList.clear();
+  }
   Relay.answerPending(ctx, services.Catalog, feed->Kind, known);
   const bool large = isLargeZone(services.Fleet.order(ctx.Self.AvailabilityZone, WatcherKey));
   const auto maxAge =
@@ -264,13 +265,19 @@
   }
   feed->UnansweredPeerRequests = 0;
   const int failures = std::exchange(feed->StoreFailures, 0);
-  if (failures > 0)
+  if (failures > 0) {
+    // From here on it watches the store, or follows the proxy whose turn it is.
     Backoffs.clear();
+    feed->PendingPeer = NodeId();
+  }
   if (failures > 1)
     ctx.emit(Log{LogLevel::Info, "store regained", {{"kind", kindName(feed->Kind)}}});
   auto &known = feed->Sync;
   std::visit(Overloaded{
                  [&](const DirectoryListing &it) {
+                   // Another proxy has told all meanwhile, and a watch goes on from there.
+                   if (!feed->Listing)
+                     return;
                    if (feed->PartialList.empty()) {
                      feed->FirstPageRevision = it.Revision;
                      feed->FirstPageAskedAt = feed->StoreCalledAt;
@@ -295,10 +302,13 @@
                      startListing(ctx, *feed);
                      return;
                    }
-                   known.Revision = std::max(known.Revision, it.Revision);
                    known.ConfirmedAt = ctx.Now;
-                   for (const auto &object : it.Objects)
-                     applyObject(ctx, services.Catalog, *feed, object);
+                   // What another proxy has told meanwhile may be newer, and must not be undone.
+                   if (it.Revision > known.Revision) {
+                     known.Revision = it.Revision;
+                     for (const auto &object : it.Objects)
+                       applyObject(ctx, services.Catalog, *feed, object);
+                   }
                    recordProof(services.Catalog, *feed, feed->StoreCalledAt);
                  },
                  [&](const DirectoryHistoryCompacted &) { startListing(ctx, *feed); },
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -107,7 +107,6 @@
     int UnansweredPeerRequests = 0;      ///< Requests to other proxies without an answer, in a row.
     NodeId PendingPeer;                  ///< Asked and not answered yet; empty if none is.
     std::uint64_t PeerRequestNumber = 0; ///< Number of that request.
-    bool Following = false; ///< That proxy is followed in place of the store, which was answering.
     TimePoint PeerRequestSentAt;
     Duration PeerRequestWait{};
     bool Started = false; ///< A first request was sent.
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -683,3 +683,62 @@
   store.answer(*call, DirectoryChanges{{Fixture::configuration(2)}, 12});
   CHECK(store.take(DirectoryKind::Configuration));
 }
+
+namespace {
+
+/// A proxy that the store has failed to answer once, and that calls it again while another one is asked.
+class BetweenStoreAndPeer : public Fixture {
+public:
+  BetweenStoreAndPeer() { addProxies(1); }
+
+  /// Answers the request to the other proxy without news, until the store is called again.
+  DirectoryCall callAgain() {
+    for (int n = 0; n < 50; ++n) {
+      if (const auto call = take(DirectoryKind::Servers))
+        return *call;
+      advance(100ms);
+      if (n % 2 == 1)
+        tell({0, {}, Revision, 50ms, false, {}});
+    }
+    FAIL("the store was not called again");
+    return {};
+  }
+  void tell(ChangesReply message) {
+    while (const auto asked = takeSent<ChangesRequest>())
+      if (asked->second.Kind == DirectoryKind::Servers) {
+        message.Number = asked->second.Number;
+        message.Kind = DirectoryKind::Servers;
+        reply(asked->first, message);
+        return;
+      }
+    FAIL("no other proxy was asked");
+  }
+
+  std::uint64_t Revision = 0;
+};
+
+} // namespace
+
+TEST_CASE("a change that the store tells after a newer one came from another proxy undoes nothing") {
+  // Guards against servers that are taken as gone: the end of an earlier entry came last.
+  BetweenStoreAndPeer it;
+  it.answer(*it.take(DirectoryKind::Servers), DirectoryListing{{Fixture::server("a", 1)}, false, 9});
+  it.Revision = 9;
+  it.answer(*it.take(DirectoryKind::Servers), DirectoryFailure{"timed out", false});
+  const auto watch = it.callAgain();
+  it.tell({0, {}, 14, 50ms, false, {Fixture::server("a", 13)}});
+  it.answer(watch, DirectoryChanges{{Fixture::deletedEntry("a")}, 12});
+  it.advance(3s);
+  CHECK(it.Known.server(TargetId("a")));
+}
+
+TEST_CASE("a list that was asked for before another proxy told all undoes nothing") {
+  // Guards against servers that are taken as gone, since the list is older than they are.
+  BetweenStoreAndPeer it;
+  it.answer(*it.take(DirectoryKind::Servers), DirectoryFailure{"timed out", false});
+  const auto list = it.callAgain();
+  it.tell({0, {}, 14, 50ms, true, {Fixture::server("a", 13)}});
+  it.answer(list, DirectoryListing{{}, false, 12});
+  it.advance(3s);
+  CHECK(it.Known.server(TargetId("a")));
+}
