Use the reply of a followed proxy that comes late

With 1,400 added routes a watcher sends some 150 KB to each of its 20 followers over a link of 10 Mbit/s; they wait 1.25 s.

A proxy now remembers its last eight requests without a reply, and a reply to one of them is applied if its revision is above the known one; it proves nothing about the configuration's age. A reply to anything else is dropped as before: it may have been meant for the process before this one, and then lacks what came before it. Two unit tests; the first failed before (the reply was dropped).

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -21,6 +21,8 @@
 constexpr std::string_view WatcherKey = "directory";
 /// Deletions that are remembered for proxies that follow; older ones get the whole.
 constexpr std::size_t MaxDeleted = 1'000;
+/// Requests to other proxies whose late replies are still accepted.
+constexpr std::size_t MaxAbandoned = 8;
 /// Name of the object that holds the configuration in force.
 constexpr std::string_view ConfigurationName = "main";
 
@@ -159,13 +161,7 @@
     return it.PendingPeer == from && it.PeerRequestNumber == reply.Number && it.Kind == reply.Kind;
   });
   if (feed == Feeds.end()) {
-    ctx.emit(Count{"directory_late_replies_total"});
-    ctx.emit(Log{LogLevel::Info,
-                 "reply of a followed proxy came late",
-                 {{"peer", from.str()},
-                  {"kind", kindName(reply.Kind)},
-                  {"objects", std::to_string(reply.Objects.size())},
-                  {"revision", std::to_string(storeNumber(reply.Revision))}}});
+    onLateReply(ctx, services, from, reply);
     return;
   }
   feed->PendingPeer = NodeId();
@@ -195,6 +191,39 @@
   requestChanges(ctx, services, *feed);
 }
 
+void DirectoryModule::onLateReply(Context &ctx, DirectoryServices &services, const NodeId &from,
+                                  const ChangesReply &reply) {
+  ctx.emit(Count{"directory_late_replies_total"});
+  const auto sentBy = [&](Feed &feed) {
+    return feed.Kind == reply.Kind && std::erase_if(feed.Abandoned, [&](const PeerRequest &it) {
+                                        return it.Peer == from && it.Number == reply.Number;
+                                      }) > 0;
+  };
+  const auto feed = std::find_if(Feeds.begin(), Feeds.end(), sentBy);
+  // It lacks nothing between the revision that was known when it was asked for and its own.
+  const bool news = feed != Feeds.end() && reply.Revision > feed->Sync.Revision;
+  ctx.emit(Log{LogLevel::Info,
+               "reply of a followed proxy came late",
+               {{"peer", from.str()},
+                {"kind", kindName(reply.Kind)},
+                {"objects", std::to_string(reply.Objects.size())},
+                {"revision", std::to_string(storeNumber(reply.Revision))},
+                {"news", news ? "yes" : "no"}}});
+  if (!news)
+    return;
+  applyChanges(ctx, services.Catalog, *feed, reply);
+  recordSource(services.Catalog, *feed, from);
+  Relay.answerPending(ctx, services.Catalog, feed->Kind, feed->Sync);
+}
+
+void DirectoryModule::abandonRequest(Feed &feed) {
+  if (feed.PendingPeer.empty())
+    return;
+  if (feed.Abandoned.size() >= MaxAbandoned)
+    feed.Abandoned.erase(feed.Abandoned.begin());
+  feed.Abandoned.push_back({std::exchange(feed.PendingPeer, NodeId()), feed.PeerRequestNumber});
+}
+
 void DirectoryModule::backOff(const Context &ctx, const Feed &feed, const NodeId &peer) {
   auto &it = Backoffs[peer];
   const bool again = feed.StoreFailures > 0 && it.Length > Duration();
@@ -203,9 +232,16 @@
 }
 
 void DirectoryModule::applyReply(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply) {
+  feed.Sync.ConfirmedAt = std::max(feed.Sync.ConfirmedAt, ctx.Now - reply.Age);
+  applyChanges(ctx, catalog, feed, reply);
+  // The request was received after it was sent here, so this never makes the proof look younger.
+  if (reply.ProofOffset)
+    recordProof(catalog, feed, std::min(ctx.Now, feed.PeerRequestSentAt + *reply.ProofOffset));
+}
+
+void DirectoryModule::applyChanges(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply) {
   auto &known = feed.Sync;
   known.Revision = std::max(known.Revision, reply.Revision);
-  known.ConfirmedAt = std::max(known.ConfirmedAt, ctx.Now - reply.Age);
   if (reply.Complete) {
     known.CompactedBefore = known.Revision;
     applyList(ctx, catalog, feed, reply.Objects);
@@ -213,9 +249,6 @@
     for (const auto &it : reply.Objects)
       applyObject(ctx, catalog, feed, it);
   }
-  // The request was received after it was sent here, so this never makes the proof look younger.
-  if (reply.ProofOffset)
-    recordProof(catalog, feed, std::min(ctx.Now, feed.PeerRequestSentAt + *reply.ProofOffset));
 }
 
 void DirectoryModule::onPeerFailure(Context &ctx, DirectoryServices &services, Feed &feed) {
@@ -224,7 +257,7 @@
   ctx.emit(Log{LogLevel::Info,
                "followed proxy does not answer",
                {{"peer", feed.PendingPeer.str()}, {"kind", kindName(feed.Kind)}}});
-  feed.PendingPeer = NodeId();
+  abandonRequest(feed);
   const bool before = isolated();
   ++feed.UnansweredPeerRequests;
   if (isolated() && !before)
@@ -268,7 +301,7 @@
   if (failures > 0) {
     // From here on it watches the store, or follows the proxy whose turn it is.
     Backoffs.clear();
-    feed->PendingPeer = NodeId();
+    abandonRequest(*feed);
   }
   if (failures > 1)
     ctx.emit(Log{LogLevel::Info, "store regained", {{"kind", kindName(feed->Kind)}}});
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -87,6 +87,10 @@
   static constexpr Duration ListTimeout = 1500ms;
 
 private:
+  struct PeerRequest {
+    NodeId Peer;
+    std::uint64_t Number = 0;
+  };
   struct Feed {
     explicit Feed(DirectoryKind kind) : Kind(kind) {}
 
@@ -107,6 +111,8 @@
     int UnansweredPeerRequests = 0;      ///< Requests to other proxies without an answer, in a row.
     NodeId PendingPeer;                  ///< Asked and not answered yet; empty if none is.
     std::uint64_t PeerRequestNumber = 0; ///< Number of that request.
+    /// Requests for which this proxy has stopped waiting, the oldest first; their replies may still come.
+    std::vector<PeerRequest> Abandoned;
     TimePoint PeerRequestSentAt;
     Duration PeerRequestWait{};
     bool Started = false; ///< A first request was sent.
@@ -127,13 +133,19 @@
   /// Logs when the proof of the configuration's age becomes too old, and when there is one again.
   void logProof(Context &ctx, const Catalog &catalog);
   void onPeerFailure(Context &ctx, DirectoryServices &services, Feed &feed);
+  /// Stops waiting for the proxy that was asked.
+  static void abandonRequest(Feed &feed);
   /// Leaves a proxy alone for a while.
   void backOff(const Context &ctx, const Feed &feed, const NodeId &peer);
   [[nodiscard]] std::optional<NodeId> selectPeer(const Context &ctx, const FleetMap &fleet,
                                                  const Feed &feed) const;
   [[nodiscard]] std::optional<NodeId> firstAvailable(const Context &ctx, std::span<const NodeId> nodes) const;
+  /// Applies a reply for which this proxy has stopped waiting.
+  void onLateReply(Context &ctx, DirectoryServices &services, const NodeId &from, const ChangesReply &reply);
   /// Applies what another proxy knows of the present era of the store.
   void applyReply(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply);
+  /// Applies the objects of a reply, and its revision.
+  void applyChanges(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply);
   void applyList(Context &ctx, Catalog &catalog, Feed &feed, std::span<const DirectoryObject> objects);
   void applyObject(Context &ctx, Catalog &catalog, Feed &feed, const DirectoryObject &object);
   /// The store has no usable entry of this name any more.
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -742,3 +742,29 @@
   it.advance(3s);
   CHECK(it.Known.server(TargetId("a")));
 }
+
+TEST_CASE("a reply that comes after the wait for it is used if it brings news") {
+  // Guards against a large configuration that is sent again and again, and thrown away each time.
+  Follower it;
+  const auto late = it.Asked;
+  const auto from = it.Of;
+  it.advance(DirectoryModule::PeerRequestWait + DirectoryModule::PeerRequestGrace);
+  it.Fixture::reply(from, {late.Number, DirectoryKind::Servers, 20, 50ms, false, {Fixture::server("c", 15)}});
+  CHECK(it.Known.server(TargetId("c")));
+  // The other proxy answers what was asked before; it knows less.
+  const auto asked = it.takeSent<ChangesRequest>();
+  REQUIRE(asked);
+  it.Fixture::reply(asked->first, {asked->second.Number, DirectoryKind::Servers, 12, 50ms, false, {}});
+  const auto next = it.takeSent<ChangesRequest>();
+  REQUIRE(next);
+  CHECK(next->second.Revision == 20);
+}
+
+TEST_CASE("a reply to what this process has not asked for is not used") {
+  // Guards against changes that are taken for all changes: the reply was meant for the process before this
+  // one.
+  Fixture store;
+  store.addProxies(30);
+  store.reply(NodeId("n1"), {4711, DirectoryKind::Servers, 20, 50ms, false, {Fixture::server("c", 15)}});
+  CHECK_FALSE(store.Known.server(TargetId("c")));
+}
