Ask the store beside the next proxy once time was lost with a followed one

A watcher that loses the store unnoticed is left after 3.2 s (at a bound of 5 s), and one that gives no answer after 1.25 s; only then the next one was asked, and the store last.

After a wait without an answer, and after an answer that was too old, a proxy now asks the store (a watch of 100 ms) and the next proxy at once. A connection that is lost costs no time and no call. The unit test failed before: there was no call.

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -103,9 +103,10 @@
 
 std::optional<TimePoint> DirectoryModule::nextStoreCall(const Feed &feed) {
   const bool asked = !feed.PendingPeer.empty();
-  if (feed.Call || (asked && feed.StoreFailures == 0))
+  if (feed.Call || (asked && feed.StoreFailures == 0 && !feed.CheckDue))
     return std::nullopt;
-  return asked ? std::max(feed.RetryAt, feed.StoreCalledAt + StoreRetryInterval) : feed.RetryAt;
+  return asked && feed.StoreFailures > 0 ? std::max(feed.RetryAt, feed.StoreCalledAt + StoreRetryInterval)
+                                         : feed.RetryAt;
 }
 
 std::optional<NodeId> DirectoryModule::firstAvailable(const Context &ctx,
@@ -141,7 +142,9 @@
     return;
   }
   const bool followed = isLargeZone(services.Fleet.order(ctx.Self.AvailabilityZone, WatcherKey));
-  const auto wait = watchDuration(ctx, feed.Kind, followed);
+  const auto wait = std::exchange(feed.CheckDue, false) && !feed.PendingPeer.empty()
+                        ? CheckWait
+                        : watchDuration(ctx, feed.Kind, followed);
   ctx.emit(DirectoryCall{*feed.Call, wait + WatchGrace, WatchDirectory{feed.Kind, feed.Sync.Revision, wait}});
 }
 
@@ -185,6 +188,7 @@
   if (!current || reply.Age >= maxAge) {
     backOff(ctx, *feed, from);
     ++feed->StalePeerReplies;
+    feed->CheckDue = true;
   } else {
     Backoffs.erase(from);
   }
@@ -478,9 +482,10 @@
   for (auto &it : Feeds) {
     Relay.answerPending(ctx, services.Catalog, it.Kind, it.Sync);
     const bool due = (it.WakeAt && ctx.Now >= *it.WakeAt) || (!it.Started && services.Fleet.listed());
-    if (!it.PendingPeer.empty() && ctx.Now - it.PeerRequestSentAt >= it.PeerRequestWait + PeerRequestGrace)
+    if (!it.PendingPeer.empty() && ctx.Now - it.PeerRequestSentAt >= it.PeerRequestWait + PeerRequestGrace) {
+      it.CheckDue = true;
       onPeerFailure(ctx, services, it);
-    else if (due)
+    } else if (due)
       requestChanges(ctx, services, it);
   }
   for (auto it = PendingRemovals.begin(); it != PendingRemovals.end();) {
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -76,6 +76,8 @@
   static constexpr Duration PeerRetryInterval = 250ms;
   /// A proxy that the store does not answer tries again after this time while others have news.
   static constexpr Duration StoreRetryInterval = 2s;
+  /// Wait of a watch that only has to tell what a followed proxy may have withheld.
+  static constexpr Duration CheckWait = 100ms;
   /// Proxies without news after which it tries the store again: the store is down for all.
   static constexpr int MaxStalePeerReplies = 4;
   /// Calls to the store and requests to other proxies without an answer, in a row, after which a proxy counts
@@ -107,6 +109,8 @@
     std::optional<TimePoint> WakeAt; ///< When to look again for whom to ask.
     int StoreFailures = 0;           ///< Of calls to the store, in a row.
     TimePoint StoreCalledAt;
+    /// Time was lost with a followed proxy: the store is asked beside the next one.
+    bool CheckDue = false;
     int StalePeerReplies = 0;            ///< Proxies asked since then that have lost the store, too.
     int UnansweredPeerRequests = 0;      ///< Requests to other proxies without an answer, in a row.
     NodeId PendingPeer;                  ///< Asked and not answered yet; empty if none is.
--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -768,3 +768,21 @@
   store.reply(NodeId("n1"), {4711, DirectoryKind::Servers, 20, 50ms, false, {Fixture::server("c", 15)}});
   CHECK_FALSE(store.Known.server(TargetId("c")));
 }
+
+TEST_CASE("a proxy that has lost time with the one it follows asks the store beside the next one") {
+  // Guards against waits for one proxy after the other that are longer together than the bound for
+  // configurations.
+  Follower it;
+  const auto first = it.Of;
+  it.advance(DirectoryModule::PeerRequestWait + DirectoryModule::PeerRequestGrace);
+  const auto asked = it.takeSent<ChangesRequest>();
+  REQUIRE(asked);
+  CHECK(asked->first != first);
+  const auto call = it.take(DirectoryKind::Servers);
+  REQUIRE(call);
+  CHECK(std::get<WatchDirectory>(call->Request).Wait <= DirectoryModule::CheckWait);
+  it.answer(*call, DirectoryChanges{{Fixture::server("c", 15)}, 20});
+  CHECK(it.Known.server(TargetId("c")));
+  // Once is enough: it goes on following.
+  CHECK_FALSE(it.take(DirectoryKind::Servers));
+}
