Directory world: a watch that ends tells what has changed

Traced: the simulated store had kept a change back while the proxy was cut off, and then answered its watch at the end of the wait with the present revision and without the change. The platform's answers are linearizable, so that answer is not allowed; the check and its bound stay.

--- a/testing/directoryworld/store.cpp
+++ b/testing/directoryworld/store.cpp
@@ -149,11 +149,13 @@
     return;
   const auto watch = std::move(*it);
   Watches.erase(it);
-  const auto after = std::get<WatchDirectory>(watch.Call.Request).Revision;
+  const auto &request = std::get<WatchDirectory>(watch.Call.Request);
   // A store that tells nothing of a change does not claim to have told of it either.
-  const auto revision = Muted ? after : Revision;
+  DirectoryChanges changes{{}, request.Revision};
+  if (!Muted)
+    changes = {objects(request.Kind, request.Revision), Revision};
   if (reachable(from))
-    answer(from, watch.Call, watch.Answer, DirectoryChanges{{}, revision});
+    answer(from, watch.Call, watch.Answer, std::move(changes));
 }
 
 void Store::call(VmIndex from, const DirectoryCall &call, Handler handler) {
