A list of the store needs no check beside it

A proxy that starts and gets no answer from the one that it follows lists the store; the check that is due then stayed due and cost one more call for each start. Tests of directory and directoryworld pass.

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -137,14 +137,13 @@
   feed.StoreCalledAt = ctx.Now;
   feed.StalePeerReplies = 0;
   feed.Call = ctx.call(Module::Directory);
+  const bool checkOnly = std::exchange(feed.CheckDue, false) && !feed.PendingPeer.empty();
   if (feed.Listing) {
     ctx.emit(DirectoryCall{*feed.Call, ListTimeout, ListDirectory{feed.Kind, lastName(feed.PartialList)}});
     return;
   }
   const bool followed = isLargeZone(services.Fleet.order(ctx.Self.AvailabilityZone, WatcherKey));
-  const auto wait = std::exchange(feed.CheckDue, false) && !feed.PendingPeer.empty()
-                        ? CheckWait
-                        : watchDuration(ctx, feed.Kind, followed);
+  const auto wait = checkOnly ? CheckWait : watchDuration(ctx, feed.Kind, followed);
   ctx.emit(DirectoryCall{*feed.Call, wait + WatchGrace, WatchDirectory{feed.Kind, feed.Sync.Revision, wait}});
 }
 
