--- a/src/directory/tests/directorymoduletests.cpp
+++ b/src/directory/tests/directorymoduletests.cpp
@@ -648,8 +648,7 @@
 }
 
 TEST_CASE("a proxy whose call to the store is not answered learns from another one meanwhile") {
-  // Guards against callers that are refused for a route which others know: silence of the store took the
-  // whole of each round.
+  // Guards against callers that are refused for a route which others know.
   Fixture store;
   store.addProxies(1);
   store.answer(*store.take(DirectoryKind::Configuration),
@@ -761,8 +760,7 @@
 }
 
 TEST_CASE("a reply to what this process has not asked for is not used") {
-  // Guards against changes that are taken for all changes: the reply was meant for the process before this
-  // one.
+  // Guards against changes that are taken for all: the reply was meant for the process before this one.
   Fixture store;
   store.addProxies(30);
   store.reply(NodeId("n1"), {4711, DirectoryKind::Servers, 20, 50ms, false, {Fixture::server("c", 15)}});
@@ -770,8 +768,7 @@
 }
 
 TEST_CASE("a proxy that has lost time with the one it follows asks the store beside the next one") {
-  // Guards against waits for one proxy after the other that are longer together than the bound for
-  // configurations.
+  // Guards against waits for one proxy after the other that together are longer than the bound.
   Follower it;
   const auto first = it.Of;
   it.advance(DirectoryModule::PeerRequestWait + DirectoryModule::PeerRequestGrace);
--- a/testing/directoryworld/tests/directoryworldtests.cpp
+++ b/testing/directoryworld/tests/directoryworldtests.cpp
@@ -67,8 +67,7 @@
 }
 
 TEST_CASE("a proxy that the store leaves without an answer learns of changes from others") {
-  // Guards against refusals for a route that others know: the store was asked again and again instead of
-  // them.
+  // Guards against refusals for a route that others know while the store is asked again and again.
   World world(planned());
   const auto begin = TimePoint() + World::StartupTime;
   for (std::size_t n = 0; n < 10; ++n)
