Keep a request to another proxy in one value

A feed had the proxy, the number, the time and the wait of its pending request in four members, a second type for the same request once it is abandoned, and the sum of its time limit written twice. Now one PeerRequest is pending, and moves to the abandoned ones as it is; its deadline is a member.

--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -87,10 +87,10 @@
 void DirectoryModule::requestChanges(Context &ctx, DirectoryServices &services, Feed &feed) {
   feed.Started = true;
   feed.WakeAt.reset();
-  if (feed.PendingPeer.empty())
+  if (!feed.Pending)
     if (const auto peer = selectPeer(ctx, services.Fleet, feed))
       queryPeer(ctx, feed, *peer);
-  if (feed.PendingPeer.empty() && feed.StoreFailures > 0)
+  if (!feed.Pending && feed.StoreFailures > 0)
     feed.WakeAt = ctx.Now + PeerRetryInterval;
   const auto storeCallAt = nextStoreCall(feed);
   if (!storeCallAt)
@@ -102,7 +102,7 @@
 }
 
 std::optional<TimePoint> DirectoryModule::nextStoreCall(const Feed &feed) {
-  const bool asked = !feed.PendingPeer.empty();
+  const bool asked = feed.Pending.has_value();
   if (feed.Call || (asked && feed.StoreFailures == 0 && !feed.CheckDue))
     return std::nullopt;
   return asked && feed.StoreFailures > 0 ? std::max(feed.RetryAt, feed.StoreCalledAt + StoreRetryInterval)
@@ -137,7 +137,7 @@
   feed.StoreCalledAt = ctx.Now;
   feed.StalePeerReplies = 0;
   feed.Call = ctx.call(Module::Directory);
-  const bool checkOnly = std::exchange(feed.CheckDue, false) && !feed.PendingPeer.empty();
+  const bool checkOnly = std::exchange(feed.CheckDue, false) && feed.Pending;
   if (feed.Listing) {
     ctx.emit(DirectoryCall{*feed.Call, ListTimeout, ListDirectory{feed.Kind, lastName(feed.PartialList)}});
     return;
@@ -148,31 +148,29 @@
 }
 
 void DirectoryModule::queryPeer(Context &ctx, Feed &feed, const NodeId &peer) {
-  feed.PendingPeer = peer;
-  feed.PeerRequestNumber = ctx.nextNumber();
-  feed.PeerRequestSentAt = ctx.Now;
-  feed.PeerRequestWait = feed.Listing ? FirstListWait : PeerRequestWait;
+  const auto &[to, number, sentAt, wait] = feed.Pending.emplace(
+      PeerRequest{peer, ctx.nextNumber(), ctx.Now, feed.Listing ? FirstListWait : PeerRequestWait});
   ctx.emit(Count{"directory_peer_requests_total"});
-  ctx.emit(SendToPeer{
-      peer, ChangesRequest{feed.PeerRequestNumber, feed.Kind, feed.Sync.Revision, feed.PeerRequestWait}});
+  ctx.emit(SendToPeer{to, ChangesRequest{number, feed.Kind, feed.Sync.Revision, wait}});
 }
 
 void DirectoryModule::onReply(Context &ctx, DirectoryServices &services, const NodeId &from,
                               const ChangesReply &reply) {
   const auto feed = std::find_if(Feeds.begin(), Feeds.end(), [&](const Feed &it) {
-    return it.PendingPeer == from && it.PeerRequestNumber == reply.Number && it.Kind == reply.Kind;
+    return it.Pending && it.Pending->Peer == from && it.Pending->Number == reply.Number &&
+           it.Kind == reply.Kind;
   });
   if (feed == Feeds.end()) {
     onLateReply(ctx, services, from, reply);
     return;
   }
-  feed->PendingPeer = NodeId();
+  const auto request = *std::exchange(feed->Pending, std::nullopt);
   feed->UnansweredPeerRequests = 0;
   auto &known = feed->Sync;
   // A proxy that has not learnt of a restoration of the store knows entries that are gone.
   const bool current = storeEra(reply.Revision) >= storeEra(known.Revision);
   if (current) {
-    applyReply(ctx, services.Catalog, *feed, reply);
+    applyReply(ctx, services.Catalog, *feed, request, reply);
     recordSource(services.Catalog, *feed, from);
   }
   // A watch can go on from here, whoever told it.
@@ -220,11 +218,11 @@
 }
 
 void DirectoryModule::abandonRequest(Feed &feed) {
-  if (feed.PendingPeer.empty())
+  if (!feed.Pending)
     return;
   if (feed.Abandoned.size() >= MaxAbandoned)
     feed.Abandoned.erase(feed.Abandoned.begin());
-  feed.Abandoned.push_back({std::exchange(feed.PendingPeer, NodeId()), feed.PeerRequestNumber});
+  feed.Abandoned.push_back(*std::exchange(feed.Pending, std::nullopt));
 }
 
 void DirectoryModule::backOff(const Context &ctx, const Feed &feed, const NodeId &peer) {
@@ -234,12 +232,13 @@
   it.Until = ctx.Now + it.Length;
 }
 
-void DirectoryModule::applyReply(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply) {
+void DirectoryModule::applyReply(Context &ctx, Catalog &catalog, Feed &feed, const PeerRequest &request,
+                                 const ChangesReply &reply) {
   feed.Sync.ConfirmedAt = std::max(feed.Sync.ConfirmedAt, ctx.Now - reply.Age);
   applyChanges(ctx, catalog, feed, reply);
   // The request was received after it was sent here, so this never makes the proof look younger.
   if (reply.ProofOffset)
-    recordProof(catalog, feed, std::min(ctx.Now, feed.PeerRequestSentAt + *reply.ProofOffset));
+    recordProof(catalog, feed, std::min(ctx.Now, request.SentAt + *reply.ProofOffset));
 }
 
 void DirectoryModule::applyChanges(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply) {
@@ -255,11 +254,11 @@
 }
 
 void DirectoryModule::onPeerFailure(Context &ctx, DirectoryServices &services, Feed &feed) {
-  backOff(ctx, feed, feed.PendingPeer);
+  backOff(ctx, feed, feed.Pending->Peer);
   ctx.emit(Count{"directory_peer_failures_total"});
   ctx.emit(Log{LogLevel::Info,
                "followed proxy does not answer",
-               {{"peer", feed.PendingPeer.str()}, {"kind", kindName(feed.Kind)}}});
+               {{"peer", feed.Pending->Peer.str()}, {"kind", kindName(feed.Kind)}}});
   abandonRequest(feed);
   const bool before = isolated();
   ++feed.UnansweredPeerRequests;
@@ -285,7 +284,7 @@
 void DirectoryModule::onPeerLost(Context &ctx, DirectoryServices &services, const NodeId &node) {
   Relay.onPeerLost(node);
   for (auto &it : Feeds)
-    if (it.PendingPeer == node)
+    if (it.Pending && it.Pending->Peer == node)
       onPeerFailure(ctx, services, it);
 }
 
@@ -481,11 +480,12 @@
   for (auto &it : Feeds) {
     Relay.answerPending(ctx, services.Catalog, it.Kind, it.Sync);
     const bool due = (it.WakeAt && ctx.Now >= *it.WakeAt) || (!it.Started && services.Fleet.listed());
-    if (!it.PendingPeer.empty() && ctx.Now - it.PeerRequestSentAt >= it.PeerRequestWait + PeerRequestGrace) {
+    if (it.Pending && ctx.Now >= it.Pending->deadline()) {
       it.CheckDue = true;
       onPeerFailure(ctx, services, it);
-    } else if (due)
+    } else if (due) {
       requestChanges(ctx, services, it);
+    }
   }
   for (auto it = PendingRemovals.begin(); it != PendingRemovals.end();) {
     if (ctx.Now < it->second) {
@@ -504,8 +504,8 @@
   for (const auto &it : Feeds) {
     if (const auto at = Relay.nextTimer(it.Kind, it.Sync))
       earlier(*at);
-    if (!it.PendingPeer.empty())
-      earlier(it.PeerRequestSentAt + it.PeerRequestWait + PeerRequestGrace);
+    if (it.Pending)
+      earlier(it.Pending->deadline());
     if (it.WakeAt)
       earlier(*it.WakeAt);
   }
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -92,6 +92,10 @@
   struct PeerRequest {
     NodeId Peer;
     std::uint64_t Number = 0;
+    TimePoint SentAt;
+    Duration Wait{}; ///< After which the other proxy answers, also without news.
+
+    [[nodiscard]] TimePoint deadline() const { return SentAt + Wait + PeerRequestGrace; }
   };
   struct Feed {
     explicit Feed(DirectoryKind kind) : Kind(kind) {}
@@ -111,14 +115,11 @@
     TimePoint StoreCalledAt;
     /// Time was lost with a followed proxy: the store is asked beside the next one.
     bool CheckDue = false;
-    int StalePeerReplies = 0;            ///< Proxies asked since then that have lost the store, too.
-    int UnansweredPeerRequests = 0;      ///< Requests to other proxies without an answer, in a row.
-    NodeId PendingPeer;                  ///< Asked and not answered yet; empty if none is.
-    std::uint64_t PeerRequestNumber = 0; ///< Number of that request.
+    int StalePeerReplies = 0;           ///< Proxies asked since then that have lost the store, too.
+    int UnansweredPeerRequests = 0;     ///< Requests to other proxies without an answer, in a row.
+    std::optional<PeerRequest> Pending; ///< Not answered yet.
     /// Requests for which this proxy has stopped waiting, the oldest first; their replies may still come.
     std::vector<PeerRequest> Abandoned;
-    TimePoint PeerRequestSentAt;
-    Duration PeerRequestWait{};
     bool Started = false; ///< A first request was sent.
   };
 
@@ -147,7 +148,8 @@
   /// Applies a reply for which this proxy has stopped waiting.
   void onLateReply(Context &ctx, DirectoryServices &services, const NodeId &from, const ChangesReply &reply);
   /// Applies what another proxy knows of the present era of the store.
-  void applyReply(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply);
+  void applyReply(Context &ctx, Catalog &catalog, Feed &feed, const PeerRequest &request,
+                  const ChangesReply &reply);
   /// Applies the objects of a reply, and its revision.
   void applyChanges(Context &ctx, Catalog &catalog, Feed &feed, const ChangesReply &reply);
   void applyList(Context &ctx, Catalog &catalog, Feed &feed, std::span<const DirectoryObject> objects);
