Directory world: decide in one place whether an event's process still runs

The simulated store counted the processes of each VM to drop answers to one that has ended, and the world checked the same for every answer again; that check stood four times. Now World::deliver does it for answers, messages and lost connections, and the store forgets only the watches of an ended process. An accessor and an include without a use are gone, and the answer delay is a constant, as nothing sets it. Tests keep their cases and checks.

--- a/testing/directoryworld/store.cpp
+++ b/testing/directoryworld/store.cpp
@@ -66,7 +66,7 @@
     return;
   for (auto &it : std::exchange(Watches, {}))
     if (it.From == vm)
-      fail(vm, it.Call, it.Answer, {});
+      fail(it.Call, it.Answer, {});
     else
       Watches.push_back(std::move(it));
 }
@@ -75,11 +75,10 @@
   Muted = false;
   OldestHistory = Revision;
   for (const auto &it : std::exchange(Watches, {}))
-    fail(it.From, it.Call, it.Answer, {});
+    fail(it.Call, it.Answer, {});
 }
 
 void Store::drop(VmIndex from) {
-  ++Process[from];
   std::erase_if(Watches, [&](const Watch &it) { return it.From == from; });
 }
 
@@ -88,19 +87,13 @@
   return !Net.isCut(vm) && (it == Refused.end() || it->second != StoreRefusal::Silent);
 }
 
-void Store::fail(VmIndex from, const DirectoryCall &call, const Handler &handler, Duration after) {
-  Queue.after(after, [this, from, call, handler, process = Process[from]] {
-    if (process == Process[from])
-      handler({call.Call, DirectoryFailure{"no answer", false}});
-  });
+void Store::fail(const DirectoryCall &call, const Handler &handler, Duration after) {
+  Queue.after(after, [call, handler] { handler({call.Call, DirectoryFailure{"no answer", false}}); });
 }
 
 void Store::answer(VmIndex to, const DirectoryCall &call, const Handler &handler, StoreResult result) {
   const auto bytes = sizeOf(result);
-  Net.receive(to, bytes, [this, to, call, handler, result = std::move(result), process = Process[to]] {
-    if (process == Process[to])
-      handler({call.Call, result});
-  });
+  Net.receive(to, bytes, [call, handler, result = std::move(result)] { handler({call.Call, result}); });
 }
 
 std::vector<DirectoryObject> Store::objects(DirectoryKind kind, std::uint64_t after) const {
@@ -165,11 +158,11 @@
     if (!std::exchange(*answered, true))
       handler(std::move(it));
   };
-  fail(from, call, once, call.Timeout);
+  fail(call, once, call.Timeout);
   if (!reachable(from))
     return;
   if (Refused[from] == StoreRefusal::Busy) {
-    fail(from, call, once, AnswerDelay);
+    fail(call, once, AnswerDelay);
     return;
   }
   const auto *watch = std::get_if<WatchDirectory>(&call.Request);
@@ -180,8 +173,8 @@
     });
     return;
   }
-  Queue.after(AnswerDelay, [this, from, call, once, watch = *watch, process = Process[from]] {
-    if (!reachable(from) || process != Process[from])
+  Queue.after(AnswerDelay, [this, from, call, once, watch = *watch] {
+    if (!reachable(from))
       return;
     if (watch.Revision < OldestHistory) {
       answer(from, call, once, DirectoryHistoryCompacted{});
--- a/testing/directoryworld/store.h
+++ b/testing/directoryworld/store.h
@@ -7,7 +7,7 @@
 
 #include <functional>
 #include <map>
-#include <set>
+#include <string>
 #include <vector>
 
 namespace rosemaryhinge::directoryworld {
@@ -23,22 +23,20 @@
 
   Store(fakes::EventQueue &queue, Network &network);
 
+  /// The handler is called also after the process that made the call has ended.
   void call(VmIndex from, const DirectoryCall &call, Handler handler);
-  /// Forgets the calls of a process that has ended.
+  /// Forgets the watches of a process that has ended.
   void drop(VmIndex from);
   /// Writes the next version with one more route than before, and more of them as asked.
   /// Returns the name of the added route.
   std::string changeConfiguration(std::size_t moreRoutes);
-  [[nodiscard]] std::uint64_t version() const { return Current.Version; }
   void refuse(VmIndex vm, StoreRefusal how);
   /// From now on watches tell nothing of what changes.
   void muteWatches() { Muted = true; }
   /// Drops the history, and cuts the watches.
   void compact();
 
-  /// A store that is slow answers after this time.
-  Duration AnswerDelay = 4ms;
-
+  static constexpr Duration AnswerDelay = 4ms;
   /// Time between writes of others, which raise the revision.
   static constexpr Duration OtherWrites = 150ms;
   static constexpr std::size_t RouteBytes = 170; ///< Of one route in an answer of the store.
@@ -53,7 +51,7 @@
   void writeOthers();
   void answerWatches();
   void expire(std::uint64_t watch, VmIndex from);
-  void fail(VmIndex from, const DirectoryCall &call, const Handler &handler, Duration after);
+  void fail(const DirectoryCall &call, const Handler &handler, Duration after);
   void answer(VmIndex to, const DirectoryCall &call, const Handler &handler, StoreResult result);
   [[nodiscard]] bool reachable(VmIndex vm) const;
   [[nodiscard]] std::vector<DirectoryObject> objects(DirectoryKind kind, std::uint64_t after) const;
@@ -67,7 +65,6 @@
   std::uint64_t ConfigurationRevision = 0;
   std::map<std::string, DirectoryObject> Proxies;
   std::map<VmIndex, StoreRefusal> Refused;
-  std::map<VmIndex, std::uint64_t> Process; ///< Grows with each end of a VM's process.
   std::vector<Watch> Watches;
   std::uint64_t WatchNumber = 0;
   bool Muted = false;
--- a/testing/directoryworld/world.cpp
+++ b/testing/directoryworld/world.cpp
@@ -93,8 +93,7 @@
       continue;
     it->Connections.erase(proxy.Node);
     Queue.after(Network::Delay, [this, &other = *it, node = proxy.Node, process = it->Process] {
-      if (other.Logic && other.Process == process)
-        apply(other, PeerLost{node});
+      deliver(other, process, PeerLost{node});
     });
   }
   proxy.Connections.clear();
@@ -184,6 +183,11 @@
   scheduleTimer(proxy);
 }
 
+void World::deliver(Proxy &proxy, std::uint64_t process, const Event &event) {
+  if (proxy.Logic && proxy.Process == process)
+    apply(proxy, event);
+}
+
 void World::scheduleTimer(Proxy &proxy) {
   const auto next = nextTimer(*proxy.Logic);
   if (!next || (proxy.TimerAt && *proxy.TimerAt <= *next && *proxy.TimerAt > Queue.now()))
@@ -203,8 +207,7 @@
                  [&](const DirectoryCall &it) {
                    Directory.call(proxy.Vm, it,
                                   [this, &proxy, process = proxy.Process](const DirectoryAnswer &answer) {
-                                    if (proxy.Logic && proxy.Process == process)
-                                      apply(proxy, answer);
+                                    deliver(proxy, process, answer);
                                   });
                  },
                  [&](const SendToPeer &it) { send(proxy, it); },
@@ -231,8 +234,7 @@
 void World::send(Proxy &proxy, const SendToPeer &effect) {
   auto *to = find(effect.To);
   const auto lost = [this, &proxy, node = effect.To, process = proxy.Process] {
-    if (proxy.Logic && proxy.Process == process)
-      apply(proxy, PeerLost{node});
+    deliver(proxy, process, PeerLost{node});
   };
   if (!to || (!to->Logic && !to->Dark)) {
     Queue.after(2 * Network::Delay, lost);
@@ -249,8 +251,7 @@
       encodePeer({proxy.Node, effect.To, effect.Message, proxy.Logic->Self.PeerAddress}).size();
   Net.send(proxy.Vm, to->Vm, bytes,
            [this, to, from = proxy.Node, message = effect.Message, process = to->Process] {
-             if (to->Logic && to->Process == process)
-               apply(*to, PeerReceived{from, message});
+             deliver(*to, process, PeerReceived{from, message});
            });
 }
 
--- a/testing/directoryworld/world.h
+++ b/testing/directoryworld/world.h
@@ -83,6 +83,8 @@
   void beginFault(Proxy &proxy);
   void endFault(Proxy &proxy);
   void apply(Proxy &proxy, const Event &event);
+  /// Applies an event that was meant for a process of the proxy, if that still runs.
+  void deliver(Proxy &proxy, std::uint64_t process, const Event &event);
   void scheduleTimer(Proxy &proxy);
   void carryOut(Proxy &proxy, const Effect &effect);
   void send(Proxy &proxy, const SendToPeer &effect);
