Tell on what the choice of a server to promote rests, and what happens to it before the effect

The record of the incident shows a choice every 20 ms and neither the servers that were compared nor what was required, so that it cannot tell its hypotheses apart. The choice is logged once for each candidate and log, with each server's log and state, the required position and the servers that were passed over. New lines tell of a server that joins after the choice, a pause that ends early, an order without an answer that outlives its change, and each order that is sent. Three counters go with them; no decision changes.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -189,7 +189,11 @@
 void LeadershipModule::onClaimed(Run &run) {
   auto &change = run.Change;
   change.RenewAt.reset();
+  if (change.PromotionUnanswered)
+    logUnansweredOrder(run);
   change.Servers.clear();
+  change.PassedOver.clear();
+  change.JoinedAfterChoice.clear();
   change.Requests.clear();
   change.PausedByThisProxy.clear();
   change.OrderTerm = 0;
@@ -202,6 +206,7 @@
   change.StepDownSent = false;
   change.SteppedDownAt.reset();
   change.Candidate = TargetId();
+  change.CandidateLog = Position();
   change.PromotionAttempts = 0;
   change.PromotionUnanswered = false;
   change.StartedAt = run.Ctx.Now;
@@ -212,6 +217,7 @@
                    {{"service", run.Service.str()},
                     {"from", change.Reason.From.str()},
                     {"token", std::to_string(change.Claim.token())},
+                    {"ordered_before", change.PreferredCandidate.str()},
                     {"why", change.Reason.Why}}});
   selectCandidate(run);
 }
--- a/src/leadership/internal/coverage.cpp
+++ b/src/leadership/internal/coverage.cpp
@@ -33,6 +33,20 @@
 
 } // namespace
 
+std::string_view describe(Coverage coverage) {
+  switch (coverage) {
+  case Coverage::Complete:
+    return "complete";
+  case Coverage::Uncompared:
+    return "uncompared";
+  case Coverage::AwaitsLog:
+    return "awaits_log";
+  case Coverage::NoLogKnown:
+    break;
+  }
+  return "no_log_known";
+}
+
 Coverage coverage(const PromotionEvidence &evidence, const TargetId &candidate) {
   const auto self = evidence.Servers.find(candidate);
   if (self == evidence.Servers.end() || !self->second.Status || !compared(evidence.Servers, candidate))
--- a/src/leadership/internal/coverage.h
+++ b/src/leadership/internal/coverage.h
@@ -10,6 +10,8 @@
 
 #include "leadership/internal/serverstates.h"
 
+#include <string_view>
+
 namespace rosemaryhinge::detail {
 
 struct PromotionEvidence {
@@ -27,6 +29,8 @@
   NoLogKnown, ///< The candidate lacks what is required, and no log that may hold it is known.
 };
 
+/// Value in log lines.
+[[nodiscard]] std::string_view describe(Coverage coverage);
 /// Whether a server may be promoted.
 [[nodiscard]] Coverage coverage(const PromotionEvidence &evidence, const TargetId &candidate);
 /// The former primary instead of the candidate, if it has stepped down and the candidate lacks what is
--- /dev/null
+++ b/src/leadership/internal/logging.cpp
@@ -0,0 +1,94 @@
+// Log lines of a change of primary: on what a choice rests, and what happens to it before the promotion takes
+// effect.
+
+#include "leadership/leadershipmodule.h"
+
+namespace rosemaryhinge {
+
+void LeadershipModule::logSuspicion(Run &run, const std::optional<detail::ChangeReason> &reason) {
+  auto &since = run.Change.SuspectedSince;
+  if (reason && !since) {
+    since = run.Ctx.Now;
+    run.Ctx.emit(Count{"primary_suspicions_total{reason=\"" + std::string(toString(reason->Kind)) + "\"}"});
+    run.Ctx.emit(Log{LogLevel::Warn,
+                     "primary suspected",
+                     {{"service", run.Service.str()}, {"server", reason->From.str()}, {"why", reason->Why}}});
+  } else if (!reason && since) {
+    run.Ctx.emit(
+        Log{LogLevel::Info,
+            "primary no longer suspected",
+            {{"service", run.Service.str()}, {"after_ms", std::to_string((run.Ctx.Now - *since) / 1ms)}}});
+    since.reset();
+  }
+}
+
+void LeadershipModule::logChoice(Run &run, detail::Coverage coverage) {
+  const auto &change = run.Change;
+  std::string passedOver;
+  for (const auto &it : change.PassedOver)
+    passedOver += (passedOver.empty() ? "" : ",") + it.str();
+  run.Ctx.emit(Log{LogLevel::Warn,
+                   "server chosen to lead",
+                   {{"service", run.Service.str()},
+                    {"server", change.Candidate.str()},
+                    {"term", std::to_string(change.CandidateLog.Term)},
+                    {"position", std::to_string(change.CandidateLog.Lsn)},
+                    {"required", detail::toString(change.Required)},
+                    {"coverage", std::string(detail::describe(coverage))},
+                    {"compared", detail::describe(change.Servers)},
+                    {"passed_over", passedOver},
+                    {"former_stepped_down", change.SteppedDownAt ? "yes" : "no"},
+                    {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
+}
+
+void LeadershipModule::logPassedOver(Run &run, const MissingServer &server, TimePoint confirmedAt) {
+  if (!run.Change.PassedOver.insert(server.Target).second)
+    return;
+  run.Ctx.emit(Log{LogLevel::Info,
+                   "server that has left is not compared",
+                   {{"service", run.Service.str()},
+                    {"server", server.Target.str()},
+                    {"left_ms", std::to_string((run.Ctx.Now - server.Since) / 1ms)},
+                    {"primary_confirmed_ms", std::to_string((run.Ctx.Now - confirmedAt) / 1ms)},
+                    {"was_primary", server.WasPrimary ? "yes" : "no"}}});
+}
+
+void LeadershipModule::logEndedPause(Run &run, const TargetId &target, const detail::ServerState &known,
+                                     const TargetStatus &status) {
+  if (!known.Paused || status.Paused || status.Role != TargetRole::Replica)
+    return;
+  run.Ctx.emit(Count{"pauses_ended_early_total"});
+  run.Ctx.emit(Log{LogLevel::Warn,
+                   "pause has ended without an order of this change",
+                   {{"service", run.Service.str()},
+                    {"server", target.str()},
+                    {"log", detail::toString(status.Log)},
+                    {"paused_at", known.Status ? detail::toString(known.Status->Log) : "unknown"}}});
+}
+
+void LeadershipModule::logJoinedServers(Run &run) {
+  auto &change = run.Change;
+  for (const auto &target : run.Services.Catalog.servers(run.Service)) {
+    if (change.Servers.contains(target) || !change.JoinedAfterChoice.insert(target).second)
+      continue;
+    run.Ctx.emit(Count{"servers_joined_after_choice_total"});
+    run.Ctx.emit(Log{LogLevel::Warn,
+                     "server joined after another was chosen to lead",
+                     {{"service", run.Service.str()},
+                      {"server", target.str()},
+                      {"chosen", change.Candidate.str()},
+                      {"position", detail::toString(change.CandidateLog)}}});
+  }
+}
+
+void LeadershipModule::logUnansweredOrder(Run &run) {
+  const auto &change = run.Change;
+  run.Ctx.emit(Count{"orders_outlived_total"});
+  run.Ctx.emit(Log{LogLevel::Warn,
+                   "order without an answer may still be carried out",
+                   {{"service", run.Service.str()},
+                    {"server", change.Candidate.str()},
+                    {"position", detail::toString(change.CandidateLog)}}});
+}
+
+} // namespace rosemaryhinge
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -72,6 +72,8 @@
   std::optional<TimePoint> BehindSince; ///< Since when the candidate has to receive what is required.
 
   // What the promoted server must hold.
+  /// Servers whose entries ended and that count as irrelevant.
+  std::set<TargetId> PassedOver;
   Position Required; ///< The highest position known to be required; outlasts the claims that told it.
   /// Since when no server that could be promoted holds Required.
   std::optional<TimePoint> UncoveredSince;
@@ -81,6 +83,9 @@
   /// The same of a claim that the store has forgotten; empty once this proxy has changed the primary.
   TargetId ForgottenCandidate;
   TargetId Candidate;
+  TimePoint ChosenAt;                   ///< When the candidate was chosen, in its present state.
+  Position CandidateLog;                ///< End of the candidate's log when it was chosen.
+  std::set<TargetId> JoinedAfterChoice; ///< Servers that were not listed when the candidate was chosen.
   int PromotionAttempts = 0;
   bool PromotionUnanswered = false; ///< An order may still be carried out: nothing is resumed.
 
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -36,6 +36,13 @@
   ++change.PromotionAttempts;
   change.Call = run.Ctx.call(Module::Leadership);
   run.Ctx.emit(Count{"promotions_ordered_total"});
+  run.Ctx.emit(Log{LogLevel::Warn,
+                   "promotion ordered",
+                   {{"service", run.Service.str()},
+                    {"server", change.Candidate.str()},
+                    {"token", std::to_string(change.Claim.token())},
+                    {"attempt", std::to_string(change.PromotionAttempts)},
+                    {"ms_since_choice", std::to_string((run.Ctx.Now - change.ChosenAt) / 1ms)}}});
   run.Ctx.emit(
       PromotionCall{*change.Call, PromoteTimeout, run.Service, change.Candidate, change.Claim.token()});
 }
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -87,10 +87,12 @@
   const auto seen = run.Services.Sessions.primaryConfirmedAt(run.Service).value_or(run.Ctx.Now);
   for (const auto &it : catalog.missingServers(run.Service)) {
     const bool irrelevant = it.WasPrimary || it.Target == from || seen - it.Since >= MissingReplicaLookback;
-    if (irrelevant)
-      change.Servers.erase(it.Target);
-    else
+    if (!irrelevant) {
       change.Servers[it.Target].Missing = true;
+      continue;
+    }
+    change.Servers.erase(it.Target);
+    logPassedOver(run, it, seen);
   }
   std::erase_if(change.Servers,
                 [&](const auto &it) { return !it.second.Missing && !catalog.server(it.first); });
@@ -197,6 +199,7 @@
     return;
   }
   auto &server = change.Servers[reply.Target];
+  logEndedPause(run, reply.Target, server, *event.Status);
   server.Status = *event.Status;
   if (!server.FirstPosition)
     server.FirstPosition = event.Status->Log;
@@ -216,7 +219,7 @@
                {{"server", reply.Target.str()},
                 {"role", replica ? "replica" : "primary"},
                 {"term", std::to_string(event.Status->RaisedTerm)},
-                {"log", std::to_string(event.Status->Log.Term) + "." + std::to_string(event.Status->Log.Lsn)},
+                {"log", detail::toString(event.Status->Log)},
                 {"paused", server.Paused ? "yes" : "no"}}});
   selectCandidate(run);
 }
@@ -464,16 +467,15 @@
   if (mustAwaitLog(run, coverage))
     return;
   const auto &log = change.Servers.at(candidate).Status->Log;
+  // The choice is made again for as long as the claim cannot be confirmed.
+  const bool repeated = change.Candidate == candidate && change.CandidateLog == log;
   change.Candidate = candidate;
+  change.CandidateLog = log;
+  if (!repeated) {
+    change.ChosenAt = run.Ctx.Now;
+    logChoice(run, coverage);
+  }
   change.Required = std::max(change.Required, log);
-  run.Ctx.emit(Log{LogLevel::Warn,
-                   "server chosen to lead",
-                   {{"service", run.Service.str()},
-                    {"server", candidate.str()},
-                    {"term", std::to_string(log.Term)},
-                    {"position", std::to_string(log.Lsn)},
-                    {"former_stepped_down", change.SteppedDownAt ? "yes" : "no"},
-                    {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
   confirmClaim(run);
 }
 
--- a/src/leadership/internal/serverstates.cpp
+++ b/src/leadership/internal/serverstates.cpp
@@ -16,8 +16,29 @@
   return out;
 }
 
+std::string describe(const ServerState &it) {
+  std::string out = it.Status ? toString(it.Status->Log) : "unknown";
+  out += it.FormerPrimary ? "/former" : "";
+  out += it.SteppedDown ? "/stepped_down" : "";
+  out += it.Paused ? "/paused" : it.Settled ? "/settled" : "";
+  out += it.Leaving ? "/leaving" : "";
+  out += it.Missing ? "/missing" : "";
+  return out;
+}
+
 } // namespace
 
+std::string toString(Position position) {
+  return std::to_string(position.Term) + "." + std::to_string(position.Lsn);
+}
+
+std::string describe(const ServerStates &servers) {
+  std::string out;
+  for (const auto &[target, it] : servers)
+    out += (out.empty() ? "" : ",") + target.str() + ":" + describe(it);
+  return out;
+}
+
 Term highestTerm(const ServerStates &servers) {
   Term out = highestLogTerm(servers);
   for (const auto &[target, it] : servers)
--- a/src/leadership/internal/serverstates.h
+++ b/src/leadership/internal/serverstates.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace rosemaryhinge::detail {
@@ -30,6 +31,11 @@
 };
 using ServerStates = std::map<TargetId, ServerState>;
 
+/// "TERM.LSN", as log lines have it.
+[[nodiscard]] std::string toString(Position position);
+/// The servers with their logs and what is known of each, for log lines.
+[[nodiscard]] std::string describe(const ServerStates &servers);
+
 /// The highest term that any server has told.
 [[nodiscard]] Term highestTerm(const ServerStates &servers);
 /// The server with the longest log among those that may lead. Prefers a server that stays, then the given
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -82,11 +82,16 @@
   case Phase::SelectingCandidate:
     selectCandidate(run);
     break;
+  case Phase::ConfirmingClaim:
+    logJoinedServers(run);
+    break;
   case Phase::Promoting:
+    logJoinedServers(run);
     if (!change.Call && run.Ctx.Now >= change.NextAttemptAt)
       confirmClaim(run);
     break;
   case Phase::AwaitingPrimary:
+    logJoinedServers(run);
     awaitPrimary(run);
     break;
   case Phase::ResumingReplicas:
@@ -107,23 +112,6 @@
   return reason;
 }
 
-void LeadershipModule::logSuspicion(Run &run, const std::optional<detail::ChangeReason> &reason) {
-  auto &since = run.Change.SuspectedSince;
-  if (reason && !since) {
-    since = run.Ctx.Now;
-    run.Ctx.emit(Count{"primary_suspicions_total{reason=\"" + std::string(toString(reason->Kind)) + "\"}"});
-    run.Ctx.emit(Log{LogLevel::Warn,
-                     "primary suspected",
-                     {{"service", run.Service.str()}, {"server", reason->From.str()}, {"why", reason->Why}}});
-  } else if (!reason && since) {
-    run.Ctx.emit(
-        Log{LogLevel::Info,
-            "primary no longer suspected",
-            {{"service", run.Service.str()}, {"after_ms", std::to_string((run.Ctx.Now - *since) / 1ms)}}});
-    since.reset();
-  }
-}
-
 void LeadershipModule::startIfNeeded(Run &run) {
   auto &change = run.Change;
   auto reason = findReason(run);
@@ -183,6 +171,7 @@
 void LeadershipModule::release(Run &run) {
   auto &change = run.Change;
   if (change.PromotionUnanswered) {
+    logUnansweredOrder(run);
     // The order may still be carried out, so the claim stays as it is until another proxy takes it over, and
     // the replicas must not receive from the former primary again.
     change.PausedByThisProxy.clear();
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -75,7 +75,6 @@
   void step(Run &run);
   void startIfNeeded(Run &run);
   [[nodiscard]] std::optional<detail::ChangeReason> findReason(const Run &run) const;
-  static void logSuspicion(Run &run, const std::optional<detail::ChangeReason> &reason);
   static void enterPhase(Run &run, Phase next);
   /// Ends an attempt without a new primary.
   void giveUp(Run &run, const std::string &why, Duration pause);
@@ -128,6 +127,18 @@
   void choose(Run &run, const TargetId &candidate);
   void sendRequest(Run &run, const TargetId &target, Order order);
 
+  // Log lines (internal/logging.cpp).
+  static void logSuspicion(Run &run, const std::optional<detail::ChangeReason> &reason);
+  static void logChoice(Run &run, detail::Coverage coverage);
+  /// A server whose entry has ended counts as irrelevant.
+  static void logPassedOver(Run &run, const MissingServer &server, TimePoint confirmedAt);
+  /// A replica that was paused reports that it is not.
+  static void logEndedPause(Run &run, const TargetId &target, const detail::ServerState &known,
+                            const TargetStatus &status);
+  static void logJoinedServers(Run &run);
+  /// A change ends, or starts afresh, while its last order has no answer.
+  static void logUnansweredOrder(Run &run);
+
   // Promotion (internal/promotion.cpp).
   void confirmClaim(Run &run);
   void promote(Run &run);
