Session world: replace the servers of the service one after the other

Change: servers join, receive from the primary at once, are listed 0 to 600 ms later, and have replication lags of their own (10 to 200 ms). WorldOptions::Replacements replaces servers one after the other, the primary included; each drains 3 to 9 s and ends with its log once another server holds each acknowledged write of it. Cluster.lost() counts the acknowledged writes that a promoted server lacked. Replication copies no log of the source any more.

--- a/testing/sessionworld/dbcluster.cpp
+++ b/testing/sessionworld/dbcluster.cpp
@@ -23,7 +23,7 @@
   Log.push_back(std::move(entry));
 }
 
-void DbServer::follow(const std::vector<LogEntry> &source) {
+void DbServer::follow(std::span<const LogEntry> source) {
   const bool prefix =
       Log.size() <= source.size() && (Log.empty() || Log.back().At == source[Log.size() - 1].At);
   if (!prefix) {
@@ -88,6 +88,25 @@
   server.ReachesLeaderSince.reset();
 }
 
+std::size_t DbCluster::join(TargetId id, Duration replicationLag) {
+  DbServer server;
+  server.Id = std::move(id);
+  server.Address = "10.0.0." + std::to_string(Servers.size() + 1) + ":5000";
+  server.Listed = false;
+  server.CurrentTerm = 0;
+  server.ReplicationLag = replicationLag;
+  Servers.push_back(std::move(server));
+  return Servers.size() - 1;
+}
+
+bool DbCluster::replaceable(std::size_t index) const {
+  return std::none_of(Acknowledged.begin(), Acknowledged.end(), [&](const std::string &write) {
+    return Servers[index].holds(write) &&
+           std::none_of(Servers.begin(), Servers.end(),
+                        [&](const DbServer &it) { return &it != &Servers[index] && it.holds(write); });
+  });
+}
+
 void DbCluster::start(std::size_t index, TargetId id) {
   auto &server = Servers[index];
   server.Up = true;
@@ -137,10 +156,10 @@
   if (!source)
     return;
   replica.CurrentTerm = source->CurrentTerm;
-  std::vector<LogEntry> received;
-  for (const auto &it : source->Log)
-    if (it.AppendedAt <= Queue.now() - replica.ReplicationLag)
-      received.push_back(it);
+  const auto sentBefore = Queue.now() - replica.ReplicationLag;
+  const auto end = std::upper_bound(source->Log.begin(), source->Log.end(), sentBefore,
+                                    [](TimePoint at, const LogEntry &it) { return at < it.AppendedAt; });
+  const std::span<const LogEntry> received(source->Log.begin(), end);
   const bool same = received.size() <= replica.Log.size() && !received.empty() &&
                     replica.Log[received.size() - 1].At == received.back().At;
   if (!same)
@@ -253,11 +272,27 @@
   return true;
 }
 
+std::string DbCluster::describe() const {
+  std::string out;
+  for (const auto &it : Servers)
+    if (it.Up || !it.Log.empty())
+      out += it.Id.str() + (it.Up ? "" : " down") + (it.Role == TargetRole::Primary ? " primary" : "") +
+             (it.Leaving ? " leaving" : "") + (it.Listed ? "" : " unlisted") + " term " +
+             std::to_string(it.CurrentTerm) + " paused " + std::to_string(it.PausedFor) + " log " +
+             std::to_string(it.end().Term) + "." + std::to_string(it.end().Lsn) + "; ";
+  return out;
+}
+
 void DbCluster::takeLead(DbServer &server) {
+  const auto lostBefore = Lost.size();
   for (const auto &write : Acknowledged)
-    if (!server.holds(write))
+    if (!server.holds(write)) {
+      Lost.insert(write);
       Violations.push_back("acknowledged write " + write + " is not at the promoted server " +
                            server.Id.str());
+    }
+  OnTrace(server.Id.str() + " is promoted, " + std::to_string(Lost.size() - lostBefore) +
+          " acknowledged writes are lost; " + describe());
   Term newest = 0;
   for (auto &it : Servers) {
     newest = std::max(newest, it.CurrentTerm);
--- a/testing/sessionworld/dbcluster.h
+++ b/testing/sessionworld/dbcluster.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -32,6 +33,8 @@
   std::string Address;
   bool Up = true;
   bool Leaving = false;
+  bool Listed = true;    ///< Its entry is in the store, or is written at the next change.
+  bool Replaced = false; ///< It is draining, or is about to.
   TargetRole Role = TargetRole::Replica;
   Term CurrentTerm = 1; ///< The term that it leads or follows.
   Term PausedFor = 0;   ///< Zero unless it is paused.
@@ -45,7 +48,7 @@
   [[nodiscard]] bool holds(const std::string &write) const { return Writes.contains(write); }
   void append(LogEntry entry);
   /// Replaces the log by that of its source.
-  void follow(const std::vector<LogEntry> &source);
+  void follow(std::span<const LogEntry> source);
 };
 
 class DbCluster {
@@ -65,16 +68,28 @@
   void start(std::size_t index, TargetId id);
   /// Ends a server for good; its log is lost with it.
   void terminate(std::size_t index);
+  /// Adds a replica that receives the log of the primary from now on, and is not listed yet.
+  /// \returns its index. Those of the other servers stay as they are.
+  std::size_t join(TargetId id, Duration replicationLag);
+  /// Whether each acknowledged write that the server holds is in the log of another one, too.
+  [[nodiscard]] bool replaceable(std::size_t index) const;
   void cut(std::size_t a, std::size_t b, bool on);
   [[nodiscard]] std::size_t leader() const;
   [[nodiscard]] std::vector<DbServer> &servers() { return Servers; }
   [[nodiscard]] DbServer *find(const TargetId &target);
+  /// State of the servers that are up or keep a log.
+  [[nodiscard]] std::string describe() const;
 
   /// A caller got a success for a write.
   void onAcknowledged(const std::string &write) { Acknowledged.insert(write); }
   [[nodiscard]] const std::set<std::string> &acknowledged() const { return Acknowledged; }
 
+  /// Acknowledged writes that a promoted server lacked.
+  [[nodiscard]] const std::set<std::string> &lost() const { return Lost; }
+
   std::function<void()> OnEntryChanged;
+  /// Told of each promotion that takes effect, before it does.
+  std::function<void(const std::string &)> OnTrace = [](const std::string &) {};
   std::vector<std::string> Violations;
 
   static constexpr Duration PromoteTime = 300ms;
@@ -107,6 +122,7 @@
   std::vector<PendingCommit> Pending;
   std::set<std::pair<std::size_t, std::size_t>> Cuts;
   std::set<std::string> Acknowledged;
+  std::set<std::string> Lost;
   std::uint64_t HighestToken = 0;
 };
 
--- a/testing/sessionworld/directorystore.cpp
+++ b/testing/sessionworld/directorystore.cpp
@@ -33,7 +33,7 @@
 
 void DirectoryStore::publishServers(bool unchanged) {
   for (const auto &it : Cluster.servers()) {
-    if (!it.Up)
+    if (!it.Up || !it.Listed)
       continue;
     ServerEntry entry{it.Id, Yard, it.Address, AvailabilityZone("z1"), it.Role, it.Leaving, 0};
     entry.Sequence = ++Sequence[it.Id];
--- /dev/null
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -0,0 +1,68 @@
+// Randomised runs in which the servers of a service are replaced while its primary changes.
+
+#include "sessionworld/world.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <initializer_list>
+
+using namespace rosemaryhinge;
+using namespace rosemaryhinge::sessionworld;
+
+namespace {
+
+constexpr std::size_t Replacements = 6;
+
+/// RH_REPLACEMENT_SEED plays this seed alone, and RH_REPLACEMENT_SEEDS those from 1 to that number.
+std::vector<std::uint64_t> chosenSeeds(std::initializer_list<std::uint64_t> fixed) {
+  if (const char *one = std::getenv("RH_REPLACEMENT_SEED"))
+    return {std::strtoull(one, nullptr, 10)};
+  std::vector<std::uint64_t> seeds(fixed);
+  if (const char *more = std::getenv("RH_REPLACEMENT_SEEDS")) {
+    seeds.clear();
+    for (std::uint64_t seed = 1; seed <= std::strtoull(more, nullptr, 10); ++seed)
+      seeds.push_back(seed);
+  }
+  return seeds;
+}
+
+/// Returns the number of promotions.
+std::size_t playOne(WorldOptions options, bool trace) {
+  const auto result = World(options).run();
+  CAPTURE(options.Seed);
+  CAPTURE(options.Fencing);
+  if (!result.Violations.empty())
+    FAIL_CHECK(result.LostWrites << " acknowledged writes are lost, " << result.Violations.size()
+                                 << " violations, the first: " << result.Violations.front());
+  INFO(result.Servers);
+  CHECK(result.RecoveredWrites);
+  CHECK(result.Replacements == Replacements);
+  if (trace)
+    for (const auto &it : result.Log)
+      MESSAGE(it);
+  return result.Promotions;
+}
+
+void playSeeds(const WorldOptions &base, std::initializer_list<std::uint64_t> fixed) {
+  const auto seeds = chosenSeeds(fixed);
+  std::size_t promotions = 0;
+  for (const bool fencing : {true, false})
+    for (const auto seed : seeds) {
+      auto options = base;
+      options.Seed = seed;
+      options.Fencing = fencing;
+      options.ProxiesExpectFencing = fencing;
+      options.Faults = 0;
+      options.Replacements = Replacements;
+      promotions += playOne(options, seeds.size() == 1);
+    }
+  CHECK(promotions > 0);
+}
+
+} // namespace
+
+TEST_CASE("no acknowledged commit is lost when servers are replaced while the primary changes") {
+  // Guards against commits that a replica acknowledges which joined after the server to promote was chosen.
+  playSeeds({}, {2, 3, 5, 6, 8, 9});
+}
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -27,6 +27,7 @@
 World::World(const WorldOptions &options)
     : Options(options), Random(options.Seed), PlannedRandom(~options.Seed), Cluster(Queue, options.Fencing),
       Store(Queue, Cluster) {
+  Cluster.OnTrace = [this](const std::string &line) { trace(line); };
   Cluster.OnEntryChanged = [this] { Store.publishServers(); };
   Store.publishServers();
   Live.resize(ProxyCount);
@@ -47,6 +48,10 @@
   start(Live[place]);
 }
 
+void World::trace(const std::string &line) {
+  Result.Log.push_back(std::to_string(Queue.now().time_since_epoch() / 1ms) + " " + line);
+}
+
 void World::start(std::size_t proxy) { apply(proxy, Started{Random.next(), proxy + 1}); }
 
 void World::deliver(std::size_t proxy, const Event &event) {
@@ -126,11 +131,10 @@
                  [&](const Log &it) {
                    if (it.Level < LogLevel::Warn)
                      return;
-                   auto line = std::to_string(Queue.now().time_since_epoch() / 1ms) + " n" +
-                               std::to_string(proxy) + " " + it.Message;
+                   auto line = "n" + std::to_string(proxy) + " " + it.Message;
                    for (const auto &[key, value] : it.Fields)
                      line.append(" ").append(key).append("=").append(value);
-                   Result.Log.push_back(std::move(line));
+                   trace(line);
                  },
                  [](const auto &) {},
              },
@@ -324,7 +328,8 @@
 WorldResult World::run() {
   Queue.runUntil(TimePoint{} + StartTime);
   request();
-  const auto lastPlanned = std::max({planRestarts(), planStoreRestorations(), planDrains()});
+  const auto lastPlanned =
+      std::max({planRestarts(), planStoreRestorations(), planDrains(), planReplacements()});
   auto end = Queue.now();
   for (std::size_t n = 0; n < Options.Faults; ++n) {
     end += Random.between(200ms, FaultInterval);
@@ -336,7 +341,8 @@
   for (const auto &write : RefusedWrites)
     if (Cluster.servers()[Cluster.leader()].holds(write))
       Result.Violations.push_back("write " + write + " was refused as not run, and ran");
-  Result.Violations.insert(Result.Violations.end(), Cluster.Violations.begin(), Cluster.Violations.end());
+  Result.Violations.insert(Result.Violations.begin(), Cluster.Violations.begin(), Cluster.Violations.end());
+  Result.LostWrites = Cluster.lost().size();
   for (const auto &it : Cluster.servers())
     Result.Servers += it.Id.str() + (it.Up ? " up" : " down") +
                       (it.Role == TargetRole::Primary ? " primary" : " replica") + " term " +
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -19,6 +19,14 @@
 
 namespace rosemaryhinge::sessionworld {
 
+/// What happens beside replacements of servers.
+struct ReplacementFaults {
+  bool PrimaryCrashes = false;  ///< The primary comes back with its log.
+  bool ProxyCuts = false;       ///< Some or all proxies lose the primary; its replicas do not.
+  bool ReplicationCuts = false; ///< The replicas lose the primary, except for one that joins.
+  bool Suspensions = false;     ///< Of proxies.
+};
+
 struct WorldOptions {
   std::uint64_t Seed = 1;
   bool Fencing = true;
@@ -33,6 +41,10 @@
   /// Replicas that drain and then end together with their logs, while other servers crash or receive nothing,
   /// and proxies are suspended or replaced.
   std::size_t Drains = 0;
+  /// Servers that are replaced one after the other, the primary included, each by one that joins before it
+  /// ends.
+  std::size_t Replacements = 0;
+  ReplacementFaults BesideReplacements;
 };
 
 struct WorldResult {
@@ -42,11 +54,13 @@
   std::size_t Promotions = 0;
   std::size_t Restarts = 0;
   std::size_t Drains = 0;
+  std::size_t Replacements = 0;
   std::size_t SteadyAnswers = 0; ///< Of callers that keep their sessions.
   std::size_t LateAnswers = 0;   ///< Of callers that connected to a proxy while it stopped.
   bool RecoveredWrites = false;  ///< Writes were served in the last second, after all faults had ended.
   std::string Servers;           ///< State of the servers at the end.
-  std::vector<std::string> Log;  ///< Warnings of the proxies.
+  std::size_t LostWrites = 0;    ///< Acknowledged ones that a promoted server lacked.
+  std::vector<std::string> Log;  ///< Warnings of the proxies, and what happens to the servers.
 };
 
 class World {
@@ -93,6 +107,8 @@
   };
 
   void addProxy(std::size_t place);
+  /// Adds a line to the log of the run.
+  void trace(const std::string &line);
 
   // Draining servers (drains.cpp).
   /// Schedules them. Returns the time at which the last one and the faults beside it have ended.
@@ -103,6 +119,20 @@
   /// Kills a process. The one that takes its place knows none of the commits that its callers were told of.
   void replaceProxy(std::size_t place);
 
+  // Replacements of servers (replacements.cpp).
+  /// Schedules them, and the faults beside them. Returns the time at which all have ended.
+  TimePoint planReplacements();
+  /// Adds a server, and drains one of those that were there before.
+  void replaceServer();
+  /// Lists a server that has joined.
+  void listServer(std::size_t server);
+  void drainServer(std::size_t server);
+  /// Ends a drained server as soon as its log is not the only one with an acknowledged write.
+  void endServer(std::size_t server);
+  void injectReplacementFault();
+  void cutProxies(std::size_t server, Duration length);
+  void cutReplication(std::size_t server, Duration length);
+
   // Restorations of the store (storerestorations.cpp).
   /// Schedules them, and changes of the configuration. Returns the time of the last one.
   TimePoint planStoreRestorations();
@@ -156,7 +186,7 @@
   WorldOptions Options;
   fakes::EventQueue Queue;
   fakes::Dice Random;
-  fakes::Dice PlannedRandom; ///< For planned restarts, steady callers, restorations of the store and drains.
+  fakes::Dice PlannedRandom; ///< For steady callers and all that is planned.
   DbCluster Cluster;
   DirectoryStore Store;
   std::vector<std::unique_ptr<Proxy>> Proxies; ///< Each process that was ever started.
