Session world: replacements beside cuts and crashes, and late orders

WorldOptions::LateOrders lets PAUSE, RESUME, STEPDOWN and promotions go without an answer and carries them out 2 to 12 s later; the fence of a promotion is checked then, and an order to a server that has started again meanwhile is dropped. Nothing more arrives on a link that has lost an answer. The draws are apart from those of other runs.

--- a/testing/sessionworld/dbcluster.cpp
+++ b/testing/sessionworld/dbcluster.cpp
@@ -110,6 +110,7 @@
 void DbCluster::start(std::size_t index, TargetId id) {
   auto &server = Servers[index];
   server.Up = true;
+  ++server.Starts;
   server.Leaving = false;
   server.Id = std::move(id);
   if (const auto &newest = Servers[leader()]; newest.CurrentTerm > server.CurrentTerm)
--- a/testing/sessionworld/dbcluster.h
+++ b/testing/sessionworld/dbcluster.h
@@ -37,7 +37,8 @@
   bool Replaced = false; ///< It is draining, or is about to.
   TargetRole Role = TargetRole::Replica;
   Term CurrentTerm = 1; ///< The term that it leads or follows.
-  Term PausedFor = 0;   ///< Zero unless it is paused.
+  std::size_t Starts = 1;
+  Term PausedFor = 0; ///< Zero unless it is paused.
   std::vector<LogEntry> Log;
   std::unordered_set<std::string> Writes; ///< Of Log.
   Duration ReplicationLag = 20ms;
--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -66,3 +66,18 @@
   // Guards against commits that a replica acknowledges which joined after the server to promote was chosen.
   playSeeds({}, {2, 3, 5, 6, 8, 9});
 }
+
+TEST_CASE("no acknowledged commit is lost when servers are replaced beside cuts and crashes") {
+  // Guards against commits that are acknowledged through a joined replica while proxies have lost the
+  // primary.
+  WorldOptions options;
+  options.BesideReplacements = {true, true, true, true};
+  playSeeds(options, {1, 2, 3, 5, 7, 8});
+}
+
+TEST_CASE("no acknowledged commit is lost when servers are replaced beside late orders") {
+  // Guards against pauses and promotions of changes that have ended, and against pauses that end early.
+  WorldOptions options;
+  options.LateOrders = 0.3;
+  playSeeds(options, {1, 2, 3, 4, 5, 7});
+}
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -16,6 +16,8 @@
 constexpr Duration QuietTime = 14s;
 constexpr Duration StartTime = 2s;
 constexpr Duration MaxStaleness = 1500ms;
+/// Distinguishes the draws of late orders from the others of a seed.
+constexpr std::uint64_t OrderSeed = 0x9e3779b97f4a7c15;
 
 bool isPromise(Rejection code) {
   return code == Rejection::Busy || code == Rejection::Aborted || code == Rejection::Lagging ||
@@ -25,8 +27,8 @@
 } // namespace
 
 World::World(const WorldOptions &options)
-    : Options(options), Random(options.Seed), PlannedRandom(~options.Seed), Cluster(Queue, options.Fencing),
-      Store(Queue, Cluster) {
+    : Options(options), Random(options.Seed), OrderRandom(options.Seed ^ OrderSeed),
+      PlannedRandom(~options.Seed), Cluster(Queue, options.Fencing), Store(Queue, Cluster) {
   Cluster.OnTrace = [this](const std::string &line) { trace(line); };
   Cluster.OnEntryChanged = [this] { Store.publishServers(); };
   Store.publishServers();
@@ -102,6 +104,8 @@
                    if (it.Token < HighestToken)
                      Result.Violations.push_back("an order was sent with a lower token than an earlier one");
                    HighestToken = std::max(HighestToken, it.Token);
+                   if (delayPromotion(proxy, it))
+                     return;
                    // An order may reach the platform late, and its answer may be lost.
                    const auto delay = Random.chance(0.1) ? Random.between(1s, 3s) : Duration(10ms);
                    Queue.after(delay, [this, proxy, it, delay] {
@@ -169,7 +173,9 @@
 
 void World::runOne(std::size_t proxy, LinkId link, const LinkCommand &command) {
   const auto it = Links.find({proxy, link});
-  if (it == Links.end() || cutOff(proxy, it->second.Server))
+  if (it == Links.end() || it->second.Silent || cutOff(proxy, it->second.Server))
+    return;
+  if (delayOrder(it->second, command))
     return;
   const auto server = it->second.Server;
   const auto unique = atServers(proxy, link);
@@ -180,7 +186,8 @@
                     if (const auto *run = std::get_if<RunStatement>(&command); run && success)
                       checkRead(*run, Cluster.servers()[server]);
                     Queue.after(2ms, [this, proxy, server, reply] {
-                      if (Links.contains({proxy, reply.Link}) && !cutOff(proxy, server))
+                      const auto open = Links.find({proxy, reply.Link});
+                      if (open != Links.end() && !open->second.Silent && !cutOff(proxy, server))
                         deliver(proxy, reply);
                     });
                   });
@@ -328,14 +335,15 @@
 WorldResult World::run() {
   Queue.runUntil(TimePoint{} + StartTime);
   request();
-  const auto lastPlanned =
-      std::max({planRestarts(), planStoreRestorations(), planDrains(), planReplacements()});
+  LastPlanned = std::max({planRestarts(), planStoreRestorations(), planDrains(), planReplacements()});
   auto end = Queue.now();
   for (std::size_t n = 0; n < Options.Faults; ++n) {
     end += Random.between(200ms, FaultInterval);
     Queue.at(end, [this] { injectFault(); });
   }
-  end = std::max(end, lastPlanned) + QuietTime;
+  if (Options.LateOrders > 0)
+    LastPlanned += MaxOrderDelay;
+  end = std::max(end, LastPlanned) + QuietTime;
   Queue.runUntil(end);
   checkConfigurations();
   for (const auto &write : RefusedWrites)
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -45,6 +45,8 @@
   /// ends.
   std::size_t Replacements = 0;
   ReplacementFaults BesideReplacements;
+  /// Probability that an order to a server, or a promotion, has no answer and is carried out 2 to 12 s later.
+  double LateOrders = 0;
 };
 
 struct WorldResult {
@@ -55,6 +57,7 @@
   std::size_t Restarts = 0;
   std::size_t Drains = 0;
   std::size_t Replacements = 0;
+  std::size_t LateOrders = 0;
   std::size_t SteadyAnswers = 0; ///< Of callers that keep their sessions.
   std::size_t LateAnswers = 0;   ///< Of callers that connected to a proxy while it stopped.
   bool RecoveredWrites = false;  ///< Writes were served in the last second, after all faults had ended.
@@ -72,6 +75,7 @@
 private:
   /// Bound on the processes of a run, so that the numbers of their links at the servers differ.
   static constexpr std::size_t MaxProcesses = 64;
+  static constexpr Duration MaxOrderDelay = 12s;
 
   struct Proxy {
     State Logic;
@@ -86,6 +90,7 @@
     std::size_t Proxy = 0;
     TargetId Target;
     std::size_t Server = 0;
+    bool Silent = false; ///< An answer was lost: nothing more arrives in either direction.
   };
   struct Operation {
     std::string Statement;
@@ -133,6 +138,13 @@
   void cutProxies(std::size_t server, Duration length);
   void cutReplication(std::size_t server, Duration length);
 
+  // Orders that are carried out late (lateorders.cpp).
+  /// \returns the time after which an order is carried out without an answer, if that is to happen.
+  std::optional<Duration> drawOrderDelay();
+  /// \returns false if the command is to be carried out now.
+  bool delayOrder(Link &link, const LinkCommand &command);
+  bool delayPromotion(std::size_t proxy, const PromotionCall &call);
+
   // Restorations of the store (storerestorations.cpp).
   /// Schedules them, and changes of the configuration. Returns the time of the last one.
   TimePoint planStoreRestorations();
@@ -186,6 +198,7 @@
   WorldOptions Options;
   fakes::EventQueue Queue;
   fakes::Dice Random;
+  fakes::Dice OrderRandom;   ///< For orders that are carried out late.
   fakes::Dice PlannedRandom; ///< For steady callers and all that is planned.
   DbCluster Cluster;
   DirectoryStore Store;
@@ -201,6 +214,7 @@
   std::vector<std::string> RefusedWrites;
   std::uint64_t LastNumber = 0;
   std::uint64_t HighestToken = 0; ///< Of the orders sent.
+  TimePoint LastPlanned{};        ///< End of what is planned; orders are in time from then on.
   std::uint64_t Reborn = 0;
   std::optional<TimePoint> LastWriteAt;
   WorldResult Result;
