Session world: a draining server stays draining after a crash; trace of faults

Change: a server keeps draining until it ends, an empty log of a joined or ended server is at 0.0, and the log of a run shows drains, ends, crashes, stalls, cuts and suspended proxies.

--- a/testing/sessionworld/dbcluster.cpp
+++ b/testing/sessionworld/dbcluster.cpp
@@ -83,6 +83,7 @@
   auto &server = Servers[index];
   server.Log.clear();
   server.Writes.clear();
+  server.FirstTerm = 0;
   server.CurrentTerm = 0;
   server.Role = TargetRole::Replica;
   server.ReachesLeaderSince.reset();
@@ -94,6 +95,7 @@
   server.Address = "10.0.0." + std::to_string(Servers.size() + 1) + ":5000";
   server.Listed = false;
   server.CurrentTerm = 0;
+  server.FirstTerm = 0;
   server.ReplicationLag = replicationLag;
   Servers.push_back(std::move(server));
   return Servers.size() - 1;
@@ -111,7 +113,7 @@
   auto &server = Servers[index];
   server.Up = true;
   ++server.Starts;
-  server.Leaving = false;
+  server.Leaving = server.Draining;
   server.Id = std::move(id);
   if (const auto &newest = Servers[leader()]; newest.CurrentTerm > server.CurrentTerm)
     demote(server);
--- a/testing/sessionworld/dbcluster.h
+++ b/testing/sessionworld/dbcluster.h
@@ -34,9 +34,11 @@
   bool Up = true;
   bool Leaving = false;
   bool Listed = true;    ///< Its entry is in the store, or is written at the next change.
+  bool Draining = false; ///< It reports that it is leaving, also after a crash, until it ends.
   bool Replaced = false; ///< It is draining, or is about to.
   TargetRole Role = TargetRole::Replica;
-  Term CurrentTerm = 1; ///< The term that it leads or follows.
+  Term CurrentTerm = 1;          ///< The term that it leads or follows.
+  std::optional<Term> FirstTerm; ///< Of its position while its log is empty, if not CurrentTerm.
   std::size_t Starts = 1;
   Term PausedFor = 0; ///< Zero unless it is paused.
   std::vector<LogEntry> Log;
@@ -45,7 +47,9 @@
   bool Stalled = false; ///< A replica that receives nothing, although it can be reached.
   std::optional<TimePoint> ReachesLeaderSince; ///< Of a former primary.
 
-  [[nodiscard]] Position end() const { return Log.empty() ? Position{CurrentTerm, 0} : Log.back().At; }
+  [[nodiscard]] Position end() const {
+    return Log.empty() ? Position{FirstTerm.value_or(CurrentTerm), 0} : Log.back().At;
+  }
   [[nodiscard]] bool holds(const std::string &write) const { return Writes.contains(write); }
   void append(LogEntry entry);
   /// Replaces the log by that of its source.
--- a/testing/sessionworld/drains.cpp
+++ b/testing/sessionworld/drains.cpp
@@ -49,6 +49,7 @@
   const auto drained = (lead + 1 + PlannedRandom.below(2)) % 3;
   const auto other = 3 - lead - drained;
   Cluster.servers()[drained].Leaving = true;
+  trace(Cluster.servers()[drained].Id.str() + " drains");
   Cluster.OnEntryChanged();
   Queue.after(PlannedRandom.between(MinDrainTime, MaxDrainTime),
               [this, drained] { terminateServer(drained); });
@@ -76,6 +77,7 @@
 
 void World::terminateServer(std::size_t server) {
   const auto id = Cluster.servers()[server].Id;
+  trace(id.str() + " ends; " + Cluster.describe());
   Cluster.terminate(server);
   breakLinks(server);
   Store.withdraw(id);
@@ -86,6 +88,7 @@
 
 void World::stallReplica(std::size_t server) {
   Cluster.servers()[server].Stalled = true;
+  trace(Cluster.servers()[server].Id.str() + " receives nothing");
   Queue.after(PlannedRandom.between(MinStall, MaxStall),
               [this, server] { Cluster.servers()[server].Stalled = false; });
 }
--- a/testing/sessionworld/replacements.cpp
+++ b/testing/sessionworld/replacements.cpp
@@ -66,6 +66,7 @@
 }
 
 void World::drainServer(std::size_t server) {
+  Cluster.servers()[server].Draining = true;
   Cluster.servers()[server].Leaving = true;
   trace(Cluster.servers()[server].Id.str() + " drains");
   Cluster.OnEntryChanged();
@@ -104,11 +105,17 @@
   for (const auto proxy : Live)
     if (all || PlannedRandom.chance(CutProbability)) {
       Cuts.insert({proxy, server});
-      Queue.after(length, [this, proxy, server] { Cuts.erase({proxy, server}); });
+      trace("n" + std::to_string(proxy) + " is cut from " + Cluster.servers()[server].Id.str());
+      Queue.after(length, [this, proxy, server] {
+        Cuts.erase({proxy, server});
+        trace("n" + std::to_string(proxy) + " reaches " + Cluster.servers()[server].Id.str() + " again");
+      });
     }
 }
 
 void World::cutReplication(std::size_t server, Duration length) {
+  trace(Cluster.servers()[server].Id.str() + " is cut from the servers that are there, for " +
+        std::to_string(length / 1ms) + " ms");
   for (std::size_t other = 0; other < Cluster.servers().size(); ++other)
     if (other != server) {
       Cluster.cut(server, other, true);
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -264,17 +264,20 @@
     return;
   Cluster.crash(server);
   breakLinks(server);
+  trace(Cluster.servers()[server].Id.str() + " crashes; " + Cluster.describe());
   const auto id = reborn ? TargetId("t" + std::to_string(++Reborn)) : Cluster.servers()[server].Id;
   Queue.after(length, [this, server, id] { Cluster.start(server, id); });
 }
 
 void World::suspendProxy(std::size_t proxy, Duration length) {
   Proxies[proxy]->Paused = true;
+  trace("n" + std::to_string(proxy) + " is suspended");
   Queue.after(length, [this, proxy] {
     auto &it = *Proxies[proxy];
     it.Paused = false;
     if (it.Ended)
       return;
+    trace("n" + std::to_string(proxy) + " goes on");
     for (const auto &event : std::exchange(it.Held, {}))
       apply(proxy, event);
     apply(proxy, TimerFired{});
