Session world: judge acknowledged writes once more at the end

Cause: an answer that is on its way when a promotion takes effect counts as acknowledged only after it, so that its loss was seen at the next promotion or not at all.

Change: each write that a caller was told of must be at the server that leads at the end of a run.

All 9 cases of sessionworld-tests pass.

--- a/testing/sessionworld/dbcluster.cpp
+++ b/testing/sessionworld/dbcluster.cpp
@@ -286,14 +286,18 @@
   return out;
 }
 
-void DbCluster::takeLead(DbServer &server) {
-  const auto lostBefore = Lost.size();
+void DbCluster::checkAcknowledged(const DbServer &server) {
   for (const auto &write : Acknowledged)
     if (!server.holds(write)) {
       Lost.insert(write);
       Violations.push_back("acknowledged write " + write + " is not at the promoted server " +
                            server.Id.str());
     }
+}
+
+void DbCluster::takeLead(DbServer &server) {
+  const auto lostBefore = Lost.size();
+  checkAcknowledged(server);
   OnTrace(server.Id.str() + " is promoted, " + std::to_string(Lost.size() - lostBefore) +
           " acknowledged writes are lost; " + describe());
   Term newest = 0;
--- a/testing/sessionworld/dbcluster.h
+++ b/testing/sessionworld/dbcluster.h
@@ -89,6 +89,8 @@
   void onAcknowledged(const std::string &write) { Acknowledged.insert(write); }
   [[nodiscard]] const std::set<std::string> &acknowledged() const { return Acknowledged; }
 
+  /// Reports the acknowledged writes that the server which leads, or takes the lead, lacks.
+  void checkAcknowledged(const DbServer &server);
   /// Acknowledged writes that a promoted server lacked.
   [[nodiscard]] const std::set<std::string> &lost() const { return Lost; }
 
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -349,6 +349,9 @@
   end = std::max(end, LastPlanned) + QuietTime;
   Queue.runUntil(end);
   checkConfigurations();
+  // Answers that were on their way when a promotion took effect have arrived by now.
+  if (const auto &lead = Cluster.servers()[Cluster.leader()]; lead.Role == TargetRole::Primary)
+    Cluster.checkAcknowledged(lead);
   for (const auto &write : RefusedWrites)
     if (Cluster.servers()[Cluster.leader()].holds(write))
       Result.Violations.push_back("write " + write + " was refused as not run, and ran");
