Give each server of the process soak a log of its own, and check LOST at promotions

A promoted server leads with what it has received when the promotion takes effect, logs that are ahead are rolled back to it, and pauses up to its term end. The log of a replica that drains is gone with it. Positions are compared with their terms. The times of work come from the seed.

The new check reports each promotion that lacks a commit whose success a caller had before it took effect, with the order's holder and token, and the servers that have the commit.

--- a/testing/platformsoak/dbservice.cpp
+++ b/testing/platformsoak/dbservice.cpp
@@ -14,31 +14,37 @@
 
 namespace {
 
-/// To the nearest replica and back.
-constexpr Millis ReplicationMs = 3;
 /// A draining server stays a little longer than it has to.
 constexpr Millis AfterDrainMs = 1'500;
 constexpr Millis RestartMs = 700;
-constexpr int Fenced = 409;
 constexpr int ListenTries = 100;
 constexpr Millis ListenRetryMs = 10;
+/// Of a commit to a replica.
+constexpr Millis LeastLagMs = 2, MostLagMs = 15;
 
 } // namespace
 
 DbService::DbService(ServiceOptions options, ObjectStore &store, Observations &seen)
-    : Options(std::move(options)), Objects(store), Seen(seen) {
+    : Options(std::move(options)), Objects(store), Seen(seen), Random(Options.Seed) {
   for (const auto &it : Options.Zones) {
-    auto server = std::make_unique<DbServer>();
-    server->Zone = it;
-    server->Port = reservePort();
-    server->Leads = Servers.empty();
-    Servers.push_back(std::move(server));
+    auto &server = add(it);
+    server.Leads = Servers.size() == 1;
+    start(server);
   }
-  for (auto &it : Servers)
-    start(*it);
+  std::thread([this] { replicate(); }).detach();
 }
 
-void DbService::start(DbServer &server) {
+DbServer &DbService::add(const std::string &zone) {
+  auto server = std::make_unique<DbServer>();
+  server->Zone = zone;
+  server->Port = reservePort();
+  const std::lock_guard hold(Lock);
+  server->LagMs = std::uniform_int_distribution<Millis>(LeastLagMs, MostLagMs)(Random);
+  Servers.push_back(std::move(server));
+  return *Servers.back();
+}
+
+void DbService::start(DbServer &server, Millis listedAfterMs) {
   releasePort(server.Port);
   int fd = listenOn(server.Port);
   // A proxy that is being started may hold the address for a moment more.
@@ -52,6 +58,7 @@
     server.Id = "i-" + Options.Name + "-" + std::to_string(++Ids);
     server.ListenFd = fd;
     server.Up = true;
+    server.Leaving = false;
     server.Draining = false;
     server.Busy = 0;
     server.HeldTerm = 0;
@@ -60,18 +67,23 @@
     incarnation = ++server.Incarnation;
   }
   std::thread([this, &server, fd, incarnation] { accept(server, fd, incarnation); }).detach();
-  std::thread([this, &server, incarnation] {
-    for (;; sleepMs(Options.HeartbeatMs)) {
-      {
-        const std::lock_guard hold(Lock);
-        if (!present(server, incarnation))
-          return;
-      }
-      beat(server);
-    }
+  std::thread([this, &server, incarnation, listedAfterMs] {
+    sleepMs(listedAfterMs);
+    beatUntilEnd(server, incarnation);
   }).detach();
 }
 
+void DbService::beatUntilEnd(DbServer &server, int incarnation) {
+  for (;; sleepMs(Options.HeartbeatMs)) {
+    {
+      const std::lock_guard hold(Lock);
+      if (!present(server, incarnation))
+        return;
+    }
+    beat(server);
+  }
+}
+
 bool DbService::present(const DbServer &server, int incarnation) const {
   return server.Up && server.Incarnation == incarnation;
 }
@@ -106,26 +118,18 @@
     }
     server.Fds[fd] = true;
     ++server.Conns;
-    std::thread([this, &server, fd, incarnation] {
-      ServerConnection(*this, server, fd, incarnation).serve();
+    std::thread([this, &server, fd, incarnation, seed = Random()] {
+      ServerConnection(*this, server, fd, incarnation, seed).serve();
     }).detach();
   }
 }
 
 void DbService::drain(std::size_t n) {
-  auto &server = *Servers.at(n);
-  {
-    const std::lock_guard hold(Lock);
-    if (!server.Up || server.Draining)
-      return;
-    server.Draining = true;
-  }
-  Seen.line("server " + server.Id + " of " + Options.Name + " drains, as " +
-            (server.Leads ? "primary" : "replica"));
-  std::thread([this, &server] {
-    beat(server);
-    sleepMs(Options.DrainMs + AfterDrainMs);
-    end(server);
+  auto *chosen = choose(n);
+  if (!chosen)
+    return;
+  std::thread([this, &server = *chosen] {
+    drainAndEnd(server);
     sleepMs(RestartMs);
     start(server);
     Seen.line("server " + server.Id + " of " + Options.Name + " starts" +
@@ -133,18 +137,63 @@
   }).detach();
 }
 
+void DbService::replace(std::size_t n, Millis listedAfterMs) {
+  auto *chosen = choose(n);
+  if (!chosen)
+    return;
+  auto &old = *chosen;
+  auto &server = add(old.Zone);
+  server.Term = 0;
+  std::thread([this, &old, &server, listedAfterMs] {
+    start(server, listedAfterMs);
+    Seen.line("server " + server.Id + " of " + Options.Name + " joins");
+    sleepMs(listedAfterMs);
+    old.EndsForGood = true;
+    drainAndEnd(old);
+  }).detach();
+}
+
+DbServer *DbService::choose(std::size_t n) {
+  const std::lock_guard hold(Lock);
+  auto &server = *Servers.at(n);
+  if (!server.Up || server.Leaving)
+    return nullptr;
+  server.Leaving = true;
+  return &server;
+}
+
+void DbService::drainAndEnd(DbServer &server) {
+  Seen.line("server " + server.Id + " of " + Options.Name + " drains, as " +
+            (server.Leads ? "primary" : "replica"));
+  {
+    const std::lock_guard hold(Lock);
+    server.Draining = true;
+  }
+  beat(server);
+  sleepMs(Options.DrainMs + AfterDrainMs);
+  end(server);
+}
+
 void DbService::end(DbServer &server) {
   std::string id;
   {
     const std::lock_guard hold(Lock);
     id = server.Id;
     server.Up = false;
+    server.Leads = server.Leads && !server.EndsForGood;
+    // The log of a replica is gone with it; that of a primary goes to the next server at its address.
+    if (!server.Leads) {
+      server.Log.clear();
+      server.Term = 0;
+      server.TermStart = 0;
+    }
     ::shutdown(server.ListenFd, SHUT_RDWR);
     ::close(server.ListenFd);
     for (const auto &[fd, open] : server.Fds)
       ::shutdown(fd, SHUT_RDWR);
   }
   SlotFree.notify_all();
+  Received.notify_all();
   Seen.line("server " + id + " of " + Options.Name + " ended");
   while (!Objects.remove("servers", id))
     if (sleepMs(100); !Objects.all("servers").contains(id))
@@ -159,6 +208,16 @@
   return 0;
 }
 
+std::size_t DbService::replica(std::size_t which) {
+  const auto leader = primary();
+  const std::lock_guard hold(Lock);
+  std::vector<std::size_t> out;
+  for (std::size_t n = 0; n < Servers.size(); ++n)
+    if (n != leader && Servers[n]->Up && !Servers[n]->Leaving)
+      out.push_back(n);
+  return out.empty() ? leader : out[which % out.size()];
+}
+
 std::string DbService::serverId(std::size_t n) {
   const std::lock_guard hold(Lock);
   return Servers.at(n)->Id;
@@ -173,66 +232,6 @@
   return out;
 }
 
-int DbService::promote(const std::string &id, std::uint64_t token) {
-  const std::lock_guard hold(Lock);
-  if (token < LastToken)
-    return Fenced;
-  LastToken = token;
-  for (const auto &it : Servers) {
-    if (it->Id != id || !it->Up)
-      continue;
-    if (!it->Leads)
-      std::thread([this, server = it.get()] { leadAfterPromotion(*server); }).detach();
-    return 200;
-  }
-  return Fenced;
-}
-
-void DbService::leadAfterPromotion(DbServer &server) {
-  sleepMs(Options.PromoteMs);
-  {
-    const std::lock_guard hold(Lock);
-    if (!server.Up || server.Leads)
-      return;
-    std::uint64_t term = 0;
-    for (const auto &it : Servers)
-      term = std::max(term, it->Term);
-    // All commits of this log that were acknowledged are at each replica that receives.
-    Position = std::max(server.Received, Position);
-    TermStart = Position;
-    for (const auto &it : Servers) {
-      it->HeldTerm = 0;
-      it->Term = term + 1;
-      it->Leads = it.get() == &server;
-      it->Received = Position;
-    }
-  }
-  Seen.line("server " + server.Id + " of " + Options.Name + " leads");
-  for (const auto &it : Servers)
-    if (it->Up)
-      beat(*it);
-}
-
-std::uint64_t DbService::applied(const DbServer &server) const {
-  if (server.Leads)
-    return server.Received;
-  auto out = server.Received;
-  for (auto it = Commits.rbegin(); it != Commits.rend() && it->At + Options.ReplicaLagMs > nowMs(); ++it)
-    out = std::min(out, it->Position - 1);
-  return std::max(out, TermStart);
-}
-
-std::string DbService::valueAt(const std::string &item, std::uint64_t position) const {
-  const auto it = Versions.find(item);
-  if (it == Versions.end())
-    return "none";
-  std::string out = "none";
-  for (const auto &[at, value] : it->second)
-    if (at <= position)
-      out = value;
-  return out;
-}
-
 bool DbService::work(DbServer &server, int incarnation, Millis ms) {
   {
     std::unique_lock hold(Lock);
@@ -250,48 +249,4 @@
   return true;
 }
 
-std::optional<std::uint64_t> DbService::commit(DbServer &server, std::uint64_t term,
-                                               const std::string &statement,
-                                               std::vector<LoggedWrite> writes) {
-  std::uint64_t position = 0;
-  {
-    const std::lock_guard hold(Lock);
-    if (!server.Leads || server.Term != term)
-      return std::nullopt;
-    position = ++Position;
-    server.Received = position;
-    Commits.push_back({position, nowMs(), std::nullopt});
-    Seen.addCommit(statement, position);
-    for (auto &it : writes) {
-      if (it.Statement != statement)
-        Seen.addCommit(it.Statement, position);
-      Versions[it.Item].emplace_back(position, std::move(it.Value));
-    }
-  }
-  sleepMs(ReplicationMs);
-  const std::lock_guard hold(Lock);
-  bool received = false;
-  for (const auto &it : Servers)
-    if (it.get() != &server && it->Up && it->HeldTerm == 0) {
-      it->Received = std::max(it->Received, position);
-      received = true;
-    }
-  if (!received || !server.Leads)
-    return std::nullopt;
-  for (auto it = Commits.rbegin(); it != Commits.rend(); ++it)
-    if (it->Position == position) {
-      it->AcknowledgedAt = nowMs();
-      break;
-    }
-  return position;
-}
-
-std::uint64_t DbService::acknowledgedBefore(Millis at) {
-  const std::lock_guard hold(Lock);
-  for (auto it = Commits.rbegin(); it != Commits.rend(); ++it)
-    if (it->AcknowledgedAt && *it->AcknowledgedAt < at)
-      return it->Position;
-  return 0;
-}
-
 } // namespace rosemaryhinge::platformsoak
--- a/testing/platformsoak/dbservice.h
+++ b/testing/platformsoak/dbservice.h
@@ -1,9 +1,12 @@
-// A service of one primary and two replicas: its log, its servers' places in it, and changes of primary.
+// A service of one primary and its replicas. Each server has a log of its own: a commit goes to the log of
+// the primary and reaches each replica that receives after a lag. A promoted server leads with what it has
+// received.
 
 #pragma once
 
 #include "platformsoak/objectstore.h"
 #include "platformsoak/observations.h"
+#include "platformsoak/serverlog.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -11,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -23,6 +27,7 @@
   int MaxConns = 22;
   Millis HandshakeMs = 12;
   Millis HeartbeatMs = 1'200;
+  /// From the receipt of a commit to its application.
   Millis ReplicaLagMs = 60;
   Millis PromoteMs = 1'000;
   Millis DrainMs = 7'000;
@@ -36,9 +41,15 @@
   /// Counts the processes at this address. A thread of an earlier one ends itself.
   int Incarnation = 0;
   bool Up = false, Leads = false, Draining = false;
+  bool Leaving = false; ///< Drains, or is about to.
+  bool EndsForGood = false;
+  /// Of the lead that the log is of; 0 for a server that has received nothing yet.
   std::uint64_t Term = 3;
-  std::uint64_t Received = 1'200; ///< Position.
-  std::uint64_t HeldTerm = 0;     ///< Receives nothing while this is set.
+  /// Number of the end of the log when the term began. A server of the term has applied it.
+  std::uint64_t TermStart = 0;
+  ServerLog Log;
+  Millis LagMs = 0;           ///< From a commit at the primary to its receipt.
+  std::uint64_t HeldTerm = 0; ///< Receives nothing while this is set.
   int Busy = 0, Conns = 0;
   Millis Born = 0;
   std::uint64_t Sequence = 0;
@@ -50,55 +61,79 @@
   std::string Statement, Item, Value;
 };
 
+/// Who ordered a promotion.
+struct PromotionOrder {
+  std::string Id; ///< Of the server.
+  std::string Holder;
+  std::uint64_t Token = 0;
+};
+
 class DbService {
 public:
   DbService(ServiceOptions options, ObjectStore &store, Observations &seen);
   [[nodiscard]] const ServiceOptions &options() const { return Options; }
   [[nodiscard]] std::string serverId(std::size_t n);
+  /// Index of the server that leads or led last.
   [[nodiscard]] std::size_t primary();
-  /// The server reports that it drains, ends some time later, and a new one takes its address and log.
+  /// Index of one of the replicas that run and stay; the primary's without one.
+  [[nodiscard]] std::size_t replica(std::size_t which);
+  /// The server reports that it drains, ends some time later, and a new one takes its address.
   void drain(std::size_t n);
-  /// The platform's order, with the fencing token. Returns the HTTP status.
-  int promote(const std::string &id, std::uint64_t token);
-  /// The newest acknowledged position, and the newest that was acknowledged before the time.
+  /// A new replica starts and receives, and is listed after the time. Then the server drains and ends for
+  /// good.
+  void replace(std::size_t n, Millis listedAfterMs);
+  /// The platform's order. Returns the HTTP status.
+  int promote(const PromotionOrder &order);
+  /// The newest acknowledged position before the time that no promotion has rolled back.
   [[nodiscard]] std::uint64_t acknowledgedBefore(Millis at);
   [[nodiscard]] std::vector<std::string> liveIds();
 
 private:
   friend class ServerConnection;
-  void start(DbServer &server);
+  DbServer &add(const std::string &zone);
+  void start(DbServer &server, Millis listedAfterMs = 0);
   void accept(DbServer &server, int listenFd, int incarnation);
   void beat(DbServer &server);
+  void beatUntilEnd(DbServer &server, int incarnation);
   void end(DbServer &server);
-  void leadAfterPromotion(DbServer &server);
+  /// The server, which is now about to leave. Null if it already is, or does not run.
+  DbServer *choose(std::size_t n);
+  void drainAndEnd(DbServer &server);
+  void replicate();
+  void leadAfterPromotion(DbServer &server, const PromotionOrder &order);
   // The lock is held.
   [[nodiscard]] std::uint64_t applied(const DbServer &server) const;
-  [[nodiscard]] std::string valueAt(const std::string &item, std::uint64_t position) const;
+  [[nodiscard]] std::string valueAt(const std::string &item, const DbServer &server) const;
   [[nodiscard]] bool present(const DbServer &server, int incarnation) const;
+  [[nodiscard]] bool leads(const DbServer &server, std::uint64_t term) const;
+  [[nodiscard]] bool isReceived(const DbServer &by, const LoggedCommit &commit) const;
+  [[nodiscard]] std::string positionOf(const DbServer &server) const;
+  /// The replica takes over what it lacks of the primary's log. Rolls back what is not in that log.
+  bool receive(DbServer &replica, const DbServer &primary);
+  void lead(DbServer &server);
+  Promotion rollBack(const DbServer &promoted, const PromotionOrder &order);
+  CommitRef append(DbServer &server, const std::string &statement, std::vector<LoggedWrite> writes);
   // The lock is taken.
   /// Waits for a slot and holds it. False if the server has ended.
   bool work(DbServer &server, int incarnation, Millis ms);
-  /// Appends a commit, and waits until a replica has it. The position if it is to be acknowledged.
+  /// Appends a commit, and waits until a replica has it. False if it is not to be acknowledged.
   /// Statement is the one that commits them.
-  std::optional<std::uint64_t> commit(DbServer &server, std::uint64_t term, const std::string &statement,
-                                      std::vector<LoggedWrite> writes);
+  bool commit(DbServer &server, std::uint64_t term, const std::string &statement,
+              std::vector<LoggedWrite> writes);
 
-  struct Commit {
-    std::uint64_t Position;
-    Millis At;
-    std::optional<Millis> AcknowledgedAt;
+  struct Version {
+    CommitRef Commit;
+    std::string Value;
   };
   ServiceOptions Options;
   ObjectStore &Objects;
   Observations &Seen;
   std::mutex Lock;
-  std::condition_variable SlotFree;
+  std::condition_variable SlotFree, Received;
+  std::mt19937_64 Random;
   std::vector<std::unique_ptr<DbServer>> Servers;
-  std::vector<Commit> Commits; ///< In the order of their positions.
-  std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>> Versions; ///< By item.
-  std::uint64_t Position = 1'200;
-  /// Of the log when the present term began. A server of the term has applied it.
-  std::uint64_t TermStart = 0;
+  std::vector<CommitRef> Commits;                       ///< In the order of their times.
+  std::map<std::string, std::vector<Version>> Versions; ///< By item.
   std::uint64_t LastToken = 0;
   std::uint64_t Ids = 0;
   std::atomic<std::uint64_t> Signatures{0};
--- a/testing/platformsoak/deployment.cpp
+++ b/testing/platformsoak/deployment.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::array<const char *, 3> Zones = {"etela-a", "lansi-a", "pohjoinen-a"};
 constexpr std::array<int, 6> ProxyZones = {0, 0, 0, 1, 1, 2};
+constexpr std::uint64_t SeedFactor = 10'007;
 constexpr Millis StartTimeoutMs = 20'000;
 constexpr Millis ReadyCheckMs = 100;
 constexpr Millis KeepEveryMs = 200;
@@ -36,6 +37,7 @@
       Duties([this](const HttpRequest &it) { return duty(it); }) {
   for (int n = 0; n < options.Services; ++n) {
     ServiceOptions one;
+    one.Seed = options.Seed * SeedFactor + static_cast<std::uint64_t>(n);
     one.Name = serviceNames(options.Services).at(static_cast<std::size_t>(n));
     for (std::size_t zone = 0; zone < Zones.size(); ++zone)
       one.Zones.emplace_back(Zones.at((zone + static_cast<std::size_t>(n)) % Zones.size()));
@@ -73,12 +75,13 @@
   const auto service = body.at("service").get<std::string>();
   const auto id = body.at("id").get<std::string>();
   const auto token = std::stoull(request.Headers.at("rosemaryhinge-fencing-token"));
+  const auto holder = request.Headers.at("rosemaryhinge-lease-holder");
   int status = 404;
   for (auto &it : Services)
     if (it->options().Name == service)
-      status = it->promote(id, token);
-  Seen.line("promote " + service + " " + id + " by " + request.Headers.at("rosemaryhinge-lease-holder") +
-            ", token " + std::to_string(token) + ": " + std::to_string(status));
+      status = it->promote({id, holder, token});
+  Seen.line("promote " + service + " " + id + " by " + holder + ", token " + std::to_string(token) + ": " +
+            std::to_string(status));
   return {status, "{}"};
 }
 
@@ -120,7 +123,7 @@
   for (const auto &work : workloads())
     for (int n = 0; n < work.Callers; ++n, ++number) {
       const auto *zone = Zones.at(static_cast<std::size_t>(n) % Zones.size());
-      const auto seed = Options.Seed * 10'007 + static_cast<std::uint64_t>(number);
+      const auto seed = Options.Seed * SeedFactor + static_cast<std::uint64_t>(number);
       Threads.emplace_back(
           [this, &work, zone, number, seed] { Caller(*Callers, work, zone, number, seed).run(); });
     }
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -98,9 +98,8 @@
                  },
                  [&](const DrainServer &it) {
                    auto &service = *World.Services.at(static_cast<std::size_t>(it.Service));
-                   const auto primary = service.primary();
-                   const auto replica = primary + 1 + static_cast<std::size_t>(it.Replica);
-                   service.drain(it.Primary ? primary : replica % service.options().Zones.size());
+                   service.drain(it.Primary ? service.primary()
+                                            : service.replica(static_cast<std::size_t>(it.Replica)));
                  },
                  [&](const ChangeConfiguration &it) {
                    std::thread([this, seed = it.Seed] { World.Operator.change(seed); }).detach();
--- a/testing/platformsoak/main.cpp
+++ b/testing/platformsoak/main.cpp
@@ -2,6 +2,7 @@
 // rules checked. Exit status: 0 all rules held, 1 one was broken, 2 the run was not possible.
 
 #include "platformsoak/faultplayer.h"
+#include "platformsoak/promotionrule.h"
 #include "platformsoak/report.h"
 #include "platformsoak/workspacechecks.h"
 
@@ -104,6 +105,7 @@
   report.violations(checkAnswers(requests, runs), figures);
   report.violations(checkConfig(world.Operator.versions(), world.Operator.probes(), lives, disruptions),
                     figures);
+  report.violations(checkPromotions(world.Seen.promotions(), requests), figures);
   const auto arrivals = world.Seen.arrivals();
   const auto keys = world.Operator.keys();
   report.violations(checkUsers(requests, arrivals, keys), figures);
--- a/testing/platformsoak/observations.cpp
+++ b/testing/platformsoak/observations.cpp
@@ -42,6 +42,11 @@
   Disruptions.push_back(std::move(disruption));
 }
 
+void Observations::addPromotion(Promotion promotion) {
+  const std::lock_guard hold(Lock);
+  Promotions.push_back(std::move(promotion));
+}
+
 std::vector<Request> Observations::requests() const {
   const std::lock_guard hold(Lock);
   return Requests;
@@ -73,4 +78,9 @@
   return Disruptions;
 }
 
+std::vector<Promotion> Observations::promotions() const {
+  const std::lock_guard hold(Lock);
+  return Promotions;
+}
+
 } // namespace rosemaryhinge::platformsoak
--- a/testing/platformsoak/observations.h
+++ b/testing/platformsoak/observations.h
@@ -60,6 +60,23 @@
   bool Operation = false; ///< A single statement, or the first one of a transaction.
 };
 
+/// A commit that the server of a promotion does not have.
+struct MissingCommit {
+  std::string Statement; ///< Id of the request that committed it.
+  std::string Position;  ///< TERM.NUMBER.
+  std::vector<std::string> Holders;
+};
+
+/// A promotion has taken effect.
+struct Promotion {
+  std::string Service, Server, Holder; ///< Holder: the proxy whose order it was.
+  std::uint64_t Token = 0;
+  Millis At = 0;
+  std::string Log; ///< TERM.NUMBER of the end of the server's log.
+  /// Commits that a server has acknowledged and no promotion before has rolled back.
+  std::vector<MissingCommit> Missing;
+};
+
 /// One process of a proxy.
 struct ProcessLife {
   int Proxy = 0;  ///< Index.
@@ -94,6 +111,7 @@
   /// Sets its time.
   void addArrival(Arrival arrival);
   void addDisruption(Disruption disruption);
+  void addPromotion(Promotion promotion);
 
   [[nodiscard]] std::vector<Request> requests() const;
   [[nodiscard]] std::map<std::string, std::vector<ServerRun>> runs() const;
@@ -104,6 +122,7 @@
   /// In the order of their times.
   [[nodiscard]] std::vector<Arrival> arrivals() const;
   [[nodiscard]] std::vector<Disruption> disruptions() const;
+  [[nodiscard]] std::vector<Promotion> promotions() const;
 
 private:
   mutable std::mutex Lock;
@@ -113,6 +132,7 @@
   std::map<std::string, std::vector<std::uint64_t>> Commits;
   std::vector<Arrival> Arrivals;
   std::vector<Disruption> Disruptions;
+  std::vector<Promotion> Promotions;
 };
 
 } // namespace rosemaryhinge::platformsoak
--- a/testing/platformsoak/rulechecks.cpp
+++ b/testing/platformsoak/rulechecks.cpp
@@ -2,6 +2,8 @@
 
 #include "platformsoak/rulechecks.h"
 
+#include "platformsoak/serverlog.h"
+
 #include <algorithm>
 
 namespace rosemaryhinge::platformsoak {
@@ -81,8 +83,7 @@
     }
     if (isRead(it) && run->Position < it.NeedsPosition)
       out.push_back({"STALE", what + " ran at " + run->Server + " on position " +
-                                  std::to_string(run->Position) + ", needs " +
-                                  std::to_string(it.NeedsPosition)});
+                                  positionText(run->Position) + ", needs " + positionText(it.NeedsPosition)});
   }
   return out;
 }
--- a/testing/platformsoak/serverconnection.cpp
+++ b/testing/platformsoak/serverconnection.cpp
@@ -21,8 +21,7 @@
 constexpr double Spread = 0.7;
 constexpr std::size_t BigRowBytes = 200'000;
 
-Millis workMs() {
-  thread_local std::mt19937_64 random(std::random_device{}());
+Millis workMs(std::mt19937_64 &random) {
   std::lognormal_distribution<double> usual(std::log(MeanWorkMs) - Spread * Spread / 2, Spread);
   const bool tail = std::uniform_real_distribution<double>(0, 1)(random) < TailShare;
   return std::min<Millis>(270, static_cast<Millis>(usual(random) * (tail ? TailFactor : 1)) + 1);
@@ -84,7 +83,7 @@
 std::string ServerConnection::statusRow() {
   const std::lock_guard hold(Of.Lock);
   return std::string("ROW ") + (Server.Leads ? "primary " : "replica ") + std::to_string(Server.Term) + " " +
-         std::to_string(Server.Term) + "." + std::to_string(Server.Received) + " " +
+         std::to_string(Server.Term) + "." + std::to_string(Server.Log.end()) + " " +
          std::to_string(Server.HeldTerm) + " 0 " + std::to_string(Server.Busy) + " " +
          std::to_string(Server.Conns) + "\r\nCOMPLETE -\r\n";
 }
@@ -205,7 +204,7 @@
   note.Rows = rows;
   {
     const std::lock_guard hold(Of.Lock);
-    note.Position = Of.applied(Server);
+    note.Position = orderedPosition(Server.Term, Of.applied(Server));
   }
   const auto index = Of.Seen.startRun(id, note);
   const bool held = Of.work(Server, Incarnation, ms);
@@ -221,11 +220,11 @@
   std::string row;
   {
     const std::lock_guard hold(Of.Lock);
-    row = Of.valueAt(item, Of.applied(Server));
+    row = Of.valueAt(item, Server);
   }
   if (item.starts_with("big"))
     row.append(BigRowBytes, 'x');
-  if (!workOn(id, signature, row.substr(0, 64), workMs()))
+  if (!workOn(id, signature, row.substr(0, 64), workMs(Random)))
     return "";
   return "ROW " + row + "\r\nCOMPLETE " + signature + "\r\n";
 }
@@ -242,7 +241,7 @@
   if (!leads || ReadOnly)
     return refuse("READONLY");
   const auto signature = sign();
-  if (!workOn(id, signature, "", workMs()))
+  if (!workOn(id, signature, "", workMs(Random)))
     return "";
   if (State == 'T') {
     Writes.push_back({id, item, value});
@@ -256,7 +255,7 @@
   const auto signature = sign();
   const auto writes = std::exchange(Writes, {});
   State = 'I';
-  if (!workOn(id, signature, "", workMs()))
+  if (!workOn(id, signature, "", workMs(Random)))
     return "";
   if (writes.empty())
     return "COMPLETE " + signature + "\r\n";
--- a/testing/platformsoak/serverconnection.h
+++ b/testing/platformsoak/serverconnection.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -14,8 +15,8 @@
 
 class ServerConnection {
 public:
-  ServerConnection(DbService &of, DbServer &server, int fd, int incarnation)
-      : Of(of), Server(server), Incarnation(incarnation), Socket(fd) {}
+  ServerConnection(DbService &of, DbServer &server, int fd, int incarnation, std::uint64_t seed)
+      : Of(of), Server(server), Incarnation(incarnation), Socket(fd), Random(seed) {}
   /// Serves until the connection ends, and closes it.
   void serve();
 
@@ -41,6 +42,7 @@
   DbServer &Server;
   int Incarnation;
   LineSocket Socket;
+  std::mt19937_64 Random;
   char State = 'I';
   bool ReadOnly = false;
   std::string User;       ///< Under whose name it was opened.
