Replace the servers of services one after the other in the process soak

The trouble "replace" plays this: for each service on its own, all servers in turn, among them the primary, get a successor that receives at once and is listed 0.1 to 1 s later; then the old one drains and ends for good, with its log.

--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -18,6 +18,7 @@
 /// A draining server is gone and replaced after about 10 s.
 constexpr Millis DrainGapMs = 11'000;
 constexpr Millis StoreGapMs = 9'000;
+constexpr int ServersOfService = 3;
 constexpr Millis DuringStopMs = 1'500;
 constexpr std::array<Millis, 4> DelaysMs = {5, 15, 40, 120};
 
@@ -50,6 +51,8 @@
     every("flood", 6'000, 10'000, [&] {
       return Flood{number(0, static_cast<int>(Tenants.size()) - 1), span(4'000, 7'000)};
     });
+    if (with("replace"))
+      replacements();
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
   }
@@ -152,6 +155,18 @@
     }
   }
 
+  /// All servers of a service are replaced one after the other, the primary among them, and again. The
+  /// services are independent of each other.
+  void replacements() {
+    random("replace");
+    for (int service = 0; service < Options.Services; ++service)
+      for (auto at = span(0, 3'000); at < Options.LengthMs; at += span(4'000, 8'000))
+        for (int n = 0, primary = number(0, ServersOfService - 1); n < ServersOfService; ++n) {
+          Out.push_back({at, ReplaceServer{service, n == primary, span(100, 1'000)}});
+          at += span(300, 2'500);
+        }
+  }
+
   const PlanOptions &Options;
   std::vector<PlannedFault> Out;
   std::map<std::string, std::mt19937_64, std::less<>> Randoms;
@@ -164,8 +179,8 @@
 
 const std::vector<std::string> &troubleNames() {
   static const std::vector<std::string> Names = {
-      "stops", "rolls",    "second", "hups", "drain",       "primary", "config",   "slow",
-      "down",  "restored", "delay",  "hold", "slowcallers", "burst",   "withdraw", "flood"};
+      "stops",    "rolls", "second", "hups",        "drain", "primary",  "config", "slow",   "down",
+      "restored", "delay", "hold",   "slowcallers", "burst", "withdraw", "flood",  "replace"};
   return Names;
 }
 
@@ -184,6 +199,11 @@
             return (it.Primary ? "drain primary of service " : "drain replica of service ") +
                    std::to_string(it.Service);
           },
+          [&](const ReplaceServer &it) {
+            return (it.Primary ? "replace primary of service " : "replace replica of service ") +
+                   std::to_string(it.Service) + ", the new one listed after " +
+                   std::to_string(it.ListedAfterMs) + " ms";
+          },
           [&](const ChangeConfiguration &) { return std::string("change configuration"); },
           [&](const SlowStore &it) {
             return "store slower by " + std::to_string(it.ExtraMs) + " ms" + spanText(it.ForMs);
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -28,6 +28,12 @@
   bool Primary = false;
   int Replica = 0; ///< Which of the replicas, if not the primary.
 };
+/// A new replica joins, is listed after the time, and then the server drains and ends.
+struct ReplaceServer {
+  int Service = 0;
+  bool Primary = false;
+  Millis ListedAfterMs = 0;
+};
 struct ChangeConfiguration {
   std::uint64_t Seed = 0;
 };
@@ -70,8 +76,9 @@
   Millis ForMs = 0;
 };
 
-using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
-                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood>;
+using Fault =
+    std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown, RestoreStore,
+                 DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood, ReplaceServer>;
 
 struct PlannedFault {
   Millis At = 0;
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -101,6 +101,10 @@
                    service.drain(it.Primary ? service.primary()
                                             : service.replica(static_cast<std::size_t>(it.Replica)));
                  },
+                 [&](const ReplaceServer &it) {
+                   auto &service = *World.Services.at(static_cast<std::size_t>(it.Service));
+                   service.replace(it.Primary ? service.primary() : service.replica(0), it.ListedAfterMs);
+                 },
                  [&](const ChangeConfiguration &it) {
                    std::thread([this, seed = it.Seed] { World.Operator.change(seed); }).detach();
                  },
--- a/testing/platformsoak/tests/checktests.cpp
+++ b/testing/platformsoak/tests/checktests.cpp
@@ -118,4 +118,6 @@
   CHECK(texts(1, {"rolls", "drain"}) == texts(1, {"rolls", "drain"}));
   CHECK(texts(1, {"rolls"}) != texts(2, {"rolls"}));
   CHECK(texts(1, {"rolls"}) == texts(1, {"rolls", "second", "hups"}));
+  CHECK(texts(1, {"replace"}) == texts(1, {"replace"}));
+  CHECK(texts(1, {"replace"}) != texts(2, {"replace"}));
 }
