Let the soak's servers crash, lose proxies and replicas, and get orders late

The stand-in could do none of it. Now a server can end without notice and come back with its log, a replica if another was promoted; a replica can be cut from the primary; connections from some proxies to a server can stall, and are dropped at the server after 3 s (the proxy at the other end is found by the process that holds the socket); and orders to servers, and to promote one, can get no answer and be carried out 2 to 12 s later, when their fence and term are checked.

--- a/testing/platformsoak/dbservice.cpp
+++ b/testing/platformsoak/dbservice.cpp
@@ -44,7 +44,12 @@
   return *Servers.back();
 }
 
-void DbService::start(DbServer &server, Millis listedAfterMs) {
+void DbService::start(DbServer &server, bool keepId) {
+  listen(server, keepId);
+  startBeats(server);
+}
+
+void DbService::listen(DbServer &server, bool keepId) {
   releasePort(server.Port);
   int fd = listenOn(server.Port);
   // A proxy that is being started may hold the address for a moment more.
@@ -55,7 +60,8 @@
   int incarnation = 0;
   {
     const std::lock_guard hold(Lock);
-    server.Id = "i-" + Options.Name + "-" + std::to_string(++Ids);
+    if (!keepId)
+      server.Id = "i-" + Options.Name + "-" + std::to_string(++Ids);
     server.ListenFd = fd;
     server.Up = true;
     server.Leaving = false;
@@ -67,10 +73,15 @@
     incarnation = ++server.Incarnation;
   }
   std::thread([this, &server, fd, incarnation] { accept(server, fd, incarnation); }).detach();
-  std::thread([this, &server, incarnation, listedAfterMs] {
-    sleepMs(listedAfterMs);
-    beatUntilEnd(server, incarnation);
-  }).detach();
+}
+
+void DbService::startBeats(DbServer &server) {
+  int incarnation = 0;
+  {
+    const std::lock_guard hold(Lock);
+    incarnation = server.Incarnation;
+  }
+  std::thread([this, &server, incarnation] { beatUntilEnd(server, incarnation); }).detach();
 }
 
 void DbService::beatUntilEnd(DbServer &server, int incarnation) {
@@ -145,14 +156,21 @@
   auto &server = add(old.Zone);
   server.Term = 0;
   std::thread([this, &old, &server, listedAfterMs] {
-    start(server, listedAfterMs);
+    listen(server);
     Seen.line("server " + server.Id + " of " + Options.Name + " joins");
     sleepMs(listedAfterMs);
+    awaitLog(server);
+    startBeats(server);
     old.EndsForGood = true;
     drainAndEnd(old);
   }).detach();
 }
 
+void DbService::awaitLog(const DbServer &server) {
+  std::unique_lock hold(Lock);
+  Received.wait(hold, [&] { return server.Term > 0; });
+}
+
 DbServer *DbService::choose(std::size_t n) {
   const std::lock_guard hold(Lock);
   auto &server = *Servers.at(n);
@@ -174,12 +192,52 @@
   end(server);
 }
 
+void DbService::crash(std::size_t n, Millis downMs) {
+  auto *chosen = choose(n);
+  if (!chosen)
+    return;
+  std::thread([this, &server = *chosen, downMs] {
+    Seen.line("server " + server.Id + " of " + Options.Name + " crashes, as " +
+              (server.Leads ? "primary" : "replica"));
+    takeDown(server);
+    sleepMs(downMs);
+    start(server, true);
+    Seen.line("server " + server.Id + " of " + Options.Name + " is back" +
+              (server.Leads ? ", as primary" : ""));
+  }).detach();
+}
+
+void DbService::lose(std::size_t n, std::set<std::size_t> proxies, Millis ms) {
+  const std::lock_guard hold(Lock);
+  auto &server = *Servers.at(n);
+  server.LostBy = std::move(proxies);
+  server.LostUntil = nowMs() + ms;
+}
+
+void DbService::cutOff(std::size_t n, Millis ms) {
+  const std::lock_guard hold(Lock);
+  Servers.at(n)->CutOffUntil = nowMs() + ms;
+}
+
+void DbService::takeDown(DbServer &server) {
+  {
+    const std::lock_guard hold(Lock);
+    server.Up = false;
+    ::shutdown(server.ListenFd, SHUT_RDWR);
+    ::close(server.ListenFd);
+    for (const auto &[fd, open] : server.Fds)
+      ::shutdown(fd, SHUT_RDWR);
+  }
+  SlotFree.notify_all();
+  Received.notify_all();
+}
+
 void DbService::end(DbServer &server) {
+  takeDown(server);
   std::string id;
   {
     const std::lock_guard hold(Lock);
     id = server.Id;
-    server.Up = false;
     server.Leads = server.Leads && !server.EndsForGood;
     // The log of a replica is gone with it; that of a primary goes to the next server at its address.
     if (!server.Leads) {
@@ -187,13 +245,7 @@
       server.Term = 0;
       server.TermStart = 0;
     }
-    ::shutdown(server.ListenFd, SHUT_RDWR);
-    ::close(server.ListenFd);
-    for (const auto &[fd, open] : server.Fds)
-      ::shutdown(fd, SHUT_RDWR);
   }
-  SlotFree.notify_all();
-  Received.notify_all();
   Seen.line("server " + id + " of " + Options.Name + " ended");
   while (!Objects.remove("servers", id))
     if (sleepMs(100); !Objects.all("servers").contains(id))
--- a/testing/platformsoak/dbservice.h
+++ b/testing/platformsoak/dbservice.h
@@ -10,11 +10,13 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,9 @@
   Millis ReplicaLagMs = 60;
   Millis PromoteMs = 1'000;
   Millis DrainMs = 7'000;
+  double LateShare = 0.5; ///< Of orders while they are delayed.
+  /// How much later a delayed order is carried out.
+  Millis LeastLateMs = 2'000, MostLateMs = 12'000;
   std::uint64_t Seed = 1;
 };
 
@@ -43,6 +48,10 @@
   bool Up = false, Leads = false, Draining = false;
   bool Leaving = false; ///< Drains, or is about to.
   bool EndsForGood = false;
+  /// Connections from these proxies stall until the time.
+  std::set<std::size_t> LostBy;
+  Millis LostUntil = 0;
+  Millis CutOffUntil = 0; ///< Receives nothing until this time.
   /// Of the lead that the log is of; 0 for a server that has received nothing yet.
   std::uint64_t Term = 3;
   /// Number of the end of the log when the term began. A server of the term has applied it.
@@ -79,10 +88,22 @@
   [[nodiscard]] std::size_t replica(std::size_t which);
   /// The server reports that it drains, ends some time later, and a new one takes its address.
   void drain(std::size_t n);
-  /// A new replica starts and receives, and is listed after the time. Then the server drains and ends for
-  /// good.
+  /// A new replica starts, and is listed after the time, once it has the log. Then the server drains and ends
+  /// for good.
   void replace(std::size_t n, Millis listedAfterMs);
-  /// The platform's order. Returns the HTTP status.
+  /// The server ends without notice, and starts again with its log.
+  void crash(std::size_t n, Millis downMs);
+  /// Connections between the server and these proxies stall.
+  void lose(std::size_t n, std::set<std::size_t> proxies, Millis ms);
+  /// The replica receives nothing.
+  void cutOff(std::size_t n, Millis ms);
+  /// Some orders get no answer and are carried out late, if they are still allowed then.
+  void delayOrders(Millis ms);
+  /// Tells which proxy a connection comes from.
+  using FindProxy = std::function<std::optional<std::size_t>(int fd)>;
+  /// To be called before there are connections.
+  void setFindProxy(FindProxy find) { ProxyOf = std::move(find); }
+  /// The platform's order. Returns the HTTP status; 0 for no answer.
   int promote(const PromotionOrder &order);
   /// The newest acknowledged position before the time that no promotion has rolled back.
   [[nodiscard]] std::uint64_t acknowledgedBefore(Millis at);
@@ -91,15 +112,24 @@
 private:
   friend class ServerConnection;
   DbServer &add(const std::string &zone);
-  void start(DbServer &server, Millis listedAfterMs = 0);
+  /// With a new id, or the one it had.
+  void start(DbServer &server, bool keepId = false);
+  void listen(DbServer &server, bool keepId = false);
+  void startBeats(DbServer &server);
+  /// Waits until the server has received the log.
+  void awaitLog(const DbServer &server);
   void accept(DbServer &server, int listenFd, int incarnation);
   void beat(DbServer &server);
   void beatUntilEnd(DbServer &server, int incarnation);
   void end(DbServer &server);
   /// The server, which is now about to leave. Null if it already is, or does not run.
   DbServer *choose(std::size_t n);
+  void takeDown(DbServer &server);
   void drainAndEnd(DbServer &server);
   void replicate();
+  int carryOut(const PromotionOrder &order);
+  /// How much later an order is carried out; 0 for at once.
+  Millis orderDelay();
   void leadAfterPromotion(DbServer &server, const PromotionOrder &order);
   // The lock is held.
   [[nodiscard]] std::uint64_t applied(const DbServer &server) const;
@@ -135,6 +165,8 @@
   std::vector<CommitRef> Commits;                       ///< In the order of their times.
   std::map<std::string, std::vector<Version>> Versions; ///< By item.
   std::uint64_t LastToken = 0;
+  Millis OrdersLateUntil = 0;
+  FindProxy ProxyOf;
   std::uint64_t Ids = 0;
   std::atomic<std::uint64_t> Signatures{0};
 };
--- a/testing/platformsoak/dbservicelog.cpp
+++ b/testing/platformsoak/dbservicelog.cpp
@@ -13,6 +13,7 @@
 /// A commit that no replica has received by then gets an error.
 constexpr Millis CommitTimeoutMs = 3'000;
 constexpr int Fenced = 409;
+constexpr int NoAnswer = 0;
 
 } // namespace
 
@@ -93,7 +94,7 @@
 }
 
 bool DbService::receive(DbServer &replica, const DbServer &primary) {
-  if (&replica == &primary || !replica.Up || replica.HeldTerm > 0)
+  if (&replica == &primary || !replica.Up || replica.HeldTerm > 0 || replica.CutOffUntil > nowMs())
     return false;
   const auto until = std::max(primary.Log.endAt(nowMs() - replica.LagMs), primary.TermStart);
   if (replica.Term != primary.Term) {
@@ -108,7 +109,30 @@
   return true;
 }
 
+void DbService::delayOrders(Millis ms) {
+  const std::lock_guard hold(Lock);
+  OrdersLateUntil = nowMs() + ms;
+}
+
+Millis DbService::orderDelay() {
+  const std::lock_guard hold(Lock);
+  const bool late = OrdersLateUntil > nowMs() && std::bernoulli_distribution(Options.LateShare)(Random);
+  return late ? std::uniform_int_distribution<Millis>(Options.LeastLateMs, Options.MostLateMs)(Random) : 0;
+}
+
 int DbService::promote(const PromotionOrder &order) {
+  const auto delay = orderDelay();
+  if (delay == 0)
+    return carryOut(order);
+  std::thread([this, order, delay] {
+    sleepMs(delay);
+    Seen.line("late order to promote " + order.Id + ", token " + std::to_string(order.Token) + ": " +
+              std::to_string(carryOut(order)));
+  }).detach();
+  return NoAnswer;
+}
+
+int DbService::carryOut(const PromotionOrder &order) {
   const std::lock_guard hold(Lock);
   if (order.Token < LastToken)
     return Fenced;
--- a/testing/platformsoak/deployment.cpp
+++ b/testing/platformsoak/deployment.cpp
@@ -2,6 +2,8 @@
 
 #include "platformsoak/deployment.h"
 
+#include "platformsoak/peerprocess.h"
+
 #include <algorithm>
 #include <array>
 #include <map>
@@ -66,10 +68,20 @@
     Proxies.push_back(std::make_unique<ProxyProcess>(one, seen));
     Networks.push_back(std::make_unique<Forwarder>(Proxies.back()->callersPort()));
   }
+  for (auto &it : Services)
+    it->setFindProxy([this](int fd) { return proxyOf(fd); });
   Entry = std::make_unique<Balancer>(Proxies);
   Callers.reset(new CallerContext{Seen, *Entry, Services, Proxies, Networks, Over, Operator});
 }
 
+std::optional<std::size_t> Deployment::proxyOf(int fd) const {
+  std::vector<int> processes;
+  processes.reserve(Proxies.size());
+  for (const auto &it : Proxies)
+    processes.push_back(it->pid());
+  return findPeer(fd, processes);
+}
+
 HttpReply Deployment::duty(const HttpRequest &request) {
   const auto body = Json::parse(request.Body);
   const auto service = body.at("service").get<std::string>();
--- a/testing/platformsoak/deployment.h
+++ b/testing/platformsoak/deployment.h
@@ -6,6 +6,7 @@
 #include "platformsoak/configoperator.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
   std::unique_ptr<CallerContext> Callers;
 
 private:
+  /// The proxy whose process holds the other end of the connection.
+  [[nodiscard]] std::optional<std::size_t> proxyOf(int fd) const;
   HttpReply duty(const HttpRequest &request);
   /// Keeps the newest configuration in the store, and removes entries of servers that have gone.
   void keepStore();
--- a/testing/platformsoak/observations.h
+++ b/testing/platformsoak/observations.h
@@ -94,6 +94,8 @@
   std::string What;
   /// Only this proxy and its connections with callers are held up. Absent: all of the deployment.
   std::optional<int> CallersOf = std::nullopt;
+  /// Only servers, or the ways to them, are held up.
+  bool OfServers = false;
 };
 
 /// All that was observed. Its members may be called by any thread.
--- a/testing/platformsoak/rulechecks.cpp
+++ b/testing/platformsoak/rulechecks.cpp
@@ -22,7 +22,7 @@
 /// The bound for a request that was sent at the time.
 Millis boundAt(Millis at, std::span<const Disruption> disruptions) {
   const bool unstable = std::any_of(disruptions.begin(), disruptions.end(), [&](const auto &it) {
-    return !it.CallersOf && it.From <= at && it.Until + PropagationMs + SkewMaxMs >= at;
+    return !it.CallersOf && !it.OfServers && it.From <= at && it.Until + PropagationMs + SkewMaxMs >= at;
   });
   return PropagationMs + (unstable ? SkewMaxMs : 0);
 }
--- a/testing/platformsoak/serverconnection.cpp
+++ b/testing/platformsoak/serverconnection.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <random>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr Millis StatusMs = 1;
+/// A connection whose other end cannot be reached is dropped then.
+constexpr Millis DropAfterMs = 3'000;
 constexpr double TailShare = 0.03;
 constexpr double TailFactor = 7;
 constexpr double MeanWorkMs = 14;
@@ -36,7 +39,7 @@
 
 bool ServerConnection::greet() {
   std::string line;
-  if (Socket.read(line) != ReadResult::Line)
+  if (Socket.read(line) != ReadResult::Line || !passNetwork())
     return false;
   const auto fields = words(line);
   User = fields.size() > 2 ? fields[2] : "";
@@ -53,27 +56,55 @@
     sendAll(Socket.fd(), "ERROR " + refusal + " " + Server.Id + "\r\n");
     return false;
   }
-  return Of.work(Server, Incarnation, Of.Options.HandshakeMs) && sendAll(Socket.fd(), ready());
+  return Of.work(Server, Incarnation, Of.Options.HandshakeMs) && passNetwork() &&
+         sendAll(Socket.fd(), ready());
 }
 
 void ServerConnection::serve() {
   std::string line;
   if (greet())
-    while (Socket.read(line) == ReadResult::Line && present()) {
+    while (Socket.read(line) == ReadResult::Line && passNetwork() && present()) {
       auto rest = line;
       if (takeWord(rest) != "QUERY")
         break;
       const auto id = takeWord(rest);
-      const auto reply = run(id, rest);
-      if (reply.empty() || !sendAll(Socket.fd(), reply + ready()))
+      auto reply = run(id, rest);
+      if (reply.empty())
+        break;
+      reply += ready();
+      if (!passNetwork() || !sendAll(Socket.fd(), reply))
         break;
     }
-  const std::lock_guard hold(Of.Lock);
-  Server.Fds.erase(Socket.fd());
-  --Server.Conns;
+  {
+    const std::lock_guard hold(Of.Lock);
+    Server.Fds.erase(Socket.fd());
+    --Server.Conns;
+  }
+  // The proxy learns of the end only then.
+  sleepMs(std::max<Millis>(0, cutUntil() - nowMs()));
   ::close(Socket.fd());
 }
 
+Millis ServerConnection::cutUntil() {
+  {
+    const std::lock_guard hold(Of.Lock);
+    if (Server.LostUntil <= nowMs())
+      return 0;
+  }
+  if (!Proxy)
+    Proxy = Of.ProxyOf ? Of.ProxyOf(Socket.fd()) : std::nullopt;
+  const std::lock_guard hold(Of.Lock);
+  return *Proxy && Server.LostBy.contains(**Proxy) ? Server.LostUntil : 0;
+}
+
+bool ServerConnection::passNetwork() {
+  const auto wait = cutUntil() - nowMs();
+  if (wait <= 0)
+    return true;
+  sleepMs(std::min(wait, DropAfterMs));
+  return wait <= DropAfterMs;
+}
+
 std::string ServerConnection::ready() {
   const std::lock_guard hold(Of.Lock);
   return std::string("READY ") + State + " " + std::to_string(Server.Term) + "." +
@@ -141,19 +172,34 @@
 std::string ServerConnection::runOrder(const std::string &word, const std::string &rest) {
   if (word == "STATUS")
     return Of.work(Server, Incarnation, StatusMs) ? statusRow() : "";
+  const std::uint64_t term = rest.empty() ? 0 : std::stoull(rest);
+  if (const auto delay = Of.orderDelay(); delay > 0) {
+    std::thread([&of = Of, &server = Server, incarnation = Incarnation, word, term, delay] {
+      sleepMs(delay);
+      const std::lock_guard hold(of.Lock);
+      if (!of.present(server, incarnation))
+        return;
+      of.Seen.line("late order " + word + " " + std::to_string(term) + " at " + server.Id);
+      carryOut(server, word, term);
+    }).detach();
+    return "";
+  }
   {
     const std::lock_guard hold(Of.Lock);
-    const std::uint64_t term = rest.empty() ? 0 : std::stoull(rest);
-    if (word == "PAUSE" && !Server.Leads && term > Server.Term)
-      Server.HeldTerm = term;
-    if (word == "RESUME")
-      Server.HeldTerm = 0;
-    if (word == "STEPDOWN" && Server.Leads && term > Server.Term)
-      Server.Leads = false;
+    carryOut(Server, word, term);
   }
   return statusRow();
 }
 
+void ServerConnection::carryOut(DbServer &server, const std::string &word, std::uint64_t term) {
+  if (word == "PAUSE" && !server.Leads && term > server.Term)
+    server.HeldTerm = term;
+  if (word == "RESUME")
+    server.HeldTerm = 0;
+  if (word == "STEPDOWN" && server.Leads && term > server.Term)
+    server.Leads = false;
+}
+
 std::string ServerConnection::begin(const std::string &rest, bool lacks) {
   const std::lock_guard hold(Of.Lock);
   if (lacks)
--- a/testing/platformsoak/serverconnection.h
+++ b/testing/platformsoak/serverconnection.h
@@ -22,10 +22,15 @@
 
 private:
   bool greet();
+  /// Waits while the network between the proxy and the server is cut. False if the server has dropped the
+  /// connection meanwhile.
+  bool passNetwork();
+  Millis cutUntil();
   /// The whole answer but its READY. Empty if the server has ended.
   std::string run(const std::string &id, std::string text);
   std::string runStatement(const std::string &id, const std::string &word, const std::string &rest);
   std::string runOrder(const std::string &word, const std::string &rest);
+  static void carryOut(DbServer &server, const std::string &word, std::uint64_t term);
   std::string begin(const std::string &rest, bool lacks);
   std::string read(const std::string &id, const std::string &item);
   std::string write(const std::string &id, const std::string &item, const std::string &value);
@@ -45,6 +50,8 @@
   std::mt19937_64 Random;
   char State = 'I';
   bool ReadOnly = false;
+  /// Where it comes from; looked up only for a server that some proxies have lost.
+  std::optional<std::optional<std::size_t>> Proxy;
   std::string User;       ///< Under whose name it was opened.
   bool First = false;     ///< The transaction has got no statement yet.
   std::uint64_t Term = 0; ///< Of the lead under which the transaction began.
