Play crashes, lost and cut primaries, and late orders in the process soak

They are part of "all". Replacements of one service follow each other within 0.2 to 1.5 s, so that a replica joins during the change of primary more often.

--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -53,6 +53,14 @@
     });
     if (with("replace"))
       replacements();
+    everyOfService("crash", 9'000, 18'000, [&](int it) { return CrashPrimary{it, span(300, 6'000)}; });
+    everyOfService("lost", 7'000, 15'000, [&](int it) {
+      return LosePrimary{it, someProxies(), span(1'500, 8'000)};
+    });
+    everyOfService("cut", 7'000, 15'000, [&](int it) {
+      return CutReplicas{it, number(0, 1) == 1, span(1'000, 5'000)};
+    });
+    everyOfService("late", 7'000, 15'000, [&](int it) { return DelayOrders{it, span(3'000, 8'000)}; });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
   }
@@ -87,6 +95,24 @@
       Out.push_back({at, make()});
   }
 
+  /// The services are independent of each other.
+  template <typename Make> void everyOfService(std::string_view name, Millis least, Millis most, Make make) {
+    if (!with(name))
+      return;
+    random(name);
+    for (int service = 0; service < Options.Services; ++service)
+      for (auto at = span(0, most); at < Options.LengthMs; at += span(least, most))
+        Out.push_back({at, make(service)});
+  }
+
+  /// Not all of them.
+  std::set<std::size_t> someProxies() {
+    std::set<std::size_t> out;
+    for (auto n = number(1, Options.Proxies - 1); n > 0; --n)
+      out.insert(static_cast<std::size_t>(proxy()));
+    return out;
+  }
+
   /// With no proxy, one, or all of them cut off from the store.
   WithdrawKey withdrawal() {
     WithdrawKey out{seed("withdraw"), {}, span(4'000, 9'000)};
@@ -163,7 +189,7 @@
       for (auto at = span(0, 3'000); at < Options.LengthMs; at += span(4'000, 8'000))
         for (int n = 0, primary = number(0, ServersOfService - 1); n < ServersOfService; ++n) {
           Out.push_back({at, ReplaceServer{service, n == primary, span(100, 1'000)}});
-          at += span(300, 2'500);
+          at += span(200, 1'500);
         }
   }
 
@@ -179,8 +205,9 @@
 
 const std::vector<std::string> &troubleNames() {
   static const std::vector<std::string> Names = {
-      "stops",    "rolls", "second", "hups",        "drain", "primary",  "config", "slow",   "down",
-      "restored", "delay", "hold",   "slowcallers", "burst", "withdraw", "flood",  "replace"};
+      "stops",    "rolls", "second",   "hups",  "drain", "primary",     "config",
+      "slow",     "down",  "restored", "delay", "hold",  "slowcallers", "burst",
+      "withdraw", "flood", "replace",  "crash", "lost",  "cut",         "late"};
   return Names;
 }
 
@@ -204,6 +231,20 @@
                    std::to_string(it.Service) + ", the new one listed after " +
                    std::to_string(it.ListedAfterMs) + " ms";
           },
+          [&](const CrashPrimary &it) {
+            return "crash of the primary of service " + std::to_string(it.Service) + spanText(it.DownMs);
+          },
+          [&](const LosePrimary &it) {
+            return std::to_string(it.Proxies.size()) + " proxies lose the primary of service " +
+                   std::to_string(it.Service) + spanText(it.ForMs);
+          },
+          [&](const CutReplicas &it) {
+            return std::string(it.All ? "all replicas" : "a replica") + " cut from the primary of service " +
+                   std::to_string(it.Service) + spanText(it.ForMs);
+          },
+          [&](const DelayOrders &it) {
+            return "late orders of service " + std::to_string(it.Service) + spanText(it.ForMs);
+          },
           [&](const ChangeConfiguration &) { return std::string("change configuration"); },
           [&](const SlowStore &it) {
             return "store slower by " + std::to_string(it.ExtraMs) + " ms" + spanText(it.ForMs);
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -34,6 +34,27 @@
   bool Primary = false;
   Millis ListedAfterMs = 0;
 };
+struct CrashPrimary {
+  int Service = 0;
+  Millis DownMs = 0;
+};
+/// Connections between these proxies and the primary stall.
+struct LosePrimary {
+  int Service = 0;
+  std::set<std::size_t> Proxies;
+  Millis ForMs = 0;
+};
+/// All present replicas, or the first one only, receive nothing from the primary.
+struct CutReplicas {
+  int Service = 0;
+  bool All = false;
+  Millis ForMs = 0;
+};
+/// Some orders to servers, and to promote one, get no answer and are carried out seconds later.
+struct DelayOrders {
+  int Service = 0;
+  Millis ForMs = 0;
+};
 struct ChangeConfiguration {
   std::uint64_t Seed = 0;
 };
@@ -76,9 +97,9 @@
   Millis ForMs = 0;
 };
 
-using Fault =
-    std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown, RestoreStore,
-                 DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood, ReplaceServer>;
+using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
+                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood,
+                           ReplaceServer, CrashPrimary, LosePrimary, CutReplicas, DelayOrders>;
 
 struct PlannedFault {
   Millis At = 0;
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -55,6 +55,12 @@
   World.Seen.addDisruption({nowMs(), nowMs() + forMs, what, callersOf});
 }
 
+void FaultPlayer::disruptServers(Millis forMs, const char *what) {
+  World.Seen.addDisruption({nowMs(), nowMs() + forMs, what, std::nullopt, true});
+}
+
+DbService &FaultPlayer::serviceOf(int number) { return *World.Services.at(static_cast<std::size_t>(number)); }
+
 void FaultPlayer::stop(const StopProxy &fault) {
   const auto index = static_cast<std::size_t>(fault.Proxy);
   auto &proxy = *World.Proxies.at(index);
@@ -88,6 +94,13 @@
      [this, seed = fault.Seed] { std::thread([this, seed] { World.Operator.withdrawKey(seed); }).detach(); });
 }
 
+void FaultPlayer::cutReplicas(const CutReplicas &fault) {
+  auto &service = serviceOf(fault.Service);
+  const auto count = fault.All ? service.options().Zones.size() - 1 : 1;
+  for (std::size_t n = 0; n < count; ++n)
+    service.cutOff(service.replica(n), fault.ForMs);
+}
+
 void FaultPlayer::apply(const Fault &fault) {
   World.Seen.line("fault: " + describe(fault));
   std::visit(Overloaded{
@@ -97,14 +110,29 @@
                      proxy.signal(SIGHUP);
                  },
                  [&](const DrainServer &it) {
-                   auto &service = *World.Services.at(static_cast<std::size_t>(it.Service));
+                   auto &service = serviceOf(it.Service);
                    service.drain(it.Primary ? service.primary()
                                             : service.replica(static_cast<std::size_t>(it.Replica)));
                  },
                  [&](const ReplaceServer &it) {
-                   auto &service = *World.Services.at(static_cast<std::size_t>(it.Service));
+                   auto &service = serviceOf(it.Service);
                    service.replace(it.Primary ? service.primary() : service.replica(0), it.ListedAfterMs);
                  },
+                 [&](const CrashPrimary &it) {
+                   disruptServers(it.DownMs, "crash of a server");
+                   auto &service = serviceOf(it.Service);
+                   service.crash(service.primary(), it.DownMs);
+                 },
+                 [&](const LosePrimary &it) {
+                   disruptServers(it.ForMs, "server cut off");
+                   auto &service = serviceOf(it.Service);
+                   service.lose(service.primary(), it.Proxies, it.ForMs);
+                 },
+                 [&](const CutReplicas &it) {
+                   disruptServers(it.ForMs, "server cut off");
+                   cutReplicas(it);
+                 },
+                 [&](const DelayOrders &it) { serviceOf(it.Service).delayOrders(it.ForMs); },
                  [&](const ChangeConfiguration &it) {
                    std::thread([this, seed = it.Seed] { World.Operator.change(seed); }).detach();
                  },
--- a/testing/platformsoak/faultplayer.h
+++ b/testing/platformsoak/faultplayer.h
@@ -22,6 +22,9 @@
   void stop(const StopProxy &fault);
   void withdraw(const WithdrawKey &fault);
   void disrupt(Millis forMs, const char *what, std::optional<int> callersOf = std::nullopt);
+  void disruptServers(Millis forMs, const char *what);
+  void cutReplicas(const CutReplicas &fault);
+  DbService &serviceOf(int number);
   void at(Millis when, std::function<void()> action) { Actions.emplace(when, std::move(action)); }
   /// Starts proxies that have ended.
   void checkProxies();
--- a/testing/platformsoak/tests/checktests.cpp
+++ b/testing/platformsoak/tests/checktests.cpp
@@ -79,6 +79,7 @@
   CHECK(found(13'010) == 0);
   CHECK(found(13'011) == 1);
   CHECK(found(13'011, {{9'000, 12'000, "store down"}}) == 0);
+  CHECK(found(13'011, {{9'000, 12'000, "server cut off", std::nullopt, true}}) == 1);
   CHECK(found(30'200, {{9'000, 12'000, "store down"}}) == 1);
   // A machine that was started or stopped just before is not in touch.
   auto lives = oneProxy();
@@ -118,6 +119,8 @@
   CHECK(texts(1, {"rolls", "drain"}) == texts(1, {"rolls", "drain"}));
   CHECK(texts(1, {"rolls"}) != texts(2, {"rolls"}));
   CHECK(texts(1, {"rolls"}) == texts(1, {"rolls", "second", "hups"}));
-  CHECK(texts(1, {"replace"}) == texts(1, {"replace"}));
-  CHECK(texts(1, {"replace"}) != texts(2, {"replace"}));
+  for (const auto &it : {"replace", "crash", "lost", "cut", "late"}) {
+    CHECK(texts(1, {it}) == texts(1, {it}));
+    CHECK(texts(1, {it}) != texts(2, {it}));
+  }
 }
