Cut a primary from its replicas and some proxies at once in the process soak

Lost and cut primaries and late orders come more often, replacements follow each other with shorter pauses, and replicas lag by 2 to 40 ms, as those of other zones do.

--- a/testing/platformsoak/dbservice.cpp
+++ b/testing/platformsoak/dbservice.cpp
@@ -20,7 +20,7 @@
 constexpr int ListenTries = 100;
 constexpr Millis ListenRetryMs = 10;
 /// Of a commit to a replica.
-constexpr Millis LeastLagMs = 2, MostLagMs = 15;
+constexpr Millis LeastLagMs = 2, MostLagMs = 40;
 
 } // namespace
 
@@ -214,9 +214,15 @@
   server.LostUntil = nowMs() + ms;
 }
 
-void DbService::cutOff(std::size_t n, Millis ms) {
+void DbService::cutOffReplicas(bool all, Millis ms) {
   const std::lock_guard hold(Lock);
-  Servers.at(n)->CutOffUntil = nowMs() + ms;
+  for (const auto &it : Servers) {
+    if (!it->Up || it->Leads)
+      continue;
+    it->CutOffUntil = nowMs() + ms;
+    if (!all)
+      return;
+  }
 }
 
 void DbService::takeDown(DbServer &server) {
--- a/testing/platformsoak/dbservice.h
+++ b/testing/platformsoak/dbservice.h
@@ -95,8 +95,8 @@
   void crash(std::size_t n, Millis downMs);
   /// Connections between the server and these proxies stall.
   void lose(std::size_t n, std::set<std::size_t> proxies, Millis ms);
-  /// The replica receives nothing.
-  void cutOff(std::size_t n, Millis ms);
+  /// All present replicas, or the first one, receive nothing.
+  void cutOffReplicas(bool all, Millis ms);
   /// Some orders get no answer and are carried out late, if they are still allowed then.
   void delayOrders(Millis ms);
   /// Tells which proxy a connection comes from.
--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -54,13 +54,16 @@
     if (with("replace"))
       replacements();
     everyOfService("crash", 9'000, 18'000, [&](int it) { return CrashPrimary{it, span(300, 6'000)}; });
-    everyOfService("lost", 7'000, 15'000, [&](int it) {
+    everyOfService("lost", 4'000, 9'000, [&](int it) {
       return LosePrimary{it, someProxies(), span(1'500, 8'000)};
     });
-    everyOfService("cut", 7'000, 15'000, [&](int it) {
+    everyOfService("cut", 4'000, 9'000, [&](int it) {
       return CutReplicas{it, number(0, 1) == 1, span(1'000, 5'000)};
     });
-    everyOfService("late", 7'000, 15'000, [&](int it) { return DelayOrders{it, span(3'000, 8'000)}; });
+    everyOfService("partition", 6'000, 12'000, [&](int it) {
+      return PartitionPrimary{it, someProxies(), span(2'000, 6'000)};
+    });
+    everyOfService("late", 5'000, 10'000, [&](int it) { return DelayOrders{it, span(3'000, 8'000)}; });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
   }
@@ -186,7 +189,7 @@
   void replacements() {
     random("replace");
     for (int service = 0; service < Options.Services; ++service)
-      for (auto at = span(0, 3'000); at < Options.LengthMs; at += span(4'000, 8'000))
+      for (auto at = span(0, 3'000); at < Options.LengthMs; at += span(2'000, 5'000))
         for (int n = 0, primary = number(0, ServersOfService - 1); n < ServersOfService; ++n) {
           Out.push_back({at, ReplaceServer{service, n == primary, span(100, 1'000)}});
           at += span(200, 1'500);
@@ -205,9 +208,9 @@
 
 const std::vector<std::string> &troubleNames() {
   static const std::vector<std::string> Names = {
-      "stops",    "rolls", "second",   "hups",  "drain", "primary",     "config",
-      "slow",     "down",  "restored", "delay", "hold",  "slowcallers", "burst",
-      "withdraw", "flood", "replace",  "crash", "lost",  "cut",         "late"};
+      "stops",   "rolls",    "second", "hups", "drain",       "primary", "config",   "slow",
+      "down",    "restored", "delay",  "hold", "slowcallers", "burst",   "withdraw", "flood",
+      "replace", "crash",    "lost",   "cut",  "partition",   "late"};
   return Names;
 }
 
@@ -242,6 +245,10 @@
             return std::string(it.All ? "all replicas" : "a replica") + " cut from the primary of service " +
                    std::to_string(it.Service) + spanText(it.ForMs);
           },
+          [&](const PartitionPrimary &it) {
+            return "the primary of service " + std::to_string(it.Service) + " cut from its replicas and " +
+                   std::to_string(it.Proxies.size()) + " proxies" + spanText(it.ForMs);
+          },
           [&](const DelayOrders &it) {
             return "late orders of service " + std::to_string(it.Service) + spanText(it.ForMs);
           },
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -50,6 +50,13 @@
   bool All = false;
   Millis ForMs = 0;
 };
+/// The primary is cut from all present replicas, and connections between these proxies and it stall. A
+/// replica that joins receives from it.
+struct PartitionPrimary {
+  int Service = 0;
+  std::set<std::size_t> Proxies;
+  Millis ForMs = 0;
+};
 /// Some orders to servers, and to promote one, get no answer and are carried out seconds later.
 struct DelayOrders {
   int Service = 0;
@@ -97,9 +104,10 @@
   Millis ForMs = 0;
 };
 
-using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
-                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood,
-                           ReplaceServer, CrashPrimary, LosePrimary, CutReplicas, DelayOrders>;
+using Fault =
+    std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown, RestoreStore,
+                 DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood, ReplaceServer,
+                 CrashPrimary, LosePrimary, CutReplicas, PartitionPrimary, DelayOrders>;
 
 struct PlannedFault {
   Millis At = 0;
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -94,11 +94,15 @@
      [this, seed = fault.Seed] { std::thread([this, seed] { World.Operator.withdrawKey(seed); }).detach(); });
 }
 
-void FaultPlayer::cutReplicas(const CutReplicas &fault) {
-  auto &service = serviceOf(fault.Service);
-  const auto count = fault.All ? service.options().Zones.size() - 1 : 1;
-  for (std::size_t n = 0; n < count; ++n)
-    service.cutOff(service.replica(n), fault.ForMs);
+void FaultPlayer::losePrimary(int number, const std::set<std::size_t> &proxies, Millis forMs) {
+  disruptServers(forMs, "server cut off");
+  auto &service = serviceOf(number);
+  service.lose(service.primary(), proxies, forMs);
+}
+
+void FaultPlayer::cutReplicas(int number, bool all, Millis forMs) {
+  disruptServers(forMs, "server cut off");
+  serviceOf(number).cutOffReplicas(all, forMs);
 }
 
 void FaultPlayer::apply(const Fault &fault) {
@@ -123,14 +127,11 @@
                    auto &service = serviceOf(it.Service);
                    service.crash(service.primary(), it.DownMs);
                  },
-                 [&](const LosePrimary &it) {
-                   disruptServers(it.ForMs, "server cut off");
-                   auto &service = serviceOf(it.Service);
-                   service.lose(service.primary(), it.Proxies, it.ForMs);
-                 },
-                 [&](const CutReplicas &it) {
-                   disruptServers(it.ForMs, "server cut off");
-                   cutReplicas(it);
+                 [&](const LosePrimary &it) { losePrimary(it.Service, it.Proxies, it.ForMs); },
+                 [&](const CutReplicas &it) { cutReplicas(it.Service, it.All, it.ForMs); },
+                 [&](const PartitionPrimary &it) {
+                   losePrimary(it.Service, it.Proxies, it.ForMs);
+                   cutReplicas(it.Service, true, it.ForMs);
                  },
                  [&](const DelayOrders &it) { serviceOf(it.Service).delayOrders(it.ForMs); },
                  [&](const ChangeConfiguration &it) {
--- a/testing/platformsoak/faultplayer.h
+++ b/testing/platformsoak/faultplayer.h
@@ -23,7 +23,8 @@
   void withdraw(const WithdrawKey &fault);
   void disrupt(Millis forMs, const char *what, std::optional<int> callersOf = std::nullopt);
   void disruptServers(Millis forMs, const char *what);
-  void cutReplicas(const CutReplicas &fault);
+  void losePrimary(int number, const std::set<std::size_t> &proxies, Millis forMs);
+  void cutReplicas(int number, bool all, Millis forMs);
   DbService &serviceOf(int number);
   void at(Millis when, std::function<void()> action) { Actions.emplace(when, std::move(action)); }
   /// Starts proxies that have ended.
--- a/testing/platformsoak/tests/dbservicetests.cpp
+++ b/testing/platformsoak/tests/dbservicetests.cpp
@@ -134,14 +134,23 @@
 
 TEST_CASE("a replica that is cut off receives nothing until the end of the cut") {
   auto &world = *new World;
-  world.Service.cutOff(1, 2 * ReceiptMs);
-  world.Service.cutOff(2, 60 * WaitMs);
+  world.Service.cutOffReplicas(true, 2 * ReceiptMs);
   const auto from = nowMs();
   world.ready(0, {Startup, "QUERY w WRITE k v"});
   CHECK(nowMs() >= from + 2 * ReceiptMs);
   CHECK(world.Service.acknowledgedBefore(nowMs() + 1) == orderedPosition(3, 1'201));
 }
 
+TEST_CASE("one replica that is cut off keeps no commit from being acknowledged") {
+  auto &world = *new World;
+  world.Service.cutOffReplicas(false, 60 * WaitMs);
+  CHECK(world.ready(0, {Startup, "QUERY w WRITE k v"}) == "READY I 3.1201");
+  CHECK(world.Service.acknowledgedBefore(nowMs() + 1) == orderedPosition(3, 1'201));
+  sleepMs(ReceiptMs);
+  world.promote(1);
+  CHECK(world.Seen.promotions().at(0).Missing.size() == 1);
+}
+
 TEST_CASE("a late order gets no answer, and takes effect seconds later") {
   auto &world = *new World(World::late());
   world.Service.delayOrders(60 * WaitMs);
