--- a/testing/platformsoak/deployment.cpp
+++ b/testing/platformsoak/deployment.cpp
@@ -93,7 +93,7 @@
     if (it->options().Name == service)
       status = it->promote({id, holder, token});
   Seen.line("promote " + service + " " + id + " by " + holder + ", token " + std::to_string(token) + ": " +
-            std::to_string(status));
+            (status == 0 ? "no answer" : std::to_string(status)));
   return {status, "{}"};
 }
 
