End a cut around a former primary with its lead in the process soak

A replica that was cut from the primary stayed cut from all servers after its promotion, so that it could acknowledge nothing, and the former primary received from it at once. The cut now lies between these two; the promoted server reaches the other replicas.

--- a/testing/platformsoak/dbservice.h
+++ b/testing/platformsoak/dbservice.h
@@ -51,7 +51,7 @@
   /// Connections from these proxies stall until the time.
   std::set<std::size_t> LostBy;
   Millis LostUntil = 0;
-  Millis CutOffUntil = 0; ///< Receives nothing until this time.
+  Millis CutOffUntil = 0; ///< Receives nothing from the present primary until this time.
   /// Of the lead that the log is of; 0 for a server that has received nothing yet.
   std::uint64_t Term = 3;
   /// Number of the end of the log when the term began. A server of the term has applied it.
@@ -95,7 +95,7 @@
   void crash(std::size_t n, Millis downMs);
   /// Connections between the server and these proxies stall.
   void lose(std::size_t n, std::set<std::size_t> proxies, Millis ms);
-  /// All present replicas, or the first one, receive nothing.
+  /// All present replicas, or the first one, receive nothing from the primary.
   void cutOffReplicas(bool all, Millis ms);
   /// Some orders get no answer and are carried out late, if they are still allowed then.
   void delayOrders(Millis ms);
--- a/testing/platformsoak/dbservicelog.cpp
+++ b/testing/platformsoak/dbservicelog.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 
 namespace rosemaryhinge::platformsoak {
 
@@ -194,7 +195,10 @@
     term = std::max(term, it->Term);
   server.Term = term + 1;
   server.TermStart = server.Log.end();
+  // A cut lies between the former primary and a replica.
+  const auto cutUntil = std::exchange(server.CutOffUntil, 0);
   for (const auto &it : Servers) {
+    it->CutOffUntil = it->Leads ? cutUntil : 0;
     it->Leads = it.get() == &server;
     if (it->HeldTerm <= server.Term)
       it->HeldTerm = 0;
--- a/testing/platformsoak/tests/dbservicetests.cpp
+++ b/testing/platformsoak/tests/dbservicetests.cpp
@@ -151,6 +151,16 @@
   CHECK(world.Seen.promotions().at(0).Missing.size() == 1);
 }
 
+TEST_CASE("a promoted server reaches the replicas that were cut from the primary before it") {
+  // Guards against a cut that outlives the lead of the server that it is around.
+  auto &world = *new World;
+  world.Service.cutOffReplicas(true, 60 * WaitMs);
+  world.promote(1);
+  CHECK(world.ready(1, {Startup, "QUERY w WRITE k v"}) == "READY I 4.1201");
+  CHECK(world.Service.acknowledgedBefore(nowMs() + 1) == orderedPosition(4, 1'201));
+  CHECK(world.ready(0, {Startup}) == "READY I 3.1200");
+}
+
 TEST_CASE("a late order gets no answer, and takes effect seconds later") {
   auto &world = *new World(World::late());
   world.Service.delayOrders(60 * WaitMs);
