--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -18,6 +18,7 @@
 /// A draining server is gone and replaced after about 10 s.
 constexpr Millis DrainGapMs = 11'000;
 constexpr Millis StoreGapMs = 9'000;
+constexpr int ServersOfService = 3;
 constexpr Millis DuringStopMs = 1'500;
 constexpr std::array<Millis, 4> DelaysMs = {5, 15, 40, 120};
 
@@ -50,6 +51,19 @@
     every("flood", 6'000, 10'000, [&] {
       return Flood{number(0, static_cast<int>(Tenants.size()) - 1), span(4'000, 7'000)};
     });
+    if (with("replace"))
+      replacements();
+    everyOfService("crash", 9'000, 18'000, [&](int it) { return CrashPrimary{it, span(300, 6'000)}; });
+    everyOfService("lost", 4'000, 9'000, [&](int it) {
+      return LosePrimary{it, someProxies(), span(1'500, 8'000)};
+    });
+    everyOfService("cut", 4'000, 9'000, [&](int it) {
+      return CutReplicas{it, number(0, 1) == 1, span(1'000, 5'000)};
+    });
+    everyOfService("partition", 6'000, 12'000, [&](int it) {
+      return PartitionPrimary{it, someProxies(), span(2'000, 6'000)};
+    });
+    everyOfService("late", 5'000, 10'000, [&](int it) { return DelayOrders{it, span(3'000, 8'000)}; });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
   }
@@ -84,6 +98,24 @@
       Out.push_back({at, make()});
   }
 
+  /// The services are independent of each other.
+  template <typename Make> void everyOfService(std::string_view name, Millis least, Millis most, Make make) {
+    if (!with(name))
+      return;
+    random(name);
+    for (int service = 0; service < Options.Services; ++service)
+      for (auto at = span(0, most); at < Options.LengthMs; at += span(least, most))
+        Out.push_back({at, make(service)});
+  }
+
+  /// Not all of them.
+  std::set<std::size_t> someProxies() {
+    std::set<std::size_t> out;
+    for (auto n = number(1, Options.Proxies - 1); n > 0; --n)
+      out.insert(static_cast<std::size_t>(proxy()));
+    return out;
+  }
+
   /// With no proxy, one, or all of them cut off from the store.
   WithdrawKey withdrawal() {
     WithdrawKey out{seed("withdraw"), {}, span(4'000, 9'000)};
@@ -152,6 +184,18 @@
     }
   }
 
+  /// All servers of a service are replaced one after the other, the primary among them, and again. The
+  /// services are independent of each other.
+  void replacements() {
+    random("replace");
+    for (int service = 0; service < Options.Services; ++service)
+      for (auto at = span(0, 3'000); at < Options.LengthMs; at += span(2'000, 5'000))
+        for (int n = 0, primary = number(0, ServersOfService - 1); n < ServersOfService; ++n) {
+          Out.push_back({at, ReplaceServer{service, n == primary, span(100, 1'000)}});
+          at += span(200, 1'500);
+        }
+  }
+
   const PlanOptions &Options;
   std::vector<PlannedFault> Out;
   std::map<std::string, std::mt19937_64, std::less<>> Randoms;
@@ -164,8 +208,9 @@
 
 const std::vector<std::string> &troubleNames() {
   static const std::vector<std::string> Names = {
-      "stops", "rolls",    "second", "hups", "drain",       "primary", "config",   "slow",
-      "down",  "restored", "delay",  "hold", "slowcallers", "burst",   "withdraw", "flood"};
+      "stops",   "rolls",    "second", "hups", "drain",       "primary", "config",   "slow",
+      "down",    "restored", "delay",  "hold", "slowcallers", "burst",   "withdraw", "flood",
+      "replace", "crash",    "lost",   "cut",  "partition",   "late"};
   return Names;
 }
 
@@ -184,6 +229,29 @@
             return (it.Primary ? "drain primary of service " : "drain replica of service ") +
                    std::to_string(it.Service);
           },
+          [&](const ReplaceServer &it) {
+            return (it.Primary ? "replace primary of service " : "replace replica of service ") +
+                   std::to_string(it.Service) + ", the new one listed after " +
+                   std::to_string(it.ListedAfterMs) + " ms";
+          },
+          [&](const CrashPrimary &it) {
+            return "crash of the primary of service " + std::to_string(it.Service) + spanText(it.DownMs);
+          },
+          [&](const LosePrimary &it) {
+            return std::to_string(it.Proxies.size()) + " proxies lose the primary of service " +
+                   std::to_string(it.Service) + spanText(it.ForMs);
+          },
+          [&](const CutReplicas &it) {
+            return std::string(it.All ? "all replicas" : "a replica") + " cut from the primary of service " +
+                   std::to_string(it.Service) + spanText(it.ForMs);
+          },
+          [&](const PartitionPrimary &it) {
+            return "the primary of service " + std::to_string(it.Service) + " cut from its replicas and " +
+                   std::to_string(it.Proxies.size()) + " proxies" + spanText(it.ForMs);
+          },
+          [&](const DelayOrders &it) {
+            return "late orders of service " + std::to_string(it.Service) + spanText(it.ForMs);
+          },
           [&](const ChangeConfiguration &) { return std::string("change configuration"); },
           [&](const SlowStore &it) {
             return "store slower by " + std::to_string(it.ExtraMs) + " ms" + spanText(it.ForMs);
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -55,6 +55,12 @@
   World.Seen.addDisruption({nowMs(), nowMs() + forMs, what, callersOf});
 }
 
+void FaultPlayer::disruptServers(Millis forMs, const char *what) {
+  World.Seen.addDisruption({nowMs(), nowMs() + forMs, what, std::nullopt, true});
+}
+
+DbService &FaultPlayer::serviceOf(int number) { return *World.Services.at(static_cast<std::size_t>(number)); }
+
 void FaultPlayer::stop(const StopProxy &fault) {
   const auto index = static_cast<std::size_t>(fault.Proxy);
   auto &proxy = *World.Proxies.at(index);
@@ -88,6 +94,17 @@
      [this, seed = fault.Seed] { std::thread([this, seed] { World.Operator.withdrawKey(seed); }).detach(); });
 }
 
+void FaultPlayer::losePrimary(int number, const std::set<std::size_t> &proxies, Millis forMs) {
+  disruptServers(forMs, "server cut off");
+  auto &service = serviceOf(number);
+  service.lose(service.primary(), proxies, forMs);
+}
+
+void FaultPlayer::cutReplicas(int number, bool all, Millis forMs) {
+  disruptServers(forMs, "server cut off");
+  serviceOf(number).cutOffReplicas(all, forMs);
+}
+
 void FaultPlayer::apply(const Fault &fault) {
   World.Seen.line("fault: " + describe(fault));
   std::visit(Overloaded{
@@ -97,11 +114,26 @@
                      proxy.signal(SIGHUP);
                  },
                  [&](const DrainServer &it) {
-                   auto &service = *World.Services.at(static_cast<std::size_t>(it.Service));
-                   const auto primary = service.primary();
-                   const auto replica = primary + 1 + static_cast<std::size_t>(it.Replica);
-                   service.drain(it.Primary ? primary : replica % service.options().Zones.size());
+                   auto &service = serviceOf(it.Service);
+                   service.drain(it.Primary ? service.primary()
+                                            : service.replica(static_cast<std::size_t>(it.Replica)));
+                 },
+                 [&](const ReplaceServer &it) {
+                   auto &service = serviceOf(it.Service);
+                   service.replace(it.Primary ? service.primary() : service.replica(0), it.ListedAfterMs);
+                 },
+                 [&](const CrashPrimary &it) {
+                   disruptServers(it.DownMs, "crash of a server");
+                   auto &service = serviceOf(it.Service);
+                   service.crash(service.primary(), it.DownMs);
+                 },
+                 [&](const LosePrimary &it) { losePrimary(it.Service, it.Proxies, it.ForMs); },
+                 [&](const CutReplicas &it) { cutReplicas(it.Service, it.All, it.ForMs); },
+                 [&](const PartitionPrimary &it) {
+                   losePrimary(it.Service, it.Proxies, it.ForMs);
+                   cutReplicas(it.Service, true, it.ForMs);
                  },
+                 [&](const DelayOrders &it) { serviceOf(it.Service).delayOrders(it.ForMs); },
                  [&](const ChangeConfiguration &it) {
                    std::thread([this, seed = it.Seed] { World.Operator.change(seed); }).detach();
                  },
--- a/testing/platformsoak/main.cpp
+++ b/testing/platformsoak/main.cpp
@@ -2,6 +2,7 @@
 // rules checked. Exit status: 0 all rules held, 1 one was broken, 2 the run was not possible.
 
 #include "platformsoak/faultplayer.h"
+#include "platformsoak/promotionrule.h"
 #include "platformsoak/report.h"
 #include "platformsoak/workspacechecks.h"
 
@@ -63,7 +64,8 @@
                  "PATH"},
       poptOption{"with", 0, POPT_ARG_STRING, &with, 0,
                  "troubles, separated by commas: stops rolls second hups drain primary config slow down "
-                 "restored delay hold slowcallers burst withdraw flood, or all",
+                 "restored delay hold slowcallers burst withdraw flood replace crash lost cut partition "
+                 "late, or all",
                  "NAMES"},
       poptOption{"plan", 0, POPT_ARG_NONE, &planOnly, 0, "print the plan only", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -104,6 +106,7 @@
   report.violations(checkAnswers(requests, runs), figures);
   report.violations(checkConfig(world.Operator.versions(), world.Operator.probes(), lives, disruptions),
                     figures);
+  report.violations(checkPromotions(world.Seen.promotions(), requests), figures);
   const auto arrivals = world.Seen.arrivals();
   const auto keys = world.Operator.keys();
   report.violations(checkUsers(requests, arrivals, keys), figures);
--- a/testing/platformsoak/rulechecks.cpp
+++ b/testing/platformsoak/rulechecks.cpp
@@ -2,6 +2,8 @@
 
 #include "platformsoak/rulechecks.h"
 
+#include "platformsoak/serverlog.h"
+
 #include <algorithm>
 
 namespace rosemaryhinge::platformsoak {
@@ -20,7 +22,7 @@
 /// The bound for a request that was sent at the time.
 Millis boundAt(Millis at, std::span<const Disruption> disruptions) {
   const bool unstable = std::any_of(disruptions.begin(), disruptions.end(), [&](const auto &it) {
-    return !it.CallersOf && it.From <= at && it.Until + PropagationMs + SkewMaxMs >= at;
+    return !it.CallersOf && !it.OfServers && it.From <= at && it.Until + PropagationMs + SkewMaxMs >= at;
   });
   return PropagationMs + (unstable ? SkewMaxMs : 0);
 }
@@ -81,8 +83,7 @@
     }
     if (isRead(it) && run->Position < it.NeedsPosition)
       out.push_back({"STALE", what + " ran at " + run->Server + " on position " +
-                                  std::to_string(run->Position) + ", needs " +
-                                  std::to_string(it.NeedsPosition)});
+                                  positionText(run->Position) + ", needs " + positionText(it.NeedsPosition)});
   }
   return out;
 }
