Let a former primary step down before another server is promoted

Callers lost acknowledged commits during plain replacements of servers. With fencing, the former primary served on until the promotion took effect, some hundred ms after the order.

A former primary that can be reached now steps down right before the order, with fencing too, and the candidate has to reach the log that it reports. Nothing is acknowledged between then and the effect. The step-down is sent only on a claim that the store has confirmed less than 0.9 s ago.

Cost: writes and current reads wait for the length of a promotion.

--- a/src/leadership/internal/pauses.h
+++ b/src/leadership/internal/pauses.h
@@ -1,4 +1,4 @@
-// Pauses between attempts to change a primary that several steps share.
+// Times of a change of primary that several steps share.
 
 #pragma once
 
@@ -10,5 +10,7 @@
 inline constexpr Duration RetryDelay = 400ms;
 /// Pause after a change, or an attempt that proved needless, before the next one of the same service.
 inline constexpr Duration MinChangeInterval = 2s;
+/// An order that cannot be undone is sent only if the store has confirmed the claim since this long.
+inline constexpr Duration MaxClaimAge = 900ms;
 
 } // namespace rosemaryhinge::detail
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -11,8 +11,6 @@
 constexpr Duration FencedPause = 1s;
 constexpr int MaxPromotionAttempts = 8;
 constexpr Duration NewPrimaryTimeout = 4s;
-/// An order is sent only if the store has confirmed the claim since this long.
-constexpr Duration MaxClaimAge = 900ms;
 
 } // namespace
 
@@ -28,7 +26,7 @@
     enterPhase(run, Phase::SelectingCandidate);
     return;
   }
-  if (change.Claim.age(run.Ctx.Now) >= MaxClaimAge) {
+  if (change.Claim.age(run.Ctx.Now) >= detail::MaxClaimAge) {
     confirmClaim(run);
     return;
   }
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -39,6 +39,9 @@
 /// Where promotions are not fenced: time for a primary that can be reached to step down, before its replicas
 /// are paused instead.
 constexpr Duration StepDownTime = 300ms;
+/// Time for a replica that stays to receive what the former primary had when it stepped down. Above the usual
+/// lag of a replica.
+constexpr Duration LogTailTime = 300ms;
 /// Time for the replicas to report what they received before the primary stepped down. Without the reports,
 /// the former primary itself is promoted again.
 constexpr Duration ReportTime = 800ms;
@@ -68,10 +71,13 @@
     return;
   }
   const bool allKnown = queryServers(run);
-  if (run.Ctx.Self.PromotionFencing)
-    selectBesidePrimary(run, allKnown);
+  const auto former = change.Servers.find(change.Reason.From);
+  if (former != change.Servers.end() && former->second.SteppedDown)
+    selectAfterStepDown(run);
+  else if (run.Ctx.Self.PromotionFencing)
+    selectFenced(run, allKnown);
   else
-    selectStopped(run, allKnown);
+    selectUnfenced(run, allKnown);
 }
 
 void LeadershipModule::refreshServerStates(Run &run) {
@@ -289,25 +295,24 @@
   return !all;
 }
 
-/// The former primary goes on serving. Its commits are acknowledged through the candidate alone until the
-/// promotion ends its lead.
-void LeadershipModule::selectBesidePrimary(Run &run, bool allKnown) {
+/// A former primary that can be reached steps down before anything is ordered: until a promotion takes
+/// effect, it would acknowledge commits through any replica that receives, also one that nobody has listed
+/// yet. One that cannot be reached may go on serving others; then its commits are acknowledged through the
+/// candidate alone.
+void LeadershipModule::selectFenced(Run &run, bool allKnown) {
   auto &change = run.Change;
-  const auto &from = change.Reason.From;
-  const auto former = change.Servers.find(from);
-  const bool reachable =
-      former != change.Servers.end() && !run.Services.Links.health(from).suspect(run.Ctx.Now);
-  const bool steppedDown = former != change.Servers.end() && former->second.SteppedDown;
-  const bool nobodyLeads = change.Reason.Kind == detail::ReasonKind::NoPrimary;
-  if (reachable && !steppedDown && (nobodyLeads || run.Ctx.Now - change.StartedAt >= StepDownDelay) &&
-      detail::highestTerm(change.Servers) > 0)
-    sendRequest(run, from, Order::StepDown);
-  const auto candidate = detail::mostUpToDate(change.Servers, change.PreferredCandidate);
-  if (!candidate || (!allKnown && !steppedDown))
+  const bool patient =
+      change.Reason.Kind != detail::ReasonKind::NoPrimary && run.Ctx.Now - change.StartedAt < StepDownDelay;
+  if (detail::highestTerm(change.Servers) == 0 || (!allKnown && patient))
     return;
   if (change.Reason.needsConfirmation() && primaryLossUnconfirmed(run))
     return;
-  if (awaitsStayingReplica(run))
+  if (formerReachable(run)) {
+    stepDownFormer(run);
+    return;
+  }
+  const auto candidate = detail::mostUpToDate(change.Servers, change.PreferredCandidate);
+  if (!candidate || !allKnown || awaitsStayingReplica(run))
     return;
   const bool othersPaused = pauseReplicas(run, candidate);
   if (coverageOf(run, *candidate) != detail::Coverage::Uncompared) {
@@ -324,36 +329,21 @@
 
 /// The former primary leads until it learns of the promotion. It steps down first; if it cannot be reached,
 /// all replicas are paused and the leases of its reads run out.
-void LeadershipModule::selectStopped(Run &run, bool allKnown) {
+void LeadershipModule::selectUnfenced(Run &run, bool allKnown) {
   auto &change = run.Change;
   const auto &from = change.Reason.From;
-  const auto former = change.Servers.find(from);
-  const bool present = former != change.Servers.end();
-  const bool steppedDown = present && former->second.SteppedDown;
-  if (!steppedDown) {
-    const bool patient = run.Ctx.Now - change.StartedAt < StepDownDelay;
-    if (detail::highestTerm(change.Servers) == 0 || (!allKnown && (!present || patient)))
-      return;
-    const bool mayLead = change.Reason.needsConfirmation() || change.Reason.refutedByAnswer();
-    if (mayLead && primaryLossUnconfirmed(run))
-      return;
-    if (awaitsStayingReplica(run))
-      return;
-    if (present)
-      sendRequest(run, from, Order::StepDown);
-  }
-  if (steppedDown) {
-    for (const auto &[target, it] : change.Servers)
-      if (!it.FormerPrimary && !it.Missing && !it.Settled)
-        sendRequest(run, target, Order::ReadStatus);
-    if (const auto best = detail::bestAfterStepDown(change.Servers, change.PreferredCandidate))
-      choose(run, *best);
-    else if (run.Ctx.Now - *change.SteppedDownAt >= ReportTime)
-      choose(run, from);
+  const bool present = change.Servers.contains(from);
+  const bool patient = run.Ctx.Now - change.StartedAt < StepDownDelay;
+  if (detail::highestTerm(change.Servers) == 0 || (!allKnown && (!present || patient)))
     return;
-  }
-  const bool reachable = present && !run.Services.Links.health(from).suspect(run.Ctx.Now);
-  if (reachable && run.Ctx.Now - change.StartedAt < StepDownTime)
+  const bool mayLead = change.Reason.needsConfirmation() || change.Reason.refutedByAnswer();
+  if (mayLead && primaryLossUnconfirmed(run))
+    return;
+  if (awaitsStayingReplica(run))
+    return;
+  if (present)
+    sendRequest(run, from, Order::StepDown);
+  if (formerReachable(run) && run.Ctx.Now - change.StartedAt < StepDownTime)
     return;
   if (!allKnown || !pauseReplicas(run, std::nullopt) || !detail::allReplicasPaused(change.Servers))
     return;
@@ -365,6 +355,40 @@
     choose(run, *best);
 }
 
+bool LeadershipModule::formerReachable(const Run &run) {
+  const auto &from = run.Change.Reason.From;
+  return run.Change.Servers.contains(from) && !run.Services.Links.health(from).suspect(run.Ctx.Now);
+}
+
+void LeadershipModule::stepDownFormer(Run &run) {
+  // The promotion has to follow at once, and needs the store.
+  if (run.Change.Claim.age(run.Ctx.Now) < detail::MaxClaimAge)
+    sendRequest(run, run.Change.Reason.From, Order::StepDown);
+}
+
+/// Nothing is acknowledged any more. A replica that has all that the former primary had is promoted; one that
+/// stays, if it gets that in time.
+void LeadershipModule::selectAfterStepDown(Run &run) {
+  auto &change = run.Change;
+  const auto &from = change.Reason.From;
+  const auto former = change.Servers.at(from).Status->Log;
+  for (const auto &[target, it] : change.Servers)
+    if (!it.FormerPrimary && !it.Missing) {
+      if (!it.Settled)
+        sendRequest(run, target, Order::ReadStatus);
+      else if (it.Status->Log < former)
+        queryAgain(run, target);
+    }
+  const auto best = detail::bestAfterStepDown(change.Servers, change.PreferredCandidate);
+  const auto waited = run.Ctx.Now - *change.SteppedDownAt;
+  const bool whole =
+      best && change.Servers.at(*best).Status->Log >= former && !change.Servers.at(*best).Leaving;
+  if (whole || (best && waited >= LogTailTime))
+    choose(run, *best);
+  else if (waited >= ReportTime)
+    choose(run, from);
+}
+
 Position LeadershipModule::requiredPosition(Run &run) {
   auto &change = run.Change;
   const auto acknowledged = run.Services.Sessions.acknowledgedUpTo(run.Service).value_or(Position());
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -106,8 +106,12 @@
   [[nodiscard]] std::optional<std::string> reasonRefuted(Run &run);
   bool queryServers(Run &run);
   bool primaryLossUnconfirmed(Run &run);
-  void selectBesidePrimary(Run &run, bool allKnown);
-  void selectStopped(Run &run, bool allKnown);
+  void selectFenced(Run &run, bool allKnown);
+  void selectUnfenced(Run &run, bool allKnown);
+  void selectAfterStepDown(Run &run);
+  /// Whether the former primary is listed and answers this proxy.
+  [[nodiscard]] static bool formerReachable(const Run &run);
+  void stepDownFormer(Run &run);
   static void forgetState(PrimaryChange &change, const TargetId &target);
   /// Whether the former primary acknowledges nothing any more, where it must not.
   [[nodiscard]] static bool stopped(const Run &run);
