Stop servers that may acknowledge commits until a promotion takes effect

Once a candidate was chosen, nothing was compared again: not while the claim was confirmed, not during up to eight orders, not until the effect. A replica that joined, or one whose pause had ended, received from a primary that only this proxy had lost, and acknowledged commits.

Before the order, the choice is made again if a server has joined or a pause or the step-down does not hold any more. After it, servers that joined are paused and a former primary that can be reached again steps down. A candidate that had to be paused is resumed before it is chosen, so that it goes on receiving what a lost primary still acknowledges.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -203,6 +203,7 @@
   change.QueriedAgain.clear();
   change.StayingAwaitedSince.reset();
   change.BehindSince.reset();
+  change.Receiving = TargetId();
   change.StepDownSent = false;
   change.SteppedDownAt.reset();
   change.Candidate = TargetId();
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -69,6 +69,9 @@
   /// Since when a replica that stays is given time to receive what only a leaving one has.
   std::optional<TimePoint> StayingAwaitedSince;
 
+  /// The candidate that was resumed and goes on receiving beside a lost primary.
+  TargetId Receiving;
+
   std::optional<TimePoint> BehindSince; ///< Since when the candidate has to receive what is required.
 
   // What the promoted server must hold.
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -22,7 +22,7 @@
 
 void LeadershipModule::promote(Run &run) {
   auto &change = run.Change;
-  if (!change.PromotionUnanswered && !stopped(run)) {
+  if (!choiceStands(run)) {
     enterPhase(run, Phase::SelectingCandidate);
     return;
   }
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -188,46 +188,69 @@
     return;
   auto &request = found->second;
   request.Sent = false;
-  if (request.Order == Order::Resume) {
+  const bool selecting = change.State == Phase::SelectingCandidate;
+  if (request.Order == Order::Resume && !selecting) {
     change.PausedByThisProxy.erase(reply.Target);
     return;
   }
-  if (change.State != Phase::SelectingCandidate)
+  if (!selecting && change.State != Phase::Promoting && change.State != Phase::AwaitingPrimary)
     return;
   if (!event.Status) {
     const auto *why = std::get_if<StatementRejection>(&event.Outcome);
-    // The term may have been too low. The next order gets a higher one.
-    change.OrderTerm = 0;
+    // The term may have been too low. The next order gets a higher one, unless a promotion is on its way: a
+    // pause for a term above that of the new primary would outlast it.
+    if (selecting)
+      change.OrderTerm = 0;
     ctx.emit(
         Log{LogLevel::Info,
             "order refused",
             {{"server", reply.Target.str()}, {"why", why ? std::string(toString(why->Code)) : "no status"}}});
     return;
   }
-  auto &server = change.Servers[reply.Target];
-  logEndedPause(run, reply.Target, server, *event.Status);
-  server.Status = *event.Status;
+  recordStatus(run, reply.Target, request, *event.Status);
+  if (selecting)
+    selectCandidate(run);
+}
+
+void LeadershipModule::recordStatus(Run &run, const TargetId &target, const detail::ServerRequest &request,
+                                    const TargetStatus &status) {
+  auto &change = run.Change;
+  const auto now = run.Ctx.Now;
+  auto &server = change.Servers[target];
+  const bool replica = status.Role == TargetRole::Replica;
+  if (server.Paused && request.Order == Order::ReadStatus) {
+    // The log of a paused replica does not change.
+    if (!replica || status.Paused || !server.Status || !server.Status->Paused)
+      return;
+    logEndedPause(run, target, server, status);
+    server.Paused = false;
+    server.Settled = false;
+  }
+  server.Status = status;
   if (!server.FirstPosition)
-    server.FirstPosition = event.Status->Log;
-  if (change.AllPositionsKnownAt && ctx.Now - *change.AllPositionsKnownAt >= ReplicationStallTime)
-    change.QueriedAgain.insert(reply.Target);
-  const bool replica = event.Status->Role == TargetRole::Replica;
+    server.FirstPosition = status.Log;
+  if (change.AllPositionsKnownAt && now - *change.AllPositionsKnownAt >= ReplicationStallTime)
+    change.QueriedAgain.insert(target);
   if (request.Order == Order::StepDown && server.FormerPrimary && replica && !server.SteppedDown) {
     server.SteppedDown = true;
-    change.SteppedDownAt = ctx.Now;
+    change.SteppedDownAt = now;
   }
   if (request.Order == Order::Pause && replica)
     server.Paused = true;
+  if (request.Order == Order::Resume) {
+    server.Paused = false;
+    server.Settled = false;
+    change.PausedByThisProxy.erase(target);
+  }
   server.Settled = server.Settled || server.Paused ||
                    (replica && change.SteppedDownAt && request.SentAt >= *change.SteppedDownAt);
-  ctx.emit(Log{LogLevel::Info,
-               "server surveyed",
-               {{"server", reply.Target.str()},
-                {"role", replica ? "replica" : "primary"},
-                {"term", std::to_string(event.Status->RaisedTerm)},
-                {"log", detail::toString(event.Status->Log)},
-                {"paused", server.Paused ? "yes" : "no"}}});
-  selectCandidate(run);
+  run.Ctx.emit(Log{LogLevel::Info,
+                   "server surveyed",
+                   {{"server", target.str()},
+                    {"role", replica ? "replica" : "primary"},
+                    {"term", std::to_string(status.RaisedTerm)},
+                    {"log", detail::toString(status.Log)},
+                    {"paused", server.Paused ? "yes" : "no"}}});
 }
 
 void LeadershipModule::onLinkClosed(const LinkPool::Closed &closed, LinkId link) {
@@ -311,11 +334,14 @@
     stepDownFormer(run);
     return;
   }
-  const auto candidate = detail::mostUpToDate(change.Servers, change.PreferredCandidate);
+  const auto &preferred = change.Receiving.empty() ? change.PreferredCandidate : change.Receiving;
+  const auto candidate = detail::mostUpToDate(change.Servers, preferred);
   if (!candidate || !allKnown || awaitsStayingReplica(run))
     return;
   const bool othersPaused = pauseReplicas(run, candidate);
   if (coverageOf(run, *candidate) != detail::Coverage::Uncompared) {
+    if (!receives(run, *candidate))
+      return;
     choose(run, *candidate);
     return;
   }
@@ -327,6 +353,15 @@
   sendRequest(run, *candidate, caughtUp ? Order::Pause : Order::ReadStatus);
 }
 
+bool LeadershipModule::receives(Run &run, const TargetId &candidate) {
+  const auto &server = run.Change.Servers.at(candidate);
+  if (!server.Paused && !server.Status->Paused)
+    return true;
+  run.Change.Receiving = candidate;
+  sendRequest(run, candidate, Order::Resume);
+  return false;
+}
+
 /// The former primary leads until it learns of the promotion. It steps down first; if it cannot be reached,
 /// all replicas are paused and the leases of its reads run out.
 void LeadershipModule::selectUnfenced(Run &run, bool allKnown) {
@@ -445,9 +480,13 @@
   return true;
 }
 
-void LeadershipModule::queryAgain(Run &run, const TargetId &target) {
+bool LeadershipModule::requestDue(const Run &run, const TargetId &target, Duration interval) {
   const auto it = run.Change.Requests.find(target);
-  if (it == run.Change.Requests.end() || run.Ctx.Now - it->second.SentAt >= QueryInterval)
+  return it == run.Change.Requests.end() || run.Ctx.Now - it->second.SentAt >= interval;
+}
+
+void LeadershipModule::queryAgain(Run &run, const TargetId &target) {
+  if (requestDue(run, target, QueryInterval))
     sendRequest(run, target, Order::ReadStatus);
 }
 
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -82,16 +82,13 @@
   case Phase::SelectingCandidate:
     selectCandidate(run);
     break;
-  case Phase::ConfirmingClaim:
-    logJoinedServers(run);
-    break;
   case Phase::Promoting:
-    logJoinedServers(run);
+    holdServers(run);
     if (!change.Call && run.Ctx.Now >= change.NextAttemptAt)
       confirmClaim(run);
     break;
   case Phase::AwaitingPrimary:
-    logJoinedServers(run);
+    holdServers(run);
     awaitPrimary(run);
     break;
   case Phase::ResumingReplicas:
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -112,6 +112,9 @@
   /// Whether the former primary is listed and answers this proxy.
   [[nodiscard]] static bool formerReachable(const Run &run);
   void stepDownFormer(Run &run);
+  /// Resumes a candidate that is paused, so that commits which a lost primary still acknowledges reach it.
+  /// False until it receives.
+  bool receives(Run &run, const TargetId &candidate);
   static void forgetState(PrimaryChange &change, const TargetId &target);
   /// Whether the former primary acknowledges nothing any more, where it must not.
   [[nodiscard]] static bool stopped(const Run &run);
@@ -125,11 +128,16 @@
   /// Whether only a replica that is about to leave has the longest log, and one that stays may still receive
   /// it.
   bool awaitsStayingReplica(Run &run);
+  /// Whether no request was sent to a server for the interval.
+  [[nodiscard]] static bool requestDue(const Run &run, const TargetId &target, Duration interval);
   /// Asks a replica that has to receive more for its status, at intervals.
   void queryAgain(Run &run, const TargetId &target);
   bool pauseReplicas(Run &run, const std::optional<TargetId> &except);
   void choose(Run &run, const TargetId &candidate);
   void sendRequest(Run &run, const TargetId &target, Order order);
+  /// Records what a server has answered to an order or a status query.
+  static void recordStatus(Run &run, const TargetId &target, const detail::ServerRequest &request,
+                           const TargetStatus &status);
 
   // Log lines (internal/logging.cpp).
   static void logSuspicion(Run &run, const std::optional<detail::ChangeReason> &reason);
@@ -143,6 +151,13 @@
   /// A change ends, or starts afresh, while its last order has no answer.
   static void logUnansweredOrder(Run &run);
 
+  // Between the choice and the effect of the promotion (internal/pendingpromotion.cpp).
+  /// Whether the chosen server still is certain to hold every acknowledged commit, as far as the servers are
+  /// known now.
+  [[nodiscard]] bool choiceStands(Run &run);
+  /// Stops what may acknowledge commits that the chosen server lacks, while its promotion is on its way.
+  void holdServers(Run &run);
+
   // Promotion (internal/promotion.cpp).
   void confirmClaim(Run &run);
   void promote(Run &run);
