Carry a change of primary to its end while an order may still take effect

A promotion without an answer may be carried out seconds later. Its proxy forgot it with the next claim (onClaimed), and a proxy that took the claim over began afresh. Both gave the change up as needless once the primary answered, resumed the replicas and marked the claim as done; the order then promoted a server with the log of an earlier time.

The server of such an order is kept (Outstanding) until it leads, a later order was accepted, or it is gone; also from a claim of another proxy that names a candidate and is not done. Meanwhile nothing is resumed, an answer of the primary does not end the change, and without another reason the order itself is one. Promoting the present primary with a higher token would raise the fence, too, but would roll back commits if the order has just taken effect.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -28,16 +28,13 @@
   }
   change.Claim.start(std::to_string(run.Ctx.Incarnation) + "." + std::to_string(run.Ctx.nextNumber()));
   const auto &known = change.Claim.known();
-  change.PreferredCandidate = known.Done ? TargetId() : known.Candidate;
-  if (change.PreferredCandidate.empty())
-    change.PreferredCandidate = change.ForgottenCandidate;
-  if (change.PromotionUnanswered)
-    change.PreferredCandidate = change.Candidate; // Also if the store has forgotten the claim that names it.
+  if (!known.Done && !known.Candidate.empty())
+    change.Outstanding = known.Candidate;
   // Where nobody leads, the server that led last has every acknowledged commit.
   if (change.Reason.From.empty() && run.Services.Catalog.server(known.From))
     change.Reason.From = known.From;
   enterPhase(run, Phase::Claiming);
-  writeClaim(run, change.PreferredCandidate, false);
+  writeClaim(run, change.Outstanding, false);
 }
 
 void LeadershipModule::readClaim(Run &run) {
@@ -174,7 +171,7 @@
   case Phase::ConfirmingClaim:
     // Selects again, which renews the claim as long as it holds.
     change.RenewAt = run.Ctx.Now + RenewRetryDelay;
-    enterPhase(run, change.PromotionUnanswered ? Phase::Promoting : Phase::SelectingCandidate);
+    enterPhase(run, change.PromotionAttempts > 0 ? Phase::Promoting : Phase::SelectingCandidate);
     change.NextAttemptAt = run.Ctx.Now + RenewRetryDelay;
     return;
   case Phase::EndingClaim:
@@ -189,7 +186,7 @@
 void LeadershipModule::onClaimed(Run &run) {
   auto &change = run.Change;
   change.RenewAt.reset();
-  if (change.PromotionUnanswered)
+  if (!change.Outstanding.empty())
     logUnansweredOrder(run);
   change.Servers.clear();
   change.PassedOver.clear();
@@ -209,7 +206,6 @@
   change.Candidate = TargetId();
   change.CandidateLog = Position();
   change.PromotionAttempts = 0;
-  change.PromotionUnanswered = false;
   change.StartedAt = run.Ctx.Now;
   enterPhase(run, Phase::SelectingCandidate);
   run.Ctx.emit(Count{"claims_total"});
@@ -218,7 +214,7 @@
                    {{"service", run.Service.str()},
                     {"from", change.Reason.From.str()},
                     {"token", std::to_string(change.Claim.token())},
-                    {"ordered_before", change.PreferredCandidate.str()},
+                    {"ordered_before", change.Outstanding.str()},
                     {"why", change.Reason.Why}}});
   selectCandidate(run);
 }
@@ -232,8 +228,8 @@
     return false;
   }
   if (!change.Call && change.Claim.renewalDue(now) && now >= change.RenewAt.value_or(now)) {
-    const bool ordered = change.State == Phase::AwaitingPrimary || change.PromotionUnanswered;
-    writeClaim(run, ordered ? change.Candidate : change.PreferredCandidate, false);
+    const bool ordered = change.State == Phase::Promoting || change.State == Phase::AwaitingPrimary;
+    writeClaim(run, ordered ? change.Candidate : change.Outstanding, false);
   }
   return change.Claim.held(now);
 }
--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -86,9 +86,7 @@
   run.Ctx.emit(Count{"orders_outlived_total"});
   run.Ctx.emit(Log{LogLevel::Warn,
                    "order without an answer may still be carried out",
-                   {{"service", run.Service.str()},
-                    {"server", change.Candidate.str()},
-                    {"position", detail::toString(change.CandidateLog)}}});
+                   {{"service", run.Service.str()}, {"server", change.Outstanding.str()}}});
 }
 
 } // namespace rosemaryhinge
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -82,15 +82,15 @@
   std::optional<TimePoint> UncoveredSince;
 
   // Promotion.
-  TargetId PreferredCandidate; ///< Of a claim that was taken over: its promotion may still be carried out.
-  /// The same of a claim that the store has forgotten; empty once this proxy has changed the primary.
-  TargetId ForgottenCandidate;
+  /// Server of an order that may still be carried out: of an earlier claim, whoever held it, or of this one
+  /// without an answer. Until it leads, or a later order was accepted, nothing is resumed and the change goes
+  /// on, whatever has become of its reason. Empty if there is none.
+  TargetId Outstanding;
   TargetId Candidate;
   TimePoint ChosenAt;                   ///< When the candidate was chosen, in its present state.
   Position CandidateLog;                ///< End of the candidate's log when it was chosen.
   std::set<TargetId> JoinedAfterChoice; ///< Servers that were not listed when the candidate was chosen.
   int PromotionAttempts = 0;
-  bool PromotionUnanswered = false; ///< An order may still be carried out: nothing is resumed.
 
   /// Replicas that this proxy paused and could not resume before its claim lapsed.
   std::set<TargetId> LeftPaused;
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -60,6 +60,7 @@
                 {"result", event.Message}}});
   switch (event.Result) {
   case PromotionResult::Accepted:
+    change.Outstanding = change.Candidate;
     if (!change.Reason.From.empty() && change.Reason.From != change.Candidate &&
         (change.Reason.writesUnavailable() || change.SteppedDownAt))
       services.Catalog.denyPrimary(change.Reason.From);
@@ -69,7 +70,7 @@
     giveUp(run, "fenced, or the server is not running", FencedPause);
     return;
   case PromotionResult::Unknown:
-    change.PromotionUnanswered = true;
+    change.Outstanding = change.Candidate;
     break;
   case PromotionResult::Rejected:
     break;
@@ -81,14 +82,16 @@
 }
 
 void LeadershipModule::awaitPrimary(Run &run) {
-  const auto &change = run.Change;
+  auto &change = run.Change;
   if (run.Services.Catalog.primary(run.Service) == change.Candidate) {
     complete(run);
     return;
   }
   keepClaim(run);
-  if (change.State == Phase::AwaitingPrimary && run.Ctx.Now - change.PhaseSince >= NewPrimaryTimeout)
+  if (change.State == Phase::AwaitingPrimary && run.Ctx.Now - change.PhaseSince >= NewPrimaryTimeout) {
+    change.Outstanding = TargetId();
     giveUp(run, "the promoted server does not lead", detail::RetryDelay);
+  }
 }
 
 } // namespace rosemaryhinge
--- a/src/leadership/internal/reason.cpp
+++ b/src/leadership/internal/reason.cpp
@@ -35,6 +35,8 @@
     return "writes_unanswered";
   case ReasonKind::Leaving:
     return "leaving";
+  case ReasonKind::OrderOutstanding:
+    return "order_outstanding";
   case ReasonKind::ReplicasPaused:
     break;
   }
--- a/src/leadership/internal/reason.h
+++ b/src/leadership/internal/reason.h
@@ -18,6 +18,7 @@
   Silent,           ///< The primary does not answer this proxy.
   WritesUnanswered, ///< The primary does not answer commits: no replica receives them.
   Leaving,          ///< The primary is about to stop.
+  OrderOutstanding, ///< A promotion may still be carried out, although its reason is gone.
   ReplicasPaused,   ///< No change: replicas that an earlier one paused have to be resumed.
 };
 /// Name in metrics.
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -108,18 +108,34 @@
   auto &change = run.Change;
   auto &catalog = run.Services.Catalog;
   const auto &from = change.Reason.From;
-  if (const auto primary = catalog.primary(run.Service); primary && *primary != from)
+  if (const auto primary = catalog.primary(run.Service);
+      primary && *primary != from && !replacesLeader(run, *primary))
     return "another server is listed as the primary";
   if (const auto leader = detail::newerPrimary(change.Servers)) {
     catalog.confirmPrimary(*leader, change.Servers.at(*leader).Status->RaisedTerm);
-    return "another server leads already";
+    if (!replacesLeader(run, *leader))
+      return "another server leads already";
   }
+  if (!change.Outstanding.empty())
+    return std::nullopt;
   const auto reply = run.Services.Links.health(from).lastReplyAt();
   if (change.Reason.refutedByAnswer() && !change.StepDownSent && reply && *reply > change.StartedAt)
     return "the primary answers again";
   return std::nullopt;
 }
 
+bool LeadershipModule::replacesLeader(Run &run, const TargetId &leader) {
+  auto &change = run.Change;
+  if (leader == change.Outstanding)
+    change.Outstanding = TargetId();
+  if (change.Outstanding.empty())
+    return false;
+  change.Reason.From = leader;
+  change.SteppedDownAt.reset();
+  refreshServerStates(run);
+  return true;
+}
+
 bool LeadershipModule::queryServers(Run &run) {
   bool allKnown = true;
   for (const auto &[target, it] : run.Change.Servers) {
@@ -328,13 +344,13 @@
       change.Reason.Kind != detail::ReasonKind::NoPrimary && run.Ctx.Now - change.StartedAt < StepDownDelay;
   if (detail::highestTerm(change.Servers) == 0 || (!allKnown && patient))
     return;
-  if (change.Reason.needsConfirmation() && primaryLossUnconfirmed(run))
+  if (change.Outstanding.empty() && change.Reason.needsConfirmation() && primaryLossUnconfirmed(run))
     return;
   if (formerReachable(run)) {
     stepDownFormer(run);
     return;
   }
-  const auto &preferred = change.Receiving.empty() ? change.PreferredCandidate : change.Receiving;
+  const auto &preferred = change.Receiving.empty() ? change.Outstanding : change.Receiving;
   const auto candidate = detail::mostUpToDate(change.Servers, preferred);
   if (!candidate || !allKnown || awaitsStayingReplica(run))
     return;
@@ -372,7 +388,7 @@
   if (detail::highestTerm(change.Servers) == 0 || (!allKnown && (!present || patient)))
     return;
   const bool mayLead = change.Reason.needsConfirmation() || change.Reason.refutedByAnswer();
-  if (mayLead && primaryLossUnconfirmed(run))
+  if (mayLead && change.Outstanding.empty() && primaryLossUnconfirmed(run))
     return;
   if (awaitsStayingReplica(run))
     return;
@@ -386,7 +402,7 @@
     change.AllPausedAt = run.Ctx.Now;
   if (run.Ctx.Now - *change.AllPausedAt < PrimaryLease::Length + ClockMargin)
     return;
-  if (const auto best = detail::mostUpToDate(change.Servers, change.PreferredCandidate))
+  if (const auto best = detail::mostUpToDate(change.Servers, change.Outstanding))
     choose(run, *best);
 }
 
@@ -414,7 +430,7 @@
       else if (it.Status->Log < former)
         queryAgain(run, target);
     }
-  const auto best = detail::bestAfterStepDown(change.Servers, change.PreferredCandidate);
+  const auto best = detail::bestAfterStepDown(change.Servers, change.Outstanding);
   const auto waited = run.Ctx.Now - *change.SteppedDownAt;
   const bool whole =
       best && change.Servers.at(*best).Status->Log >= former && !change.Servers.at(*best).Leaving;
@@ -492,12 +508,12 @@
 
 bool LeadershipModule::awaitsStayingReplica(Run &run) {
   auto &change = run.Change;
-  const auto best = detail::mostUpToDate(change.Servers, change.PreferredCandidate);
+  const auto best = detail::mostUpToDate(change.Servers, change.Outstanding);
   if (!best || !change.Servers.at(*best).Leaving)
     return false;
   auto staying = change.Servers;
   std::erase_if(staying, [](const auto &one) { return one.second.Leaving; });
-  const auto heir = detail::mostUpToDate(staying, change.PreferredCandidate);
+  const auto heir = detail::mostUpToDate(staying, change.Outstanding);
   if (!heir)
     return false;
   if (!change.StayingAwaitedSince)
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -73,6 +73,7 @@
   }
   switch (change.State) {
   case Phase::Idle:
+    settleOutstandingOrder(run);
     startIfNeeded(run);
     break;
   case Phase::WaitingToClaim:
@@ -99,10 +100,19 @@
   }
 }
 
+void LeadershipModule::settleOutstandingOrder(Run &run) {
+  auto &outstanding = run.Change.Outstanding;
+  if (outstanding == run.Change.Primary || !run.Services.Catalog.server(outstanding))
+    outstanding = TargetId();
+}
+
 std::optional<detail::ChangeReason> LeadershipModule::findReason(const Run &run) const {
   const auto &change = run.Change;
   auto reason = detail::reasonToChange(run.Service, run.Services.Catalog, run.Services.Links,
                                        run.Services.Sessions, change.PrimarySince, run.Ctx.Now);
+  if (!reason && !change.Outstanding.empty())
+    return detail::ChangeReason{detail::ReasonKind::OrderOutstanding, "an order may still be carried out",
+                                change.Primary.value_or(TargetId())};
   if (!reason && !change.LeftPaused.empty())
     return detail::ChangeReason{detail::ReasonKind::ReplicasPaused, "replicas were left paused",
                                 change.Primary.value_or(TargetId())};
@@ -137,10 +147,10 @@
   for (auto &[service, change] : Changes) {
     Run run{ctx, services, service, change};
     if (change.State == Phase::Promoting && change.Call)
-      change.PromotionUnanswered = true;
+      change.Outstanding = change.Candidate;
     change.Call.reset();
     if (const auto &claim = change.Claim.known(); !claim.Done && !claim.Candidate.empty())
-      change.ForgottenCandidate = claim.Candidate;
+      change.Outstanding = claim.Candidate;
     change.Claim.forget(ctx.Now);
     if (change.State >= Phase::SelectingCandidate)
       giveUp(run, "the store was restored, and the claim may be gone", detail::RetryDelay);
@@ -159,15 +169,14 @@
                     {"server", change.Candidate.str()},
                     {"source", "this proxy"},
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
-  change.ForgottenCandidate = TargetId();
-  change.PromotionUnanswered = false;
+  change.Outstanding = TargetId();
   change.NextAttemptAt = run.Ctx.Now + detail::MinChangeInterval;
   release(run);
 }
 
 void LeadershipModule::release(Run &run) {
   auto &change = run.Change;
-  if (change.PromotionUnanswered) {
+  if (!change.Outstanding.empty()) {
     logUnansweredOrder(run);
     // The order may still be carried out, so the claim stays as it is until another proxy takes it over, and
     // the replicas must not receive from the former primary again.
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -75,6 +75,8 @@
   void step(Run &run);
   void startIfNeeded(Run &run);
   [[nodiscard]] std::optional<detail::ChangeReason> findReason(const Run &run) const;
+  /// Forgets an order that has been carried out, or whose server is gone.
+  static void settleOutstandingOrder(Run &run);
   static void enterPhase(Run &run, Phase next);
   /// Ends an attempt without a new primary.
   void giveUp(Run &run, const std::string &why, Duration pause);
@@ -104,6 +106,9 @@
   void selectCandidate(Run &run);
   void refreshServerStates(Run &run);
   [[nodiscard]] std::optional<std::string> reasonRefuted(Run &run);
+  /// Another server leads: whether the change goes on and replaces that one. It does while an order for a
+  /// third server may still be carried out.
+  bool replacesLeader(Run &run, const TargetId &leader);
   bool queryServers(Run &run);
   bool primaryLossUnconfirmed(Run &run);
   void selectFenced(Run &run, bool allKnown);
