Compare all servers before the former primary steps down, and verify pauses

A replica that alone had received the end of the former primary's log ended while the others were awaited, or was not listed yet. And a pause was believed for as long as its link was open, although a RESUME of an earlier change, carried out seconds late, or a restart had ended it.

What a replica has reported is required once its link closes or it leaves. An order that is outstanding is repeated for its server whatever has changed. The path without fencing is the same now, but for the leases of an unreachable primary.

Two tests of change of primary answered a status query of a paused replica as not paused; they keep the pause now, with the same checks.

--- a/src/leadership/internal/pendingpromotion.cpp
+++ b/src/leadership/internal/pendingpromotion.cpp
@@ -20,19 +20,25 @@
   return stopped(run) && coverageOf(run, run.Change.Candidate) != detail::Coverage::Uncompared;
 }
 
+void LeadershipModule::verifyPauses(Run &run) {
+  for (const auto &[target, it] : run.Change.Servers)
+    if (it.Paused && !it.Missing && requestDue(run, target, HoldInterval))
+      sendRequest(run, target, Order::ReadStatus);
+}
+
 void LeadershipModule::holdServers(Run &run) {
   auto &change = run.Change;
   logJoinedServers(run);
   refreshServerStates(run);
   if (change.SteppedDownAt)
     return;
+  verifyPauses(run);
   for (const auto &[target, it] : change.Servers) {
-    if (it.Missing || target == change.Candidate || !requestDue(run, target, HoldInterval))
+    if (it.Missing || it.Paused || target == change.Candidate || !requestDue(run, target, HoldInterval))
       continue;
-    if (it.FormerPrimary || run.Services.Catalog.primary(run.Service) == target)
-      sendRequest(run, target, Order::StepDown);
-    else
-      sendRequest(run, target, it.Paused ? Order::ReadStatus : Order::Pause);
+    const bool mayLead =
+        it.FormerPrimary || run.Services.Catalog.server(target)->Entry.Role == TargetRole::Primary;
+    sendRequest(run, target, mayLead ? Order::StepDown : Order::Pause);
   }
 }
 
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -22,7 +22,9 @@
 
 void LeadershipModule::promote(Run &run) {
   auto &change = run.Change;
-  if (!choiceStands(run)) {
+  // An order that is outstanding is repeated: the same server may lead already, and another one would undo
+  // that.
+  if (change.Outstanding != change.Candidate && !choiceStands(run)) {
     enterPhase(run, Phase::SelectingCandidate);
     return;
   }
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -36,14 +36,9 @@
 constexpr Duration ReplicationStallTime = 200ms;
 /// Without an answer of all replicas, the former primary is asked to step down after this time.
 constexpr Duration StepDownDelay = 1500ms;
-/// Where promotions are not fenced: time for a primary that can be reached to step down, before its replicas
-/// are paused instead.
-constexpr Duration StepDownTime = 300ms;
-/// Time for a replica that stays to receive what the former primary had when it stepped down. Above the usual
-/// lag of a replica.
-constexpr Duration LogTailTime = 300ms;
-/// Time for the replicas to report what they received before the primary stepped down. Without the reports,
-/// the former primary itself is promoted again.
+/// Time for a replica to receive what the former primary had when it stepped down, and for one that has
+/// joined to be listed. After it, the longest log of all replicas is promoted or, without the reports of all,
+/// the former primary itself again.
 constexpr Duration ReportTime = 800ms;
 /// A replica that was lost this long before the primary had no commit that the others did not receive.
 constexpr Duration MissingReplicaLookback = 3s;
@@ -71,13 +66,12 @@
     return;
   }
   const bool allKnown = queryServers(run);
+  verifyPauses(run);
   const auto former = change.Servers.find(change.Reason.From);
   if (former != change.Servers.end() && former->second.SteppedDown)
     selectAfterStepDown(run);
-  else if (run.Ctx.Self.PromotionFencing)
-    selectFenced(run, allKnown);
   else
-    selectUnfenced(run, allKnown);
+    selectBesidePrimary(run, allKnown);
 }
 
 void LeadershipModule::refreshServerStates(Run &run) {
@@ -100,8 +94,13 @@
     change.Servers.erase(it.Target);
     logPassedOver(run, it, seen);
   }
-  std::erase_if(change.Servers,
-                [&](const auto &it) { return !it.second.Missing && !catalog.server(it.first); });
+  std::erase_if(change.Servers, [&](const auto &it) {
+    const auto &[target, server] = it;
+    if (server.Missing || catalog.server(target))
+      return false;
+    requireLog(change, server);
+    return true;
+  });
 }
 
 std::optional<std::string> LeadershipModule::reasonRefuted(Run &run) {
@@ -209,7 +208,7 @@
     change.PausedByThisProxy.erase(reply.Target);
     return;
   }
-  if (!selecting && change.State != Phase::Promoting && change.State != Phase::AwaitingPrimary)
+  if (change.State < Phase::SelectingCandidate || change.State > Phase::AwaitingPrimary)
     return;
   if (!event.Status) {
     const auto *why = std::get_if<StatementRejection>(&event.Outcome);
@@ -241,6 +240,8 @@
     logEndedPause(run, target, server, status);
     server.Paused = false;
     server.Settled = false;
+    change.OthersPausedAt.reset();
+    change.AllPausedAt.reset();
   }
   server.Status = status;
   if (!server.FirstPosition)
@@ -287,6 +288,7 @@
   if (it == change.Servers.end())
     return;
   auto &server = it->second;
+  requireLog(change, server);
   if (std::exchange(server.SteppedDown, false))
     change.SteppedDownAt.reset();
   server.Paused = false;
@@ -296,6 +298,11 @@
   change.AllPausedAt.reset();
 }
 
+void LeadershipModule::requireLog(PrimaryChange &change, const detail::ServerState &server) {
+  if (!server.FormerPrimary && server.Status && server.Status->Role == TargetRole::Replica)
+    change.Required = std::max(change.Required, server.Status->Log);
+}
+
 bool LeadershipModule::stopped(const Run &run) {
   const auto &change = run.Change;
   return run.Ctx.Self.PromotionFencing || change.SteppedDownAt || detail::allReplicasPaused(change.Servers);
@@ -334,31 +341,23 @@
   return !all;
 }
 
-/// A former primary that can be reached steps down before anything is ordered: until a promotion takes
-/// effect, it would acknowledge commits through any replica that receives, also one that nobody has listed
-/// yet. One that cannot be reached may go on serving others; then its commits are acknowledged through the
-/// candidate alone.
-void LeadershipModule::selectFenced(Run &run, bool allKnown) {
+/// Until the former primary stops, its commits are acknowledged through the candidate alone. It steps down
+/// right before the order, if it can be reached: a replica that nobody has listed yet may receive, too.
+void LeadershipModule::selectBesidePrimary(Run &run, bool allKnown) {
   auto &change = run.Change;
-  const bool patient =
-      change.Reason.Kind != detail::ReasonKind::NoPrimary && run.Ctx.Now - change.StartedAt < StepDownDelay;
-  if (detail::highestTerm(change.Servers) == 0 || (!allKnown && patient))
+  const bool nobodyLeads = change.Reason.Kind == detail::ReasonKind::NoPrimary;
+  if (formerReachable(run) && (nobodyLeads || run.Ctx.Now - change.StartedAt >= StepDownDelay))
+    stepDownFormer(run);
+  const auto candidate = bestCandidate(run);
+  if (!candidate || !allKnown)
     return;
   if (change.Outstanding.empty() && change.Reason.needsConfirmation() && primaryLossUnconfirmed(run))
     return;
-  if (formerReachable(run)) {
-    stepDownFormer(run);
-    return;
-  }
-  const auto &preferred = change.Receiving.empty() ? change.Outstanding : change.Receiving;
-  const auto candidate = detail::mostUpToDate(change.Servers, preferred);
-  if (!candidate || !allKnown || awaitsStayingReplica(run))
+  if (awaitsStayingReplica(run))
     return;
   const bool othersPaused = pauseReplicas(run, candidate);
   if (coverageOf(run, *candidate) != detail::Coverage::Uncompared) {
-    if (!receives(run, *candidate))
-      return;
-    choose(run, *candidate);
+    onCandidateFound(run, *candidate);
     return;
   }
   if (!othersPaused)
@@ -369,34 +368,23 @@
   sendRequest(run, *candidate, caughtUp ? Order::Pause : Order::ReadStatus);
 }
 
-bool LeadershipModule::receives(Run &run, const TargetId &candidate) {
-  const auto &server = run.Change.Servers.at(candidate);
-  if (!server.Paused && !server.Status->Paused)
-    return true;
-  run.Change.Receiving = candidate;
-  sendRequest(run, candidate, Order::Resume);
-  return false;
+void LeadershipModule::onCandidateFound(Run &run, const TargetId &candidate) {
+  const bool fencing = run.Ctx.Self.PromotionFencing;
+  if (formerReachable(run)) {
+    if (receives(run, candidate))
+      stepDownFormer(run);
+  } else if (!fencing) {
+    chooseAfterLeases(run);
+  } else if (receives(run, candidate)) {
+    choose(run, candidate);
+  }
 }
 
-/// The former primary leads until it learns of the promotion. It steps down first; if it cannot be reached,
-/// all replicas are paused and the leases of its reads run out.
-void LeadershipModule::selectUnfenced(Run &run, bool allKnown) {
+/// Without fencing, a former primary that cannot be reached leads until it learns of the promotion. All
+/// replicas are paused, and the leases of its reads run out.
+void LeadershipModule::chooseAfterLeases(Run &run) {
   auto &change = run.Change;
-  const auto &from = change.Reason.From;
-  const bool present = change.Servers.contains(from);
-  const bool patient = run.Ctx.Now - change.StartedAt < StepDownDelay;
-  if (detail::highestTerm(change.Servers) == 0 || (!allKnown && (!present || patient)))
-    return;
-  const bool mayLead = change.Reason.needsConfirmation() || change.Reason.refutedByAnswer();
-  if (mayLead && change.Outstanding.empty() && primaryLossUnconfirmed(run))
-    return;
-  if (awaitsStayingReplica(run))
-    return;
-  if (present)
-    sendRequest(run, from, Order::StepDown);
-  if (formerReachable(run) && run.Ctx.Now - change.StartedAt < StepDownTime)
-    return;
-  if (!allKnown || !pauseReplicas(run, std::nullopt) || !detail::allReplicasPaused(change.Servers))
+  if (!pauseReplicas(run, std::nullopt) || !detail::allReplicasPaused(change.Servers))
     return;
   if (!change.AllPausedAt)
     change.AllPausedAt = run.Ctx.Now;
@@ -406,14 +394,38 @@
     choose(run, *best);
 }
 
+bool LeadershipModule::awaitsOrderedServer(const Run &run, TimePoint since) {
+  const auto &change = run.Change;
+  const auto it = change.Servers.find(change.Outstanding);
+  return it != change.Servers.end() && it->second.Status && run.Ctx.Now - since < ReportTime;
+}
+
+std::optional<TargetId> LeadershipModule::bestCandidate(const Run &run) {
+  const auto &change = run.Change;
+  if (awaitsOrderedServer(run, change.StartedAt))
+    return change.Outstanding;
+  return detail::mostUpToDate(change.Servers,
+                              change.Receiving.empty() ? change.Outstanding : change.Receiving);
+}
+
+bool LeadershipModule::receives(Run &run, const TargetId &candidate) {
+  const auto &server = run.Change.Servers.at(candidate);
+  if (!server.Paused && !server.Status->Paused)
+    return true;
+  run.Change.Receiving = candidate;
+  sendRequest(run, candidate, Order::Resume);
+  return false;
+}
+
 bool LeadershipModule::formerReachable(const Run &run) {
   const auto &from = run.Change.Reason.From;
   return run.Change.Servers.contains(from) && !run.Services.Links.health(from).suspect(run.Ctx.Now);
 }
 
 void LeadershipModule::stepDownFormer(Run &run) {
+  const bool known = detail::highestTerm(run.Change.Servers) > 0;
   // The promotion has to follow at once, and needs the store.
-  if (run.Change.Claim.age(run.Ctx.Now) < detail::MaxClaimAge)
+  if (known && run.Change.Claim.age(run.Ctx.Now) < detail::MaxClaimAge)
     sendRequest(run, run.Change.Reason.From, Order::StepDown);
 }
 
@@ -434,10 +446,12 @@
   const auto waited = run.Ctx.Now - *change.SteppedDownAt;
   const bool whole =
       best && change.Servers.at(*best).Status->Log >= former && !change.Servers.at(*best).Leaving;
-  if (whole || (best && waited >= LogTailTime))
+  if (awaitsOrderedServer(run, *change.SteppedDownAt) && best != change.Outstanding)
+    return;
+  if (whole)
     choose(run, *best);
   else if (waited >= ReportTime)
-    choose(run, from);
+    choose(run, best.value_or(from));
 }
 
 Position LeadershipModule::requiredPosition(Run &run) {
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -83,6 +83,9 @@
   case Phase::SelectingCandidate:
     selectCandidate(run);
     break;
+  case Phase::ConfirmingClaim:
+    holdServers(run);
+    break;
   case Phase::Promoting:
     holdServers(run);
     if (!change.Call && run.Ctx.Now >= change.NextAttemptAt)
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -111,16 +111,25 @@
   bool replacesLeader(Run &run, const TargetId &leader);
   bool queryServers(Run &run);
   bool primaryLossUnconfirmed(Run &run);
-  void selectFenced(Run &run, bool allKnown);
-  void selectUnfenced(Run &run, bool allKnown);
+  void selectBesidePrimary(Run &run, bool allKnown);
+  /// A candidate holds every commit that the listed servers may have acknowledged.
+  void onCandidateFound(Run &run, const TargetId &candidate);
+  void chooseAfterLeases(Run &run);
   void selectAfterStepDown(Run &run);
   /// Whether the former primary is listed and answers this proxy.
   [[nodiscard]] static bool formerReachable(const Run &run);
   void stepDownFormer(Run &run);
+  /// Whether the server of an outstanding order still has time to receive what it must hold. The promotion of
+  /// another one could undo its lead.
+  [[nodiscard]] static bool awaitsOrderedServer(const Run &run, TimePoint since);
+  [[nodiscard]] static std::optional<TargetId> bestCandidate(const Run &run);
   /// Resumes a candidate that is paused, so that commits which a lost primary still acknowledges reach it.
   /// False until it receives.
   bool receives(Run &run, const TargetId &candidate);
   static void forgetState(PrimaryChange &change, const TargetId &target);
+  /// A replica may not come back: what it has received is acknowledged, and must be in the log of the server
+  /// that is promoted.
+  static void requireLog(PrimaryChange &change, const detail::ServerState &server);
   /// Whether the former primary acknowledges nothing any more, where it must not.
   [[nodiscard]] static bool stopped(const Run &run);
   /// The position that a server must hold to be promoted.
@@ -160,6 +169,9 @@
   /// Whether the chosen server still is certain to hold every acknowledged commit, as far as the servers are
   /// known now.
   [[nodiscard]] bool choiceStands(Run &run);
+  /// Asks paused replicas for their status, at intervals: one that has restarted, or was resumed by an order
+  /// of an earlier change, receives again.
+  void verifyPauses(Run &run);
   /// Stops what may acknowledge commits that the chosen server lacks, while its promotion is on its way.
   void holdServers(Run &run);
 
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -429,12 +429,12 @@
       if (pause)
         pausedAt.try_emplace(target.str(), proxy.Now);
       const TargetStatus status{TargetRole::Replica,
-                                pause ? 2U : 1U,
+                                pausedAt.contains(target.str()) ? 2U : 1U,
                                 {1, target == TargetId("a") ? 10U : 20U},
                                 {},
                                 false,
                                 {},
-                                pause};
+                                pausedAt.contains(target.str())};
       answerCommands(proxy, *sent, status);
     }
     proxy.pass(20ms);
@@ -483,6 +483,7 @@
   failPrimary(proxy, 41);
   std::optional<PromotionCall> call;
   std::optional<LinkId> paused;
+  std::set<TargetId> pausedServers;
   int pauses = 0;
   for (int n = 0; n < 200 && !call; ++n) {
     while (answerClaim(proxy, 45)) {
@@ -497,12 +498,17 @@
         ++pauses;
         paused = sent->Link;
       }
-      const TargetStatus status{TargetRole::Replica, pause ? 2U : 1U, {1, 10}, {}, false, {}, pause};
+      if (pause)
+        pausedServers.insert(target);
+      const bool held = pausedServers.contains(target);
+      const TargetStatus status{TargetRole::Replica, held ? 2U : 1U, {1, 10}, {}, false, {}, held};
       answerCommands(proxy, *sent, status);
     }
     proxy.pass(20ms);
-    if (paused && pauses == 1)
+    if (paused && pauses == 1) {
+      pausedServers.erase(TargetId("a"));
       proxy.apply(LinkClosed{*paused, LinkFailure::Lost});
+    }
     call = proxy.take<PromotionCall>();
   }
   REQUIRE(call);
--- /dev/null
+++ b/src/reducer/tests/servicemodel.h
@@ -0,0 +1,275 @@
+// Model of one service for tests of changes of primary: its servers with their logs, the claim object of the
+// store, and the platform that carries out promotions. It answers the effects of one proxy.
+
+#pragma once
+
+#include "reducer/tests/sessionharness.h"
+
+#include <map>
+#include <set>
+
+namespace rosemaryhinge {
+
+class ServiceModel {
+public:
+  struct Server {
+    TargetRole Role = TargetRole::Replica;
+    Position Log{1, 10};
+    Term RaisedTerm = 1;
+    bool Paused = false;
+    bool Stalled = false;     ///< The network delays what it receives from the primary.
+    bool ReachesProxy = true; ///< Otherwise it refuses the proxy's connections.
+  };
+
+  /// The primary p and the replicas a and b, with equal logs.
+  ServiceModel() {
+    Servers["p"].Role = TargetRole::Primary;
+    Servers["a"] = {};
+    Servers["b"] = {};
+  }
+
+  /// Adds a commit to the log of the primary. Each replica that is neither paused nor stalled receives it,
+  /// and it is acknowledged if there is one. A primary that only the proxy has lost serves others.
+  bool commit() {
+    if (primary().empty())
+      return false;
+    auto &leader = Servers.at(primary());
+    leader.Log = {leader.RaisedTerm, leader.Log.Lsn + 1};
+    bool received = false;
+    for (auto &[name, it] : Servers) {
+      if (it.Role != TargetRole::Replica || it.Paused || it.Stalled)
+        continue;
+      it.Log = leader.Log;
+      received = true;
+    }
+    if (received)
+      Acknowledged = leader.Log;
+    return received;
+  }
+
+  /// Adds a replica that has the log of the primary, and lists it.
+  void join(SessionHarness &proxy, const std::string &name) {
+    auto &server = Servers[name];
+    if (const auto leader = Servers.find(primary()); leader != Servers.end()) {
+      server.Log = leader->second.Log;
+      server.RaisedTerm = leader->second.RaisedTerm;
+    }
+    const auto revision = ++Revision;
+    proxy.answerWatch(DirectoryKind::Servers, {SessionHarness::server(name, TargetRole::Replica, revision)},
+                      revision);
+  }
+
+  /// A server starts again with its log, which ends its pause and closes the proxy's links to it.
+  void restart(SessionHarness &proxy, const std::string &name) {
+    Servers.at(name).Paused = false;
+    for (const auto &link : std::exchange(Links[name], {}))
+      proxy.apply(LinkClosed{link, LinkFailure::Lost});
+  }
+
+  /// Answers the proxy for this long, in steps of 20 ms.
+  void play(SessionHarness &proxy, Duration time) {
+    const auto end = proxy.Now + time;
+    while (proxy.Now < end) {
+      answer(proxy);
+      proxy.pass(Step);
+      carryOutPromotions(proxy);
+    }
+  }
+
+  /// Plays with a caller's write that waits until the proxy orders a promotion, at most for a time.
+  std::optional<PromotionCall> awaitOrder(SessionHarness &proxy, Duration limit) {
+    const auto orders = Orders.size();
+    const auto end = proxy.Now + limit;
+    while (proxy.Now < end && Orders.size() == orders) {
+      playWithCallers(proxy, Step);
+    }
+    return Orders.size() == orders ? std::nullopt : std::optional(Orders.back());
+  }
+
+  /// Carries out an order that had no answer; the platform checks its token now.
+  void carryOutLate(const PromotionCall &order, TimePoint now) { carryOut(order, now); }
+
+  /// Plays while a write of a caller waits, so that the proxy tries to reach the primary.
+  void playWithCallers(SessionHarness &proxy, Duration time) {
+    const auto end = proxy.Now + time;
+    while (proxy.Now < end) {
+      if (!proxy.Logic.Sessions.waiting())
+        proxy.write(proxy.open("settle"), "w" + std::to_string(++LastWrite));
+      play(proxy, Step);
+    }
+  }
+
+  [[nodiscard]] std::string primary() const {
+    for (const auto &[name, it] : Servers)
+      if (it.Role == TargetRole::Primary)
+        return name;
+    return {};
+  }
+
+  std::map<std::string, Server> Servers;
+  Position Acknowledged{1, 10};      ///< The newest commit that a caller has seen acknowledged.
+  Claim Stored;                      ///< The claim object. Revision 0: there is none.
+  bool StoreDelayed = false;         ///< Writes of the claim get no answer yet.
+  std::size_t Claims = 0;            ///< Number of changes that the proxy has claimed.
+  std::uint64_t Revision = 40;       ///< Of the store.
+  std::uint64_t Fence = 0;           ///< The highest token that the platform has seen.
+  bool PromotionsUnanswered = false; ///< Orders get no answer, and are carried out only by carryOutLate().
+  std::vector<PromotionCall> Orders; ///< All orders that the proxy sent.
+  std::optional<std::uint64_t> AcceptedToken; ///< Of the newest order that was answered as accepted.
+  std::map<std::string, std::vector<TimePoint>> PausedAt; ///< Pause commands carried out, by server.
+  std::set<std::string> Resumed;                          ///< Servers that the proxy has resumed.
+  bool EndedBeforeAccepted = false; ///< The claim was marked as done before an order was accepted.
+  bool ResumedBeforeAccepted = false;
+  bool LostCommits = false; ///< A server was promoted that lacked an acknowledged commit.
+
+private:
+  static constexpr Duration Step = 20ms;
+  /// Between an order and the moment at which the server leads.
+  static constexpr Duration PromotionTime = 600ms;
+
+  using StoreAnswer = decltype(DirectoryAnswer::Result);
+
+  struct Pending {
+    std::string Server;
+    TimePoint At;
+  };
+
+  void answer(SessionHarness &proxy) {
+    while (const auto open = proxy.take<OpenLink>()) {
+      const auto it = Servers.find(open->Target.str());
+      if (it != Servers.end() && it->second.ReachesProxy) {
+        Links[it->first].insert(open->Link);
+        proxy.apply(LinkOpened{open->Link});
+      } else {
+        proxy.apply(LinkClosed{open->Link, LinkFailure::Refused});
+      }
+    }
+    while (const auto sent = proxy.take<SendOnLink>())
+      run(proxy, *sent);
+    while (answerStore(proxy)) {
+    }
+    while (const auto order = proxy.take<PromotionCall>())
+      answerOrder(proxy, *order);
+  }
+
+  void run(SessionHarness &proxy, const SendOnLink &sent) {
+    const auto target = proxy.Logic.Links.targetOf(sent.Link);
+    const auto it = target ? Servers.find(target->str()) : Servers.end();
+    if (it == Servers.end() || !it->second.ReachesProxy)
+      return;
+    for (const auto &command : sent.Commands) {
+      obey(it->first, it->second, command, proxy.Now);
+      const auto &server = it->second;
+      const TargetStatus status{server.Role, server.RaisedTerm, server.Log, {}, false, {}, server.Paused};
+      const bool transaction = std::holds_alternative<BeginTransaction>(command);
+      proxy.apply(LinkReplied{sent.Link, SessionHarness::done(),
+                              transaction ? TransactionState::Open : TransactionState::Idle, server.Log,
+                              status});
+    }
+  }
+
+  void obey(const std::string &name, Server &server, const LinkCommand &command, TimePoint now) {
+    if (const auto *pause = std::get_if<PauseReplica>(&command);
+        pause && server.Role == TargetRole::Replica) {
+      server.RaisedTerm = std::max(server.RaisedTerm, pause->Term);
+      server.Paused = true;
+      PausedAt[name].push_back(now);
+    } else if (const auto *stepDown = std::get_if<StepDownPrimary>(&command);
+               stepDown && server.RaisedTerm < stepDown->Term) {
+      server.RaisedTerm = stepDown->Term;
+      server.Role = TargetRole::Replica;
+    } else if (std::holds_alternative<ResumeReplica>(command)) {
+      server.Paused = false;
+      Resumed.insert(name);
+      ResumedBeforeAccepted = ResumedBeforeAccepted || !AcceptedToken;
+    }
+  }
+
+  /// Answers the oldest pending call of the store that concerns claims. False if there is none.
+  bool answerStore(SessionHarness &proxy) {
+    for (auto it = proxy.Out.begin(); it != proxy.Out.end(); ++it) {
+      const auto *call = std::get_if<DirectoryCall>(&*it);
+      const auto *list = call ? std::get_if<ListDirectory>(&call->Request) : nullptr;
+      const auto *put = call ? std::get_if<PutClaim>(&call->Request) : nullptr;
+      if (!put && !(list && list->Kind == DirectoryKind::Claims))
+        continue;
+      if (put && StoreDelayed)
+        return false;
+      const auto id = call->Call;
+      const auto next = put ? std::optional(put->Next) : std::nullopt;
+      proxy.Out.erase(it);
+      proxy.apply(DirectoryAnswer{id, next ? store(*next) : listClaims()});
+      return true;
+    }
+    return false;
+  }
+
+  [[nodiscard]] StoreAnswer listClaims() const {
+    if (Stored.Revision == 0)
+      return DirectoryListing{{}, false, Revision};
+    return DirectoryListing{{{Stored.Service.str(), false, Stored}}, false, Revision};
+  }
+
+  StoreAnswer store(const Claim &next) {
+    if (next.Revision != Stored.Revision)
+      return ClaimConflict{Stored};
+    if (next.Nonce != Stored.Nonce)
+      ++Claims;
+    Stored = next;
+    Stored.Revision = ++Revision;
+    EndedBeforeAccepted = EndedBeforeAccepted || (Stored.Done && !AcceptedToken);
+    return ClaimStored{Stored};
+  }
+
+  void answerOrder(SessionHarness &proxy, const PromotionCall &order) {
+    Orders.push_back(order);
+    if (PromotionsUnanswered) {
+      proxy.apply(PromotionAnswer{order.Call, PromotionResult::Unknown, "timeout"});
+      return;
+    }
+    const bool accepted = carryOut(order, proxy.Now);
+    if (accepted)
+      AcceptedToken = order.Token;
+    proxy.apply(
+        PromotionAnswer{order.Call, accepted ? PromotionResult::Accepted : PromotionResult::Fenced, ""});
+  }
+
+  bool carryOut(const PromotionCall &order, TimePoint now) {
+    if (order.Token < Fence || !Servers.contains(order.Target.str()))
+      return false;
+    Fence = order.Token;
+    if (primary() != order.Target.str())
+      Promotions.push_back({order.Target.str(), now + PromotionTime});
+    return true;
+  }
+
+  void carryOutPromotions(SessionHarness &proxy) {
+    for (const auto &it : Promotions)
+      if (it.At <= proxy.Now && Servers.contains(it.Server) && primary() != it.Server)
+        lead(proxy, it.Server);
+    std::erase_if(Promotions, [&](const Pending &it) { return it.At <= proxy.Now; });
+  }
+
+  void lead(SessionHarness &proxy, const std::string &name) {
+    auto &leader = Servers.at(name);
+    LostCommits = LostCommits || leader.Log < Acknowledged;
+    Term term = 0;
+    for (const auto &[other, it] : Servers)
+      term = std::max(term, it.RaisedTerm);
+    std::vector<DirectoryObject> entries;
+    for (auto &[other, it] : Servers) {
+      it.Role = other == name ? TargetRole::Primary : TargetRole::Replica;
+      it.RaisedTerm = term + 1;
+      it.Paused = false;
+      it.Log = std::min(it.Log, leader.Log);
+      entries.push_back(SessionHarness::server(other, it.Role, ++Revision));
+    }
+    proxy.answerWatch(DirectoryKind::Servers, entries, Revision);
+  }
+
+  std::map<std::string, std::set<LinkId>> Links; ///< Opened by the proxy, by server.
+  std::vector<Pending> Promotions;               ///< On their way.
+  std::uint64_t LastWrite = 0;
+};
+
+} // namespace rosemaryhinge
