Session world: end a watch whose wait expires while the store is down

The simulated store kept such a watch for good: its caller waited without an answer, and learned of servers that had started meanwhile only with the next change of an entry. Real callers notice a silent store and ask again.

--- a/testing/sessionworld/directorystore.cpp
+++ b/testing/sessionworld/directorystore.cpp
@@ -2,6 +2,8 @@
 
 #include "sessionworld/directorystore.h"
 
+#include <algorithm>
+
 #include "base/overloaded.h"
 
 namespace rosemaryhinge::sessionworld {
@@ -180,13 +182,16 @@
     Watches.push_back({call, handler});
     answerWatches();
     Queue.after(watch->Wait, [this, call] {
-      for (auto it = Watches.begin(); it != Watches.end(); ++it)
-        if (it->Call.Call == call.Call && !Down) {
-          const auto answer = std::move(it->Answer);
-          Watches.erase(it);
-          answer({call.Call, DirectoryChanges{{}, revision()}, Era});
-          return;
-        }
+      const auto it = std::find_if(Watches.begin(), Watches.end(),
+                                   [&](const Watch &one) { return one.Call.Call == call.Call; });
+      if (it == Watches.end())
+        return;
+      const auto answer = std::move(it->Answer);
+      Watches.erase(it);
+      if (Down)
+        answer({call.Call, DirectoryFailure{"timed out", false}});
+      else
+        answer({call.Call, DirectoryChanges{{}, revision()}, Era});
     });
     return;
   }
