Promote only a log that covers what replicas that ended may have acknowledged

Callers saw acknowledged commits lost after a replica had left. A replica that ended with its log counted as irrelevant if its entry was marked as leaving, and otherwise 3 s after its end by the time of this proxy's last answer of the primary, or by now without one. Neither shows that the remaining logs hold what it acknowledged. Where the last answer was less than 3 s younger than the end, it counted as missing for good, and nothing was ever promoted.

A position that the primary told in answer to a request sent after the entry had ended covers each commit acknowledged before, through whichever proxy. The first such position is kept for each server that ended (CoveredBy), and the candidate must reach it. The log of a former primary that has stepped down stands in as before. Without either the server counts as missing for 60 s after its end, or until the last primary has ended with an announcement, too: then nothing can cover it any more. The catalogue records leaving servers as missing, too; since their logs do not come back, they do not lengthen the wait for a log that may (logsAbsent). What a replica has reported during a change is required once it leaves.

The catalogue's test asserted that a leaving server is not recorded; that was the fault. It now asserts the record of both and the mark.

Cost: none where this proxy has had an answer of the primary since the end.

--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -118,11 +118,10 @@
   group.DeniedAtRevision.erase(target);
   if (group.ConfirmedPrimary == target)
     group.ConfirmedPrimary.reset();
-  if (!it->second.Entry.Leaving) {
-    group.Missing.push_back({target, now, it->second.Entry.Role == TargetRole::Primary});
-    if (group.Missing.size() > MaxMissing)
-      group.Missing.erase(group.Missing.begin());
-  }
+  const auto &entry = it->second.Entry;
+  group.Missing.push_back({target, now, entry.Role == TargetRole::Primary, entry.Leaving});
+  if (group.Missing.size() > MaxMissing)
+    group.Missing.erase(group.Missing.begin());
   if (Removed.size() >= MaxRemoved)
     Removed.clear();
   Removed[target] = {it->second.Entry, now};
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -20,12 +20,12 @@
   std::optional<TimePoint> LeavingSince; ///< When this proxy first saw the entry marked as leaving.
 };
 
-/// A server whose entry was removed without being marked as leaving first. It may hold commits that no other
-/// replica has.
+/// A server whose entry was removed. It may have held commits that no other replica has.
 struct MissingServer {
   TargetId Target;
   TimePoint Since;
   bool WasPrimary = false;
+  bool Announced = false; ///< It was marked as leaving before, and does not come back with its log.
 };
 
 /// What the knowledge of the configuration rests on.
--- a/src/catalog/tests/catalogtests.cpp
+++ b/src/catalog/tests/catalogtests.cpp
@@ -75,16 +75,23 @@
   CHECK(catalog.primary(Yard) == B);
 }
 
-TEST_CASE("only a server removed without being marked as leaving is recorded as missing") {
+TEST_CASE(
+    "each server that was removed is recorded as missing until it is back, and whether it was announced") {
+  // Guards against the loss of acknowledged commits: a leaving replica may hold the only copy of one, too.
   Catalog catalog;
   catalog.updateServer(entry(A, TargetRole::Replica, 1), Start);
   catalog.updateServer(entry(B, TargetRole::Replica, 2, true), Start);
   catalog.removeServer(A, Start + 1s);
   catalog.removeServer(B, Start + 1s);
-  REQUIRE(catalog.missingServers(Yard).size() == 1);
-  CHECK(catalog.missingServers(Yard).front().Target == A);
+  const auto missing = catalog.missingServers(Yard);
+  REQUIRE(missing.size() == 2);
+  CHECK(missing.front().Target == A);
+  CHECK_FALSE(missing.front().Announced);
+  CHECK(missing.back().Target == B);
+  CHECK(missing.back().Announced);
   catalog.updateServer(entry(A, TargetRole::Replica, 5), Start + 2s);
-  CHECK(catalog.missingServers(Yard).empty());
+  REQUIRE(catalog.missingServers(Yard).size() == 1);
+  CHECK(catalog.missingServers(Yard).front().Target == B);
 }
 
 TEST_CASE("the leaving time is when the entry was first seen as leaving") {
--- /dev/null
+++ b/src/leadership/internal/endedservers.cpp
@@ -0,0 +1,76 @@
+// Replicas that ended together with their logs during or before a change of primary.
+//
+// Such a replica may have held the only copy of an acknowledged commit besides the primary's. A log stands in
+// for it if it reaches a position that the primary told after the replica had ended: that covers each commit
+// that the replica can have acknowledged. The log of a former primary that has stepped down does, too.
+
+#include "leadership/leadershipmodule.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Time for a primary that is away to come back and cover what a replica that ended has acknowledged. One
+/// that crashes is back, or replaced, well before.
+constexpr Duration EndedServerTimeout = 60s;
+
+} // namespace
+
+void LeadershipModule::recordCoveringPositions(Run &run) {
+  auto &covered = run.Change.CoveredBy;
+  const auto ended = run.Services.Catalog.missingServers(run.Service);
+  std::erase_if(covered, [&](const auto &one) {
+    return std::none_of(ended.begin(), ended.end(),
+                        [&](const MissingServer &it) { return it.Target == one.first; });
+  });
+  for (const auto &it : ended)
+    if (!covered.contains(it.Target))
+      if (const auto position = run.Services.Sessions.positionCovering(run.Service, it.Since))
+        covered.emplace(it.Target, *position);
+}
+
+bool LeadershipModule::primaryMayReturn(const Run &run) {
+  const auto &catalog = run.Services.Catalog;
+  const auto &from = run.Change.Reason.From;
+  if (catalog.server(from))
+    return true;
+  const auto ended = catalog.missingServers(run.Service);
+  return std::any_of(ended.begin(), ended.end(), [&](const MissingServer &it) {
+    return (it.WasPrimary || it.Target == from) && !it.Announced;
+  });
+}
+
+void LeadershipModule::refreshEndedServers(Run &run) {
+  auto &change = run.Change;
+  const bool coverable = primaryMayReturn(run);
+  for (const auto &it : run.Services.Catalog.missingServers(run.Service)) {
+    const auto covered = change.CoveredBy.find(it.Target);
+    std::string why;
+    if (it.WasPrimary || it.Target == change.Reason.From)
+      why = "it was the primary";
+    else if (covered != change.CoveredBy.end())
+      why = "covered by " + detail::toString(covered->second);
+    else if (!coverable || run.Ctx.Now - it.Since >= EndedServerTimeout)
+      why = "nothing covers it any more";
+    if (why.empty()) {
+      change.Servers[it.Target].Missing = true;
+      continue;
+    }
+    if (const auto known = change.Servers.find(it.Target); known != change.Servers.end()) {
+      requireLog(change, known->second);
+      change.Servers.erase(known);
+    }
+    logPassedOver(run, it, why);
+  }
+}
+
+Position LeadershipModule::endedServersPosition(const Run &run) {
+  Position out;
+  for (const auto &[target, position] : run.Change.CoveredBy)
+    out = std::max(out, position);
+  return out;
+}
+
+} // namespace rosemaryhinge
--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -41,7 +41,7 @@
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
 }
 
-void LeadershipModule::logPassedOver(Run &run, const MissingServer &server, TimePoint confirmedAt) {
+void LeadershipModule::logPassedOver(Run &run, const MissingServer &server, const std::string &why) {
   if (!run.Change.PassedOver.insert(server.Target).second)
     return;
   run.Ctx.emit(Log{LogLevel::Info,
@@ -49,8 +49,8 @@
                    {{"service", run.Service.str()},
                     {"server", server.Target.str()},
                     {"left_ms", std::to_string((run.Ctx.Now - server.Since) / 1ms)},
-                    {"primary_confirmed_ms", std::to_string((run.Ctx.Now - confirmedAt) / 1ms)},
-                    {"was_primary", server.WasPrimary ? "yes" : "no"}}});
+                    {"announced", server.Announced ? "yes" : "no"},
+                    {"why", why}}});
 }
 
 void LeadershipModule::logEndedPause(Run &run, const TargetId &target, const detail::ServerState &known,
--- a/src/leadership/internal/pendingpromotion.cpp
+++ b/src/leadership/internal/pendingpromotion.cpp
@@ -26,12 +26,20 @@
       sendRequest(run, target, Order::ReadStatus);
 }
 
+void LeadershipModule::verifyStepDown(Run &run) {
+  const auto &from = run.Change.Reason.From;
+  if (run.Change.Servers.contains(from) && requestDue(run, from, HoldInterval))
+    sendRequest(run, from, Order::ReadStatus);
+}
+
 void LeadershipModule::holdServers(Run &run) {
   auto &change = run.Change;
   logJoinedServers(run);
   refreshServerStates(run);
-  if (change.SteppedDownAt)
+  if (change.SteppedDownAt) {
+    verifyStepDown(run);
     return;
+  }
   verifyPauses(run);
   for (const auto &[target, it] : change.Servers) {
     if (it.Missing || it.Paused || target == change.Candidate || !requestDue(run, target, HoldInterval))
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -77,6 +77,9 @@
   // What the promoted server must hold.
   /// Servers whose entries ended and that count as irrelevant.
   std::set<TargetId> PassedOver;
+  /// For servers whose entries ended: the first known position of the primary that covers what they
+  /// acknowledged.
+  std::map<TargetId, Position> CoveredBy;
   Position Required; ///< The highest position known to be required; outlasts the claims that told it.
   /// Since when no server that could be promoted holds Required.
   std::optional<TimePoint> UncoveredSince;
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -40,8 +40,6 @@
 /// joined to be listed. After it, the longest log of all replicas is promoted or, without the reports of all,
 /// the former primary itself again.
 constexpr Duration ReportTime = 800ms;
-/// A replica that was lost this long before the primary had no commit that the others did not receive.
-constexpr Duration MissingReplicaLookback = 3s;
 /// Added to the length of a lease, for differences between the rates of clocks.
 constexpr Duration ClockMargin = 30ms;
 
@@ -84,16 +82,7 @@
     it.FormerPrimary = target == from;
     it.Missing = false;
   }
-  const auto seen = run.Services.Sessions.primaryConfirmedAt(run.Service).value_or(run.Ctx.Now);
-  for (const auto &it : catalog.missingServers(run.Service)) {
-    const bool irrelevant = it.WasPrimary || it.Target == from || seen - it.Since >= MissingReplicaLookback;
-    if (!irrelevant) {
-      change.Servers[it.Target].Missing = true;
-      continue;
-    }
-    change.Servers.erase(it.Target);
-    logPassedOver(run, it, seen);
-  }
+  refreshEndedServers(run);
   std::erase_if(change.Servers, [&](const auto &it) {
     const auto &[target, server] = it;
     if (server.Missing || catalog.server(target))
@@ -243,6 +232,8 @@
     change.OthersPausedAt.reset();
     change.AllPausedAt.reset();
   }
+  if (server.SteppedDown && !replica)
+    forgetStepDown(change, server);
   server.Status = status;
   if (!server.FirstPosition)
     server.FirstPosition = status.Log;
@@ -298,6 +289,15 @@
   change.AllPausedAt.reset();
 }
 
+/// An order of an earlier change has made the former primary lead again, and the replicas receive from it.
+void LeadershipModule::forgetStepDown(PrimaryChange &change, detail::ServerState &former) {
+  former.SteppedDown = false;
+  change.SteppedDownAt.reset();
+  change.OrderTerm = 0;
+  for (auto &[target, it] : change.Servers)
+    it.Settled = it.Paused;
+}
+
 void LeadershipModule::requireLog(PrimaryChange &change, const detail::ServerState &server) {
   if (!server.FormerPrimary && server.Status && server.Status->Role == TargetRole::Replica)
     change.Required = std::max(change.Required, server.Status->Log);
@@ -435,6 +435,7 @@
   auto &change = run.Change;
   const auto &from = change.Reason.From;
   const auto former = change.Servers.at(from).Status->Log;
+  verifyStepDown(run);
   for (const auto &[target, it] : change.Servers)
     if (!it.FormerPrimary && !it.Missing) {
       if (!it.Settled)
@@ -463,12 +464,14 @@
 
 bool LeadershipModule::logsAbsent(const Run &run) {
   const auto &servers = run.Change.Servers;
-  return !run.Services.Catalog.missingServers(run.Service).empty() ||
+  const auto ended = run.Services.Catalog.missingServers(run.Service);
+  return std::any_of(ended.begin(), ended.end(), [](const auto &it) { return !it.Announced; }) ||
          std::any_of(servers.begin(), servers.end(), [](const auto &one) { return !one.second.Status; });
 }
 
 detail::Coverage LeadershipModule::coverageOf(Run &run, const TargetId &candidate) {
-  return detail::coverage({run.Change.Servers, requiredPosition(run), logsAbsent(run)}, candidate);
+  const auto required = std::max(requiredPosition(run), endedServersPosition(run));
+  return detail::coverage({run.Change.Servers, required, logsAbsent(run)}, candidate);
 }
 
 bool LeadershipModule::mustAwaitLog(Run &run, detail::Coverage coverage) {
@@ -505,7 +508,10 @@
   for (const auto &[target, it] : change.Servers)
     if (!it.FormerPrimary && !it.Missing)
       change.PausedByThisProxy.insert(target);
-  giveUp(run, "no server that can be promoted has all acknowledged commits",
+  giveUp(run,
+         "no server that can be promoted has all acknowledged commits: required " +
+             detail::toString(std::max(change.Required, endedServersPosition(run))) + ", compared " +
+             detail::describe(change.Servers),
          primaryServes ? detail::MinChangeInterval : NeedlessPause);
   return true;
 }
@@ -542,7 +548,8 @@
 
 void LeadershipModule::choose(Run &run, const TargetId &proposed) {
   auto &change = run.Change;
-  const auto candidate = detail::unlessFormerHoldsMore(change.Servers, proposed, requiredPosition(run));
+  const auto required = std::max(requiredPosition(run), endedServersPosition(run));
+  const auto candidate = detail::unlessFormerHoldsMore(change.Servers, proposed, required);
   const auto coverage = coverageOf(run, candidate);
   if (coverage == detail::Coverage::Uncompared)
     return;
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -66,6 +66,7 @@
 
 void LeadershipModule::step(Run &run) {
   auto &change = run.Change;
+  recordCoveringPositions(run);
   if (const auto primary = run.Services.Catalog.primary(run.Service);
       primary != change.Primary || change.PrimarySince == TimePoint()) {
     change.Primary = primary;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -105,6 +105,15 @@
   // Selection of the candidate (internal/selection.cpp).
   void selectCandidate(Run &run);
   void refreshServerStates(Run &run);
+  /// Servers that ended (internal/endedservers.cpp): keeps the first position of the primary that covers
+  /// each.
+  static void recordCoveringPositions(Run &run);
+  /// Whether the log of the last primary may still cover what a server that ended has acknowledged.
+  [[nodiscard]] static bool primaryMayReturn(const Run &run);
+  /// Which of them may have held commits that no log of this change covers.
+  static void refreshEndedServers(Run &run);
+  /// The position that covers what the servers that ended have acknowledged.
+  static Position endedServersPosition(const Run &run);
   [[nodiscard]] std::optional<std::string> reasonRefuted(Run &run);
   /// Another server leads: whether the change goes on and replaces that one. It does while an order for a
   /// third server may still be carried out.
@@ -127,6 +136,7 @@
   /// False until it receives.
   bool receives(Run &run, const TargetId &candidate);
   static void forgetState(PrimaryChange &change, const TargetId &target);
+  static void forgetStepDown(PrimaryChange &change, detail::ServerState &former);
   /// A replica may not come back: what it has received is acknowledged, and must be in the log of the server
   /// that is promoted.
   static void requireLog(PrimaryChange &change, const detail::ServerState &server);
@@ -157,7 +167,7 @@
   static void logSuspicion(Run &run, const std::optional<detail::ChangeReason> &reason);
   static void logChoice(Run &run, detail::Coverage coverage);
   /// A server whose entry has ended counts as irrelevant.
-  static void logPassedOver(Run &run, const MissingServer &server, TimePoint confirmedAt);
+  static void logPassedOver(Run &run, const MissingServer &server, const std::string &why);
   /// A replica that was paused reports that it is not.
   static void logEndedPause(Run &run, const TargetId &target, const detail::ServerState &known,
                             const TargetStatus &status);
@@ -172,6 +182,8 @@
   /// Asks paused replicas for their status, at intervals: one that has restarted, or was resumed by an order
   /// of an earlier change, receives again.
   void verifyPauses(Run &run);
+  /// Asks the former primary that has stepped down for its status, at intervals.
+  void verifyStepDown(Run &run);
   /// Stops what may acknowledge commits that the chosen server lacks, while its promotion is on its way.
   void holdServers(Run &run);
 
--- a/src/reducer/tests/promotionorderstests.cpp
+++ b/src/reducer/tests/promotionorderstests.cpp
@@ -141,7 +141,7 @@
   playToSelection(service, proxy);
   reconnect(service, proxy);
   service.playWithCallers(proxy, 1s);
-  service.join(proxy, "c");
+  service.join("c");
   for (int n = 0; n < 100; ++n) {
     service.commit();
     if (n == 25)
--- a/src/reducer/tests/servicemodel.h
+++ b/src/reducer/tests/servicemodel.h
@@ -48,15 +48,28 @@
   }
 
   /// Adds a replica that has the log of the primary, and lists it.
-  void join(SessionHarness &proxy, const std::string &name) {
+  void join(const std::string &name) {
     auto &server = Servers[name];
     if (const auto leader = Servers.find(primary()); leader != Servers.end()) {
       server.Log = leader->second.Log;
       server.RaisedTerm = leader->second.RaisedTerm;
     }
-    const auto revision = ++Revision;
-    proxy.answerWatch(DirectoryKind::Servers, {SessionHarness::server(name, TargetRole::Replica, revision)},
-                      revision);
+    Changes.push_back(SessionHarness::server(name, TargetRole::Replica, ++Revision));
+  }
+
+  /// A server ends together with its log, and its entry is removed.
+  /// \param announced Whether its entry was marked as leaving before.
+  void end(SessionHarness &proxy, const std::string &name, bool announced) {
+    if (announced) {
+      Changes.push_back(SessionHarness::server(name, TargetRole::Replica, ++Revision, true));
+      play(proxy, Step);
+    }
+    Servers.erase(name);
+    for (const auto &link : std::exchange(Links[name], {}))
+      proxy.apply(LinkClosed{link, LinkFailure::Lost});
+    auto entry = SessionHarness::server(name, TargetRole::Replica, ++Revision, announced);
+    entry.Deleted = true;
+    Changes.push_back(entry);
   }
 
   /// A server starts again with its log, which ends its pause and closes the proxy's links to it.
@@ -144,10 +157,15 @@
         proxy.apply(LinkClosed{open->Link, LinkFailure::Refused});
       }
     }
+    // What the proxy sends in reaction to a reply is answered in the next step.
+    std::vector<SendOnLink> batches;
     while (const auto sent = proxy.take<SendOnLink>())
-      run(proxy, *sent);
+      batches.push_back(*sent);
+    for (const auto &it : batches)
+      run(proxy, it);
     while (answerStore(proxy)) {
     }
+    listChanges(proxy);
     while (const auto order = proxy.take<PromotionCall>())
       answerOrder(proxy, *order);
   }
@@ -210,6 +228,26 @@
     return DirectoryListing{{{Stored.Service.str(), false, Stored}}, false, Revision};
   }
 
+  /// Answers the newest watch of the servers with the changes that it has not told yet. The proxy has given
+  /// earlier watches up.
+  void listChanges(SessionHarness &proxy) {
+    std::optional<CallId> newest;
+    std::erase_if(proxy.Out, [&](const Effect &it) {
+      const auto *call = std::get_if<DirectoryCall>(&it);
+      const auto *watch = call ? std::get_if<WatchDirectory>(&call->Request) : nullptr;
+      const bool servers = watch && watch->Kind == DirectoryKind::Servers;
+      if (servers)
+        newest = call->Call;
+      return servers;
+    });
+    if (newest)
+      Watch = newest;
+    if (Changes.empty() || !Watch)
+      return;
+    const auto id = *std::exchange(Watch, std::nullopt);
+    proxy.apply(DirectoryAnswer{id, DirectoryChanges{std::exchange(Changes, {}), Revision}});
+  }
+
   StoreAnswer store(const Claim &next) {
     if (next.Revision != Stored.Revision)
       return ClaimConflict{Stored};
@@ -246,28 +284,28 @@
   void carryOutPromotions(SessionHarness &proxy) {
     for (const auto &it : Promotions)
       if (it.At <= proxy.Now && Servers.contains(it.Server) && primary() != it.Server)
-        lead(proxy, it.Server);
+        lead(it.Server);
     std::erase_if(Promotions, [&](const Pending &it) { return it.At <= proxy.Now; });
   }
 
-  void lead(SessionHarness &proxy, const std::string &name) {
+  void lead(const std::string &name) {
     auto &leader = Servers.at(name);
     LostCommits = LostCommits || leader.Log < Acknowledged;
     Term term = 0;
     for (const auto &[other, it] : Servers)
       term = std::max(term, it.RaisedTerm);
-    std::vector<DirectoryObject> entries;
     for (auto &[other, it] : Servers) {
       it.Role = other == name ? TargetRole::Primary : TargetRole::Replica;
       it.RaisedTerm = term + 1;
       it.Paused = false;
       it.Log = std::min(it.Log, leader.Log);
-      entries.push_back(SessionHarness::server(other, it.Role, ++Revision));
+      Changes.push_back(SessionHarness::server(other, it.Role, ++Revision));
     }
-    proxy.answerWatch(DirectoryKind::Servers, entries, Revision);
   }
 
   std::map<std::string, std::set<LinkId>> Links; ///< Opened by the proxy, by server.
+  std::vector<DirectoryObject> Changes;          ///< Of the servers' entries, not yet told.
+  std::optional<CallId> Watch;                   ///< Of the servers, waiting for changes.
   std::vector<Pending> Promotions;               ///< On their way.
   std::uint64_t LastWrite = 0;
 };
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -422,9 +422,10 @@
   return it == Services.end() ? std::nullopt : it->second.Acknowledged;
 }
 
-std::optional<TimePoint> SessionsModule::primaryConfirmedAt(const DatabaseId &service) const {
+std::optional<Position> SessionsModule::positionCovering(const DatabaseId &service,
+                                                         TimePoint acknowledgedBefore) const {
   const auto it = Services.find(service);
-  return it == Services.end() ? std::nullopt : it->second.Positions.newestRequestTime();
+  return it == Services.end() ? std::nullopt : it->second.Positions.smallestCovering(acknowledgedBefore);
 }
 
 } // namespace rosemaryhinge
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -73,8 +73,10 @@
   [[nodiscard]] std::optional<TimePoint> writesUnansweredSince(const DatabaseId &service) const;
   /// Log position of the last commit at a service that this proxy has acknowledged.
   [[nodiscard]] std::optional<Position> acknowledgedUpTo(const DatabaseId &service) const;
-  /// Send time of the newest request whose answer confirmed the primary of a service.
-  [[nodiscard]] std::optional<TimePoint> primaryConfirmedAt(const DatabaseId &service) const;
+  /// A position of the primary of a service that covers each commit acknowledged before the given time, also
+  /// through other proxies. Empty if this proxy has none.
+  [[nodiscard]] std::optional<Position> positionCovering(const DatabaseId &service,
+                                                         TimePoint acknowledgedBefore) const;
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
 
   /// Bound on statements waiting for a connection; further ones are rejected immediately.
