Session world: name the positions of lost writes in the trace

Cause: the trace of a promotion told how many acknowledged writes it loses, but not which, so that the replica which acknowledged them was not seen.

Change: the line of a promotion lists their positions.

--- a/testing/sessionworld/dbcluster.cpp
+++ b/testing/sessionworld/dbcluster.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t ServerCount = 3;
 
 StatementOutcome done() { return StatementResultRows{{}, "signed"}; }
+std::string toString(Position it) { return std::to_string(it.Term) + "." + std::to_string(it.Lsn); }
 StatementOutcome rejected(Rejection code) { return StatementRejection{code, ""}; }
 
 } // namespace
@@ -192,6 +193,7 @@
     Violations.push_back("write " + write + " took effect twice");
   const Position at{server.CurrentTerm, server.end().Lsn + 1};
   server.append({at, write, Queue.now()});
+  Positions[write] = at;
   Pending.push_back({server.Id, at, write, link, reply});
 }
 
@@ -282,24 +284,29 @@
       out += it.Id.str() + (it.Up ? "" : " down") + (it.Role == TargetRole::Primary ? " primary" : "") +
              (it.Leaving ? " leaving" : "") + (it.Listed ? "" : " unlisted") + " term " +
              std::to_string(it.CurrentTerm) + " paused " + std::to_string(it.PausedFor) + " log " +
-             std::to_string(it.end().Term) + "." + std::to_string(it.end().Lsn) + "; ";
+             toString(it.end()) + "; ";
   return out;
 }
 
-void DbCluster::checkAcknowledged(const DbServer &server) {
+std::vector<Position> DbCluster::checkAcknowledged(const DbServer &server) {
+  std::vector<Position> out;
   for (const auto &write : Acknowledged)
     if (!server.holds(write)) {
-      Lost.insert(write);
+      if (Lost.insert(write).second)
+        out.push_back(Positions[write]);
       Violations.push_back("acknowledged write " + write + " is not at the promoted server " +
                            server.Id.str());
     }
+  return out;
 }
 
 void DbCluster::takeLead(DbServer &server) {
-  const auto lostBefore = Lost.size();
-  checkAcknowledged(server);
-  OnTrace(server.Id.str() + " is promoted, " + std::to_string(Lost.size() - lostBefore) +
-          " acknowledged writes are lost; " + describe());
+  std::string lost;
+  const auto positions = checkAcknowledged(server);
+  for (const auto &it : positions)
+    lost += " " + toString(it);
+  OnTrace(server.Id.str() + " is promoted, " + std::to_string(positions.size()) +
+          " acknowledged writes are lost" + lost + "; " + describe());
   Term newest = 0;
   for (auto &it : Servers) {
     newest = std::max(newest, it.CurrentTerm);
--- a/testing/sessionworld/dbcluster.h
+++ b/testing/sessionworld/dbcluster.h
@@ -90,7 +90,8 @@
   [[nodiscard]] const std::set<std::string> &acknowledged() const { return Acknowledged; }
 
   /// Reports the acknowledged writes that the server which leads, or takes the lead, lacks.
-  void checkAcknowledged(const DbServer &server);
+  /// \returns their positions.
+  std::vector<Position> checkAcknowledged(const DbServer &server);
   /// Acknowledged writes that a promoted server lacked.
   [[nodiscard]] const std::set<std::string> &lost() const { return Lost; }
 
@@ -129,6 +130,7 @@
   std::vector<PendingCommit> Pending;
   std::set<std::pair<std::size_t, std::size_t>> Cuts;
   std::set<std::string> Acknowledged;
+  std::map<std::string, Position> Positions; ///< Of all writes.
   std::set<std::string> Lost;
   std::uint64_t HighestToken = 0;
 };
