--- a/src/reducer/tests/servicemodel.h
+++ b/src/reducer/tests/servicemodel.h
@@ -177,15 +177,23 @@
       return;
     for (const auto &command : sent.Commands) {
       obey(it->first, it->second, command, proxy.Now);
-      const auto &server = it->second;
-      const TargetStatus status{server.Role, server.RaisedTerm, server.Log, {}, false, {}, server.Paused};
-      const bool transaction = std::holds_alternative<BeginTransaction>(command);
-      proxy.apply(LinkReplied{sent.Link, SessionHarness::done(),
-                              transaction ? TransactionState::Open : TransactionState::Idle, server.Log,
-                              status});
+      proxy.apply(replyTo(sent.Link, it->second, command));
     }
   }
 
+  /// Writes and plain transactions are refused where the server does not lead.
+  static LinkReplied replyTo(LinkId link, const Server &server, const LinkCommand &command) {
+    const auto *begin = std::get_if<BeginTransaction>(&command);
+    const bool plain = (begin && !begin->ReadOnly) || std::holds_alternative<RunStatement>(command);
+    const bool refused = plain && server.Role != TargetRole::Primary;
+    const auto outcome = refused ? SessionHarness::rejected(Rejection::ReadOnly) : SessionHarness::done();
+    const auto state = begin && !refused ? TransactionState::Open : TransactionState::Idle;
+    const TargetStatus status{server.Role, server.RaisedTerm, server.Log, {}, false, {}, server.Paused};
+    const bool order = !begin && !std::holds_alternative<RunStatement>(command) &&
+                       !std::holds_alternative<RollbackTransaction>(command);
+    return {link, outcome, state, server.Log, order ? std::optional(status) : std::nullopt};
+  }
+
   void obey(const std::string &name, Server &server, const LinkCommand &command, TimePoint now) {
     if (const auto *pause = std::get_if<PauseReplica>(&command);
         pause && server.Role == TargetRole::Replica) {
