--- a/testing/platformsoak/dbservice.cpp
+++ b/testing/platformsoak/dbservice.cpp
@@ -16,6 +16,7 @@
 
 /// A draining server stays a little longer than it has to.
 constexpr Millis AfterDrainMs = 1'500;
+constexpr std::uint64_t FirstTerm = 3;
 constexpr Millis RestartMs = 700;
 constexpr int ListenTries = 100;
 constexpr Millis ListenRetryMs = 10;
@@ -27,16 +28,17 @@
 DbService::DbService(ServiceOptions options, ObjectStore &store, Observations &seen)
     : Options(std::move(options)), Objects(store), Seen(seen), Random(Options.Seed) {
   for (const auto &it : Options.Zones) {
-    auto &server = add(it);
+    auto &server = add(it, FirstTerm);
     server.Leads = Servers.size() == 1;
     start(server);
   }
   std::thread([this] { replicate(); }).detach();
 }
 
-DbServer &DbService::add(const std::string &zone) {
+DbServer &DbService::add(const std::string &zone, std::uint64_t term) {
   auto server = std::make_unique<DbServer>();
   server->Zone = zone;
+  server->Term = term;
   server->Port = reservePort();
   const std::lock_guard hold(Lock);
   server->LagMs = std::uniform_int_distribution<Millis>(LeastLagMs, MostLagMs)(Random);
@@ -153,8 +155,7 @@
   if (!chosen)
     return;
   auto &old = *chosen;
-  auto &server = add(old.Zone);
-  server.Term = 0;
+  auto &server = add(old.Zone, 0);
   std::thread([this, &old, &server, listedAfterMs] {
     listen(server);
     Seen.line("server " + server.Id + " of " + Options.Name + " joins");
--- a/testing/platformsoak/dbservice.h
+++ b/testing/platformsoak/dbservice.h
@@ -53,7 +53,7 @@
   Millis LostUntil = 0;
   Millis CutOffUntil = 0; ///< Receives nothing from the present primary until this time.
   /// Of the lead that the log is of; 0 for a server that has received nothing yet.
-  std::uint64_t Term = 3;
+  std::uint64_t Term = 0;
   /// Number of the end of the log when the term began. A server of the term has applied it.
   std::uint64_t TermStart = 0;
   ServerLog Log;
@@ -111,7 +111,7 @@
 
 private:
   friend class ServerConnection;
-  DbServer &add(const std::string &zone);
+  DbServer &add(const std::string &zone, std::uint64_t term);
   /// With a new id, or the one it had.
   void start(DbServer &server, bool keepId = false);
   void listen(DbServer &server, bool keepId = false);
