--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -28,13 +28,13 @@
   }
   change.Claim.start(std::to_string(run.Ctx.Incarnation) + "." + std::to_string(run.Ctx.nextNumber()));
   const auto &known = change.Claim.known();
-  if (!known.Done && !known.Candidate.empty())
-    change.Outstanding = known.Candidate;
   // Where nobody leads, the server that led last has every acknowledged commit.
   if (change.Reason.From.empty() && run.Services.Catalog.server(known.From))
     change.Reason.From = known.From;
+  // An order of the holder whose claim is taken over may still be carried out.
+  const bool inherits = !known.Done && !known.Candidate.empty();
   enterPhase(run, Phase::Claiming);
-  writeClaim(run, change.Outstanding, false);
+  writeClaim(run, inherits ? known.Candidate : change.Outstanding, false);
 }
 
 void LeadershipModule::readClaim(Run &run) {
@@ -79,7 +79,7 @@
   for (const auto &object : listing.Objects)
     if (const auto *one = std::get_if<Claim>(&object.Value); one && one->Service == run.Service)
       claim = *one;
-  change.Claim.observe(claim, run.Ctx.Now);
+  observeClaim(run, claim);
   if (change.Claim.isOwn(claim, run.Ctx.Self.Node)) {
     // The write without an answer was accepted.
     change.Claim.onStored(claim, run.Ctx.Now);
@@ -89,6 +89,14 @@
   awaitTakeover(run);
 }
 
+void LeadershipModule::observeClaim(Run &run, const Claim &claim) {
+  auto &change = run.Change;
+  // A finished claim has no outstanding order, nor have those that it took over.
+  if (claim.Done && claim.Revision > change.Claim.known().Revision)
+    change.Outstanding = TargetId();
+  change.Claim.observe(claim, run.Ctx.Now);
+}
+
 void LeadershipModule::awaitTakeover(Run &run) {
   auto &change = run.Change;
   change.Claim.reset();
@@ -121,7 +129,7 @@
 
 void LeadershipModule::onClaimConflict(Run &run, const Claim &current) {
   auto &change = run.Change;
-  change.Claim.observe(current, run.Ctx.Now);
+  observeClaim(run, current);
   const bool own = change.Claim.isOwn(current, run.Ctx.Self.Node);
   if (change.State == Phase::EndingClaim) {
     if (own)
@@ -186,6 +194,7 @@
 void LeadershipModule::onClaimed(Run &run) {
   auto &change = run.Change;
   change.RenewAt.reset();
+  change.Outstanding = change.Claim.known().Candidate;
   if (!change.Outstanding.empty())
     logUnansweredOrder(run);
   change.Servers.clear();
@@ -219,14 +228,22 @@
   selectCandidate(run);
 }
 
+bool LeadershipModule::claimLapsed(Run &run) {
+  auto &change = run.Change;
+  if (!change.Claim.lapsed(run.Ctx.Now))
+    return false;
+  if (change.State == Phase::Promoting && change.Call)
+    change.Outstanding = change.Candidate;
+  run.Ctx.emit(Count{"claims_lost_total"});
+  giveUp(run, "the claim could not be renewed", detail::RetryDelay);
+  return true;
+}
+
 bool LeadershipModule::keepClaim(Run &run) {
   auto &change = run.Change;
   const auto now = run.Ctx.Now;
-  if (change.Claim.lapsed(now)) {
-    run.Ctx.emit(Count{"claims_lost_total"});
-    giveUp(run, "the claim could not be renewed", detail::RetryDelay);
+  if (claimLapsed(run))
     return false;
-  }
   if (!change.Call && change.Claim.renewalDue(now) && now >= change.RenewAt.value_or(now)) {
     const bool ordered = change.State == Phase::Promoting || change.State == Phase::AwaitingPrimary;
     writeClaim(run, ordered ? change.Candidate : change.Outstanding, false);
--- a/src/leadership/internal/pauses.h
+++ b/src/leadership/internal/pauses.h
@@ -13,4 +13,8 @@
 /// An order that cannot be undone is sent only if the store has confirmed the claim since this long.
 inline constexpr Duration MaxClaimAge = 900ms;
 
+/// Replicas that receive nothing for this long, while commits wait, have lost the primary. Above the usual
+/// lag of the network between regions.
+inline constexpr Duration ReplicationStallTime = 200ms;
+
 } // namespace rosemaryhinge::detail
--- a/src/leadership/internal/pendingpromotion.cpp
+++ b/src/leadership/internal/pendingpromotion.cpp
@@ -16,6 +16,7 @@
 } // namespace
 
 bool LeadershipModule::choiceStands(Run &run) {
+  logJoinedServers(run);
   refreshServerStates(run);
   return stopped(run) && coverageOf(run, run.Change.Candidate) != detail::Coverage::Uncompared;
 }
@@ -34,10 +35,14 @@
 
 void LeadershipModule::holdServers(Run &run) {
   auto &change = run.Change;
+  if (!change.Claim.held(run.Ctx.Now))
+    return;
   logJoinedServers(run);
   refreshServerStates(run);
   if (change.SteppedDownAt) {
-    verifyStepDown(run);
+    // A former primary that is promoted again leads by this change's own order.
+    if (change.Candidate != change.Reason.From)
+      verifyStepDown(run);
     return;
   }
   verifyPauses(run);
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -89,6 +89,9 @@
   /// without an answer. Until it leads, or a later order was accepted, nothing is resumed and the change goes
   /// on, whatever has become of its reason. Empty if there is none.
   TargetId Outstanding;
+  /// The candidate of a claim that the store has forgotten, preferred among equal logs; empty once this proxy
+  /// has changed the primary.
+  TargetId ForgottenCandidate;
   TargetId Candidate;
   TimePoint ChosenAt;                   ///< When the candidate was chosen, in its present state.
   Position CandidateLog;                ///< End of the candidate's log when it was chosen.
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -24,7 +24,8 @@
   auto &change = run.Change;
   // An order that is outstanding is repeated: the same server may lead already, and another one would undo
   // that.
-  if (change.Outstanding != change.Candidate && !choiceStands(run)) {
+  const bool repeated = change.PromotionAttempts > 0 && change.Outstanding == change.Candidate;
+  if (!repeated && !choiceStands(run)) {
     enterPhase(run, Phase::SelectingCandidate);
     return;
   }
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -15,8 +15,6 @@
 constexpr Duration SelectionTimeout = 4s;
 /// Pause after an attempt that proved needless.
 constexpr Duration NeedlessPause = 1s;
-/// A request to a server that has no answer is sent again on another link.
-constexpr Duration RequestTimeout = 600ms;
 /// Time for the candidate to receive what the paused replicas had, before it is paused, too.
 constexpr Duration CatchUpTime = 150ms;
 /// The same for a replica that stays, where only one that is about to leave has the longest log, and the
@@ -24,16 +22,11 @@
 constexpr Duration ServingCatchUpTime = 1s;
 /// A former primary that has answered this recently still has its log, which then does not count as lost.
 constexpr Duration PrimaryReplyWindow = 5s;
-/// Interval at which a replica that has to receive more is queried.
-constexpr Duration QueryInterval = 20ms;
 /// A log that holds acknowledged commits which no other has is waited for this long. Servers that crash are
 /// back, or replaced, well before.
 constexpr Duration AbsentLogTimeout = 60s;
 /// The same where no server is known that may hold them.
 constexpr Duration UnknownLogTimeout = 10s;
-/// Replicas that receive nothing for this long, while commits wait, have lost the primary. Above the usual
-/// lag of the network between regions.
-constexpr Duration ReplicationStallTime = 200ms;
 /// Without an answer of all replicas, the former primary is asked to step down after this time.
 constexpr Duration StepDownDelay = 1500ms;
 /// Time for a replica to receive what the former primary had when it stepped down, and for one that has
@@ -43,6 +36,11 @@
 /// Added to the length of a lease, for differences between the rates of clocks.
 constexpr Duration ClockMargin = 30ms;
 
+/// The server that is chosen among equal logs.
+const TargetId &preferred(const detail::PrimaryChange &change) {
+  return change.Outstanding.empty() ? change.ForgottenCandidate : change.Outstanding;
+}
+
 } // namespace
 
 void LeadershipModule::selectCandidate(Run &run) {
@@ -119,7 +117,7 @@
   if (change.Outstanding.empty())
     return false;
   change.Reason.From = leader;
-  change.SteppedDownAt.reset();
+  forgetStepDown(change);
   refreshServerStates(run);
   return true;
 }
@@ -135,177 +133,12 @@
   return allKnown;
 }
 
-void LeadershipModule::sendRequest(Run &run, const TargetId &target, Order order) {
-  auto &[ctx, services, service, change] = run;
-  auto it = change.Requests.find(target);
-  if (it != change.Requests.end() && it->second.Sent) {
-    if (ctx.Now - it->second.SentAt < RequestTimeout)
-      return;
-    ctx.emit(Count{"orders_unanswered_total"});
-    services.Links.close(ctx, it->second.Link, true);
-    change.Requests.erase(it);
-    it = change.Requests.end();
-    forgetState(change, target);
-  }
-  if (it == change.Requests.end()) {
-    const auto link = services.Links.acquire(target, {SessionId(), true}, {}, ctx.Now);
-    if (!link) {
-      services.Links.reserveForChange(target, ctx.Now);
-      services.Links.openLinks(ctx, services.Catalog, target, 1, LinkPurpose::Control);
-      return;
-    }
-    it = change.Requests.emplace(target, detail::ServerRequest{*link, false, order, {}}).first;
-  }
-  auto &request = it->second;
-  request.Sent = true;
-  request.Order = order;
-  request.SentAt = ctx.Now;
-  ctx.emit(Count{order == Order::ReadStatus ? "status_queries_total" : "orders_total"});
-  if (order == Order::ReadStatus) {
-    services.Links.send(ctx, request.Link, {ReadServerStatus{}});
-    return;
-  }
-  if (order == Order::Resume) {
-    services.Links.send(ctx, request.Link, {ResumeReplica{}});
-    return;
-  }
-  if (change.OrderTerm == 0)
-    change.OrderTerm = detail::highestTerm(change.Servers) + 1;
-  if (order == Order::StepDown) {
-    change.StepDownSent = true;
-    services.Links.send(ctx, request.Link, {StepDownPrimary{change.OrderTerm}});
-    return;
-  }
-  change.PausedByThisProxy.insert(target);
-  services.Links.send(ctx, request.Link, {PauseReplica{change.OrderTerm}});
-}
-
-void LeadershipModule::onReply(Context &ctx, LeadershipServices &services, const LinkPool::Reply &reply,
-                               const LinkReplied &event) {
-  const auto it = Changes.find(reply.Service);
-  if (it == Changes.end())
-    return;
-  Run run{ctx, services, it->first, it->second};
-  auto &change = run.Change;
-  const auto found = change.Requests.find(reply.Target);
-  if (found == change.Requests.end() || found->second.Link != event.Link)
-    return;
-  auto &request = found->second;
-  request.Sent = false;
-  const bool selecting = change.State == Phase::SelectingCandidate;
-  if (request.Order == Order::Resume && !selecting) {
-    change.PausedByThisProxy.erase(reply.Target);
-    return;
-  }
-  if (change.State < Phase::SelectingCandidate || change.State > Phase::AwaitingPrimary)
-    return;
-  if (!event.Status) {
-    const auto *why = std::get_if<StatementRejection>(&event.Outcome);
-    // The term may have been too low. The next order gets a higher one, unless a promotion is on its way: a
-    // pause for a term above that of the new primary would outlast it.
-    if (selecting)
-      change.OrderTerm = 0;
-    ctx.emit(
-        Log{LogLevel::Info,
-            "order refused",
-            {{"server", reply.Target.str()}, {"why", why ? std::string(toString(why->Code)) : "no status"}}});
-    return;
-  }
-  recordStatus(run, reply.Target, request, *event.Status);
-  if (selecting)
-    selectCandidate(run);
-}
-
-void LeadershipModule::recordStatus(Run &run, const TargetId &target, const detail::ServerRequest &request,
-                                    const TargetStatus &status) {
-  auto &change = run.Change;
-  const auto now = run.Ctx.Now;
-  auto &server = change.Servers[target];
-  const bool replica = status.Role == TargetRole::Replica;
-  if (server.Paused && request.Order == Order::ReadStatus) {
-    // The log of a paused replica does not change.
-    if (!replica || status.Paused || !server.Status || !server.Status->Paused)
-      return;
-    logEndedPause(run, target, server, status);
-    server.Paused = false;
-    server.Settled = false;
-    change.OthersPausedAt.reset();
-    change.AllPausedAt.reset();
-  }
-  if (server.SteppedDown && !replica)
-    forgetStepDown(change, server);
-  server.Status = status;
-  if (!server.FirstPosition)
-    server.FirstPosition = status.Log;
-  if (change.AllPositionsKnownAt && now - *change.AllPositionsKnownAt >= ReplicationStallTime)
-    change.QueriedAgain.insert(target);
-  if (request.Order == Order::StepDown && server.FormerPrimary && replica && !server.SteppedDown) {
-    server.SteppedDown = true;
-    change.SteppedDownAt = now;
-  }
-  if (request.Order == Order::Pause && replica)
-    server.Paused = true;
-  if (request.Order == Order::Resume) {
-    server.Paused = false;
-    server.Settled = false;
-    change.PausedByThisProxy.erase(target);
-  }
-  server.Settled = server.Settled || server.Paused ||
-                   (replica && change.SteppedDownAt && request.SentAt >= *change.SteppedDownAt);
-  run.Ctx.emit(Log{LogLevel::Info,
-                   "server surveyed",
-                   {{"server", target.str()},
-                    {"role", replica ? "replica" : "primary"},
-                    {"term", std::to_string(status.RaisedTerm)},
-                    {"log", detail::toString(status.Log)},
-                    {"paused", server.Paused ? "yes" : "no"}}});
-}
-
-void LeadershipModule::onLinkClosed(const LinkPool::Closed &closed, LinkId link) {
-  const auto it = Changes.find(closed.Service);
-  if (it == Changes.end())
-    return;
-  const auto request = it->second.Requests.find(closed.Target);
-  if (request == it->second.Requests.end() || request->second.Link != link)
-    return;
-  it->second.Requests.erase(request);
-  forgetState(it->second, closed.Target);
-}
-
-/// A server that starts again is neither paused nor stepped down any more. So what it reported counts only as
-/// long as the link on which it did is open.
-void LeadershipModule::forgetState(PrimaryChange &change, const TargetId &target) {
-  const auto it = change.Servers.find(target);
-  if (it == change.Servers.end())
-    return;
-  auto &server = it->second;
-  requireLog(change, server);
-  if (std::exchange(server.SteppedDown, false))
-    change.SteppedDownAt.reset();
-  server.Paused = false;
-  server.Settled = false;
-  server.Status.reset();
-  change.OthersPausedAt.reset();
-  change.AllPausedAt.reset();
-}
-
-/// An order of an earlier change has made the former primary lead again, and the replicas receive from it.
-void LeadershipModule::forgetStepDown(PrimaryChange &change, detail::ServerState &former) {
-  former.SteppedDown = false;
-  change.SteppedDownAt.reset();
-  change.OrderTerm = 0;
-  for (auto &[target, it] : change.Servers)
-    it.Settled = it.Paused;
-}
-
-void LeadershipModule::requireLog(PrimaryChange &change, const detail::ServerState &server) {
-  if (!server.FormerPrimary && server.Status && server.Status->Role == TargetRole::Replica)
-    change.Required = std::max(change.Required, server.Status->Log);
-}
-
 bool LeadershipModule::stopped(const Run &run) {
   const auto &change = run.Change;
-  return run.Ctx.Self.PromotionFencing || change.SteppedDownAt || detail::allReplicasPaused(change.Servers);
+  const bool leasesEnded =
+      change.AllPausedAt && run.Ctx.Now - *change.AllPausedAt >= PrimaryLease::Length + ClockMargin;
+  return run.Ctx.Self.PromotionFencing || change.SteppedDownAt ||
+         (leasesEnded && detail::allReplicasPaused(change.Servers));
 }
 
 bool LeadershipModule::pauseReplicas(Run &run, const std::optional<TargetId> &except) {
@@ -329,7 +162,7 @@
     giveUp(run, "the replicas receive from the primary", detail::MinChangeInterval);
     return true;
   }
-  if (run.Ctx.Now - *change.AllPositionsKnownAt < ReplicationStallTime)
+  if (run.Ctx.Now - *change.AllPositionsKnownAt < detail::ReplicationStallTime)
     return true;
   bool all = true;
   for (const auto &[target, it] : change.Servers) {
@@ -384,13 +217,15 @@
 /// replicas are paused, and the leases of its reads run out.
 void LeadershipModule::chooseAfterLeases(Run &run) {
   auto &change = run.Change;
-  if (!pauseReplicas(run, std::nullopt) || !detail::allReplicasPaused(change.Servers))
+  if (!pauseReplicas(run, std::nullopt) || !detail::allReplicasPaused(change.Servers)) {
+    change.AllPausedAt.reset();
     return;
+  }
   if (!change.AllPausedAt)
     change.AllPausedAt = run.Ctx.Now;
   if (run.Ctx.Now - *change.AllPausedAt < PrimaryLease::Length + ClockMargin)
     return;
-  if (const auto best = detail::mostUpToDate(change.Servers, change.Outstanding))
+  if (const auto best = detail::mostUpToDate(change.Servers, preferred(change)))
     choose(run, *best);
 }
 
@@ -405,7 +240,7 @@
   if (awaitsOrderedServer(run, change.StartedAt))
     return change.Outstanding;
   return detail::mostUpToDate(change.Servers,
-                              change.Receiving.empty() ? change.Outstanding : change.Receiving);
+                              change.Receiving.empty() ? preferred(change) : change.Receiving);
 }
 
 bool LeadershipModule::receives(Run &run, const TargetId &candidate) {
@@ -443,7 +278,9 @@
       else if (it.Status->Log < former)
         queryAgain(run, target);
     }
-  const auto best = detail::bestAfterStepDown(change.Servers, change.Outstanding);
+  if (!change.SteppedDownAt)
+    return;
+  const auto best = detail::bestAfterStepDown(change.Servers, preferred(change));
   const auto waited = run.Ctx.Now - *change.SteppedDownAt;
   const bool whole =
       best && change.Servers.at(*best).Status->Log >= former && !change.Servers.at(*best).Leaving;
@@ -516,24 +353,14 @@
   return true;
 }
 
-bool LeadershipModule::requestDue(const Run &run, const TargetId &target, Duration interval) {
-  const auto it = run.Change.Requests.find(target);
-  return it == run.Change.Requests.end() || run.Ctx.Now - it->second.SentAt >= interval;
-}
-
-void LeadershipModule::queryAgain(Run &run, const TargetId &target) {
-  if (requestDue(run, target, QueryInterval))
-    sendRequest(run, target, Order::ReadStatus);
-}
-
 bool LeadershipModule::awaitsStayingReplica(Run &run) {
   auto &change = run.Change;
-  const auto best = detail::mostUpToDate(change.Servers, change.Outstanding);
+  const auto best = detail::mostUpToDate(change.Servers, preferred(change));
   if (!best || !change.Servers.at(*best).Leaving)
     return false;
   auto staying = change.Servers;
   std::erase_if(staying, [](const auto &one) { return one.second.Leaving; });
-  const auto heir = detail::mostUpToDate(staying, change.Outstanding);
+  const auto heir = detail::mostUpToDate(staying, preferred(change));
   if (!heir)
     return false;
   if (!change.StayingAwaitedSince)
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -85,9 +85,12 @@
     selectCandidate(run);
     break;
   case Phase::ConfirmingClaim:
-    holdServers(run);
+    if (!claimLapsed(run))
+      holdServers(run);
     break;
   case Phase::Promoting:
+    if (claimLapsed(run))
+      break;
     holdServers(run);
     if (!change.Call && run.Ctx.Now >= change.NextAttemptAt)
       confirmClaim(run);
@@ -154,7 +157,7 @@
       change.Outstanding = change.Candidate;
     change.Call.reset();
     if (const auto &claim = change.Claim.known(); !claim.Done && !claim.Candidate.empty())
-      change.Outstanding = claim.Candidate;
+      change.ForgottenCandidate = claim.Candidate;
     change.Claim.forget(ctx.Now);
     if (change.State >= Phase::SelectingCandidate)
       giveUp(run, "the store was restored, and the claim may be gone", detail::RetryDelay);
@@ -174,6 +177,8 @@
                     {"source", "this proxy"},
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
   change.Outstanding = TargetId();
+  change.ForgottenCandidate = TargetId();
+  change.PausedByThisProxy.merge(change.LeftPaused);
   change.NextAttemptAt = run.Ctx.Now + detail::MinChangeInterval;
   release(run);
 }
@@ -184,6 +189,7 @@
     logUnansweredOrder(run);
     // The order may still be carried out, so the claim stays as it is until another proxy takes it over, and
     // the replicas must not receive from the former primary again.
+    change.LeftPaused.merge(change.PausedByThisProxy);
     change.PausedByThisProxy.clear();
     toIdle(run);
     return;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -99,6 +99,10 @@
   void onStoreFailure(Run &run, const DirectoryFailure &failure);
   void awaitTakeover(Run &run);
   void onClaimed(Run &run);
+  /// Records a claim that another proxy, or this one, has written.
+  static void observeClaim(Run &run, const Claim &claim);
+  /// Gives the change up if another proxy may have taken its claim over.
+  bool claimLapsed(Run &run);
   /// Renews the claim in time. False if this proxy may not act on it at present.
   bool keepClaim(Run &run);
 
@@ -136,7 +140,8 @@
   /// False until it receives.
   bool receives(Run &run, const TargetId &candidate);
   static void forgetState(PrimaryChange &change, const TargetId &target);
-  static void forgetStepDown(PrimaryChange &change, detail::ServerState &former);
+  /// The former primary may lead again.
+  static void forgetStepDown(PrimaryChange &change);
   /// A replica may not come back: what it has received is acknowledged, and must be in the log of the server
   /// that is promoted.
   static void requireLog(PrimaryChange &change, const detail::ServerState &server);
