--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -64,7 +64,7 @@
 
 TEST_CASE("no acknowledged commit is lost when servers are replaced while the primary changes") {
   // Guards against commits that a replica acknowledges which joined after the server to promote was chosen.
-  playSeeds({}, {2, 3, 5, 6, 8, 9});
+  playSeeds({}, {2, 3, 4, 5, 6, 8, 9, 33, 53});
 }
 
 TEST_CASE("no acknowledged commit is lost when servers are replaced beside cuts and crashes") {
@@ -72,12 +72,12 @@
   // primary.
   WorldOptions options;
   options.BesideReplacements = {true, true, true, true};
-  playSeeds(options, {1, 2, 3, 5, 7, 8});
+  playSeeds(options, {1, 2, 3, 5, 7, 8, 34, 36});
 }
 
 TEST_CASE("no acknowledged commit is lost when servers are replaced beside late orders") {
   // Guards against pauses and promotions of changes that have ended, and against pauses that end early.
   WorldOptions options;
   options.LateOrders = 0.3;
-  playSeeds(options, {1, 2, 3, 4, 5, 7});
+  playSeeds(options, {1, 2, 3, 4, 5, 6, 7, 149, 193});
 }
--- a/testing/sessionworld/tests/sessionworldtests.cpp
+++ b/testing/sessionworld/tests/sessionworldtests.cpp
@@ -15,12 +15,12 @@
 constexpr std::uint64_t RestartSeeds = 4;
 constexpr std::uint64_t RestorationSeeds = 6;
 constexpr std::uint64_t DrainSeeds = 6;
-constexpr std::uint64_t FailedDrainSeeds[] = {11};
+constexpr std::uint64_t FailedDrainSeeds[] = {11, 88, 89};
 /// 45: the simulated store dropped the last of its copies while it was away.
 constexpr std::uint64_t FailedRestorationSeeds[] = {45};
 /// Seeds that failed once. 31 and 44: a change was given up after the primary had stepped down, a replica was
 /// missing, and nobody knew which server had led last, so that the service stayed without a primary.
-constexpr std::uint64_t FailedSeeds[] = {31, 44};
+constexpr std::uint64_t FailedSeeds[] = {31, 44, 64, 170};
 
 /// RH_FAULT_SEED plays this seed alone, and RH_FAULT_SEEDS that many more.
 void playSeeds(bool fencing) {
