Say in heads and log lines what a change of primary does now

The head comments still said that the former primary serves on until the promotion. The position that has to be covered was put together in three places; one function does, and the log lines name the same position.

--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -33,7 +33,7 @@
                     {"server", change.Candidate.str()},
                     {"term", std::to_string(change.CandidateLog.Term)},
                     {"position", std::to_string(change.CandidateLog.Lsn)},
-                    {"required", detail::toString(change.Required)},
+                    {"required", detail::toString(positionToCover(run))},
                     {"coverage", std::string(detail::describe(coverage))},
                     {"compared", detail::describe(change.Servers)},
                     {"passed_over", passedOver},
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -299,6 +299,10 @@
   return change.Required;
 }
 
+Position LeadershipModule::positionToCover(Run &run) {
+  return std::max(requiredPosition(run), endedServersPosition(run));
+}
+
 bool LeadershipModule::logsAbsent(const Run &run) {
   const auto &servers = run.Change.Servers;
   const auto ended = run.Services.Catalog.missingServers(run.Service);
@@ -307,8 +311,7 @@
 }
 
 detail::Coverage LeadershipModule::coverageOf(Run &run, const TargetId &candidate) {
-  const auto required = std::max(requiredPosition(run), endedServersPosition(run));
-  return detail::coverage({run.Change.Servers, required, logsAbsent(run)}, candidate);
+  return detail::coverage({run.Change.Servers, positionToCover(run), logsAbsent(run)}, candidate);
 }
 
 bool LeadershipModule::mustAwaitLog(Run &run, detail::Coverage coverage) {
@@ -337,8 +340,8 @@
     run.Ctx.emit(Log{LogLevel::Warn,
                      "acknowledged commits are taken as lost: no log that holds them has come back",
                      {{"service", run.Service.str()},
-                      {"term", std::to_string(change.Required.Term)},
-                      {"position", std::to_string(change.Required.Lsn)}}});
+                      {"term", std::to_string(positionToCover(run).Term)},
+                      {"position", std::to_string(positionToCover(run).Lsn)}}});
     return false;
   }
   // A replica that was left paused catches up once it is resumed.
@@ -347,8 +350,7 @@
       change.PausedByThisProxy.insert(target);
   giveUp(run,
          "no server that can be promoted has all acknowledged commits: required " +
-             detail::toString(std::max(change.Required, endedServersPosition(run))) + ", compared " +
-             detail::describe(change.Servers),
+             detail::toString(positionToCover(run)) + ", compared " + detail::describe(change.Servers),
          primaryServes ? detail::MinChangeInterval : NeedlessPause);
   return true;
 }
@@ -375,7 +377,7 @@
 
 void LeadershipModule::choose(Run &run, const TargetId &proposed) {
   auto &change = run.Change;
-  const auto required = std::max(requiredPosition(run), endedServersPosition(run));
+  const auto required = positionToCover(run);
   const auto candidate = detail::unlessFormerHoldsMore(change.Servers, proposed, required);
   const auto coverage = coverageOf(run, candidate);
   if (coverage == detail::Coverage::Uncompared)
--- a/src/leadership/internal/serverstates.h
+++ b/src/leadership/internal/serverstates.h
@@ -2,8 +2,9 @@
 //
 // A commit is acknowledged once a replica has received it. A replica that is paused receives nothing more. So
 // once all replicas but one are paused and that one has everything that the others had when they were paused,
-// it holds every acknowledged commit, now and until it is promoted. The same holds for the longest log of all
-// replicas once they are all paused, or once the primary has stepped down.
+// it holds every acknowledged commit, for as long as no other server receives. The same holds for the longest
+// log of all replicas once they are all paused. From the time at which the primary has stepped down, nothing
+// more is acknowledged, whoever joins.
 
 #pragma once
 
@@ -19,8 +20,8 @@
 /// What is known of one server during a change of primary.
 struct ServerState {
   bool Leaving = false;
-  bool FormerPrimary = false;            ///< The primary that is to be replaced.
-  bool Missing = false;                  ///< Its entry has ended without notice, and it may hold commits.
+  bool FormerPrimary = false; ///< The primary that is to be replaced.
+  bool Missing = false;       ///< Its entry has ended, and it may have held commits that no other log covers.
   std::optional<TargetStatus> Status;    ///< Newest answer.
   std::optional<Position> FirstPosition; ///< Of the first answer.
   bool Paused = false;                   ///< Status was given by a replica that receives nothing any more.
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -15,9 +15,10 @@
 // order, so that an order is sent only by the proxy that holds the claim, and each order has a token above
 // those of all earlier ones.
 //
-// Where the platform fences promotions, the primary serves on until the promotion. Elsewhere it goes on
-// leading until it learns of the promotion; there it has to step down first, or no proxy may trust it any
-// more (freshness/primarylease.h).
+// The former primary steps down right before the order, if it can be reached, since it would acknowledge
+// commits that the candidate lacks through any replica that joins. One that cannot be reached leads until the
+// promotion, with fencing; without, until it learns of it, and no proxy may trust it any more
+// (freshness/primarylease.h).
 
 #pragma once
 
@@ -118,6 +119,8 @@
   static void refreshEndedServers(Run &run);
   /// The position that covers what the servers that ended have acknowledged.
   static Position endedServersPosition(const Run &run);
+  /// The position that a server must hold to be promoted, with what covers the servers that ended.
+  static Position positionToCover(Run &run);
   [[nodiscard]] std::optional<std::string> reasonRefuted(Run &run);
   /// Another server leads: whether the change goes on and replaces that one. It does while an order for a
   /// third server may still be carried out.
