--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -55,8 +55,6 @@
 
 void LeadershipModule::logEndedPause(Run &run, const TargetId &target, const detail::ServerState &known,
                                      const TargetStatus &status) {
-  if (!known.Paused || status.Paused || status.Role != TargetRole::Replica)
-    return;
   run.Ctx.emit(Count{"pauses_ended_early_total"});
   run.Ctx.emit(Log{LogLevel::Warn,
                    "pause has ended without an order of this change",
--- a/src/reducer/tests/promotionorderstests.cpp
+++ b/src/reducer/tests/promotionorderstests.cpp
@@ -75,9 +75,7 @@
 
 TEST_CASE("an order without an answer is followed by one that is accepted before anything is resumed, also "
           "if the primary answers in the next claim") {
-  // Guards against the loss of acknowledged commits: after the attempts of a claim were used up, the next one
-  // forgot the order and was given up as needless. The replicas were resumed, and the order was carried out
-  // with the log of an earlier time.
+  // Guards against lost commits: the next claim of the same proxy forgot the order, and it took effect late.
   SessionHarness proxy;
   auto service = serviceWithLostPrimary();
   const auto first = service.awaitOrder(proxy, 5s);
@@ -97,8 +95,7 @@
 
 TEST_CASE("an order without an answer is followed by one that is accepted, although the primary answers "
           "before the change is claimed again") {
-  // Guards against the loss of acknowledged commits: without a reason for a change nobody sends a newer
-  // order. The replicas stay paused, and one that joins acknowledges what the ordered server lacks.
+  // Guards against lost commits: without a reason for a change, nobody sent a newer order.
   SessionHarness proxy;
   auto service = serviceWithLostPrimary();
   const auto first = service.awaitOrder(proxy, 5s);
@@ -115,8 +112,7 @@
 
 TEST_CASE("a proxy that takes over a claim with an order sends one of its own before it resumes anything, "
           "although the primary answers") {
-  // Guards against the loss of acknowledged commits: the proxy that ordered has stopped, and its order is
-  // carried out seconds late. No newer token prevents it.
+  // Guards against lost commits: no newer token prevented the late order of a proxy that had stopped.
   SessionHarness proxy;
   auto service = serviceWithLostPrimary();
   service.Stored = claimOfAnother(++service.Revision);
