Tell which list, which claim and which acknowledged positions a change of primary rests on

The line has these fields now, promotions_behind_former_total counts choices behind the former primary, and term began names the highest position acknowledged before.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -75,6 +75,9 @@
   /// Records that another server answered at the address of this one. Its entry is out of date, and ignored
   /// until its revision changes.
   void onMisrouted(const TargetId &target, TimePoint now);
+  /// Revision of the store up to which the server entries are known; 0 if none has been read.
+  [[nodiscard]] std::uint64_t serversRevision() const { return ServersRevision; }
+  void setServersRevision(std::uint64_t revision) { ServersRevision = revision; }
   /// Whether all server entries in the store have been read at least once.
   [[nodiscard]] bool serversLoaded() const { return ServersLoaded; }
   void setServersLoaded() { ServersLoaded = true; }
@@ -128,6 +131,7 @@
   std::optional<TimePoint> ProvenUntil;
   ConfigurationSource Source;
   bool ServersLoaded = false;
+  std::uint64_t ServersRevision = 0;
   std::uint64_t ChangeCount = 0;
 };
 
--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -67,6 +67,8 @@
 void DirectoryModule::recordSource(Catalog &catalog, const Feed &feed, const NodeId &from) {
   if (feed.Kind == DirectoryKind::Configuration)
     catalog.setConfigurationSource({from, feed.Sync.Revision, feed.Sync.ConfirmedAt});
+  else
+    catalog.setServersRevision(feed.Sync.Revision);
 }
 
 void DirectoryModule::logProof(Context &ctx, const Catalog &catalog) {
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -133,7 +133,8 @@
   [[nodiscard]] static Duration watchDuration(const Context &ctx, DirectoryKind kind, bool followed);
   /// Records what an answer of the store proves of the configuration's age.
   static void recordProof(Catalog &catalog, const Feed &feed, TimePoint askedAt);
-  /// Records who told last what is known of the configuration; an empty name stands for the store.
+  /// Records up to which revision a kind is known, and who told last what is known of the configuration; an
+  /// empty name stands for the store.
   static void recordSource(Catalog &catalog, const Feed &feed, const NodeId &from);
   /// Logs when the proof of the configuration's age becomes too old, and when there is one again.
   void logProof(Context &ctx, const Catalog &catalog);
--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -2,6 +2,7 @@
 // effect.
 
 #include "leadership/leadershipmodule.h"
+#include "protocol/storerevision.h"
 
 namespace rosemaryhinge {
 
@@ -24,6 +25,13 @@
 
 void LeadershipModule::logChoice(Run &run, detail::Coverage coverage) {
   const auto &change = run.Change;
+  const auto &from = change.Reason.From;
+  const auto reply = run.Services.Links.health(from).lastReplyAt();
+  const auto former = change.Servers.find(from);
+  const bool formerHoldsMore = former != change.Servers.end() && former->second.Status &&
+                               former->second.Status->Log > change.CandidateLog;
+  if (formerHoldsMore)
+    run.Ctx.emit(Count{"promotions_behind_former_total"});
   std::string passedOver;
   for (const auto &it : change.PassedOver)
     passedOver += (passedOver.empty() ? "" : ",") + it.str();
@@ -37,7 +45,11 @@
                     {"coverage", std::string(detail::describe(coverage))},
                     {"compared", detail::describe(change.Servers)},
                     {"passed_over", passedOver},
+                    {"claim_revision", std::to_string(storeNumber(change.Claim.token()))},
+                    {"servers_revision", std::to_string(storeNumber(run.Services.Catalog.serversRevision()))},
                     {"former_stepped_down", change.SteppedDownAt ? "yes" : "no"},
+                    {"former_holds_more", formerHoldsMore ? "yes" : "no"},
+                    {"former_reply_ms", reply ? std::to_string((run.Ctx.Now - *reply) / 1ms) : "never"},
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
 }
 
--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -64,6 +64,14 @@
   auto &service = Services[id];
   if (term <= service.LeaderTerm)
     return;
+  const auto acknowledged = service.Acknowledged.value_or(Position());
+  ctx.emit(
+      Log{LogLevel::Info,
+          "term began",
+          {{"service", id.str()},
+           {"server", target.str()},
+           {"term", std::to_string(term)},
+           {"acknowledged", std::to_string(acknowledged.Term) + "." + std::to_string(acknowledged.Lsn)}}});
   service.Leader = target;
   service.LeaderTerm = term;
   applyWitness(ctx, services, id);
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -152,11 +152,11 @@
   }
   if (isWriteCommit(session, work)) {
     if (event.At) {
+      recordLeader(ctx, services, reply.Service, reply.Target, event.At->Term);
       session.WrittenUpTo[reply.Service] = *event.At;
       auto &acknowledged = Services[reply.Service].Acknowledged;
       acknowledged = std::max(acknowledged.value_or(*event.At), *event.At);
       session.WrittenAtUnknownPosition.erase(reply.Service);
-      recordLeader(ctx, services, reply.Service, reply.Target, event.At->Term);
       // A replica has received the commit, so no other server had been promoted when it was sent.
       if (const auto *limits = services.Catalog.limits(reply.Service); limits && limits->SyncReplicas > 0)
         confirmLease(ctx, services, reply.Service, event.At->Term, work.SentAt);
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -221,7 +221,8 @@
   /// Records that a server answered as the primary, as far as the lease proves that it led.
   void confirmPrimary(Context &ctx, SessionServices &services, const DatabaseId &id, const TargetId &target,
                       Term term);
-  /// Records that a server answered as the primary of a term.
+  /// Records that a server answered as the primary of a term. Logs the highest position that this proxy has
+  /// acknowledged before.
   void recordLeader(Context &ctx, SessionServices &services, const DatabaseId &id, const TargetId &target,
                     Term term);
   /// Confirms the lease by the last report of a replica, if that proves the lead of another server.
