--- a/testing/sessionworld/directorystore.h
+++ b/testing/sessionworld/directorystore.h
@@ -58,6 +58,8 @@
     std::map<TargetId, DirectoryObject> Entries;
     std::map<TargetId, std::uint64_t> EntryRevisions; ///< Of the last change, deletions included.
     std::map<DatabaseId, Claim> Claims;
+    std::map<NodeId, ProxyEntry> Proxies;
+    std::map<NodeId, std::uint64_t> ProxyRevisions;
   };
   struct Copy {
     TimePoint TakenAt;
@@ -70,6 +72,8 @@
   [[nodiscard]] std::vector<DirectoryObject> objects(DirectoryKind kind, std::uint64_t after) const;
   void answerWatches();
   DirectoryAnswer apply(const DirectoryCall &call);
+  [[nodiscard]] decltype(DirectoryAnswer::Result) storeClaim(const Claim &next);
+  [[nodiscard]] decltype(DirectoryAnswer::Result) storeProxy(const PutProxy &put);
 
   fakes::EventQueue &Queue;
   DbCluster &Cluster;
--- a/testing/sessionworld/plannedstops.cpp
+++ b/testing/sessionworld/plannedstops.cpp
@@ -64,6 +64,7 @@
     }
   }
   checkLateCallers(proxy);
+  reportLostPeer(proxy);
   for (auto &caller : SteadyCallers) {
     if (caller.Proxy != proxy || caller.Session.Value == 0)
       continue;
--- a/testing/sessionworld/replacements.cpp
+++ b/testing/sessionworld/replacements.cpp
@@ -98,6 +98,8 @@
   if (occurs(faults.Suspensions))
     if (const auto proxy = Live[PlannedRandom.below(Live.size())]; !Proxies[proxy]->Paused)
       suspendProxy(proxy, length());
+  if (faults.ProxyPartitions && PeerRandom.chance(FaultProbability))
+    partitionProxy(PeerRandom.between(MinFaultLength, MaxFaultLength));
 }
 
 void World::cutProxies(std::size_t server, Duration length) {
--- a/testing/sessionworld/tests/sessionworldtests.cpp
+++ b/testing/sessionworld/tests/sessionworldtests.cpp
@@ -1,5 +1,6 @@
 // Randomised runs of proxies with sessions: fixed seeds, in virtual time.
 
+#include "sessionworld/tests/environment.h"
 #include "sessionworld/world.h"
 
 #include <doctest/doctest.h>
@@ -126,6 +127,7 @@
       options.ProxiesExpectFencing = fencing;
       options.Faults = 0;
       options.Drains = 1;
+      options.PeerLinks = peerLinks();
       const auto result = World(options).run();
       CAPTURE(seed);
       CAPTURE(fencing);
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -18,6 +18,8 @@
 constexpr Duration MaxStaleness = 1500ms;
 /// Distinguishes the draws of late orders from the others of a seed.
 constexpr std::uint64_t OrderSeed = 0x9e3779b97f4a7c15;
+/// The same of messages between proxies.
+constexpr std::uint64_t PeerSeed = 0xd1b54a32d192ed03;
 
 bool isPromise(Rejection code) {
   return code == Rejection::Busy || code == Rejection::Aborted || code == Rejection::Lagging ||
@@ -28,8 +30,9 @@
 
 World::World(const WorldOptions &options)
     : Options(options), Random(options.Seed), OrderRandom(options.Seed ^ OrderSeed),
-      PlannedRandom(~options.Seed), Cluster(Queue, options.Fencing), Store(Queue, Cluster) {
-  Cluster.OnTrace = [this](const std::string &line) { trace(line); };
+      PlannedRandom(~options.Seed), PeerRandom(options.Seed ^ PeerSeed), Cluster(Queue, options.Fencing),
+      Store(Queue, Cluster) {
+  Cluster.OnTrace = [this](const std::string &line) { trace(line + describeAcknowledged()); };
   Cluster.OnEntryChanged = [this] { Store.publishServers(); };
   Store.publishServers();
   Live.resize(ProxyCount);
@@ -44,6 +47,8 @@
   self.Node = NodeId("n" + std::to_string(place));
   self.AvailabilityZone = AvailabilityZone("z1");
   self.Region = Region("r1");
+  if (Options.PeerLinks)
+    self.PeerAddress = "10.0.1." + std::to_string(place + 1) + ":7000";
   self.Interface = CallerInterface::Sessions;
   self.PromotionFencing = Options.ProxiesExpectFencing;
   self.RegionByZone = {{AvailabilityZone("z1"), Region("r1")}};
@@ -54,6 +59,14 @@
   Result.Log.push_back(std::to_string(Queue.now().time_since_epoch() / 1ms) + " " + line);
 }
 
+std::string World::describeAcknowledged() const {
+  std::string out = " acknowledged up to:";
+  for (const auto proxy : Live)
+    if (const auto at = Proxies[proxy]->Logic.Sessions.acknowledgedUpTo(DatabaseId("yard")))
+      out += " n" + std::to_string(proxy) + " " + std::to_string(at->Term) + "." + std::to_string(at->Lsn);
+  return out;
+}
+
 void World::start(std::size_t proxy) { apply(proxy, Started{Random.next(), proxy + 1}); }
 
 void World::deliver(std::size_t proxy, const Event &event) {
@@ -120,6 +133,7 @@
                        deliver(proxy, PromotionAnswer{it.Call, PromotionResult::Unknown, ""});
                      });
                  },
+                 [&](const SendToPeer &it) { sendToPeer(proxy, it); },
                  [&](const AnswerStatement &it) { onAnswer(proxy, it); },
                  [&](const AcceptSession &it) { onSessionAccepted(it.Session); },
                  [&](const RefuseSession &it) { onSessionClosedByProxy(it.Session); },
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -25,6 +25,7 @@
   bool ProxyCuts = false;       ///< Some or all proxies lose the primary; its replicas do not.
   bool ReplicationCuts = false; ///< The replicas lose the primary, except for one that joins.
   bool Suspensions = false;     ///< Of proxies.
+  bool ProxyPartitions = false; ///< A proxy is cut from the others.
 };
 
 struct WorldOptions {
@@ -33,6 +34,8 @@
   /// What the proxies are told; other than Fencing, it breaks the rule that the difference stands for.
   bool ProxiesExpectFencing = true;
   std::size_t Faults = 5;
+  /// Whether the proxies know of each other and exchange messages.
+  bool PeerLinks = true;
   /// Proxies that are stopped and started again as planned, in series that overlap. Callers that keep their
   /// sessions in steady use come with them, and others that connect to a proxy while it stops.
   std::size_t Restarts = 0;
@@ -114,6 +117,8 @@
   void addProxy(std::size_t place);
   /// Adds a line to the log of the run.
   void trace(const std::string &line);
+  /// The highest position that each proxy has acknowledged to callers, for the log of the run.
+  [[nodiscard]] std::string describeAcknowledged() const;
 
   // Draining servers (drains.cpp).
   /// Schedules them. Returns the time at which the last one and the faults beside it have ended.
@@ -138,6 +143,15 @@
   void cutProxies(std::size_t server, Duration length);
   void cutReplication(std::size_t server, Duration length);
 
+  // Messages between the proxies (peerlinks.cpp).
+  [[nodiscard]] std::optional<std::size_t> placeOf(const NodeId &node) const;
+  [[nodiscard]] bool partitioned(std::size_t a, std::size_t b) const;
+  void sendToPeer(std::size_t proxy, const SendToPeer &effect);
+  /// A process has ended: the others' connections to it close.
+  void reportLostPeer(std::size_t proxy);
+  /// Cuts a proxy from the others.
+  void partitionProxy(Duration length);
+
   // Orders that are carried out late (lateorders.cpp).
   /// \returns the time after which an order is carried out without an answer, if that is to happen.
   std::optional<Duration> drawOrderDelay();
@@ -200,6 +214,7 @@
   fakes::Dice Random;
   fakes::Dice OrderRandom;   ///< For orders that are carried out late.
   fakes::Dice PlannedRandom; ///< For steady callers and all that is planned.
+  fakes::Dice PeerRandom;    ///< For messages between proxies.
   DbCluster Cluster;
   DirectoryStore Store;
   std::vector<std::unique_ptr<Proxy>> Proxies; ///< Each process that was ever started.
@@ -207,7 +222,10 @@
   std::vector<SteadyCaller> SteadyCallers;
   std::map<SessionId, LateCaller> LateCallers;
   std::map<std::pair<std::size_t, LinkId>, Link> Links;
-  std::set<std::pair<std::size_t, std::size_t>> Cuts; ///< Proxy and server.
+  std::set<std::pair<std::size_t, std::size_t>> Cuts;     ///< Proxy and server.
+  std::set<std::pair<std::size_t, std::size_t>> PeerCuts; ///< Places of two proxies.
+  /// When the last message from one process to another arrives.
+  std::map<std::pair<std::size_t, std::size_t>, TimePoint> LastDelivery;
   std::map<std::pair<std::size_t, SessionId>, Operation> Sessions;
   std::map<std::string, Operation> Running; ///< By statement.
   std::map<std::string, TimePoint> AcknowledgedAt;
