Messages of a commit fence between proxies

CommitFenceRequest names the claim, the server that is promoted, the terms of before and the former primary; CommitFenceReply the highest position that the sender has reported; CommitFenceEnd who leads. Nothing sends them yet. The round trip of all 35 kinds of messages covers them, and the trail of messages has their names.

--- a/src/daemon/tests/trailtests.cpp
+++ b/src/daemon/tests/trailtests.cpp
@@ -54,6 +54,9 @@
       {QuotaRequest{}, "quota_request"},
       {QuotaReply{}, "quota_reply"},
       {QuotaHandover{}, "quota_handover"},
+      {CommitFenceRequest{}, "commit_fence_request"},
+      {CommitFenceReply{}, "commit_fence_reply"},
+      {CommitFenceEnd{}, "commit_fence_end"},
   }};
   detail::Trail trail;
   for (const auto &it : messages)
--- /dev/null
+++ b/src/peers/internal/fencecodec.cpp
@@ -0,0 +1,49 @@
+// Commit fences on the wire between proxies.
+
+#include "peers/internal/fencecodec.h"
+
+namespace rosemaryhinge::detail {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+Offset<void> encodeFence(FlatBufferBuilder &builder, const CommitFenceRequest &it, wire::Message &type) {
+  type = wire::Message::CommitFenceRequest;
+  const auto service = builder.CreateString(it.Service.str());
+  const auto successor = builder.CreateString(it.Successor.str());
+  const auto former = builder.CreateString(it.Former.str());
+  return wire::CreateCommitFenceRequest(builder, service, it.Token, successor, it.UpTo, former,
+                                        it.StepDownFor)
+      .Union();
+}
+
+Offset<void> encodeFence(FlatBufferBuilder &builder, const CommitFenceReply &it, wire::Message &type) {
+  type = wire::Message::CommitFenceReply;
+  const auto service = builder.CreateString(it.Service.str());
+  const wire::Position acknowledged(it.Acknowledged.Term, it.Acknowledged.Lsn);
+  return wire::CreateCommitFenceReply(builder, service, it.Token, &acknowledged).Union();
+}
+
+Offset<void> encodeFence(FlatBufferBuilder &builder, const CommitFenceEnd &it, wire::Message &type) {
+  type = wire::Message::CommitFenceEnd;
+  const auto service = builder.CreateString(it.Service.str());
+  const auto promoted = builder.CreateString(it.Promoted.str());
+  return wire::CreateCommitFenceEnd(builder, service, it.Token, promoted).Union();
+}
+
+std::optional<PeerMessage> decodeFence(const wire::Envelope &envelope, FrameReader &reader) {
+  if (const auto *it = envelope.message_as_CommitFenceRequest())
+    return CommitFenceRequest{reader.id<DatabaseId>(it->service()), it->token(),
+                              reader.id<TargetId>(it->successor()), it->up_to(),
+                              reader.id<TargetId>(it->former()),    it->step_down_for()};
+  if (const auto *it = envelope.message_as_CommitFenceEnd())
+    return CommitFenceEnd{reader.id<DatabaseId>(it->service()), it->token(),
+                          reader.id<TargetId>(it->promoted())};
+  const auto *it = envelope.message_as_CommitFenceReply();
+  if (it == nullptr || it->acknowledged() == nullptr)
+    return std::nullopt;
+  return CommitFenceReply{reader.id<DatabaseId>(it->service()), it->token(),
+                          *FrameReader::position(it->acknowledged())};
+}
+
+} // namespace rosemaryhinge::detail
--- a/src/peers/internal/peerdecode.cpp
+++ b/src/peers/internal/peerdecode.cpp
@@ -1,6 +1,7 @@
 // FlatBuffers frames to peer messages.
 
 #include "peers/internal/changescodec.h"
+#include "peers/internal/fencecodec.h"
 #include "peers/internal/framereader.h"
 #include "peers/internal/loancodec.h"
 #include "peers/internal/quotacodec.h"
@@ -232,6 +233,10 @@
     case wire::Message::QuotaReply:
     case wire::Message::QuotaHandover:
       return detail::decodeQuota(envelope, *this);
+    case wire::Message::CommitFenceRequest:
+    case wire::Message::CommitFenceReply:
+    case wire::Message::CommitFenceEnd:
+      return detail::decodeFence(envelope, *this);
     default:
       return detail::decodeLoan(envelope, *this);
     }
--- a/src/peers/internal/peerencode.cpp
+++ b/src/peers/internal/peerencode.cpp
@@ -2,6 +2,7 @@
 
 #include "base/overloaded.h"
 #include "peers/internal/changescodec.h"
+#include "peers/internal/fencecodec.h"
 #include "peers/internal/loancodec.h"
 #include "peers/internal/quotacodec.h"
 #include "peers/peercodec.h"
@@ -36,6 +37,8 @@
             return detail::encodeChanges(B, it, type);
           else if constexpr (requires { detail::encodeQuota(B, it, type); })
             return detail::encodeQuota(B, it, type);
+          else if constexpr (requires { detail::encodeFence(B, it, type); })
+            return detail::encodeFence(B, it, type);
           else
             return put(it, type);
         },
--- a/src/peers/tests/peercodectests.cpp
+++ b/src/peers/tests/peercodectests.cpp
@@ -259,6 +259,13 @@
       return QuotaHandover{AvailabilityZone(text()), number(), list([&] {
                              return QuotaLevel{WorkspaceId(text()), static_cast<double>(number())};
                            })};
+    case 32:
+      return CommitFenceRequest{DatabaseId(text()), number(),         TargetId(text()),
+                                number(),           TargetId(text()), number()};
+    case 33:
+      return CommitFenceReply{DatabaseId(text()), number(), position()};
+    case 34:
+      return CommitFenceEnd{DatabaseId(text()), number(), TargetId(text())};
     default:
       return loanMessage(kind);
     }
@@ -274,7 +281,7 @@
 
 // Equal messages encode to equal bytes, so a second encoding compares every field.
 TEST_CASE("every message round trips") {
-  static_assert(Kinds == 32, "add the new message to Samples");
+  static_assert(Kinds == 35, "add the new message to Samples");
   Samples samples(31);
   for (std::size_t n = 0; n < 100 * Kinds; ++n) {
     const PeerEnvelope envelope{NodeId("a"), NodeId("b"), samples.message(n % Kinds), "10.0.0.1:1"};
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -230,12 +230,38 @@
   std::vector<QuotaLevel> Levels{};
 };
 
+/// Tells the receiver that a server of a service is about to be promoted, under a claim of the sender: it
+/// reports no commit of other servers to callers any more. Sent again for as long as the promotion may take
+/// effect.
+struct CommitFenceRequest {
+  DatabaseId Service;
+  std::uint64_t Token = 0; ///< Revision of the claim.
+  TargetId Successor;      ///< The server that is promoted; empty before it is chosen.
+  Term UpTo = 0;           ///< Known terms of before the promotion.
+  TargetId Former;         ///< The primary that is replaced; empty if none is known.
+  /// Term for which a receiver that reaches the former primary orders it to step down; 0: it orders nothing.
+  Term StepDownFor = 0;
+};
+struct CommitFenceReply {
+  DatabaseId Service;
+  std::uint64_t Token = 0; ///< Of the request.
+  /// The highest position that the sender has reported to callers as committed. It reports none of the terms
+  /// of before the promotion any more.
+  Position Acknowledged;
+};
+/// The promotion of this claim, and of earlier ones, can take effect no more, or has.
+struct CommitFenceEnd {
+  DatabaseId Service;
+  std::uint64_t Token = 0;
+  TargetId Promoted; ///< The server that leads now; empty if the former primary may go on.
+};
+
 using PeerMessage =
     std::variant<ForwardRequest, ForwardAnswer, Probe, ProbeAck, IndirectProbe, MembersRequest, MembersReply,
                  SettingsPush, SettingsAck, SettingsRequest, TargetReports, PrimaryContactRequest,
                  PrimaryContactReply, ObjectChanged, JournalRecords, JournalAck, SettingsQuery,
                  SettingsReport, JournalWritten, PositionRequest, PositionReply, LoanRequest, LoanQueued,
                  LoanGrant, LoanCommands, LoanReply, LoanEnd, ChangesRequest, ChangesReply, QuotaRequest,
-                 QuotaReply, QuotaHandover>;
+                 QuotaReply, QuotaHandover, CommitFenceRequest, CommitFenceReply, CommitFenceEnd>;
 
 } // namespace rosemaryhinge
