--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -290,7 +290,47 @@
       onPeerFailure(ctx, services, it);
 }
 
+void DirectoryModule::refreshServers(Context &ctx) {
+  const auto feed = std::find_if(Feeds.begin(), Feeds.end(),
+                                 [](const Feed &it) { return it.Kind == DirectoryKind::Servers; });
+  if (RefreshCall || feed->Listing || ctx.Now < RefreshAfter)
+    return;
+  RefreshCall = ctx.call(Module::Directory);
+  ctx.emit(DirectoryCall{*RefreshCall, RefreshTimeout,
+                         WatchDirectory{DirectoryKind::Servers, feed->Sync.Revision, RefreshWait}});
+}
+
+void DirectoryModule::onRefreshed(Context &ctx, DirectoryServices &services, const DirectoryAnswer &event) {
+  RefreshCall.reset();
+  RefreshAfter = ctx.Now + RefreshPause;
+  const auto *changes = std::get_if<DirectoryChanges>(&event.Result);
+  const auto feed = std::find_if(Feeds.begin(), Feeds.end(),
+                                 [](const Feed &it) { return it.Kind == DirectoryKind::Servers; });
+  // The watch beside it finds out about a restoration, or about a history that is gone.
+  if (!changes || storeEra(changes->Revision) != storeEra(feed->Sync.Revision))
+    return;
+  applyStoreChanges(ctx, services.Catalog, *feed, *changes);
+  recordSource(services.Catalog, *feed, NodeId());
+  Relay.answerPending(ctx, services.Catalog, feed->Kind, feed->Sync);
+}
+
+void DirectoryModule::applyStoreChanges(Context &ctx, Catalog &catalog, Feed &feed,
+                                        const DirectoryChanges &changes) {
+  auto &known = feed.Sync;
+  known.ConfirmedAt = ctx.Now;
+  // What another proxy has told meanwhile may be newer, and must not be undone.
+  if (changes.Revision <= known.Revision)
+    return;
+  known.Revision = changes.Revision;
+  for (const auto &object : changes.Objects)
+    applyObject(ctx, catalog, feed, object);
+}
+
 void DirectoryModule::onAnswer(Context &ctx, DirectoryServices &services, const DirectoryAnswer &event) {
+  if (RefreshCall == event.Call) {
+    onRefreshed(ctx, services, event);
+    return;
+  }
   const auto feed =
       std::find_if(Feeds.begin(), Feeds.end(), [&](const Feed &it) { return it.Call == event.Call; });
   if (feed == Feeds.end())
@@ -339,13 +379,7 @@
                      startListing(ctx, *feed);
                      return;
                    }
-                   known.ConfirmedAt = ctx.Now;
-                   // What another proxy has told meanwhile may be newer, and must not be undone.
-                   if (it.Revision > known.Revision) {
-                     known.Revision = it.Revision;
-                     for (const auto &object : it.Objects)
-                       applyObject(ctx, services.Catalog, *feed, object);
-                   }
+                   applyStoreChanges(ctx, services.Catalog, *feed, it);
                    recordProof(services.Catalog, *feed, feed->StoreCalledAt);
                  },
                  [&](const DirectoryHistoryCompacted &) { startListing(ctx, *feed); },
--- a/src/directory/directorymodule.h
+++ b/src/directory/directorymodule.h
@@ -31,6 +31,9 @@
   void onStarted(Context &ctx, DirectoryServices &services);
   void onAnswer(Context &ctx, DirectoryServices &services, const DirectoryAnswer &event);
   void onTimer(Context &ctx, DirectoryServices &services);
+  /// Asks the store at once for what has changed about the servers, beside any watch.
+  /// Catalog::serversRevision() tells when the answer has come.
+  void refreshServers(Context &ctx);
   /// Another proxy follows this one, or has answered.
   void onRequest(Context &ctx, DirectoryServices &services, const NodeId &from,
                  const ChangesRequest &request);
@@ -78,6 +81,11 @@
   static constexpr Duration StoreRetryInterval = 2s;
   /// Wait of a watch that only has to tell what a followed proxy may have withheld.
   static constexpr Duration CheckWait = 100ms;
+  /// Wait of a call that only tells what has changed until now.
+  static constexpr Duration RefreshWait = 1ms;
+  static constexpr Duration RefreshTimeout = 400ms;
+  /// Pause before the next call if the answer was of no use.
+  static constexpr Duration RefreshPause = 100ms;
   /// Proxies without news after which it tries the store again: the store is down for all.
   static constexpr int MaxStalePeerReplies = 4;
   /// Calls to the store and requests to other proxies without an answer, in a row, after which a proxy counts
@@ -125,6 +133,10 @@
 
   /// Asks the store and other proxies as far as that is due and has not been done yet.
   void requestChanges(Context &ctx, DirectoryServices &services, Feed &feed);
+  /// Applies what the store has told of changes since a revision.
+  void applyStoreChanges(Context &ctx, Catalog &catalog, Feed &feed, const DirectoryChanges &changes);
+  /// The answer to refreshServers().
+  void onRefreshed(Context &ctx, DirectoryServices &services, const DirectoryAnswer &event);
   /// The earliest time for the next call to the store; empty if none is needed.
   [[nodiscard]] static std::optional<TimePoint> nextStoreCall(const Feed &feed);
   void queryStore(Context &ctx, DirectoryServices &services, Feed &feed);
@@ -161,6 +173,8 @@
   /// Lists the objects again, since the changes after the known revision cannot be had.
   static void startListing(Context &ctx, Feed &feed);
 
+  std::optional<CallId> RefreshCall; ///< Of refreshServers().
+  TimePoint RefreshAfter;            ///< No such call before.
   std::array<Feed, 2> Feeds{Feed(DirectoryKind::Configuration), Feed(DirectoryKind::Servers)};
   detail::ChangeRelay Relay;
   TimePoint StartedAt;
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -12,7 +12,10 @@
 namespace {
 
 constexpr Duration CallTimeout = 1500ms;
+constexpr Duration DeleteTimeout = 250ms;
 constexpr Duration RetryPause = 1s;
+/// Pause after a listing that failed before one on request.
+constexpr Duration RefreshPause = 150ms;
 /// The first listing finds proxies that already run or ran before. At the first start of the fleet it waits
 /// until the others have registered themselves. The second finds proxies that started at the same time. Later
 /// listings are infrequent because each call to the store is billed.
@@ -58,6 +61,12 @@
       DirectoryCall{*ListCall, CallTimeout, ListDirectory{DirectoryKind::Proxies, lastName(PartialListing)}});
 }
 
+void FleetMap::refresh(Context &ctx) {
+  if (!Enabled || Leaving || ListCall || ctx.Now < RefreshAfter)
+    return;
+  list(ctx);
+}
+
 void FleetMap::addProxy(Context &ctx, const ProxyEntry &entry) {
   const auto it = Proxies.find(entry.Node);
   const bool known = it != Proxies.end() && it->second.Address == entry.Address;
@@ -67,6 +76,10 @@
 }
 
 void FleetMap::onAnswer(Context &ctx, const DirectoryAnswer &event) {
+  if (DeleteCall == event.Call) {
+    LeftBy = ctx.Now;
+    return;
+  }
   if (AnnounceCall == event.Call) {
     AnnounceCall.reset();
     if (const auto *conflict = std::get_if<ProxyConflict>(&event.Result))
@@ -82,8 +95,11 @@
   if (!listing) {
     PartialListing.clear();
     ListAt = ctx.Now + RetryPause;
+    RefreshAfter = ctx.Now + RefreshPause;
     return;
   }
+  if (PartialListing.empty())
+    FirstPageRevision = listing->Revision;
   PartialListing.insert(PartialListing.end(), listing->Objects.begin(), listing->Objects.end());
   if (listing->More && !lastName(listing->Objects).empty()) {
     list(ctx);
@@ -105,6 +121,7 @@
       addProxy(ctx, *entry);
   }
   onProxiesChanged();
+  ListedRevision = FirstPageRevision;
   ListAt = ctx.Now + (first ? SecondList : forFleet(ListInterval));
 }
 
@@ -116,6 +133,8 @@
 }
 
 std::optional<TimePoint> FleetMap::nextTimer() const {
+  if (LeftBy)
+    return LeftBy;
   if (AnnounceAt && ListAt)
     return std::min(*AnnounceAt, *ListAt);
   return AnnounceAt ? AnnounceAt : ListAt;
@@ -136,11 +155,13 @@
 }
 
 void FleetMap::startLeaving(Context &ctx) {
-  if (!Enabled || std::exchange(Leaving, true))
+  if (std::exchange(Leaving, true) || !Enabled)
     return;
   AnnounceAt.reset();
   ListAt.reset();
-  ctx.emit(DirectoryCall{ctx.call(Module::Positions), CallTimeout, DeleteProxy{ctx.Self.Node}});
+  LeftBy = ctx.Now + DeleteTimeout;
+  DeleteCall = ctx.call(Module::Positions);
+  ctx.emit(DirectoryCall{*DeleteCall, DeleteTimeout, DeleteProxy{ctx.Self.Node}});
 }
 
 void FleetMap::onProxiesChanged() {
@@ -178,6 +199,15 @@
   return static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
 }
 
+std::vector<NodeId> FleetMap::others(const NodeId &self) const {
+  std::vector<NodeId> out;
+  out.reserve(Proxies.size());
+  for (const auto &[node, entry] : Proxies)
+    if (node != self)
+      out.push_back(node);
+  return out;
+}
+
 std::vector<NodeId> FleetMap::others(const NodeId &self, const AvailabilityZone &zone, std::string_view key,
                                      std::size_t nearbyCount) const {
   auto out = fleetOrder(key);
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -25,10 +25,20 @@
   void onAnswer(Context &ctx, const DirectoryAnswer &event);
   void onTimer(Context &ctx);
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
+  /// Lists the proxies now, unless a listing is under way or has just failed.
+  void refresh(Context &ctx);
+  /// Revision of the store up to which the registrations are known; 0 if there was no listing.
+  [[nodiscard]] std::uint64_t listedRevision() const { return ListedRevision; }
+  /// Whether proxies know of each other.
+  [[nodiscard]] bool enabled() const { return Enabled; }
   /// The store has come back from an older copy, which may lack this proxy's entry and those of others.
   void onStoreRestored(Context &ctx);
-  /// Deletes this proxy's entry from the store.
+  /// Deletes this proxy's entry from the store. Called once it serves no callers any more: a change of
+  /// primary asks all proxies that have an entry.
   void startLeaving(Context &ctx);
+  [[nodiscard]] bool leaving() const { return Leaving; }
+  /// Whether the entry is deleted, or that has taken too long.
+  [[nodiscard]] bool left(TimePoint now) const { return !Enabled || (LeftBy && now >= *LeftBy); }
 
   /// Returns the proxies of an availability zone, including this one, in rendezvous order for the key. Valid
   /// until the next call of a member function.
@@ -37,6 +47,8 @@
   /// Number of proxies that come before this one in rendezvous order for the key.
   [[nodiscard]] std::size_t rank(const NodeId &self, std::string_view key) const;
 
+  /// Returns all other proxies.
+  [[nodiscard]] std::vector<NodeId> others(const NodeId &self) const;
   /// Returns all other proxies in rendezvous order for the key, with the first nearbyCount proxies of the
   /// given availability zone moved to the front.
   [[nodiscard]] std::vector<NodeId> others(const NodeId &self, const AvailabilityZone &zone,
@@ -66,6 +78,11 @@
   std::vector<DirectoryObject> PartialListing; ///< Pages received so far of a paginated listing.
   std::optional<CallId> AnnounceCall;
   std::optional<CallId> ListCall;
+  std::uint64_t FirstPageRevision = 0; ///< A later registration may be missing from the pages before it.
+  std::uint64_t ListedRevision = 0;
+  TimePoint RefreshAfter; ///< No listing on request before.
+  std::optional<CallId> DeleteCall;
+  std::optional<TimePoint> LeftBy; ///< When this proxy counts as having left.
   std::optional<TimePoint> AnnounceAt;
   std::optional<TimePoint> ListAt;
   bool Enabled = false; ///< Whether this proxy has an address for peer connections.
