--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -48,6 +48,7 @@
   const auto leader = run.Services.Catalog.primary(run.Service).value_or(change.Reason.From);
   auto next = change.Claim.next(run.Service, run.Ctx.Self.Node, done ? leader : change.Reason.From,
                                 run.Ctx.Now, requiredPosition(run));
+  next.Acknowledged = acknowledgedPosition(run);
   next.Candidate = candidate;
   next.Done = done;
   change.Call = run.Ctx.call(Module::Leadership);
@@ -200,7 +201,7 @@
   change.Servers.clear();
   change.PassedOver.clear();
   change.JoinedAfterChoice.clear();
-  change.Requests.clear();
+  releaseRequests(run);
   change.PausedByThisProxy.clear();
   change.OrderTerm = 0;
   change.OthersPausedAt.reset();
@@ -216,6 +217,9 @@
   change.CandidateLog = Position();
   change.PromotionAttempts = 0;
   change.StartedAt = run.Ctx.Now;
+  change.ClaimedRevision = change.Claim.token();
+  if (change.Reason.Kind != detail::ReasonKind::ReplicasPaused)
+    run.Services.Fleet.refresh(run.Ctx);
   enterPhase(run, Phase::SelectingCandidate);
   run.Ctx.emit(Count{"claims_total"});
   run.Ctx.emit(Log{LogLevel::Warn,
--- /dev/null
+++ b/src/leadership/internal/commitfencing.cpp
@@ -0,0 +1,171 @@
+// The commit fence of a change of primary: raised at all proxies before the order, and kept until the
+// promotion has taken effect or cannot any more.
+//
+// Once every proxy has raised it, no commit of the former primary is reported to callers any more. What the
+// promoted server must hold is then the highest position that one of them has reported, whichever servers
+// have received commits and whatever becomes of the former primary.
+
+#include "leadership/internal/pauses.h"
+#include "leadership/leadershipmodule.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// Time for the other proxies to answer while the former primary may serve some of them.
+constexpr Duration FenceWait = 400ms;
+/// The same once it has stepped down: the fence then only guards against orders that are carried out late.
+constexpr Duration SteppedDownFenceWait = 100ms;
+/// Time for the list of proxies to be as new as the claim. Without it, those that are known are asked.
+constexpr Duration FleetListWait = 600ms;
+
+} // namespace
+
+bool LeadershipModule::awaitServerList(Run &run) {
+  if (run.Services.Catalog.serversRevision() >= run.Change.ClaimedRevision)
+    return true;
+  run.Services.Directory.refreshServers(run.Ctx);
+  return false;
+}
+
+bool LeadershipModule::awaitFence(Run &run) {
+  auto &change = run.Change;
+  change.Fence.begin(change.ClaimedRevision, run.Ctx.Now);
+  if (!change.Fence.allKnown() && !findMembers(run))
+    return false;
+  renewFence(run);
+  return change.Fence.settled(change.SteppedDownAt ? SteppedDownFenceWait : FenceWait, run.Ctx.Now);
+}
+
+bool LeadershipModule::findMembers(Run &run) {
+  auto &fleet = run.Services.Fleet;
+  const bool current = fleet.enabled() && fleet.listedRevision() >= run.Change.ClaimedRevision;
+  if (!current)
+    fleet.refresh(run.Ctx);
+  if (fleet.enabled() && !current && run.Ctx.Now - run.Change.StartedAt < FleetListWait)
+    return false;
+  run.Change.Fence.addMembers(fleet.others(run.Ctx.Self.Node), current);
+  return true;
+}
+
+TargetId LeadershipModule::fenceSuccessor(const Run &run) {
+  const auto &change = run.Change;
+  const bool ordered = change.State == Phase::Promoting || change.State == Phase::AwaitingPrimary;
+  return ordered ? change.Candidate : TargetId();
+}
+
+void LeadershipModule::renewFence(Run &run) {
+  auto &change = run.Change;
+  auto &fence = change.Fence;
+  if (!fence.started())
+    return;
+  if (change.Claim.held(run.Ctx.Now))
+    fence.setToken(change.Claim.token());
+  fence.setSuccessor(fenceSuccessor(run));
+  const auto upTo = std::max(detail::highestLogTerm(change.Servers), requiredPosition(run).Term);
+  const CommitFence::Bounds bounds{fence.token(), fence.successor(), upTo};
+  // Refused if another proxy has taken the claim over.
+  if (run.Services.Sessions.commitFence(run.Service).raise(bounds, run.Ctx.Now))
+    sendFence(run, bounds);
+}
+
+void LeadershipModule::sendFence(Run &run, const CommitFence::Bounds &bounds) {
+  auto &change = run.Change;
+  const auto due = change.Fence.takeDue(run.Ctx.Now);
+  if (due.empty())
+    return;
+  if (change.OrderTerm == 0)
+    change.OrderTerm = detail::highestTerm(change.Servers) + 1;
+  // The promotion has to follow at once, and needs the store.
+  const bool stepDown = change.State >= Phase::SelectingCandidate && change.State <= Phase::Promoting &&
+                        !change.SteppedDownAt && change.Claim.age(run.Ctx.Now) < detail::MaxClaimAge;
+  const CommitFenceRequest request{run.Service, bounds.Token,       bounds.Successor,
+                                   bounds.UpTo, change.Reason.From, stepDown ? change.OrderTerm : 0};
+  for (const auto &node : due)
+    run.Ctx.emit(SendToPeer{node, request});
+  run.Ctx.emit(Count{"commit_fence_requests_total", static_cast<double>(due.size())});
+}
+
+void LeadershipModule::endFence(Run &run, const TargetId &promoted) {
+  auto &fence = run.Change.Fence;
+  if (!fence.started())
+    return;
+  run.Services.Sessions.commitFence(run.Service).end(fence.token(), promoted);
+  for (const auto &node : fence.members())
+    run.Ctx.emit(SendToPeer{node, CommitFenceEnd{run.Service, fence.token(), promoted}});
+  fence.reset();
+}
+
+void LeadershipModule::endLeftFence(Run &run) {
+  auto &fence = run.Change.Fence;
+  fence.begin(run.Change.ClaimedRevision, run.Ctx.Now);
+  fence.addMembers(run.Services.Fleet.others(run.Ctx.Self.Node), false);
+  fence.setToken(run.Change.Claim.token());
+  giveUp(run, "no order is outstanding", detail::MinChangeInterval);
+}
+
+void LeadershipModule::onFenceRequest(Context &ctx, LeadershipServices &services, const NodeId &from,
+                                      const CommitFenceRequest &request) {
+  // Bounds what a peer can make this proxy keep.
+  if (!services.Catalog.limits(request.Service) && !Changes.contains(request.Service))
+    return;
+  const CommitFence::Bounds bounds{request.Token, request.Successor, request.UpTo};
+  if (!services.Sessions.commitFence(request.Service).raise(bounds, ctx.Now)) {
+    ctx.emit(Count{"commit_fences_refused_total"});
+    return;
+  }
+  ctx.emit(Count{"commit_fences_raised_total"});
+  const auto acknowledged = services.Sessions.acknowledgedUpTo(request.Service).value_or(Position());
+  ctx.emit(SendToPeer{from, CommitFenceReply{request.Service, request.Token, acknowledged}});
+  Run run{ctx, services, request.Service, Changes[request.Service]};
+  if (request.StepDownFor > 0 && run.Change.State < Phase::SelectingCandidate)
+    stepDownForPeer(run, request);
+}
+
+void LeadershipModule::stepDownForPeer(Run &run, const CommitFenceRequest &request) {
+  const auto &former = request.Former;
+  if (!run.Services.Catalog.server(former) || run.Services.Links.health(former).suspect(run.Ctx.Now))
+    return;
+  run.Change.OrderTerm = request.StepDownFor;
+  sendRequest(run, former, Order::StepDown);
+}
+
+void LeadershipModule::onFenceReply(Context &ctx, LeadershipServices &services, const NodeId &from,
+                                    const CommitFenceReply &reply) {
+  const auto it = Changes.find(reply.Service);
+  if (it == Changes.end())
+    return;
+  services.Sessions.noteAcknowledged(reply.Service, reply.Acknowledged);
+  it->second.Fence.onReply(from, reply.Token, reply.Acknowledged, ctx.Now);
+  if (it->second.State != Phase::SelectingCandidate || !it->second.Fence.complete(ctx.Now))
+    return;
+  Run run{ctx, services, it->first, it->second};
+  selectCandidate(run);
+}
+
+void LeadershipModule::onFenceEnd(LeadershipServices &services, const CommitFenceEnd &end) {
+  if (Changes.contains(end.Service))
+    services.Sessions.commitFence(end.Service).end(end.Token, end.Promoted);
+}
+
+void LeadershipModule::handOverPositions(Context &ctx, const LeadershipServices &services) {
+  const auto &self = ctx.Self;
+  for (const auto &service : services.Catalog.services()) {
+    const auto acknowledged = services.Sessions.acknowledgedUpTo(service);
+    if (!acknowledged)
+      continue;
+    auto heirs = services.Fleet.others(self.Node, self.AvailabilityZone, service.str(), 0);
+    heirs.resize(std::min(heirs.size(), detail::FirstClaimants));
+    for (const auto &node : heirs)
+      ctx.emit(SendToPeer{node, CommitFenceReply{service, 0, *acknowledged}});
+  }
+}
+
+void LeadershipModule::onPeerLost(const NodeId &node) {
+  for (auto &[service, change] : Changes)
+    change.Fence.onLost(node);
+}
+
+} // namespace rosemaryhinge
--- a/src/leadership/internal/coverage.cpp
+++ b/src/leadership/internal/coverage.cpp
@@ -49,7 +49,10 @@
 
 Coverage coverage(const PromotionEvidence &evidence, const TargetId &candidate) {
   const auto self = evidence.Servers.find(candidate);
-  if (self == evidence.Servers.end() || !self->second.Status || !compared(evidence.Servers, candidate))
+  if (self == evidence.Servers.end() || !self->second.Status)
+    return Coverage::Uncompared;
+  const bool leads = self->second.FormerPrimary && !self->second.SteppedDown;
+  if (evidence.Fenced ? leads : !compared(evidence.Servers, candidate))
     return Coverage::Uncompared;
   if (self->second.Status->Log >= evidence.Required)
     return Coverage::Complete;
--- a/src/leadership/internal/coverage.h
+++ b/src/leadership/internal/coverage.h
@@ -20,6 +20,8 @@
   Position Required;
   /// A log that is not compared may come back: of a server that crashed, or does not answer.
   bool LogsAbsent = false;
+  /// No proxy reports commits of the former primary any more, and Required covers all that were reported.
+  bool Fenced = false;
 };
 
 enum class Coverage : std::uint8_t {
--- /dev/null
+++ b/src/leadership/internal/fleetfence.cpp
@@ -0,0 +1,93 @@
+// Answers of the fleet to a commit fence.
+
+#include "leadership/internal/fleetfence.h"
+
+#include "freshness/commitfence.h"
+
+#include <algorithm>
+
+namespace rosemaryhinge::detail {
+
+void FleetFence::begin(std::uint64_t claimedAt, TimePoint now) {
+  if (started() && ClaimedAt == claimedAt)
+    return;
+  StartedAt = now;
+  ClaimedAt = claimedAt;
+  AllKnown = false;
+  for (auto &[node, it] : Members)
+    it = Member();
+}
+
+void FleetFence::reset() { *this = FleetFence(); }
+
+void FleetFence::addMembers(std::span<const NodeId> proxies, bool all) {
+  for (const auto &it : proxies)
+    Members.try_emplace(it);
+  AllKnown = all;
+}
+
+void FleetFence::setSuccessor(const TargetId &server) {
+  if (server == Successor)
+    return;
+  Successor = server;
+  for (auto &[node, it] : Members)
+    it.SentAt.reset();
+}
+
+std::vector<NodeId> FleetFence::takeDue(TimePoint now) {
+  std::vector<NodeId> out;
+  for (auto &[node, it] : Members) {
+    const auto interval = answered(it, now) ? CommitFence::RenewalInterval : RetryInterval;
+    if (it.SentAt && now - *it.SentAt < interval)
+      continue;
+    it.SentAt = now;
+    out.push_back(node);
+  }
+  return out;
+}
+
+void FleetFence::onReply(const NodeId &from, std::uint64_t token, Position acknowledged, TimePoint now) {
+  const auto it = Members.find(from);
+  // A proxy that answers an earlier fence may have ended it since.
+  if (!started() || it == Members.end() || token < ClaimedAt)
+    return;
+  if (!answered(it->second, now))
+    it->second.RaisedSince = now;
+  it->second.AnsweredRequestAt = it->second.SentAt.value_or(*StartedAt);
+  it->second.Lost = false;
+  Acknowledged = std::max(Acknowledged, acknowledged);
+}
+
+void FleetFence::onLost(const NodeId &node) {
+  if (const auto it = Members.find(node); it != Members.end())
+    it->second.Lost = true;
+}
+
+bool FleetFence::complete(TimePoint now) const {
+  return started() && AllKnown && std::all_of(Members.begin(), Members.end(), [&](const auto &it) {
+           return answered(it.second, now);
+         });
+}
+
+bool FleetFence::completeFor(Duration time, TimePoint now) const {
+  return complete(now) && std::all_of(Members.begin(), Members.end(),
+                                      [&](const auto &it) { return now - *it.second.RaisedSince >= time; });
+}
+
+bool FleetFence::settled(Duration wait, TimePoint now) const {
+  if (!started())
+    return false;
+  return now - *StartedAt >= wait || std::all_of(Members.begin(), Members.end(), [&](const auto &it) {
+           return it.second.Lost || answered(it.second, now);
+         });
+}
+
+std::vector<NodeId> FleetFence::members() const {
+  std::vector<NodeId> out;
+  out.reserve(Members.size());
+  for (const auto &[node, it] : Members)
+    out.push_back(node);
+  return out;
+}
+
+} // namespace rosemaryhinge::detail
--- /dev/null
+++ b/src/leadership/internal/fleetfence.h
@@ -0,0 +1,77 @@
+// Which proxies have raised the commit fence of a change of primary, and what they have reported until then.
+
+#pragma once
+
+#include "base/id.h"
+#include "base/position.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace rosemaryhinge::detail {
+
+class FleetFence {
+public:
+  /// Starts the fence of a claim. What was answered under an earlier claim counts no more.
+  /// \param claimedAt Revision of the claim's first write.
+  void begin(std::uint64_t claimedAt, TimePoint now);
+  void reset();
+  [[nodiscard]] bool started() const { return StartedAt.has_value(); }
+  /// \param all Whether no other proxy may report commits.
+  void addMembers(std::span<const NodeId> proxies, bool all);
+  [[nodiscard]] bool allKnown() const { return AllKnown; }
+  /// Sets what the requests name as the server that is promoted. Each proxy is told of a change at once.
+  void setSuccessor(const TargetId &server);
+  [[nodiscard]] const TargetId &successor() const { return Successor; }
+
+  /// The proxies to which the request is due, again or for the first time. It counts as sent.
+  [[nodiscard]] std::vector<NodeId> takeDue(TimePoint now);
+  /// \param token Of the request that is answered.
+  void onReply(const NodeId &from, std::uint64_t token, Position acknowledged, TimePoint now);
+  /// The connection to a proxy was lost. Its process may be another one, which has raised no fence.
+  void onLost(const NodeId &node);
+
+  /// Whether every proxy has raised the fence, and it holds there for a while.
+  [[nodiscard]] bool complete(TimePoint now) const;
+  /// Whether every proxy has had it raised for this long.
+  [[nodiscard]] bool completeFor(Duration time, TimePoint now) const;
+  /// Whether there is nothing to wait for: each proxy has answered or is lost, or the time has passed.
+  [[nodiscard]] bool settled(Duration wait, TimePoint now) const;
+  /// The highest position that a proxy has reported.
+  [[nodiscard]] Position acknowledged() const { return Acknowledged; }
+  [[nodiscard]] std::vector<NodeId> members() const;
+
+  /// Revision of the claim in the last requests.
+  [[nodiscard]] std::uint64_t token() const { return Token; }
+  void setToken(std::uint64_t token) { Token = token; }
+
+  static constexpr Duration RetryInterval = 100ms;
+  /// An answer counts for this long after its request was sent. The fence of the proxy then holds for longer
+  /// than an order is on its way.
+  static constexpr Duration MaxAnswerAge = 5s;
+
+private:
+  struct Member {
+    std::optional<TimePoint> SentAt;
+    std::optional<TimePoint> AnsweredRequestAt; ///< When the newest request was sent that has an answer.
+    std::optional<TimePoint> RaisedSince;       ///< It has answered since without being lost.
+    bool Lost = false;                          ///< Since the last answer.
+  };
+  static bool answered(const Member &it, TimePoint now) {
+    return !it.Lost && it.AnsweredRequestAt && now - *it.AnsweredRequestAt < MaxAnswerAge;
+  }
+
+  std::optional<TimePoint> StartedAt;
+  std::uint64_t ClaimedAt = 0;
+  std::uint64_t Token = 0;
+  bool AllKnown = false;
+  TargetId Successor;
+  std::map<NodeId, Member> Members;
+  Position Acknowledged;
+};
+
+} // namespace rosemaryhinge::detail
--- a/src/leadership/internal/pendingpromotion.cpp
+++ b/src/leadership/internal/pendingpromotion.cpp
@@ -18,7 +18,8 @@
 bool LeadershipModule::choiceStands(Run &run) {
   logJoinedServers(run);
   refreshServerStates(run);
-  return stopped(run) && coverageOf(run, run.Change.Candidate) != detail::Coverage::Uncompared;
+  return stopped(run) && coverageOf(run, run.Change.Candidate) != detail::Coverage::Uncompared &&
+         positionToCover(run) <= run.Change.CoveredPosition;
 }
 
 void LeadershipModule::verifyPauses(Run &run) {
@@ -41,7 +42,7 @@
   refreshServerStates(run);
   if (change.SteppedDownAt) {
     // A former primary that is promoted again leads by this change's own order.
-    if (change.Candidate != change.Reason.From)
+    if (change.Candidate != change.Reason.From && formerReachable(run))
       verifyStepDown(run);
     return;
   }
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "leadership/internal/claimstate.h"
+#include "leadership/internal/fleetfence.h"
 #include "leadership/internal/reason.h"
 #include "leadership/internal/serverstates.h"
 #include "links/linkpool.h"
@@ -53,6 +54,7 @@
 
   // Selection of the candidate.
   TimePoint StartedAt;
+  std::uint64_t ClaimedRevision = 0; ///< Of the claim's first write.
   ServerStates Servers;
   std::map<TargetId, ServerRequest> Requests;
   std::set<TargetId> PausedByThisProxy;
@@ -80,7 +82,8 @@
   /// For servers whose entries ended: the first known position of the primary that covers what they
   /// acknowledged.
   std::map<TargetId, Position> CoveredBy;
-  Position Required; ///< The highest position known to be required; outlasts the claims that told it.
+  Position Required;     ///< The highest position known to be required; outlasts the claims that told it.
+  Position Acknowledged; ///< The highest one known to be acknowledged, likewise.
   /// Since when no server that could be promoted holds Required.
   std::optional<TimePoint> UncoveredSince;
 
@@ -94,10 +97,14 @@
   TargetId ForgottenCandidate;
   TargetId Candidate;
   TimePoint ChosenAt;                   ///< When the candidate was chosen, in its present state.
+  Position CoveredPosition;             ///< What had to be covered when the candidate was chosen.
   Position CandidateLog;                ///< End of the candidate's log when it was chosen.
   std::set<TargetId> JoinedAfterChoice; ///< Servers that were not listed when the candidate was chosen.
   int PromotionAttempts = 0;
 
+  /// The proxies that report no commit of the former primary any more. Outlasts the claim if an order may
+  /// still be carried out.
+  FleetFence Fence;
   /// Replicas that this proxy paused and could not resume before its claim lapsed.
   std::set<TargetId> LeftPaused;
 };
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -34,6 +34,7 @@
     return;
   }
   enterPhase(run, Phase::Promoting);
+  renewFence(run);
   ++change.PromotionAttempts;
   change.Call = run.Ctx.call(Module::Leadership);
   run.Ctx.emit(Count{"promotions_ordered_total"});
--- a/src/leadership/internal/reason.cpp
+++ b/src/leadership/internal/reason.cpp
@@ -37,6 +37,8 @@
     return "leaving";
   case ReasonKind::OrderOutstanding:
     return "order_outstanding";
+  case ReasonKind::FenceLeft:
+    return "fence_left";
   case ReasonKind::ReplicasPaused:
     break;
   }
--- a/src/leadership/internal/reason.h
+++ b/src/leadership/internal/reason.h
@@ -19,7 +19,8 @@
   WritesUnanswered, ///< The primary does not answer commits: no replica receives them.
   Leaving,          ///< The primary is about to stop.
   OrderOutstanding, ///< A promotion may still be carried out, although its reason is gone.
-  ReplicasPaused,   ///< No change: replicas that an earlier one paused have to be resumed.
+  FenceLeft, ///< The holder of a claim that has fenced the commits is silent: its order may be outstanding.
+  ReplicasPaused, ///< No change: replicas that an earlier one paused have to be resumed.
 };
 /// Name in metrics.
 [[nodiscard]] std::string_view toString(ReasonKind kind);
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -56,6 +56,10 @@
     giveUp(run, "the servers' logs could not be compared", detail::RetryDelay);
     return;
   }
+  if (change.Reason.Kind == detail::ReasonKind::FenceLeft && change.Outstanding.empty()) {
+    endLeftFence(run);
+    return;
+  }
   refreshServerStates(run);
   if (const auto why = reasonRefuted(run)) {
     giveUp(run, *why, NeedlessPause);
@@ -97,7 +101,9 @@
   if (const auto primary = catalog.primary(run.Service);
       primary && *primary != from && !replacesLeader(run, *primary))
     return "another server is listed as the primary";
-  if (const auto leader = detail::newerPrimary(change.Servers)) {
+  // One of a term before that of acknowledged commits does not know that it leads no more.
+  if (const auto leader = detail::newerPrimary(change.Servers);
+      leader && change.Servers.at(*leader).Status->RaisedTerm >= requiredPosition(run).Term) {
     catalog.confirmPrimary(*leader, change.Servers.at(*leader).Status->RaisedTerm);
     if (!replacesLeader(run, *leader))
       return "another server leads already";
@@ -133,12 +139,16 @@
   return allKnown;
 }
 
-bool LeadershipModule::stopped(const Run &run) {
+bool LeadershipModule::leasesEnded(const Run &run) {
   const auto &change = run.Change;
-  const bool leasesEnded =
-      change.AllPausedAt && run.Ctx.Now - *change.AllPausedAt >= PrimaryLease::Length + ClockMargin;
-  return run.Ctx.Self.PromotionFencing || change.SteppedDownAt ||
-         (leasesEnded && detail::allReplicasPaused(change.Servers));
+  constexpr auto Time = PrimaryLease::Length + ClockMargin;
+  const bool pausedLong = change.AllPausedAt && run.Ctx.Now - *change.AllPausedAt >= Time;
+  return (pausedLong && detail::allReplicasPaused(change.Servers)) ||
+         change.Fence.completeFor(Time, run.Ctx.Now);
+}
+
+bool LeadershipModule::stopped(const Run &run) {
+  return run.Ctx.Self.PromotionFencing || run.Change.SteppedDownAt || leasesEnded(run);
 }
 
 bool LeadershipModule::pauseReplicas(Run &run, const std::optional<TargetId> &except) {
@@ -147,7 +157,9 @@
     if (target == except || it.FormerPrimary || it.Missing || it.Paused)
       continue;
     allPaused = false;
-    sendRequest(run, target, Order::Pause);
+    // A server that has led an earlier term and knows of no later one accepts no pause.
+    const bool leads = it.Status && it.Status->Role == TargetRole::Primary;
+    sendRequest(run, target, leads ? Order::StepDown : Order::Pause);
   }
   return allPaused;
 }
@@ -182,7 +194,8 @@
   if (formerReachable(run) && (nobodyLeads || run.Ctx.Now - change.StartedAt >= StepDownDelay))
     stepDownFormer(run);
   const auto candidate = bestCandidate(run);
-  if (!candidate || !allKnown)
+  const bool waitedLong = run.Ctx.Now - change.StartedAt >= StepDownDelay;
+  if (!candidate || (!allKnown && !waitedLong))
     return;
   if (change.Outstanding.empty() && change.Reason.needsConfirmation() && primaryLossUnconfirmed(run))
     return;
@@ -193,6 +206,9 @@
     onCandidateFound(run, *candidate);
     return;
   }
+  // Once the fleet has raised the fence, servers that cannot be compared do not count.
+  if (!formerReachable(run) && (othersPaused || waitedLong))
+    awaitFence(run);
   if (!othersPaused)
     return;
   if (!change.OthersPausedAt)
@@ -214,16 +230,15 @@
 }
 
 /// Without fencing, a former primary that cannot be reached leads until it learns of the promotion. All
-/// replicas are paused, and the leases of its reads run out.
+/// replicas are paused, and the leases of its reads run out. Replicas that cannot be paused confirm no lease
+/// once all proxies have raised the fence.
 void LeadershipModule::chooseAfterLeases(Run &run) {
   auto &change = run.Change;
-  if (!pauseReplicas(run, std::nullopt) || !detail::allReplicasPaused(change.Servers)) {
+  if (!pauseReplicas(run, std::nullopt) || !detail::allReplicasPaused(change.Servers))
     change.AllPausedAt.reset();
-    return;
-  }
-  if (!change.AllPausedAt)
+  else if (!change.AllPausedAt)
     change.AllPausedAt = run.Ctx.Now;
-  if (run.Ctx.Now - *change.AllPausedAt < PrimaryLease::Length + ClockMargin)
+  if (!leasesEnded(run))
     return;
   if (const auto best = detail::mostUpToDate(change.Servers, preferred(change)))
     choose(run, *best);
@@ -270,7 +285,8 @@
   auto &change = run.Change;
   const auto &from = change.Reason.From;
   const auto former = change.Servers.at(from).Status->Log;
-  verifyStepDown(run);
+  if (formerReachable(run))
+    verifyStepDown(run);
   for (const auto &[target, it] : change.Servers)
     if (!it.FormerPrimary && !it.Missing) {
       if (!it.Settled)
@@ -280,8 +296,10 @@
     }
   if (!change.SteppedDownAt)
     return;
-  const auto best = detail::bestAfterStepDown(change.Servers, preferred(change));
+  awaitFence(run);
   const auto waited = run.Ctx.Now - *change.SteppedDownAt;
+  const bool othersCount = !change.Fence.complete(run.Ctx.Now) || waited < ReportTime;
+  const auto best = detail::bestAfterStepDown(change.Servers, preferred(change), othersCount);
   const bool whole =
       best && change.Servers.at(*best).Status->Log >= former && !change.Servers.at(*best).Leaving;
   if (awaitsOrderedServer(run, *change.SteppedDownAt) && best != change.Outstanding)
@@ -292,15 +310,30 @@
     choose(run, best.value_or(from));
 }
 
+Position LeadershipModule::acknowledgedPosition(Run &run) {
+  auto &change = run.Change;
+  const auto own = run.Services.Sessions.acknowledgedUpTo(run.Service).value_or(Position());
+  change.Acknowledged =
+      std::max({change.Acknowledged, change.Claim.known().Acknowledged, own, change.Fence.acknowledged()});
+  return change.Acknowledged;
+}
+
 Position LeadershipModule::requiredPosition(Run &run) {
   auto &change = run.Change;
-  const auto acknowledged = run.Services.Sessions.acknowledgedUpTo(run.Service).value_or(Position());
-  change.Required = std::max({change.Required, change.Claim.known().Required, acknowledged});
+  change.Required = std::max({change.Required, change.Claim.known().Required, acknowledgedPosition(run)});
   return change.Required;
 }
 
+Position LeadershipModule::steppedDownPosition(const Run &run) {
+  const auto it = run.Change.Servers.find(run.Change.Reason.From);
+  const bool steppedDown = it != run.Change.Servers.end() && it->second.SteppedDown && it->second.Status;
+  return steppedDown ? it->second.Status->Log : Position();
+}
+
 Position LeadershipModule::positionToCover(Run &run) {
-  return std::max(requiredPosition(run), endedServersPosition(run));
+  if (run.Change.Fence.complete(run.Ctx.Now))
+    return acknowledgedPosition(run);
+  return std::max({requiredPosition(run), endedServersPosition(run), steppedDownPosition(run)});
 }
 
 bool LeadershipModule::logsAbsent(const Run &run) {
@@ -311,7 +344,9 @@
 }
 
 detail::Coverage LeadershipModule::coverageOf(Run &run, const TargetId &candidate) {
-  return detail::coverage({run.Change.Servers, positionToCover(run), logsAbsent(run)}, candidate);
+  return detail::coverage(
+      {run.Change.Servers, positionToCover(run), logsAbsent(run), run.Change.Fence.complete(run.Ctx.Now)},
+      candidate);
 }
 
 bool LeadershipModule::mustAwaitLog(Run &run, detail::Coverage coverage) {
@@ -377,6 +412,8 @@
 
 void LeadershipModule::choose(Run &run, const TargetId &proposed) {
   auto &change = run.Change;
+  if ((!change.SteppedDownAt && !awaitServerList(run)) || !awaitFence(run))
+    return;
   const auto required = positionToCover(run);
   const auto candidate = detail::unlessFormerHoldsMore(change.Servers, proposed, required);
   const auto coverage = coverageOf(run, candidate);
@@ -405,6 +442,7 @@
     logChoice(run, coverage);
   }
   change.Required = std::max(change.Required, log);
+  change.CoveredPosition = std::max(required, log);
   confirmClaim(run);
 }
 
--- a/src/leadership/internal/serverrequests.cpp
+++ b/src/leadership/internal/serverrequests.cpp
@@ -54,7 +54,7 @@
   if (change.OrderTerm == 0)
     change.OrderTerm = detail::highestTerm(change.Servers) + 1;
   if (order == Order::StepDown) {
-    change.StepDownSent = true;
+    change.StepDownSent = change.StepDownSent || target == change.Reason.From;
     services.Links.send(ctx, request.Link, {StepDownPrimary{change.OrderTerm}});
     return;
   }
@@ -79,7 +79,12 @@
     change.PausedByThisProxy.erase(reply.Target);
     return;
   }
-  if (change.State < Phase::SelectingCandidate || change.State > Phase::AwaitingPrimary)
+  if (change.State < Phase::SelectingCandidate) {
+    // The answer to an order for another proxy.
+    releaseRequests(run);
+    return;
+  }
+  if (change.State > Phase::AwaitingPrimary)
     return;
   if (!event.Status) {
     const auto *why = std::get_if<StatementRejection>(&event.Outcome);
--- a/src/leadership/internal/serverstates.cpp
+++ b/src/leadership/internal/serverstates.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-Term highestLogTerm(const ServerStates &servers) {
-  Term out = 0;
-  for (const auto &[target, it] : servers)
-    if (it.Status)
-      out = std::max(out, it.Status->Log.Term);
-  return out;
-}
-
 std::string describe(const ServerState &it) {
   std::string out = it.Status ? toString(it.Status->Log) : "unknown";
   out += it.FormerPrimary ? "/former" : "";
@@ -39,6 +31,14 @@
   return out;
 }
 
+Term highestLogTerm(const ServerStates &servers) {
+  Term out = 0;
+  for (const auto &[target, it] : servers)
+    if (it.Status)
+      out = std::max(out, it.Status->Log.Term);
+  return out;
+}
+
 Term highestTerm(const ServerStates &servers) {
   Term out = highestLogTerm(servers);
   for (const auto &[target, it] : servers)
@@ -86,7 +86,8 @@
   });
 }
 
-std::optional<TargetId> bestAfterStepDown(const ServerStates &servers, const TargetId &preferred) {
+std::optional<TargetId> bestAfterStepDown(const ServerStates &servers, const TargetId &preferred,
+                                          bool othersCount) {
   ServerStates settled;
   std::optional<Position> formerLog;
   bool all = true;
@@ -101,7 +102,7 @@
   const auto best = mostUpToDate(settled, preferred);
   const bool holdsFormerLog = best && formerLog && settled.at(*best).Status->Log >= *formerLog &&
                               formerLog->Term >= highestLogTerm(servers);
-  return all || holdsFormerLog ? best : std::nullopt;
+  return all || holdsFormerLog || !othersCount ? best : std::nullopt;
 }
 
 bool anyReplicaAdvances(const ServerStates &servers) {
--- a/src/leadership/internal/serverstates.h
+++ b/src/leadership/internal/serverstates.h
@@ -37,6 +37,8 @@
 /// The servers with their logs and what is known of each, for log lines.
 [[nodiscard]] std::string describe(const ServerStates &servers);
 
+/// The highest term of any server's log.
+[[nodiscard]] Term highestLogTerm(const ServerStates &servers);
 /// The highest term that any server has told.
 [[nodiscard]] Term highestTerm(const ServerStates &servers);
 /// The server with the longest log among those that may lead. Prefers a server that stays, then the given
@@ -49,8 +51,9 @@
 [[nodiscard]] bool allReplicasPaused(const ServerStates &servers);
 /// The replica to promote after the former primary has stepped down; nullopt while no replica is certain to
 /// hold every acknowledged commit. Prefers a server that stays, then the given one, where the log is as long.
+/// \param othersCount Whether a server that cannot be compared may hold a commit that no other has.
 [[nodiscard]] std::optional<TargetId> bestAfterStepDown(const ServerStates &servers,
-                                                        const TargetId &preferred);
+                                                        const TargetId &preferred, bool othersCount = true);
 /// A replica has received more since it was first asked: the primary serves on.
 [[nodiscard]] bool anyReplicaAdvances(const ServerStates &servers);
 /// A server other than the former primary that leads: it reports itself as the primary, and no log has a
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -15,17 +15,14 @@
 constexpr Duration RepairInterval = 1s;
 /// Limit on resuming replicas; one that does not answer until then is resumed under a later claim.
 constexpr Duration ResumeTimeout = 900ms;
-/// The first proxies in rendezvous order claim one after the other, the remaining ones at random times after
-/// them: most find the change done by then.
-constexpr std::size_t FirstClaimants = 8;
 constexpr Duration ClaimantInterval = 30ms;
 constexpr Duration ClaimJitter = 40ms;
 constexpr Duration LateClaimJitter = 1500ms;
 
 Duration claimDelay(Context &ctx, std::size_t rank) {
-  if (rank < FirstClaimants)
+  if (rank < detail::FirstClaimants)
     return ClaimantInterval * static_cast<int>(rank) + ctx.jitter(ClaimJitter);
-  return ClaimantInterval * static_cast<int>(FirstClaimants) + ctx.jitter(LateClaimJitter);
+  return ClaimantInterval * static_cast<int>(detail::FirstClaimants) + ctx.jitter(LateClaimJitter);
 }
 
 } // namespace
@@ -72,6 +69,7 @@
     change.Primary = primary;
     change.PrimarySince = run.Ctx.Now;
   }
+  renewFence(run);
   switch (change.State) {
   case Phase::Idle:
     settleOutstandingOrder(run);
@@ -109,8 +107,11 @@
 
 void LeadershipModule::settleOutstandingOrder(Run &run) {
   auto &outstanding = run.Change.Outstanding;
-  if (outstanding == run.Change.Primary || !run.Services.Catalog.server(outstanding))
-    outstanding = TargetId();
+  const bool leads = outstanding == run.Change.Primary;
+  if (!leads && run.Services.Catalog.server(outstanding))
+    return;
+  endFence(run, leads ? outstanding : TargetId());
+  outstanding = TargetId();
 }
 
 std::optional<detail::ChangeReason> LeadershipModule::findReason(const Run &run) const {
@@ -120,6 +121,10 @@
   if (!reason && !change.Outstanding.empty())
     return detail::ChangeReason{detail::ReasonKind::OrderOutstanding, "an order may still be carried out",
                                 change.Primary.value_or(TargetId())};
+  if (!reason && run.Services.Sessions.commitFence(run.Service).overdue(run.Ctx.Now) &&
+      run.Services.Fleet.rank(run.Ctx.Self.Node, run.Service.str()) < detail::FirstClaimants)
+    return detail::ChangeReason{detail::ReasonKind::FenceLeft, "a proxy that changes the primary is silent",
+                                change.Primary.value_or(TargetId())};
   if (!reason && !change.LeftPaused.empty())
     return detail::ChangeReason{detail::ReasonKind::ReplicasPaused, "replicas were left paused",
                                 change.Primary.value_or(TargetId())};
@@ -176,6 +181,7 @@
                     {"server", change.Candidate.str()},
                     {"source", "this proxy"},
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
+  endFence(run, change.Candidate);
   change.Outstanding = TargetId();
   change.ForgottenCandidate = TargetId();
   change.PausedByThisProxy.merge(change.LeftPaused);
@@ -194,6 +200,8 @@
     toIdle(run);
     return;
   }
+  const auto leader = run.Services.Catalog.primary(run.Service).value_or(change.Reason.From);
+  endFence(run, leader == change.Reason.From ? TargetId() : leader);
   enterPhase(run, Phase::ResumingReplicas);
   resumeReplicas(run);
 }
@@ -225,11 +233,15 @@
   writeClaim(run, TargetId(), true);
 }
 
+void LeadershipModule::releaseRequests(Run &run) {
+  for (const auto &[target, it] : run.Change.Requests)
+    run.Services.Links.release(run.Ctx, it.Link);
+  run.Change.Requests.clear();
+}
+
 void LeadershipModule::toIdle(Run &run) {
   auto &change = run.Change;
-  for (const auto &[target, it] : change.Requests)
-    run.Services.Links.release(run.Ctx, it.Link);
-  change.Requests.clear();
+  releaseRequests(run);
   change.Claim.reset();
   change.Call.reset();
   enterPhase(run, Phase::Idle);
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -24,6 +24,7 @@
 
 #include "catalog/catalog.h"
 #include "catalog/storeera.h"
+#include "directory/directorymodule.h"
 #include "leadership/internal/coverage.h"
 #include "leadership/internal/primarychange.h"
 #include "links/linkpool.h"
@@ -40,8 +41,9 @@
 struct LeadershipServices {
   rosemaryhinge::Catalog &Catalog;
   LinkPool &Links;
-  const SessionsModule &Sessions;
-  const FleetMap &Fleet;
+  SessionsModule &Sessions;
+  FleetMap &Fleet;
+  DirectoryModule &Directory;
   const StoreEra &Era;
 };
 
@@ -56,6 +58,15 @@
   /// out again. Changes in progress are given up.
   void onStoreRestored(Context &ctx, LeadershipServices &services);
   void onLinkClosed(const LinkPool::Closed &closed, LinkId link);
+  /// Another proxy is about to promote a server.
+  void onFenceRequest(Context &ctx, LeadershipServices &services, const NodeId &from,
+                      const CommitFenceRequest &request);
+  void onFenceReply(Context &ctx, LeadershipServices &services, const NodeId &from,
+                    const CommitFenceReply &reply);
+  void onFenceEnd(LeadershipServices &services, const CommitFenceEnd &end);
+  void onPeerLost(const NodeId &node);
+  /// Tells the proxies that would change the primaries next what this one has reported, before it ends.
+  static void handOverPositions(Context &ctx, const LeadershipServices &services);
   /// Takes no new claim any more; a change that has begun is carried to its end.
   void startLeaving() { Leaving = true; }
   [[nodiscard]] bool changeInProgress() const;
@@ -87,6 +98,7 @@
   void resumeReplicas(Run &run);
   void endClaim(Run &run);
   static void toIdle(Run &run);
+  static void releaseRequests(Run &run);
   /// The change that waits for the answer to a call, which it then does not any more. Null if none does.
   std::pair<const DatabaseId, PrimaryChange> *completeCall(const CallId &call);
 
@@ -107,6 +119,25 @@
   /// Renews the claim in time. False if this proxy may not act on it at present.
   bool keepClaim(Run &run);
 
+  // The commit fence (internal/commitfencing.cpp).
+  /// Asks the store for the servers if the known ones are older than the claim. False until they are not.
+  bool awaitServerList(Run &run);
+  /// Raises the fence at all proxies. False while there are answers to wait for.
+  bool awaitFence(Run &run);
+  /// Finds the proxies that have to raise the fence. False while their list is awaited.
+  bool findMembers(Run &run);
+  /// The server whose commits are reported in spite of the fence.
+  [[nodiscard]] static TargetId fenceSuccessor(const Run &run);
+  /// Renews the fence here, and at the proxies where that is due. Does nothing if it was not raised.
+  static void renewFence(Run &run);
+  static void sendFence(Run &run, const CommitFence::Bounds &bounds);
+  /// \param promoted The server that leads now; empty if the former primary may go on.
+  static void endFence(Run &run, const TargetId &promoted);
+  /// Ends the fence of a proxy that has gone silent and whose claim names no order.
+  void endLeftFence(Run &run);
+  /// Orders the former primary to step down for the proxy that changes it, if this proxy reaches it.
+  void stepDownForPeer(Run &run, const CommitFenceRequest &request);
+
   // Selection of the candidate (internal/selection.cpp).
   void selectCandidate(Run &run);
   void refreshServerStates(Run &run);
@@ -119,6 +150,8 @@
   static void refreshEndedServers(Run &run);
   /// The position that covers what the servers that ended have acknowledged.
   static Position endedServersPosition(const Run &run);
+  /// End of the log of a former primary that has stepped down: another proxy may have reported all of it.
+  static Position steppedDownPosition(const Run &run);
   /// The position that a server must hold to be promoted, with what covers the servers that ended.
   static Position positionToCover(Run &run);
   [[nodiscard]] std::optional<std::string> reasonRefuted(Run &run);
@@ -148,8 +181,12 @@
   /// A replica may not come back: what it has received is acknowledged, and must be in the log of the server
   /// that is promoted.
   static void requireLog(PrimaryChange &change, const detail::ServerState &server);
+  /// Whether no proxy trusts the former primary for reads any more.
+  [[nodiscard]] static bool leasesEnded(const Run &run);
   /// Whether the former primary acknowledges nothing any more, where it must not.
   [[nodiscard]] static bool stopped(const Run &run);
+  /// The highest position that this proxy, or one that told it, has reported as committed.
+  static Position acknowledgedPosition(Run &run);
   /// The position that a server must hold to be promoted.
   static Position requiredPosition(Run &run);
   /// Whether a log that is not compared may hold more than the servers that are.
--- a/src/leadership/tests/coveragetests.cpp
+++ b/src/leadership/tests/coveragetests.cpp
@@ -95,6 +95,49 @@
   CHECK(complete > 0);
 }
 
+TEST_CASE("once the fleet is fenced, a server is promoted exactly if it holds every reported commit") {
+  // Guards against lost commits, and against waiting for the log of a server that can have reported none.
+  int complete = 0;
+  for (const Lsn own : {372, 400})
+    for (const auto fate : Fates)
+      for (const Lsn other : {300, 400})
+        for (const int primary : {0, 1, 2, 3}) // Absent, silent, stepped down, back under another id.
+          for (const Lsn required : {0, 372, 400})
+            for (const bool absent : {false, true}) {
+              ServerStates servers{{A, replica(own, false)}};
+              addServer(servers, B, other, fate, false);
+              if (primary == 1)
+                servers[P] = former(std::nullopt);
+              if (primary == 2)
+                servers[P] = former(400);
+              if (primary == 3)
+                servers[P] = replica(400, true);
+              const auto result = coverage({servers, {3, required}, absent, true}, A);
+              CAPTURE(own);
+              CAPTURE(static_cast<int>(fate));
+              CAPTURE(other);
+              CAPTURE(primary);
+              CAPTURE(required);
+              if (own >= required)
+                CHECK(result == Coverage::Complete);
+              else
+                CHECK(result == (absent ? Coverage::AwaitsLog : Coverage::NoLogKnown));
+              complete += result == Coverage::Complete ? 1 : 0;
+            }
+  CHECK(complete > 0);
+}
+
+TEST_CASE("of a fenced fleet, a former primary that has not stepped down, or is silent, covers nothing") {
+  // Guards against an order for the server that is replaced, by a status from before.
+  ServerStates servers{{A, replica(372, true)}, {P, former(400)}};
+  CHECK(coverage({servers, {3, 400}, false, true}, P) == Coverage::Complete);
+  servers[P].SteppedDown = false;
+  CHECK(coverage({servers, {3, 400}, false, true}, P) == Coverage::Uncompared);
+  servers[P].Status.reset();
+  CHECK(coverage({servers, {}, false, true}, P) == Coverage::Uncompared);
+  CHECK(coverage({servers, {}, false, true}, B) == Coverage::Uncompared);
+}
+
 TEST_CASE(
     "a log that ended with a drained server is stood for by the position that an earlier claim required") {
   // Guards against the loss of 28 commits: the drained server was promoted at 400 and ended with its log.
--- /dev/null
+++ b/src/leadership/tests/fleetfencetests.cpp
@@ -0,0 +1,156 @@
+// Tests of the answers of the fleet to a commit fence.
+
+#include "leadership/internal/fleetfence.h"
+
+#include "freshness/commitfence.h"
+
+#include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+using namespace rosemaryhinge::detail;
+
+namespace {
+
+const TimePoint Start{100s};
+const NodeId N2("n2");
+const NodeId N3("n3");
+const std::vector<NodeId> Both{N2, N3};
+constexpr Duration Wait = 400ms;
+constexpr std::uint64_t Claim = 40;
+
+FleetFence started(bool all = true) {
+  FleetFence out;
+  out.begin(Claim, Start);
+  out.addMembers(Both, all);
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("a fence is complete only once every proxy has answered, and only if all proxies are known") {
+  // Guards against lost commits of a proxy that was not asked, or has not answered yet.
+  FleetFence none;
+  CHECK_FALSE(none.complete(Start));
+  auto fence = started();
+  CHECK_FALSE(fence.complete(Start));
+  fence.onReply(N2, Claim, {1, 5}, Start);
+  fence.onReply(N2, Claim, {1, 5}, Start);
+  CHECK_FALSE(fence.complete(Start));
+  CHECK_FALSE(fence.settled(Wait, Start));
+  fence.onReply(N3, Claim, {1, 4}, Start);
+  CHECK(fence.complete(Start));
+  auto partial = started(false);
+  partial.onReply(N2, Claim, {1, 5}, Start);
+  partial.onReply(N3, Claim, {1, 4}, Start);
+  CHECK_FALSE(partial.complete(Start));
+}
+
+TEST_CASE("a fleet without other proxies has raised the fence at once") {
+  FleetFence fence;
+  fence.begin(Claim, Start);
+  fence.addMembers({}, true);
+  CHECK(fence.complete(Start));
+  CHECK(fence.settled(Wait, Start));
+}
+
+TEST_CASE("the highest position of all answers counts, whichever came last") {
+  // Guards against a promotion that covers only the position of the proxy that answered last.
+  auto fence = started();
+  fence.onReply(N2, Claim, {2, 1}, Start);
+  fence.onReply(N3, Claim, {1, 9}, Start);
+  CHECK((fence.acknowledged() == Position{2, 1}));
+  fence.onReply(NodeId("stranger"), Claim, {7, 7}, Start);
+  CHECK((fence.acknowledged() == Position{2, 1}));
+}
+
+TEST_CASE("a request is due again after 100 ms without an answer, and after a second with one") {
+  // Guards against a fence that is lost with one message, and against one that ends during a long change.
+  auto fence = started();
+  CHECK(fence.takeDue(Start) == Both);
+  CHECK(fence.takeDue(Start + 99ms).empty());
+  fence.onReply(N2, Claim, {}, Start);
+  CHECK(fence.takeDue(Start + 100ms) == std::vector{N3});
+  CHECK(fence.takeDue(Start + 999ms) == std::vector{N3});
+  CHECK(fence.takeDue(Start + 1s) == std::vector{N2});
+}
+
+TEST_CASE("a lost proxy holds the choice up no longer, and is asked again without waiting for the renewal") {
+  auto fence = started();
+  fence.onReply(N2, Claim, {1, 5}, Start);
+  CHECK_FALSE(fence.settled(Wait, Start + 10ms));
+  fence.onLost(N3);
+  CHECK(fence.settled(Wait, Start + 10ms));
+  CHECK_FALSE(fence.complete(Start));
+  REQUIRE(fence.takeDue(Start) == Both);
+  fence.onLost(N2);
+  fence.onLost(NodeId("stranger"));
+  CHECK(fence.takeDue(Start + 100ms) == Both);
+}
+
+TEST_CASE("a proxy that was lost after its answer has to answer again before the fence is complete") {
+  // Guards against lost commits: its process may be another one, which has raised no fence.
+  auto fence = started();
+  fence.onReply(N2, Claim, {1, 5}, Start);
+  fence.onReply(N3, Claim, {1, 4}, Start);
+  fence.onLost(N3);
+  CHECK_FALSE(fence.complete(Start));
+  fence.onReply(N3, Claim, {1, 6}, Start);
+  CHECK(fence.complete(Start));
+  CHECK((fence.acknowledged() == Position{1, 6}));
+}
+
+TEST_CASE("silent proxies hold the choice up for the wait, and do not make the fence complete") {
+  auto fence = started();
+  CHECK_FALSE(fence.settled(Wait, Start + Wait - 1ms));
+  CHECK(fence.settled(Wait, Start + Wait));
+  CHECK_FALSE(fence.complete(Start));
+}
+
+TEST_CASE("the answers under an earlier claim do not count for a later one") {
+  // Guards against lost commits: the fence that was answered may have ended since.
+  auto fence = started();
+  fence.onReply(N2, Claim, {1, 5}, Start);
+  fence.onReply(N3, Claim, {1, 4}, Start);
+  REQUIRE(fence.complete(Start));
+  fence.begin(Claim + 1, Start + 1s);
+  CHECK_FALSE(fence.allKnown());
+  fence.addMembers(Both, true);
+  CHECK_FALSE(fence.complete(Start + 1s));
+  CHECK(fence.takeDue(Start + 1s) == Both);
+  fence.onReply(N2, Claim, {1, 5}, Start + 1s);
+  fence.onReply(N3, Claim, {1, 4}, Start + 1s);
+  CHECK_FALSE(fence.complete(Start + 1s));
+  fence.onReply(N2, Claim + 1, {1, 5}, Start + 1s);
+  fence.onReply(N3, Claim + 1, {1, 4}, Start + 1s);
+  CHECK(fence.complete(Start + 1s));
+  CHECK((fence.acknowledged() == Position{1, 5}));
+}
+
+TEST_CASE("an answer that is not renewed counts for a time, well within that of the fence") {
+  // Guards against lost commits: a fence that is not renewed ends at the proxy.
+  static_assert(FleetFence::MaxAnswerAge < CommitFence::Lifetime);
+  auto fence = started();
+  REQUIRE(fence.takeDue(Start) == Both);
+  fence.onReply(N2, Claim, {}, Start);
+  fence.onReply(N3, Claim, {}, Start);
+  CHECK(fence.complete(Start + FleetFence::MaxAnswerAge - 1ms));
+  CHECK_FALSE(fence.complete(Start + FleetFence::MaxAnswerAge));
+}
+
+TEST_CASE("each proxy is told at once which server is promoted") {
+  // Guards against writes that are refused for a second after the promoted server leads.
+  auto fence = started();
+  REQUIRE(fence.takeDue(Start) == Both);
+  fence.onReply(N2, Claim, {}, Start);
+  fence.setSuccessor(TargetId("a"));
+  CHECK(fence.takeDue(Start + 1ms) == Both);
+  fence.setSuccessor(TargetId("a"));
+  CHECK(fence.takeDue(Start + 2ms).empty());
+}
+
+TEST_CASE("a fence that is reset has no members") {
+  auto fence = started();
+  fence.reset();
+  CHECK_FALSE(fence.started());
+  CHECK(fence.members().empty());
+}
--- a/src/leadership/tests/leadershipmoduletests.cpp
+++ b/src/leadership/tests/leadershipmoduletests.cpp
@@ -115,6 +115,19 @@
   CHECK(bestAfterStepDown(servers, {}) == A);
 }
 
+TEST_CASE("after the primary has stepped down, servers that do not count need not be compared") {
+  // Guards against a service without a primary: the last one known has led an earlier term, and a server that
+  // has ended since could not be compared.
+  ServerStates servers{{A, replica(20, false)}, {B, ServerState()}, {P, former(true, 12)}};
+  servers[A].Settled = true;
+  servers[A].Status->Log.Term = 4;
+  servers[B].Missing = true;
+  CHECK_FALSE(bestAfterStepDown(servers, {}));
+  CHECK(bestAfterStepDown(servers, {}, false) == A);
+  servers[A].Settled = false;
+  CHECK_FALSE(bestAfterStepDown(servers, {}, false));
+}
+
 TEST_CASE("a server whose promotion may have been ordered before is preferred among equal logs") {
   ServerStates servers{{A, replica(20, true)}, {B, replica(20, true)}, {P, former(false)}};
   CHECK(mostUpToDate(servers, A) == A);
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -79,6 +79,8 @@
   /// Position that a server must hold to be promoted: of the newest commit that a holder of the claim knew as
   /// acknowledged, or of the server that was promoted last. Later claims never lower it.
   Position Required;
+  /// The newest commit that a holder of the claim knew as acknowledged. Later claims never lower it.
+  Position Acknowledged{};
 };
 
 /// The right of one proxy to keep the quotas of an availability zone, until it is not renewed.
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -18,7 +18,7 @@
   SessionEventHandler(State &state, Context &ctx)
       : S(state), Ctx(ctx), SessionDeps{state.Catalog,   state.Links,   state.Fleet,
                                         state.Positions, state.Lenders, state.Quota},
-        LeadershipDeps{state.Catalog, state.Links, state.Sessions, state.Fleet, state.Era},
+        LeadershipDeps{state.Catalog, state.Links, state.Sessions, state.Fleet, state.Directory, state.Era},
         LendingDeps{state.Catalog, state.Links},
         DirectoryDeps{state.Catalog, state.Fleet}, QuotaDeps{state.Catalog, state.Fleet, state.Era} {}
 
@@ -46,7 +46,6 @@
   void operator()(const ShutdownRequested &) {
     S.Sessions.startLeaving(Ctx, SessionDeps);
     S.Leadership.startLeaving();
-    S.Fleet.startLeaving(Ctx);
     S.Lender.startLeaving();
     S.Quota.startLeaving(Ctx, QuotaDeps);
     checkDrain();
@@ -118,6 +117,8 @@
       S.Directory.onAnswer(Ctx, DirectoryDeps, event);
     }
     notifySessionsIfCatalogChanged(changes);
+    if (S.Drain.leaving())
+      checkDrain();
   }
 
   void operator()(const PromotionAnswer &event) {
@@ -130,6 +131,7 @@
   void operator()(const PeerLost &event) {
     S.Directory.onPeerLost(Ctx, DirectoryDeps, event.Node);
     S.Positions.onPeerLost(Ctx, event.Node);
+    S.Leadership.onPeerLost(event.Node);
     S.Lender.onPeerLost(Ctx, LendingDeps, event.Node);
     S.Quota.onPeerLost(Ctx, event.Node);
     const auto borrowed = S.Links.lentBy(event.Node);
@@ -182,6 +184,15 @@
     S.Quota.onReply(Ctx, QuotaDeps, from, message);
   }
   void onMessage(const NodeId &from, const QuotaHandover &message) { S.Quota.onHandover(Ctx, from, message); }
+  void onMessage(const NodeId &from, const CommitFenceRequest &message) {
+    S.Leadership.onFenceRequest(Ctx, LeadershipDeps, from, message);
+  }
+  void onMessage(const NodeId &from, const CommitFenceReply &message) {
+    S.Leadership.onFenceReply(Ctx, LeadershipDeps, from, message);
+  }
+  void onMessage(const NodeId &, const CommitFenceEnd &message) {
+    S.Leadership.onFenceEnd(LeadershipDeps, message);
+  }
   void onMessage(const NodeId &from, const LoanRequest &message) {
     S.Lender.onRequest(Ctx, LendingDeps, from, message);
   }
@@ -259,7 +270,11 @@
     const auto others = S.Lender.loans() + (S.Leadership.changeInProgress() ? 1 : 0);
     S.Sessions.stopAcceptingIfDrained(Ctx, others > 0);
     const std::size_t sessions = S.Sessions.isDrained() ? 0 : 1;
-    S.Drain.completeIfDone(Ctx, sessions + others, true, true);
+    if (S.Drain.leaving() && sessions + others == 0 && !S.Fleet.leaving()) {
+      LeadershipModule::handOverPositions(Ctx, LeadershipDeps);
+      S.Fleet.startLeaving(Ctx);
+    }
+    S.Drain.completeIfDone(Ctx, sessions + others, S.Fleet.left(Ctx.Now), true);
   }
 
   State &S;
@@ -274,6 +289,7 @@
 } // namespace
 
 void onSessionEvent(State &state, Context &ctx, const Event &event) {
+  state.Sessions.onEvent(ctx);
   SessionEventHandler handler(state, ctx);
   std::visit(handler, event);
   handler.admitByQuota();
--- /dev/null
+++ b/src/reducer/tests/commitfencetests.cpp
@@ -0,0 +1,347 @@
+// Tests of the commit fence of a change of primary: at a proxy that another one has asked to raise it, and at
+// the proxy that changes the primary.
+
+#include "reducer/tests/servicemodel.h"
+
+#include <doctest/doctest.h>
+
+using namespace rosemaryhinge;
+
+namespace {
+
+const DatabaseId Yard("yard");
+const TargetId Primary("p");
+const NodeId Holder("n2"); ///< Holds the claim where this proxy does not.
+const NodeId Other("n3");
+constexpr std::uint64_t Token = 41;
+
+/// Asks the proxy to raise the fence against the commits of p up to term 1.
+void fence(SessionHarness &proxy, std::uint64_t token = Token, Term stepDownFor = 0) {
+  proxy.receive(Holder, CommitFenceRequest{Yard, token, TargetId(), 1, Primary, stepDownFor});
+}
+void endFence(SessionHarness &proxy, const TargetId &promoted = TargetId()) {
+  proxy.receive(Holder, CommitFenceEnd{Yard, Token, promoted});
+}
+
+std::optional<CommitFenceReply> fenceReply(SessionHarness &proxy) {
+  const auto sent = proxy.takeMessage<CommitFenceReply>();
+  return sent && sent->first == Holder ? std::optional(sent->second) : std::nullopt;
+}
+
+/// The outcome that the caller has been told for a statement; empty if none.
+std::optional<StatementOutcome> outcomeOf(SessionHarness &proxy, const std::string &statement) {
+  while (auto it = proxy.take<AnswerStatement>())
+    if (it->StatementId == statement)
+      return std::move(it->Outcome);
+  return std::nullopt;
+}
+
+bool rejectedAs(const std::optional<StatementOutcome> &outcome, Rejection code) {
+  const auto *why = outcome ? std::get_if<StatementRejection>(&*outcome) : nullptr;
+  return why && why->Code == code;
+}
+
+bool succeeded(const std::optional<StatementOutcome> &outcome) {
+  return outcome && std::holds_alternative<StatementResultRows>(*outcome);
+}
+
+/// Sends a write of a new session, opens the link to p for it if one is needed, and returns the link on which
+/// it was sent; empty if it was not sent.
+std::optional<LinkId> sendWrite(SessionHarness &proxy, const std::string &statement) {
+  proxy.write(proxy.open("settle"), statement);
+  while (const auto open = proxy.take<OpenLink>())
+    proxy.apply(LinkOpened{open->Link});
+  while (const auto sent = proxy.take<SendOnLink>())
+    if (const auto *run = SessionHarness::command<RunStatement>(*sent); run && run->StatementId == statement)
+      return sent->Link;
+  return std::nullopt;
+}
+
+/// Opens a transaction with an answered write at p, and returns its link.
+LinkId openTransaction(SessionHarness &proxy, SessionId session) {
+  proxy.send(session, "b", BeginStatement{});
+  proxy.write(session, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  REQUIRE(target == Primary);
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  REQUIRE(succeeded(outcomeOf(proxy, "w1")));
+  proxy.Out.clear();
+  return link;
+}
+
+/// Whether a statement of this id was sent to any server.
+bool wasSent(SessionHarness &proxy, const std::string &statement) {
+  while (const auto sent = proxy.take<SendOnLink>())
+    for (const auto &it : sent->Commands)
+      if (const auto *run = std::get_if<RunStatement>(&it); run && run->StatementId == statement)
+        return true;
+  return false;
+}
+
+/// A service whose primary p does not reach the proxy, and whose replicas have received less than p.
+ServiceModel serviceWithLostPrimary() {
+  ServiceModel out;
+  out.Servers["p"].ReachesProxy = false;
+  out.Servers["p"].Log = {1, 30};
+  out.Servers["b"].Log = {1, 20};
+  out.Acknowledged = {1, 20};
+  return out;
+}
+
+/// The other proxies of a fleet, as far as the proxy that changes the primary hears of them.
+struct Peers {
+  std::map<NodeId, Position> Acknowledged; ///< Of the proxies that answer.
+  std::map<NodeId, TimePoint> AskedAt;     ///< When each got the first request.
+
+  void answer(SessionHarness &proxy) {
+    while (const auto request = proxy.takeMessage<CommitFenceRequest>()) {
+      const auto &[node, asked] = *request;
+      AskedAt.try_emplace(node, proxy.Now);
+      if (const auto it = Acknowledged.find(node); it != Acknowledged.end())
+        proxy.receive(node, CommitFenceReply{Yard, asked.Token, it->second});
+    }
+  }
+};
+
+/// Plays until the proxy orders a promotion, at most for a time.
+std::optional<PromotionCall> awaitOrder(ServiceModel &service, SessionHarness &proxy, Peers &peers,
+                                        Duration limit) {
+  const auto end = proxy.Now + limit;
+  while (proxy.Now < end && service.Orders.empty()) {
+    service.playWithCallers(proxy, 20ms);
+    peers.answer(proxy);
+  }
+  return service.Orders.empty() ? std::nullopt : std::optional(service.Orders.front());
+}
+
+/// Plays until the proxy has asked the other ones to raise the fence.
+void playToFence(ServiceModel &service, SessionHarness &proxy, Peers &peers) {
+  for (int n = 0; n < 300 && peers.AskedAt.empty(); ++n) {
+    service.playWithCallers(proxy, 20ms);
+    peers.answer(proxy);
+  }
+  REQUIRE_FALSE(peers.AskedAt.empty());
+}
+
+} // namespace
+
+TEST_CASE("a write that was in flight when the fence was raised is answered as in doubt") {
+  // Guards against lost commits: the promoted server may lack what the former primary has acknowledged since.
+  SessionHarness proxy;
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  fence(proxy);
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  CHECK(rejectedAs(outcomeOf(proxy, "w1"), Rejection::InDoubt));
+}
+
+TEST_CASE("a write that arrives while fenced is not sent to the former primary, and is once the fence ends") {
+  // Guards against writes that take effect only to be answered as in doubt.
+  SessionHarness proxy;
+  REQUIRE(sendWrite(proxy, "w1"));
+  fence(proxy);
+  CHECK_FALSE(sendWrite(proxy, "w2"));
+  proxy.pass(300ms);
+  while (const auto open = proxy.take<OpenLink>())
+    proxy.apply(LinkOpened{open->Link});
+  CHECK_FALSE(wasSent(proxy, "w2"));
+  endFence(proxy);
+  proxy.pass(100ms);
+  while (const auto open = proxy.take<OpenLink>())
+    proxy.apply(LinkOpened{open->Link});
+  CHECK(wasSent(proxy, "w2"));
+}
+
+TEST_CASE("a commit of an open transaction at the former primary is refused as aborted, and not sent") {
+  // Guards against a commit in doubt where the transaction can still be rolled back.
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  openTransaction(proxy, session);
+  fence(proxy);
+  proxy.send(session, "c", CommitStatement{});
+  CHECK_FALSE(wasSent(proxy, "c"));
+  CHECK(rejectedAs(outcomeOf(proxy, "c"), Rejection::Aborted));
+}
+
+TEST_CASE("after the end of a fence without a promotion, the former primary's commits are reported again") {
+  // Guards against a service that answers every write as in doubt after a change that was given up.
+  SessionHarness proxy;
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  fence(proxy);
+  endFence(proxy);
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  CHECK(succeeded(outcomeOf(proxy, "w1")));
+}
+
+TEST_CASE("after a promotion, a late acknowledgement of the former primary is answered as in doubt") {
+  // Guards against lost commits: the promoted server was chosen without what the former primary answers late.
+  SessionHarness proxy;
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  fence(proxy);
+  endFence(proxy, TargetId("a"));
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  CHECK(rejectedAs(outcomeOf(proxy, "w1"), Rejection::InDoubt));
+}
+
+TEST_CASE("a fence request of an older claim has no reply, and does not loosen the fence") {
+  // Guards against a holder that has lost its claim, and counts this proxy as fenced for its own choice.
+  SessionHarness proxy;
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  fence(proxy);
+  REQUIRE(fenceReply(proxy));
+  proxy.receive(Other, CommitFenceRequest{Yard, Token - 1, TargetId("p"), 0, TargetId("a"), 0});
+  CHECK_FALSE(proxy.takeMessage<CommitFenceReply>());
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  CHECK(rejectedAs(outcomeOf(proxy, "w1"), Rejection::InDoubt));
+}
+
+TEST_CASE("the reply to a fence request names the highest position that was reported") {
+  // Guards against lost commits: without it, a server that lacks this proxy's commits is promoted.
+  SessionHarness proxy;
+  for (const Lsn lsn : {33, 31}) {
+    const auto link = sendWrite(proxy, "w" + std::to_string(lsn));
+    REQUIRE(link);
+    proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, lsn});
+  }
+  const auto withheld = sendWrite(proxy, "w40");
+  REQUIRE(withheld);
+  fence(proxy);
+  const auto reply = fenceReply(proxy);
+  REQUIRE(reply);
+  CHECK((reply->Acknowledged == Position{1, 33}));
+  CHECK(reply->Token == Token);
+  // What the fence withholds was not reported.
+  proxy.reply(*withheld, SessionHarness::done(), TransactionState::Idle, Position{1, 40});
+  fence(proxy, Token + 1);
+  const auto renewed = fenceReply(proxy);
+  REQUIRE(renewed);
+  CHECK((renewed->Acknowledged == Position{1, 33}));
+}
+
+TEST_CASE("a proxy that reaches the former primary orders it to step down for the one that changes it") {
+  // Guards against a former primary that serves on beside the promoted server.
+  SessionHarness proxy;
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 30});
+  proxy.Out.clear();
+  std::optional<Term> ordered;
+  for (std::uint64_t n = 0; n < 3 && !ordered; ++n) {
+    fence(proxy, Token + n, 5);
+    while (const auto open = proxy.take<OpenLink>())
+      proxy.apply(LinkOpened{open->Link});
+    while (const auto sent = proxy.take<SendOnLink>())
+      if (const auto *stepDown = SessionHarness::command<StepDownPrimary>(*sent)) {
+        CHECK(proxy.Logic.Links.targetOf(sent->Link) == Primary);
+        ordered = stepDown->Term;
+      }
+    const auto reply = fenceReply(proxy);
+    REQUIRE(reply);
+    CHECK((reply->Acknowledged == Position{1, 30}));
+    proxy.pass(100ms);
+  }
+  REQUIRE(ordered);
+  CHECK(*ordered == 5);
+}
+
+TEST_CASE("commits of the server that is promoted are reported while the fence is raised") {
+  // Guards against a service that answers every write as in doubt until the end of the fence.
+  SessionHarness proxy;
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  proxy.receive(Holder, CommitFenceRequest{Yard, Token, Primary, 1, Primary, 0});
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{2, 9});
+  CHECK(succeeded(outcomeOf(proxy, "w1")));
+}
+
+TEST_CASE("a commit that was sent before the process was suspended is answered as in doubt") {
+  // Guards against lost commits: a suspended process does not hear of a fence.
+  SessionHarness proxy;
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  proxy.Now += SessionsModule::MaxEventGap;
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  CHECK(rejectedAs(outcomeOf(proxy, "w1"), Rejection::InDoubt));
+}
+
+TEST_CASE("a position that another proxy has reported is awaited until a server that holds it is listed") {
+  // Guards against lost commits: a server was promoted that lacked the commits of another proxy.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  auto service = serviceWithLostPrimary();
+  service.Acknowledged = {1, 30};
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 30};
+  playToFence(service, proxy, peers);
+  CHECK_FALSE(awaitOrder(service, proxy, peers, 3s));
+  service.join("c");
+  service.Servers["c"].Log = {1, 30};
+  const auto order = awaitOrder(service, proxy, peers, 10s);
+  REQUIRE(order);
+  CHECK(order->Target == TargetId("c"));
+  service.playWithCallers(proxy, 1s);
+  CHECK_FALSE(service.LostCommits);
+}
+
+TEST_CASE("no server is promoted before each listed proxy has answered the fence") {
+  // Guards against lost commits: a proxy without the fence reported commits while the server was chosen.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2", "n3"});
+  auto service = serviceWithLostPrimary();
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  playToFence(service, proxy, peers);
+  CHECK(peers.AskedAt.size() == 2);
+  CHECK_FALSE(awaitOrder(service, proxy, peers, 200ms));
+  peers.Acknowledged[Other] = {1, 20};
+  const auto order = awaitOrder(service, proxy, peers, 180ms);
+  REQUIRE(order);
+  CHECK(order->Target == TargetId("b"));
+}
+
+TEST_CASE("a proxy that does not answer the fence delays the promotion by the wait, and no longer") {
+  // Guards against a service without a primary because the proxy of a lost availability zone is still listed.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2", "n3"});
+  auto service = serviceWithLostPrimary();
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  playToFence(service, proxy, peers);
+  const auto order = awaitOrder(service, proxy, peers, 2s);
+  REQUIRE(order);
+  CHECK(order->Target == TargetId("b"));
+  CHECK((proxy.Now - peers.AskedAt.at(Other) >= 400ms));
+  CHECK((proxy.Now - peers.AskedAt.at(Other) <= 600ms));
+}
+
+TEST_CASE("an answer to the fence of an earlier claim does not count for a later one") {
+  // Guards against lost commits: the fence that was answered may have ended before the later one was raised.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  auto service = serviceWithLostPrimary();
+  Peers peers;
+  playToFence(service, proxy, peers);
+  proxy.receive(Holder, CommitFenceReply{Yard, 1, {1, 20}});
+  CHECK_FALSE(awaitOrder(service, proxy, peers, 200ms));
+}
+
+TEST_CASE("a list of servers older than the claim is refreshed before a server is chosen") {
+  // Guards against lost commits: the only server that held them had been listed since.
+  SessionHarness proxy;
+  proxy.joinFleet({});
+  auto service = serviceWithLostPrimary();
+  service.Acknowledged = {1, 30};
+  service.WatchesSilent = true;
+  service.playWithCallers(proxy, 100ms);
+  service.join("c");
+  Peers peers;
+  const auto order = awaitOrder(service, proxy, peers, 6s);
+  REQUIRE(order);
+  CHECK(order->Target == TargetId("c"));
+  service.playWithCallers(proxy, 1s);
+  CHECK_FALSE(service.LostCommits);
+}
--- a/src/reducer/tests/loantests.cpp
+++ b/src/reducer/tests/loantests.cpp
@@ -29,19 +29,6 @@
     Out.clear();
   }
 
-  /// Removes and returns the oldest pending message of type T to another proxy, with its recipient.
-  template <typename T> std::optional<std::pair<NodeId, T>> takeMessage() {
-    for (auto it = Out.begin(); it != Out.end(); ++it)
-      if (const auto *sent = std::get_if<SendToPeer>(&*it))
-        if (const auto *message = std::get_if<T>(&sent->Message)) {
-          std::pair<NodeId, T> out{sent->To, *message};
-          Out.erase(it);
-          return out;
-        }
-    return std::nullopt;
-  }
-  void receive(const NodeId &from, PeerMessage message) { apply(PeerReceived{from, std::move(message)}); }
-
   std::vector<std::string> Peers;
 };
 
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -447,8 +447,11 @@
     CHECK((proxy.Now - at >= PrimaryLease::Length));
 }
 
-TEST_CASE("without fencing, a primary that is leaving steps down before another server is promoted") {
-  SessionHarness proxy(false);
+namespace {
+
+/// Lets p leave, whose commit 25 no replica has received and no proxy has acknowledged, and returns the order
+/// of the promotion, which must follow its step-down.
+std::optional<PromotionCall> replaceLeaving(SessionHarness &proxy) {
   proxy.answerWatch(DirectoryKind::Servers, {SessionHarness::server("p", TargetRole::Primary, 30, true)}, 30);
   bool steppedDown = false;
   std::optional<PromotionCall> call;
@@ -461,7 +464,6 @@
       const auto target = proxy.Logic.Links.targetOf(sent->Link).value_or(TargetId());
       steppedDown = steppedDown || SessionHarness::command<StepDownPrimary>(*sent);
       const bool leads = target == TargetId("p") && !steppedDown;
-      // The former primary has a commit that no replica received, and that was never acknowledged.
       const Lsn log = target == TargetId("p") ? 25 : target == TargetId("a") ? 10 : 20;
       const TargetStatus status{
           leads ? TargetRole::Primary : TargetRole::Replica, 1, {1, log}, {}, false, {}};
@@ -471,10 +473,28 @@
     call = proxy.take<PromotionCall>();
     CHECK((!call || steppedDown));
   }
+  return call;
+}
+
+} // namespace
+
+TEST_CASE("without fencing, a primary that is leaving steps down before another server is promoted") {
+  SessionHarness proxy(false);
+  proxy.joinFleet({});
+  const auto call = replaceLeaving(proxy);
   REQUIRE(call);
   CHECK(call->Target == TargetId("b"));
 }
 
+TEST_CASE("a leaving primary that stepped down is promoted again while another proxy does not answer") {
+  // Guards against lost commits: the silent proxy may have acknowledged what only the former primary holds.
+  SessionHarness proxy(false);
+  proxy.joinFleet({"n2"});
+  const auto call = replaceLeaving(proxy);
+  REQUIRE(call);
+  CHECK(call->Target == TargetId("p"));
+}
+
 TEST_CASE("a paused replica whose link closes has to be paused again before a promotion") {
   // Guards against stale reads: a replica that was paused started again, which ended its pause, and confirmed
   // the former primary while another server was promoted (rakang-toll, reborn-behind-cut, varied with seed
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -201,7 +201,12 @@
       return {};
     // No other proxy supplied a position, so ask the primary.
     work.ExchangeTried = work.ExchangeTried || provable;
-    return primaryCandidates(ctx, services, work);
+    auto out = primaryCandidates(ctx, services, work);
+    if (!read)
+      std::erase_if(out, [&, &fence = Services[work.Route.Service].Fence](const TargetId &it) {
+        return fence.bars(it, ctx.Now);
+      });
+    return out;
   }
   const auto primary = services.Catalog.primary(work.Route.Service);
   const auto &lagged = Services[work.Route.Service].LaggedAt;
@@ -317,6 +322,12 @@
     refuseUnsent(ctx, services, id, session, detail::unknownKey());
     return;
   }
+  if (isWriteCommit(session, work) && Services[work.Route.Service].Fence.bars(work.Target, ctx.Now)) {
+    const auto code = session.Transaction ? Rejection::Aborted : Rejection::Busy;
+    handleRejection(ctx, services, id, session, {code, "not committed: another server is promoted"},
+                    TransactionState::Open);
+    return;
+  }
   const PreparedShape *shape = nullptr;
   RunStatement run{work.Statement.Id, work.Statement.Text, std::nullopt};
   if (const auto *it = std::get_if<ExecuteStatement>(&work.Statement.Parsed)) {
--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -97,6 +97,10 @@
 void SessionsModule::confirmLease(Context &ctx, SessionServices &services, const DatabaseId &id, Term term,
                                   TimePoint at) {
   auto &service = Services[id];
+  // The proxy that changes the primary counts on leases that run out once the fence is raised.
+  const auto leader = term == service.LeaderTerm ? service.Leader : TargetId();
+  if (!ctx.Self.PromotionFencing && service.Fence.withholds(leader, Position{term, 0}, ctx.Now))
+    return;
   service.Lease.confirm(term, at);
   if (service.UnprovenSample && service.UnprovenSample->At.Term == term)
     addSample(ctx, services, *std::exchange(service.UnprovenSample, std::nullopt));
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -143,6 +143,31 @@
   }
 }
 
+void SessionsModule::onEvent(Context &ctx) {
+  if (LastEventAt && ctx.Now - *LastEventAt >= MaxEventGap) {
+    ResumedAt = ctx.Now;
+    ctx.emit(Count{"process_suspensions_total"});
+  }
+  LastEventAt = ctx.Now;
+}
+
+bool SessionsModule::isWithheld(Context &ctx, SessionServices &services, const Session &session,
+                                const LinkPool::Reply &reply, const LinkReplied &event) {
+  const auto &work = *session.Current;
+  if (!isWriteCommit(session, work))
+    return false;
+  const auto &service = Services[reply.Service];
+  const bool suspended = ResumedAt && work.SentAt < *ResumedAt;
+  // A former primary that does not know of a later term acknowledges commits that the present one lacks.
+  const bool formerTerm = event.At && event.At->Term < service.LeaderTerm;
+  if (formerTerm)
+    services.Catalog.denyPrimary(reply.Target);
+  else if (!suspended && !service.Fence.withholds(reply.Target, event.At, ctx.Now))
+    return false;
+  ctx.emit(Count{"commits_withheld_total"});
+  return true;
+}
+
 void SessionsModule::handleSuccess(Context &ctx, SessionServices &services, SessionId id, Session &session,
                                    const LinkPool::Reply &reply, const LinkReplied &event) {
   auto &work = *session.Current;
@@ -150,7 +175,10 @@
     const auto rtt = detail::roundTrip(ctx.Self, view->Entry.AvailabilityZone);
     services.Links.recordDuration(reply.Target, std::max(Duration{}, ctx.Now - work.SentAt - rtt), ctx.Now);
   }
-  if (isWriteCommit(session, work)) {
+  const bool withheld = isWithheld(ctx, services, session, reply, event);
+  if (withheld) {
+    session.WrittenAtUnknownPosition.insert(reply.Service);
+  } else if (isWriteCommit(session, work)) {
     if (event.At) {
       recordLeader(ctx, services, reply.Service, reply.Target, event.At->Term);
       session.WrittenUpTo[reply.Service] = *event.At;
@@ -173,7 +201,11 @@
     session.Transaction.reset();
   if (!session.Transaction)
     services.Links.release(ctx, link);
-  finish(ctx, services, id, session, event.Outcome, event.At);
+  if (withheld)
+    finish(ctx, services, id, session,
+           StatementRejection{Rejection::InDoubt, "a change of primary may undo the commit"});
+  else
+    finish(ctx, services, id, session, event.Outcome, event.At);
 }
 
 bool SessionsModule::retry(Context &ctx, SessionServices &services, SessionId id, Session &session,
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -417,6 +417,12 @@
   return n >= 2 ? out : std::nullopt;
 }
 
+void SessionsModule::noteAcknowledged(const DatabaseId &service, Position at) {
+  auto &acknowledged = Services[service].Acknowledged;
+  if (at > acknowledged.value_or(Position()))
+    acknowledged = at;
+}
+
 std::optional<Position> SessionsModule::acknowledgedUpTo(const DatabaseId &service) const {
   const auto it = Services.find(service);
   return it == Services.end() ? std::nullopt : it->second.Acknowledged;
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -8,6 +8,7 @@
 
 #include "base/bytebudget.h"
 #include "catalog/catalog.h"
+#include "freshness/commitfence.h"
 #include "freshness/positionhistory.h"
 #include "freshness/primarylease.h"
 #include "lending/lenderchoice.h"
@@ -71,14 +72,24 @@
   /// Since when commits sent to the primary of a service have gone unanswered. Empty if there is only one
   /// such commit: its answer may have been lost.
   [[nodiscard]] std::optional<TimePoint> writesUnansweredSince(const DatabaseId &service) const;
-  /// Log position of the last commit at a service that this proxy has acknowledged.
+  /// Records the highest position that another proxy has acknowledged.
+  void noteAcknowledged(const DatabaseId &service, Position at);
+  /// Log position of the last commit at a service that this proxy, or one that told it, has acknowledged.
   [[nodiscard]] std::optional<Position> acknowledgedUpTo(const DatabaseId &service) const;
+  /// Called with each event. After a time without any, during which this process may have been suspended and
+  /// not have heard of a fence, commits that were sent before it are not reported.
+  void onEvent(Context &ctx);
+  /// The fence of a service, which other proxies and changes of primary raise and end.
+  [[nodiscard]] CommitFence &commitFence(const DatabaseId &service) { return Services[service].Fence; }
   /// A position of the primary of a service that covers each commit acknowledged before the given time, also
   /// through other proxies. Empty if this proxy has none.
   [[nodiscard]] std::optional<Position> positionCovering(const DatabaseId &service,
                                                          TimePoint acknowledgedBefore) const;
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
 
+  /// Time without an event after which the process counts as suspended. Well above the interval of its
+  /// timers, and below the time for which a change of primary waits for the answers to its fence.
+  static constexpr Duration MaxEventGap = 350ms;
   /// Bound on statements waiting for a connection; further ones are rejected immediately.
   static constexpr std::size_t MaxWaiting = 1'000;
 
@@ -118,13 +129,14 @@
     Term LeaderTerm = 0;
     std::optional<LeaseWitness> Witness; ///< Last report.
     std::optional<LeaseQuery> PendingLeaseQuery;
-    std::map<TargetId, TimePoint> LeaseRefusedAt;  ///< When a server last did not confirm the lease.
-    std::set<SessionId> AwaitingLease;             ///< Sessions whose statement waits for a confirmation.
-    std::optional<PositionSample> UnprovenSample;  ///< Newest one that the lease does not cover yet.
-    std::optional<Position> Acknowledged;          ///< Highest log position of an acknowledged commit.
-    std::optional<PositionSample> OwnSample;       ///< Newest one received directly from the primary.
-    std::optional<LinkId> PositionQueryLink;       ///< Link with an open position query for other proxies.
-    std::map<TargetId, TimePoint> LaggedAt;        ///< When a replica last rejected a read as lagging.
+    std::map<TargetId, TimePoint> LeaseRefusedAt; ///< When a server last did not confirm the lease.
+    std::set<SessionId> AwaitingLease;            ///< Sessions whose statement waits for a confirmation.
+    std::optional<PositionSample> UnprovenSample; ///< Newest one that the lease does not cover yet.
+    std::optional<Position> Acknowledged;         ///< Highest log position of a commit known as acknowledged.
+    CommitFence Fence;                            ///< Commits that must not be acknowledged.
+    std::optional<PositionSample> OwnSample;      ///< Newest one received directly from the primary.
+    std::optional<LinkId> PositionQueryLink;      ///< Link with an open position query for other proxies.
+    std::map<TargetId, TimePoint> LaggedAt;       ///< When a replica last rejected a read as lagging.
     std::map<TargetId, TimePoint> PrimaryProbedAt; ///< When a server was last tried as a possible primary.
     /// Send time of the first write that timed out since the last answered one.
     std::optional<TimePoint> WritesUnansweredSince;
@@ -238,6 +250,9 @@
   void resumeAfterLease(Context &ctx, SessionServices &services, const DatabaseId &id);
 
   // Replies, retries and failures (internal/outcomes.cpp).
+  /// Whether the answer to a commit must not be reported as a success, since another server is promoted.
+  [[nodiscard]] bool isWithheld(Context &ctx, SessionServices &services, const Session &session,
+                                const LinkPool::Reply &reply, const LinkReplied &event);
   void handleSuccess(Context &ctx, SessionServices &services, SessionId id, Session &session,
                      const LinkPool::Reply &reply, const LinkReplied &event);
   void handleRejection(Context &ctx, SessionServices &services, SessionId id, Session &session,
@@ -294,6 +309,8 @@
   std::map<SessionId, PendingSession> PendingSessions; ///< Opened before the first configuration was read.
   std::map<SessionId, Session> Sessions;
   ByteBudget<SessionId> State{0}; ///< Values and prepared statements; the limit is that of the node.
+  std::optional<TimePoint> LastEventAt;
+  std::optional<TimePoint> ResumedAt; ///< After the last time for which this process was suspended.
   std::map<DatabaseId, WaitQueues> Waiting;
   std::size_t WaitingCount = 0;
   bool InPass = false;       ///< A pass over the waiting statements is in progress.
