--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -15,6 +15,9 @@
 // order, so that an order is sent only by the proxy that holds the claim, and each order has a token above
 // those of all earlier ones.
 //
+// Before the order, every proxy raises a commit fence and tells the highest position that it has reported to
+// callers, which the promoted server must hold (freshness/commitfence.h).
+//
 // The former primary steps down right before the order, if it can be reached, since it would acknowledge
 // commits that the candidate lacks through any replica that joins. One that cannot be reached leads until the
 // promotion, with fencing; without, until it learns of it, and no proxy may trust it any more
