--- a/src/directory/directorymodule.cpp
+++ b/src/directory/directorymodule.cpp
@@ -30,6 +30,11 @@
   return kind == DirectoryKind::Configuration ? "configuration" : "servers";
 }
 
+/// The feed of a kind; the end of the range if there is none.
+template <typename Range> auto findFeed(Range &feeds, DirectoryKind kind) {
+  return std::find_if(feeds.begin(), feeds.end(), [&](const auto &it) { return it.Kind == kind; });
+}
+
 /// Whether the proxies of a zone are enough that most follow others.
 bool isLargeZone(const std::vector<NodeId> &zone) {
   return zone.size() >= DirectoryModule::MinZoneSizeToFollow;
@@ -277,8 +282,7 @@
 
 void DirectoryModule::onRequest(Context &ctx, DirectoryServices &services, const NodeId &from,
                                 const ChangesRequest &request) {
-  const auto feed =
-      std::find_if(Feeds.begin(), Feeds.end(), [&](const Feed &it) { return it.Kind == request.Kind; });
+  const auto feed = findFeed(Feeds, request.Kind);
   if (feed != Feeds.end())
     Relay.onRequest(ctx, services.Catalog, feed->Sync, from, request);
 }
@@ -291,8 +295,7 @@
 }
 
 void DirectoryModule::refreshServers(Context &ctx) {
-  const auto feed = std::find_if(Feeds.begin(), Feeds.end(),
-                                 [](const Feed &it) { return it.Kind == DirectoryKind::Servers; });
+  const auto feed = findFeed(Feeds, DirectoryKind::Servers);
   if (RefreshCall || feed->Listing || ctx.Now < RefreshAfter)
     return;
   RefreshCall = ctx.call(Module::Directory);
@@ -304,8 +307,7 @@
   RefreshCall.reset();
   RefreshAfter = ctx.Now + RefreshPause;
   const auto *changes = std::get_if<DirectoryChanges>(&event.Result);
-  const auto feed = std::find_if(Feeds.begin(), Feeds.end(),
-                                 [](const Feed &it) { return it.Kind == DirectoryKind::Servers; });
+  const auto feed = findFeed(Feeds, DirectoryKind::Servers);
   // The watch beside it finds out about a restoration, or about a history that is gone.
   if (!changes || storeEra(changes->Revision) != storeEra(feed->Sync.Revision))
     return;
