--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -37,5 +37,7 @@
 
 int resetOrder(const Setup &setup);
 int abandonedValues(const Setup &setup);
+int forgottenPosition(const Setup &setup);
+int unlistedProxy(const Setup &setup);
 
 } // namespace review2
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -21,6 +21,10 @@
       out = resetOrder(setup);
     else if (name == "abandoned-values")
       out = abandonedValues(setup);
+    else if (name == "forgotten-position")
+      out = forgottenPosition(setup);
+    else if (name == "unlisted-proxy")
+      out = unlistedProxy(setup);
   } catch (const std::exception &e) {
     std::fprintf(stderr, "cannot run: %s\n", e.what());
   }
--- a/review/standin-2/world2.h
+++ b/review/standin-2/world2.h
@@ -92,7 +92,8 @@
   static std::set<int> given;
   const std::lock_guard hold(lock);
   for (;;) {
-    const int port = 15'000 + static_cast<int>(random() % 15'000);
+    // Scripts that run beside each other draw from different ranges, as a rule.
+    const int port = 15'000 + ::getpid() % 5 * 3'000 + static_cast<int>(random() % 3'000);
     if (given.contains(port))
       continue;
     const int fd = listenOn(port);
@@ -320,6 +321,17 @@
     const std::lock_guard hold(Lock);
     erase(kind, name);
   }
+  /// The next deletion of this object gets no answer and is carried out this much later.
+  void delayDeletion(const std::string &name, Ms ms, Record &record) {
+    const std::lock_guard hold(Lock);
+    DelayedName = name;
+    DelayMs = ms;
+    Log = &record;
+  }
+  bool has(const std::string &kind, const std::string &name) {
+    const std::lock_guard hold(Lock);
+    return Kinds[kind].contains(name);
+  }
 
 private:
   struct Event {
@@ -373,6 +385,20 @@
     auto &all = Kinds[kind];
     if (request.Method == "GET")
       return all.contains(name) ? HttpReply{200, all[name].dump()} : HttpReply{404, "{}"};
+    if (request.Method == "DELETE" && !name.empty() && name == DelayedName) {
+      DelayedName.clear();
+      Log->line("DELETE of " + kind + "/" + name + ": no answer, carried out " + std::to_string(DelayMs) +
+                " ms later");
+      std::thread([this, kind, name] {
+        sleepMs(static_cast<double>(DelayMs));
+        const std::lock_guard late(Lock);
+        Log->line("carried out late: DELETE of " + kind + "/" + name +
+                  (erase(kind, name) ? "" : ": not there"));
+      }).detach();
+      hold.unlock();
+      sleepMs(1'000);
+      return {0, ""};
+    }
     if (request.Method == "DELETE")
       return erase(kind, name) ? HttpReply{200, "{}"} : HttpReply{404, "{}"};
     const auto body = Json::parse(request.Body);
@@ -419,6 +445,9 @@
   std::map<std::string, std::map<std::string, Json>> Kinds;
   std::deque<Event> Events;
   std::uint64_t Revision = 100;
+  std::string DelayedName;
+  Ms DelayMs = 0;
+  Record *Log = nullptr;
   HttpServer Front;
 };
 
@@ -434,9 +463,9 @@
   int Port = 0, ListenFd = -1;
   bool Up = false, Leads = false, Draining = false;
   std::uint64_t Term = 3;
-  std::uint64_t Held = 0; ///< Receives nothing while this is set.
-  bool CutOff = false;    ///< Receives nothing from the primary, or it nothing from this one.
-  double LinkMs = 1;      ///< From the primary to this one.
+  std::uint64_t Held = 0;   ///< Receives nothing while this is set.
+  double ReceivesSince = 0; ///< When it was last found not to receive.
+  double LinkMs = 1;        ///< From the primary to this one.
   std::size_t Received = 0;
   double WorkMs = 3;
   Ms Born = 0;
@@ -643,13 +672,21 @@
       return;
     if (Source->Leads && Source->Up)
       Source->Received = Commits.size();
-    // What was sent before the primary ended or stepped down still arrives.
+    // What was sent before the primary ended still arrives, but not at a replica that did not receive then.
     for (auto &it : Servers) {
-      if (it.get() == Source || !it->Up || it->Held > 0 || Cut == Source || Cut == it.get())
+      if (it.get() == Source)
+        continue;
+      if (!it->Up || it->Held > 0 || Cut == Source || Cut == it.get()) {
+        it->ReceivesSince = now;
         continue;
+      }
       it->Term = Source->Term;
-      while (it->Received < Commits.size() && Times[Commits[it->Received].Id] + it->LinkMs <= now)
+      while (it->Received < Commits.size()) {
+        const auto arrival = Times[Commits[it->Received].Id] + it->LinkMs;
+        if (arrival > now || (!Source->Up && arrival < it->ReceivesSince))
+          break;
         ++it->Received;
+      }
     }
   }
   static double Clock() {
