--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 proxy=target/bin/rosemaryhinge-platformd
 world=target/review-2/world2
 [ -x "$proxy" ] && [ -x "$world" ] || { echo "not built" >&2; exit 2; }
-exec timeout -s KILL 115 "$world" unlisted-proxy "$proxy" review/9/record.txt
+exec timeout -s KILL 115 "$world" abandoned-values "$proxy" review/9/record.txt
