Review: move the stand-in's sources into the folders of the cases

Cause: review/standin-2 was no case, and review/ itself is compiled by the earlier review's build.sh.

--- a/review/standin-2/resetorder.cpp
+++ b/review/8/resetorder.cpp
@@ -2,7 +2,7 @@
 // some seconds. The order is carried out late. Meanwhile the primary, which had crashed, is back and serves
 // on.
 
-#include "cases.h"
+#include "../6/cases.h"
 
 namespace review2 {
 
--- a/review/standin-2/abandonedvalues.cpp
+++ b/review/9/abandonedvalues.cpp
@@ -1,7 +1,7 @@
 // A primary is partitioned from its replicas and another server is promoted. Clients with an open transaction
 // set a session value, send a read, and leave before its answer. Later clients use the same value.
 
-#include "cases.h"
+#include "../6/cases.h"
 
 namespace review2 {
 
