Tell on whose answers a choice rests, and why an order is forgotten

The log of a choice names the state of the commit fence, its members, those that are silent, and the highest position that they told. A server that is passed over is logged with the position that it was compared with, if it was. An order that is not outstanding any more says why. No decision changes.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -94,7 +94,7 @@
   auto &change = run.Change;
   // A finished claim has no outstanding order, nor have those that it took over.
   if (claim.Done && claim.Revision > change.Claim.known().Revision)
-    change.Outstanding = TargetId();
+    forgetOutstandingOrder(run, "a later claim has ended");
   change.Claim.observe(claim, run.Ctx.Now);
 }
 
--- a/src/leadership/internal/endedservers.cpp
+++ b/src/leadership/internal/endedservers.cpp
@@ -58,11 +58,11 @@
       change.Servers[it.Target].Missing = true;
       continue;
     }
+    logPassedOver(run, it, why);
     if (const auto known = change.Servers.find(it.Target); known != change.Servers.end()) {
       requireLog(change, known->second);
       change.Servers.erase(known);
     }
-    logPassedOver(run, it, why);
   }
 }
 
--- a/src/leadership/internal/fleetfence.cpp
+++ b/src/leadership/internal/fleetfence.cpp
@@ -90,4 +90,12 @@
   return out;
 }
 
+std::vector<NodeId> FleetFence::silent(TimePoint now) const {
+  std::vector<NodeId> out;
+  for (const auto &[node, it] : Members)
+    if (!answered(it, now))
+      out.push_back(node);
+  return out;
+}
+
 } // namespace rosemaryhinge::detail
--- a/src/leadership/internal/fleetfence.h
+++ b/src/leadership/internal/fleetfence.h
@@ -44,6 +44,8 @@
   /// The highest position that a proxy has reported.
   [[nodiscard]] Position acknowledged() const { return Acknowledged; }
   [[nodiscard]] std::vector<NodeId> members() const;
+  /// The proxies whose answer does not count, or not any more.
+  [[nodiscard]] std::vector<NodeId> silent(TimePoint now) const;
 
   /// Revision of the claim in the last requests.
   [[nodiscard]] std::uint64_t token() const { return Token; }
--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -4,8 +4,21 @@
 #include "leadership/leadershipmodule.h"
 #include "protocol/storerevision.h"
 
+#include <utility>
+
 namespace rosemaryhinge {
 
+namespace {
+
+template <typename Range> std::string joined(const Range &ids) {
+  std::string out;
+  for (const auto &it : ids)
+    out += (out.empty() ? "" : ",") + it.str();
+  return out;
+}
+
+} // namespace
+
 void LeadershipModule::logSuspicion(Run &run, const std::optional<detail::ChangeReason> &reason) {
   auto &since = run.Change.SuspectedSince;
   if (reason && !since) {
@@ -32,9 +45,6 @@
                                former->second.Status->Log > change.CandidateLog;
   if (formerHoldsMore)
     run.Ctx.emit(Count{"promotions_behind_former_total"});
-  std::string passedOver;
-  for (const auto &it : change.PassedOver)
-    passedOver += (passedOver.empty() ? "" : ",") + it.str();
   run.Ctx.emit(Log{LogLevel::Warn,
                    "server chosen to lead",
                    {{"service", run.Service.str()},
@@ -44,7 +54,11 @@
                     {"required", detail::toString(positionToCover(run))},
                     {"coverage", std::string(detail::describe(coverage))},
                     {"compared", detail::describe(change.Servers)},
-                    {"passed_over", passedOver},
+                    {"passed_over", joined(change.PassedOver)},
+                    {"fence", change.Fence.complete(run.Ctx.Now) ? "complete" : "incomplete"},
+                    {"fence_members", joined(change.Fence.members())},
+                    {"fence_silent", joined(change.Fence.silent(run.Ctx.Now))},
+                    {"fence_acknowledged", detail::toString(change.Fence.acknowledged())},
                     {"claim_revision", std::to_string(storeNumber(change.Claim.token()))},
                     {"servers_revision", std::to_string(storeNumber(run.Services.Catalog.serversRevision()))},
                     {"former_stepped_down", change.SteppedDownAt ? "yes" : "no"},
@@ -56,10 +70,13 @@
 void LeadershipModule::logPassedOver(Run &run, const MissingServer &server, const std::string &why) {
   if (!run.Change.PassedOver.insert(server.Target).second)
     return;
+  const auto known = run.Change.Servers.find(server.Target);
+  const bool compared = known != run.Change.Servers.end() && known->second.Status;
   run.Ctx.emit(Log{LogLevel::Info,
                    "server that has left is not compared",
                    {{"service", run.Service.str()},
                     {"server", server.Target.str()},
+                    {"log", compared ? detail::toString(known->second.Status->Log) : "unknown"},
                     {"left_ms", std::to_string((run.Ctx.Now - server.Since) / 1ms)},
                     {"announced", server.Announced ? "yes" : "no"},
                     {"why", why}}});
@@ -99,4 +116,13 @@
                    {{"service", run.Service.str()}, {"server", change.Outstanding.str()}}});
 }
 
+void LeadershipModule::forgetOutstandingOrder(Run &run, std::string_view why) {
+  const auto server = std::exchange(run.Change.Outstanding, TargetId());
+  if (server.empty())
+    return;
+  run.Ctx.emit(Log{LogLevel::Info,
+                   "order is not outstanding any more",
+                   {{"service", run.Service.str()}, {"server", server.str()}, {"why", std::string(why)}}});
+}
+
 } // namespace rosemaryhinge
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -93,7 +93,7 @@
   }
   keepClaim(run);
   if (change.State == Phase::AwaitingPrimary && run.Ctx.Now - change.PhaseSince >= NewPrimaryTimeout) {
-    change.Outstanding = TargetId();
+    forgetOutstandingOrder(run, "its server does not lead in time");
     giveUp(run, "the promoted server does not lead", detail::RetryDelay);
   }
 }
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -119,7 +119,7 @@
 bool LeadershipModule::replacesLeader(Run &run, const TargetId &leader) {
   auto &change = run.Change;
   if (leader == change.Outstanding)
-    change.Outstanding = TargetId();
+    forgetOutstandingOrder(run, "its server leads");
   if (change.Outstanding.empty())
     return false;
   change.Reason.From = leader;
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -111,7 +111,7 @@
   if (!leads && run.Services.Catalog.server(outstanding))
     return;
   endFence(run, leads ? outstanding : TargetId());
-  outstanding = TargetId();
+  forgetOutstandingOrder(run, leads ? "its server leads" : "its server is gone");
 }
 
 std::optional<detail::ChangeReason> LeadershipModule::findReason(const Run &run) const {
@@ -182,7 +182,7 @@
                     {"source", "this proxy"},
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
   endFence(run, change.Candidate);
-  change.Outstanding = TargetId();
+  forgetOutstandingOrder(run, "the change is complete");
   change.ForgottenCandidate = TargetId();
   change.PausedByThisProxy.merge(change.LeftPaused);
   change.NextAttemptAt = run.Ctx.Now + detail::MinChangeInterval;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -38,6 +38,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace rosemaryhinge {
 
@@ -222,6 +223,8 @@
   static void logJoinedServers(Run &run);
   /// A change ends, or starts afresh, while its last order has no answer.
   static void logUnansweredOrder(Run &run);
+  /// Forgets the outstanding order, and says why. Does nothing if there is none.
+  static void forgetOutstandingOrder(Run &run, std::string_view why);
 
   // Between the choice and the effect of the promotion (internal/pendingpromotion.cpp).
   /// Whether the chosen server still is certain to hold every acknowledged commit, as far as the servers are
