List the proxies as of the claim before a promotion

Callers saw commits that the promoted server lacked. A change of primary asks every listed proxy what it has reported. The list was read with staleRead=1, as each list of proxies was: the store may answer it with objects that are seconds old, whichever revision the answer names. A proxy that had just registered was then not asked, and the answers counted as those of the whole fleet.

The list that a change asks for is now a current one; only the periodic list may be stale, and no longer counts as a list of its revision.

--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -57,13 +57,14 @@
 void FleetMap::list(Context &ctx) {
   ListAt.reset();
   ListCall = ctx.call(Module::Positions);
-  ctx.emit(
-      DirectoryCall{*ListCall, CallTimeout, ListDirectory{DirectoryKind::Proxies, lastName(PartialListing)}});
+  const ListDirectory request{DirectoryKind::Proxies, lastName(PartialListing), ListMayBeStale};
+  ctx.emit(DirectoryCall{*ListCall, CallTimeout, request});
 }
 
 void FleetMap::refresh(Context &ctx) {
   if (!Enabled || Leaving || ListCall || ctx.Now < RefreshAfter)
     return;
+  ListMayBeStale = false;
   list(ctx);
 }
 
@@ -121,15 +122,19 @@
       addProxy(ctx, *entry);
   }
   onProxiesChanged();
-  ListedRevision = FirstPageRevision;
+  // A stale list may lack proxies, whichever revision it names.
+  ListedRevision = ListMayBeStale ? 0 : FirstPageRevision;
   ListAt = ctx.Now + (first ? SecondList : forFleet(ListInterval));
 }
 
 void FleetMap::onTimer(Context &ctx) {
   if (AnnounceAt && ctx.Now >= *AnnounceAt)
     announce(ctx, 0);
-  if (ListAt && ctx.Now >= *ListAt)
-    list(ctx);
+  if (!ListAt || ctx.Now < *ListAt)
+    return;
+  // Old entries are good enough to know whom to ask.
+  ListMayBeStale = true;
+  list(ctx);
 }
 
 std::optional<TimePoint> FleetMap::nextTimer() const {
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -25,9 +25,10 @@
   void onAnswer(Context &ctx, const DirectoryAnswer &event);
   void onTimer(Context &ctx);
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
-  /// Lists the proxies now, unless a listing is under way or has just failed.
+  /// Lists the proxies as of now, unless a listing is under way or has just failed.
   void refresh(Context &ctx);
-  /// Revision of the store up to which the registrations are known; 0 if there was no listing.
+  /// Revision of the store up to which the registrations are known; 0 if none has been listed as of a
+  /// revision.
   [[nodiscard]] std::uint64_t listedRevision() const { return ListedRevision; }
   /// Whether proxies know of each other.
   [[nodiscard]] bool enabled() const { return Enabled; }
@@ -78,6 +79,7 @@
   std::vector<DirectoryObject> PartialListing; ///< Pages received so far of a paginated listing.
   std::optional<CallId> AnnounceCall;
   std::optional<CallId> ListCall;
+  bool ListMayBeStale = false;         ///< Of the listing that is under way.
   std::uint64_t FirstPageRevision = 0; ///< A later registration may be missing from the pages before it.
   std::uint64_t ListedRevision = 0;
   TimePoint RefreshAfter; ///< No listing on request before.
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -104,6 +104,8 @@
 struct ListDirectory {
   DirectoryKind Kind = DirectoryKind::Servers;
   std::string After; ///< Continues after this name; empty at the start.
+  /// DirectoryKind::Proxies only: the objects may be some seconds old, which costs the store less.
+  bool MayBeStale = false;
 };
 /// Answered when something has changed after Revision, or after Wait.
 struct WatchDirectory {
