Keep a proxy's record of reported commits in its entry when it ends

A proxy did not notice that its entry was gone. What the ended process itself had reported went to the first proxies in order in messages that nobody acknowledges.

A proxy that ends now writes its entry once more, with what it has reported, on condition that the entry is its own. The next process of the node replaces the entry and goes on with that record; other proxies read it from the list. One that finds its entry removed announces itself again. Entries of proxies that ended ten listings ago are deleted, on condition of their revision.

--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Duration CallTimeout = 1500ms;
-constexpr Duration DeleteTimeout = 250ms;
+constexpr Duration LeaveTimeout = 250ms;
 constexpr Duration RetryPause = 1s;
 /// Pause after a listing that failed before one on request.
 constexpr Duration RefreshPause = 150ms;
@@ -22,6 +22,9 @@
 constexpr Duration FirstStartList = 1200ms;
 constexpr Duration SecondList = 1500ms;
 constexpr Duration ListInterval = 30s;
+/// Entries of proxies that have ended are kept for this many intervals between listings, so that every proxy
+/// has read what they reported.
+constexpr int EndedIntervals = 10;
 /// After a restoration of the store, the proxies announce themselves again within this time.
 constexpr Duration MaxAnnounceDelay = 500ms;
 /// Above this number of proxies, the listing interval grows in proportion to the fleet size, because the cost
@@ -50,7 +53,7 @@
 void FleetMap::announce(Context &ctx, std::uint64_t revision) {
   AnnounceAt.reset();
   AnnounceCall = ctx.call(Module::Positions);
-  const ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress};
+  const ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress, ctx.Incarnation};
   ctx.emit(DirectoryCall{*AnnounceCall, CallTimeout, PutProxy{entry, revision}});
 }
 
@@ -77,16 +80,13 @@
 }
 
 void FleetMap::onAnswer(Context &ctx, const DirectoryAnswer &event) {
-  if (DeleteCall == event.Call) {
+  if (LeaveCall == event.Call) {
     LeftBy = ctx.Now;
     return;
   }
   if (AnnounceCall == event.Call) {
     AnnounceCall.reset();
-    if (const auto *conflict = std::get_if<ProxyConflict>(&event.Result))
-      announce(ctx, conflict->Revision);
-    else if (!std::holds_alternative<ProxyStored>(event.Result) && !Leaving)
-      AnnounceAt = ctx.Now + RetryPause;
+    onAnnounceAnswer(ctx, event);
     return;
   }
   if (ListCall != event.Call)
@@ -106,16 +106,75 @@
     list(ctx);
     return;
   }
+  onListed(ctx);
+}
+
+void FleetMap::onAnnounceAnswer(Context &ctx, const DirectoryAnswer &event) {
+  if (const auto *stored = std::get_if<ProxyStored>(&event.Result)) {
+    onAnnounced(stored->Revision);
+    return;
+  }
+  const auto *conflict = std::get_if<ProxyConflict>(&event.Result);
+  if (!conflict) {
+    if (!Leaving)
+      AnnounceAt = ctx.Now + RetryPause;
+    return;
+  }
+  const auto &current = conflict->Current;
+  if (current && current->Incarnation == ctx.Incarnation && !current->Final) {
+    // An earlier call without an answer was carried out.
+    onAnnounced(conflict->Revision);
+    return;
+  }
+  adoptRecord(current);
+  announce(ctx, conflict->Revision);
+}
+
+void FleetMap::onAnnounced(std::uint64_t revision) {
+  OwnRevision = revision;
+  if (KnownSince)
+    return;
+  KnownSince = EarlierKnownSince ? EarlierKnownSince->value_or(revision) : 0;
+}
+
+void FleetMap::adoptRecord(const std::optional<ProxyEntry> &entry) {
+  EarlierKnownSince.emplace();
+  if (!entry || !entry->Final)
+    return;
+  *EarlierKnownSince = entry->Final->KnownSince;
+  addReported(*entry->Final);
+}
+
+void FleetMap::addReported(const ReportedCommits &reported) {
+  for (const auto &[service, position] : reported.UpTo) {
+    auto &known = ReportedByEnded[service];
+    known = std::max(known, position);
+  }
+}
+
+void FleetMap::onListed(Context &ctx) {
   const bool first = !std::exchange(HasListedOnce, true);
   std::map<NodeId, ProxyEntry> before;
   before.swap(Proxies);
   Proxies[ctx.Self.Node] = before[ctx.Self.Node];
+  EndedKnownSince = 0;
+  const auto endedBefore = std::exchange(Ended, {});
+  bool listsSelf = false;
   for (const auto &object : std::exchange(PartialListing, {})) {
     const auto *entry = std::get_if<ProxyEntry>(&object.Value);
     if (!entry) {
       ctx.emit(Count{"directory_unreadable_total"});
       continue;
     }
+    listsSelf = listsSelf || entry->Node == ctx.Self.Node;
+    if (entry->Final) {
+      addReported(*entry->Final);
+      EndedKnownSince = std::max(EndedKnownSince, entry->Final->KnownSince);
+      const auto it = endedBefore.find(entry->Node);
+      const bool seen = it != endedBefore.end() && it->second.Revision == entry->Revision;
+      Ended[entry->Node] = {entry->Revision, seen ? it->second.SeenAt : ctx.Now};
+      continue;
+    }
     if (const auto it = before.find(entry->Node); it != before.end())
       Proxies[entry->Node] = it->second;
     if (entry->Node != ctx.Self.Node)
@@ -125,6 +184,19 @@
   // A stale list may lack proxies, whichever revision it names.
   ListedRevision = ListMayBeStale ? 0 : FirstPageRevision;
   ListAt = ctx.Now + (first ? SecondList : forFleet(ListInterval));
+  deleteEnded(ctx);
+  const bool removed = !listsSelf && OwnRevision > 0 && FirstPageRevision >= OwnRevision;
+  if (removed && !Leaving && !AnnounceCall) {
+    ctx.emit(Count{"proxy_entries_removed_total"});
+    announce(ctx, 0);
+  }
+}
+
+void FleetMap::deleteEnded(Context &ctx) {
+  for (const auto &[node, it] : Ended)
+    if (ctx.Now - it.SeenAt >= forFleet(ListInterval) * EndedIntervals &&
+        rank(ctx.Self.Node, node.str()) == 0)
+      ctx.emit(DirectoryCall{ctx.call(Module::Positions), CallTimeout, DeleteProxy{node, it.Revision}});
 }
 
 void FleetMap::onTimer(Context &ctx) {
@@ -159,14 +231,21 @@
   return time * static_cast<std::int64_t>(std::max<std::size_t>(1, Proxies.size() / ProxiesPerListInterval));
 }
 
-void FleetMap::startLeaving(Context &ctx) {
+void FleetMap::startLeaving(Context &ctx, std::map<DatabaseId, Position> reported) {
   if (std::exchange(Leaving, true) || !Enabled)
     return;
   AnnounceAt.reset();
   ListAt.reset();
-  LeftBy = ctx.Now + DeleteTimeout;
-  DeleteCall = ctx.call(Module::Positions);
-  ctx.emit(DirectoryCall{*DeleteCall, DeleteTimeout, DeleteProxy{ctx.Self.Node}});
+  LeftBy = ctx.Now + LeaveTimeout;
+  if (OwnRevision == 0 || !KnownSince) {
+    // There is no entry of this process, or it cannot be told from that of another one.
+    LeftBy = ctx.Now;
+    return;
+  }
+  ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress, ctx.Incarnation};
+  entry.Final = ReportedCommits{*KnownSince, std::move(reported)};
+  LeaveCall = ctx.call(Module::Positions);
+  ctx.emit(DirectoryCall{*LeaveCall, LeaveTimeout, PutProxy{std::move(entry), OwnRevision}});
 }
 
 void FleetMap::onProxiesChanged() {
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -3,6 +3,10 @@
 //
 // Entries of crashed proxies are not removed, so the map gives candidates to contact and does not show which
 // proxies are alive.
+//
+// A proxy that ends as planned leaves in its entry what it has reported to callers as committed. Its
+// successor goes on with that record. One that finds the entry of a process that was killed knows what its
+// node has reported only since its own registration.
 
 #pragma once
 
@@ -34,13 +38,22 @@
   [[nodiscard]] bool enabled() const { return Enabled; }
   /// The store has come back from an older copy, which may lack this proxy's entry and those of others.
   void onStoreRestored(Context &ctx);
-  /// Deletes this proxy's entry from the store. Called once it serves no callers any more: a change of
-  /// primary asks all proxies that have an entry.
-  void startLeaving(Context &ctx);
+  /// Marks this proxy's entry as final. Called once it serves no callers any more: a change of primary asks
+  /// all proxies whose entry is not.
+  /// \param reported The highest position of each service that was reported as committed.
+  void startLeaving(Context &ctx, std::map<DatabaseId, Position> reported);
   [[nodiscard]] bool leaving() const { return Leaving; }
-  /// Whether the entry is deleted, or that has taken too long.
+  /// Whether the entry is final, or that has taken too long.
   [[nodiscard]] bool left(TimePoint now) const { return !Enabled || (LeftBy && now >= *LeftBy); }
 
+  /// Since when it is known what this node has reported as committed (ReportedCommits::KnownSince); empty
+  /// until this process has announced itself.
+  [[nodiscard]] std::optional<std::uint64_t> knownSince() const { return KnownSince; }
+  /// What proxies that have ended as planned have reported, an earlier process of this node included.
+  [[nodiscard]] const std::map<DatabaseId, Position> &reportedByEnded() const { return ReportedByEnded; }
+  /// Since when that is known of all of them.
+  [[nodiscard]] std::uint64_t endedKnownSince() const { return EndedKnownSince; }
+
   /// Returns the proxies of an availability zone, including this one, in rendezvous order for the key. Valid
   /// until the next call of a member function.
   [[nodiscard]] const std::vector<NodeId> &order(const AvailabilityZone &zone, std::string_view key) const;
@@ -63,7 +76,17 @@
 
 private:
   void announce(Context &ctx, std::uint64_t revision);
+  void onAnnounceAnswer(Context &ctx, const DirectoryAnswer &event);
+  /// This process is registered by an entry of this revision.
+  void onAnnounced(std::uint64_t revision);
+  /// Takes over the record of an earlier process of this node.
+  /// \param entry Absent if it cannot be read.
+  void adoptRecord(const std::optional<ProxyEntry> &entry);
+  void addReported(const ReportedCommits &reported);
   void list(Context &ctx);
+  void onListed(Context &ctx);
+  /// Deletes entries of proxies that ended long ago and did not come back. Each is deleted by one proxy.
+  void deleteEnded(Context &ctx);
   void addProxy(Context &ctx, const ProxyEntry &entry);
   /// A time that grows in proportion to the size of a large fleet.
   [[nodiscard]] Duration forFleet(Duration time) const;
@@ -83,10 +106,21 @@
   std::uint64_t FirstPageRevision = 0; ///< A later registration may be missing from the pages before it.
   std::uint64_t ListedRevision = 0;
   TimePoint RefreshAfter; ///< No listing on request before.
-  std::optional<CallId> DeleteCall;
+  std::optional<CallId> LeaveCall;
   std::optional<TimePoint> LeftBy; ///< When this proxy counts as having left.
   std::optional<TimePoint> AnnounceAt;
   std::optional<TimePoint> ListAt;
+  std::uint64_t OwnRevision = 0; ///< Of this process's entry; 0 if it is not known to be registered.
+  std::optional<std::uint64_t> KnownSince;
+  /// An earlier process of this node was found, and its record began then; empty if its record is lost.
+  std::optional<std::optional<std::uint64_t>> EarlierKnownSince;
+  std::map<DatabaseId, Position> ReportedByEnded;
+  std::uint64_t EndedKnownSince = 0;
+  struct EndedProxy {
+    std::uint64_t Revision = 0;
+    TimePoint SeenAt; ///< When this revision was first listed.
+  };
+  std::map<NodeId, EndedProxy> Ended;
   bool Enabled = false; ///< Whether this proxy has an address for peer connections.
   bool Leaving = false;
   bool HasListedOnce = false;
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -81,6 +82,11 @@
   Position Required;
   /// The newest commit that a holder of the claim knew as acknowledged. Later claims never lower it.
   Position Acknowledged{};
+  /// Revision of the store after which the present primary's term began; 0 if none is known. Later claims
+  /// never lower it.
+  std::uint64_t TermSince = 0;
+  /// Proxies that have not answered the holder. Each raises the commit fence and answers in its own entry.
+  std::vector<NodeId> Unanswered{};
 };
 
 /// The right of one proxy to keep the quotas of an availability zone, until it is not renewed.
@@ -92,11 +98,33 @@
   std::uint64_t Revision = 0;    ///< 0: there is no lease yet.
 };
 
+/// What a node has reported to callers as committed, and since when that is known of it.
+///
+/// A process knows what it has reported itself. What an earlier process of its node has reported is known
+/// only if that one left it in its entry.
+struct ReportedCommits {
+  /// Revision of the store at which the process announced itself that began the record; 0 if the record has
+  /// been kept since the node was first started.
+  std::uint64_t KnownSince = 0;
+  std::map<DatabaseId, Position> UpTo; ///< The highest position of each service.
+};
+
+/// A proxy's answer to a commit fence, for a holder of the claim that it does not reach.
+struct StoredFenceAnswer {
+  std::uint64_t Token = 0; ///< Revision of the claim that asked for it.
+  Position Acknowledged;   ///< As in CommitFenceReply.
+};
+
 /// A proxy of the fleet, as it announces itself to the others.
 struct ProxyEntry {
   NodeId Node;
   rosemaryhinge::AvailabilityZone AvailabilityZone;
-  std::string Address; ///< Where it listens for other proxies.
+  std::string Address;                    ///< Where it listens for other proxies.
+  std::uint64_t Incarnation = 0;          ///< Of the process that wrote the entry.
+  std::optional<ReportedCommits> Final{}; ///< Of a process that serves no callers any more.
+  std::uint64_t KnownSince = 0;           ///< As in CommitFenceReply; only beside FenceAnswers.
+  std::map<DatabaseId, StoredFenceAnswer> FenceAnswers{};
+  std::uint64_t Revision = 0; ///< Of the entry in the store.
 };
 
 enum class DirectoryKind : std::uint8_t { Configuration, Servers, Claims, Proxies, QuotaLeases };
@@ -128,8 +156,10 @@
   ProxyEntry Entry;
   std::uint64_t Revision = 0; ///< 0: there is no entry yet.
 };
+/// Deletes the entry of a proxy. Takes effect only if the entry has this revision.
 struct DeleteProxy {
   NodeId Node;
+  std::uint64_t Revision = 0;
 };
 
 struct DirectoryCall {
@@ -183,10 +213,13 @@
 struct QuotaLeaseConflict {
   QuotaLease Current;
 };
-struct ProxyStored {};
+struct ProxyStored {
+  std::uint64_t Revision = 0;
+};
 /// There is an entry of this name; it has this revision.
 struct ProxyConflict {
   std::uint64_t Revision = 0;
+  std::optional<ProxyEntry> Current{}; ///< Absent if it cannot be read.
 };
 struct DirectoryFailure {
   std::string Message;
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -107,6 +107,8 @@
     const auto changes = S.Catalog.changeCount();
     if (event.Call.Owner == Module::Positions) {
       S.Fleet.onAnswer(Ctx, event);
+      for (const auto &[service, position] : S.Fleet.reportedByEnded())
+        S.Sessions.noteAcknowledged(service, position);
       // The directory waits for the first list of proxies.
       S.Directory.onTimer(Ctx, DirectoryDeps);
     } else if (event.Call.Owner == Module::Quota) {
@@ -272,7 +274,7 @@
     const std::size_t sessions = S.Sessions.isDrained() ? 0 : 1;
     if (S.Drain.leaving() && sessions + others == 0 && !S.Fleet.leaving()) {
       LeadershipModule::handOverPositions(Ctx, LeadershipDeps);
-      S.Fleet.startLeaving(Ctx);
+      S.Fleet.startLeaving(Ctx, S.Sessions.acknowledged());
     }
     S.Drain.completeIfDone(Ctx, sessions + others, S.Fleet.left(Ctx.Now), true);
   }
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -428,6 +428,14 @@
   return it == Services.end() ? std::nullopt : it->second.Acknowledged;
 }
 
+std::map<DatabaseId, Position> SessionsModule::acknowledged() const {
+  std::map<DatabaseId, Position> out;
+  for (const auto &[service, it] : Services)
+    if (it.Acknowledged)
+      out.emplace(service, *it.Acknowledged);
+  return out;
+}
+
 std::optional<Position> SessionsModule::positionCovering(const DatabaseId &service,
                                                          TimePoint acknowledgedBefore) const {
   const auto it = Services.find(service);
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -76,6 +76,8 @@
   void noteAcknowledged(const DatabaseId &service, Position at);
   /// Log position of the last commit at a service that this proxy, or one that told it, has acknowledged.
   [[nodiscard]] std::optional<Position> acknowledgedUpTo(const DatabaseId &service) const;
+  /// The same of each service of which one is known.
+  [[nodiscard]] std::map<DatabaseId, Position> acknowledged() const;
   /// Called with each event. After a time without any, during which this process may have been suspended and
   /// not have heard of a fence, commits that were sent before it are not reported.
   void onEvent(Context &ctx);
--- a/testing/directoryworld/store.cpp
+++ b/testing/directoryworld/store.cpp
@@ -112,7 +112,7 @@
   if (const auto *put = std::get_if<PutProxy>(&call.Request)) {
     ++Revision;
     Proxies[put->Entry.Node.str()] = {put->Entry.Node.str(), false, put->Entry};
-    return ProxyStored{};
+    return ProxyStored{Revision};
   }
   if (const auto *end = std::get_if<DeleteProxy>(&call.Request)) {
     ++Revision;
--- a/testing/sessionworld/directorystore.cpp
+++ b/testing/sessionworld/directorystore.cpp
@@ -159,8 +159,12 @@
   } else if (const auto *entry = std::get_if<PutProxy>(&call.Request)) {
     out.Result = storeProxy(*entry);
   } else if (const auto *proxy = std::get_if<DeleteProxy>(&call.Request)) {
-    Now.Proxies.erase(proxy->Node);
-    Now.ProxyRevisions.erase(proxy->Node);
+    if (const auto it = Now.ProxyRevisions.find(proxy->Node);
+        it != Now.ProxyRevisions.end() && storeNumber(it->second) == storeNumber(proxy->Revision)) {
+      Now.Proxies.erase(proxy->Node);
+      Now.ProxyRevisions.erase(it);
+      ++Now.Number;
+    }
     out.Result = ProxyStored{};
   }
   return out;
@@ -176,12 +180,16 @@
 }
 
 decltype(DirectoryAnswer::Result) DirectoryStore::storeProxy(const PutProxy &put) {
+  const auto current = Now.Proxies.find(put.Entry.Node);
+  if (current == Now.Proxies.end() && put.Revision != 0)
+    return DirectoryFailure{"no such object", true};
   auto &revision = Now.ProxyRevisions[put.Entry.Node];
   if (storeNumber(revision) != storeNumber(put.Revision))
-    return ProxyConflict{revision};
-  Now.Proxies[put.Entry.Node] = put.Entry;
+    return ProxyConflict{revision, current->second};
   revision = nextRevision();
-  return ProxyStored{};
+  auto &entry = Now.Proxies[put.Entry.Node] = put.Entry;
+  entry.Revision = revision;
+  return ProxyStored{revision};
 }
 
 void DirectoryStore::call(const DirectoryCall &call, const Handler &handler) {
