Count an answer to a commit fence only for what its process can know

The fence counted as complete, and two servers that were away, which held the commits, were not compared.

An answer now tells since which revision of the store the record of its node is kept: since ever, or since the registration of the process that follows a killed one. The claim tells after which revision the present term began. A fence is complete only if each record began before the term, the holder's own included; otherwise the servers are compared. Revisions of one counter are compared, so no clock is involved.

reducer-tests, 'servers that are away are not passed over on the word of a proxy that was killed and is back': fails without the check of the record.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -3,6 +3,8 @@
 #include "leadership/internal/pauses.h"
 #include "leadership/leadershipmodule.h"
 
+#include <algorithm>
+
 namespace rosemaryhinge {
 
 namespace {
@@ -49,6 +51,7 @@
   auto next = change.Claim.next(run.Service, run.Ctx.Self.Node, done ? leader : change.Reason.From,
                                 run.Ctx.Now, requiredPosition(run));
   next.Acknowledged = acknowledgedPosition(run);
+  next.TermSince = change.TermSince;
   next.Candidate = candidate;
   next.Done = done;
   change.Call = run.Ctx.call(Module::Leadership);
@@ -96,6 +99,7 @@
   if (claim.Done && claim.Revision > change.Claim.known().Revision)
     forgetOutstandingOrder(run, "a later claim has ended");
   change.Claim.observe(claim, run.Ctx.Now);
+  change.TermSince = std::max(change.TermSince, claim.TermSince);
 }
 
 void LeadershipModule::awaitTakeover(Run &run) {
--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -32,7 +32,8 @@
 
 bool LeadershipModule::awaitFence(Run &run) {
   auto &change = run.Change;
-  change.Fence.begin(change.ClaimedRevision, run.Ctx.Now);
+  change.Fence.begin(change.ClaimedRevision, change.TermSince, run.Ctx.Now);
+  change.Fence.setOwnKnownSince(recordKnownSince(run));
   if (!change.Fence.allKnown() && !findMembers(run))
     return false;
   renewFence(run);
@@ -50,6 +51,12 @@
   return true;
 }
 
+std::optional<std::uint64_t> LeadershipModule::recordKnownSince(const Run &run) {
+  const auto &fleet = run.Services.Fleet;
+  const auto own = fleet.knownSince();
+  return own ? std::optional(std::max(*own, fleet.endedKnownSince())) : std::nullopt;
+}
+
 TargetId LeadershipModule::fenceSuccessor(const Run &run) {
   const auto &change = run.Change;
   const bool ordered = change.State == Phase::Promoting || change.State == Phase::AwaitingPrimary;
@@ -100,7 +107,7 @@
 
 void LeadershipModule::endLeftFence(Run &run) {
   auto &fence = run.Change.Fence;
-  fence.begin(run.Change.ClaimedRevision, run.Ctx.Now);
+  fence.begin(run.Change.ClaimedRevision, run.Change.TermSince, run.Ctx.Now);
   fence.addMembers(run.Services.Fleet.others(run.Ctx.Self.Node), false);
   fence.setToken(run.Change.Claim.token());
   giveUp(run, "no order is outstanding", detail::MinChangeInterval);
@@ -118,7 +125,8 @@
   }
   ctx.emit(Count{"commit_fences_raised_total"});
   const auto acknowledged = services.Sessions.acknowledgedUpTo(request.Service).value_or(Position());
-  ctx.emit(SendToPeer{from, CommitFenceReply{request.Service, request.Token, acknowledged}});
+  ctx.emit(SendToPeer{
+      from, CommitFenceReply{request.Service, request.Token, acknowledged, services.Fleet.knownSince()}});
   Run run{ctx, services, request.Service, Changes[request.Service]};
   if (request.StepDownFor > 0 && run.Change.State < Phase::SelectingCandidate)
     stepDownForPeer(run, request);
@@ -138,8 +146,8 @@
   if (it == Changes.end())
     return;
   services.Sessions.noteAcknowledged(reply.Service, reply.Acknowledged);
-  it->second.Fence.onReply(from, reply.Token, reply.Acknowledged, ctx.Now);
-  if (it->second.State != Phase::SelectingCandidate || !it->second.Fence.complete(ctx.Now))
+  it->second.Fence.onReply(from, reply.Token, reply.Acknowledged, reply.KnownSince, ctx.Now);
+  if (it->second.State != Phase::SelectingCandidate || !it->second.Fence.raisedByAll(ctx.Now))
     return;
   Run run{ctx, services, it->first, it->second};
   selectCandidate(run);
--- a/src/leadership/internal/fleetfence.cpp
+++ b/src/leadership/internal/fleetfence.cpp
@@ -8,7 +8,8 @@
 
 namespace rosemaryhinge::detail {
 
-void FleetFence::begin(std::uint64_t claimedAt, TimePoint now) {
+void FleetFence::begin(std::uint64_t claimedAt, std::uint64_t termSince, TimePoint now) {
+  TermSince = termSince;
   if (started() && ClaimedAt == claimedAt)
     return;
   StartedAt = now;
@@ -46,7 +47,8 @@
   return out;
 }
 
-void FleetFence::onReply(const NodeId &from, std::uint64_t token, Position acknowledged, TimePoint now) {
+void FleetFence::onReply(const NodeId &from, std::uint64_t token, Position acknowledged,
+                         std::optional<std::uint64_t> knownSince, TimePoint now) {
   const auto it = Members.find(from);
   // A proxy that answers an earlier fence may have ended it since.
   if (!started() || it == Members.end() || token < ClaimedAt)
@@ -55,6 +57,7 @@
     it->second.RaisedSince = now;
   it->second.AnsweredRequestAt = it->second.SentAt.value_or(*StartedAt);
   it->second.Lost = false;
+  it->second.KnownSince = knownSince;
   Acknowledged = std::max(Acknowledged, acknowledged);
 }
 
@@ -64,14 +67,21 @@
 }
 
 bool FleetFence::complete(TimePoint now) const {
+  return raisedByAll(now) && coversTerm(OwnKnownSince) &&
+         std::all_of(Members.begin(), Members.end(),
+                     [&](const auto &it) { return coversTerm(it.second.KnownSince); });
+}
+
+bool FleetFence::raisedByAll(TimePoint now) const {
   return started() && AllKnown && std::all_of(Members.begin(), Members.end(), [&](const auto &it) {
            return answered(it.second, now);
          });
 }
 
 bool FleetFence::completeFor(Duration time, TimePoint now) const {
-  return complete(now) && std::all_of(Members.begin(), Members.end(),
-                                      [&](const auto &it) { return now - *it.second.RaisedSince >= time; });
+  return raisedByAll(now) && std::all_of(Members.begin(), Members.end(), [&](const auto &it) {
+           return now - *it.second.RaisedSince >= time;
+         });
 }
 
 bool FleetFence::settled(Duration wait, TimePoint now) const {
@@ -90,6 +100,14 @@
   return out;
 }
 
+std::vector<NodeId> FleetFence::late() const {
+  std::vector<NodeId> out;
+  for (const auto &[node, it] : Members)
+    if (it.AnsweredRequestAt && !coversTerm(it.KnownSince))
+      out.push_back(node);
+  return out;
+}
+
 std::vector<NodeId> FleetFence::silent(TimePoint now) const {
   std::vector<NodeId> out;
   for (const auto &[node, it] : Members)
--- a/src/leadership/internal/fleetfence.h
+++ b/src/leadership/internal/fleetfence.h
@@ -1,4 +1,8 @@
 // Which proxies have raised the commit fence of a change of primary, and what they have reported until then.
+//
+// An answer proves what its node has reported in a term only if the record from which it was given began
+// before the term did (ReportedCommits). A process that took the place of one that was killed knows nothing
+// of what that one has reported.
 
 #pragma once
 
@@ -18,12 +22,15 @@
 public:
   /// Starts the fence of a claim. What was answered under an earlier claim counts no more.
   /// \param claimedAt Revision of the claim's first write.
-  void begin(std::uint64_t claimedAt, TimePoint now);
+  /// \param termSince Revision after which the present primary's term began (Claim::TermSince).
+  void begin(std::uint64_t claimedAt, std::uint64_t termSince, TimePoint now);
   void reset();
   [[nodiscard]] bool started() const { return StartedAt.has_value(); }
   /// \param all Whether no other proxy may report commits.
   void addMembers(std::span<const NodeId> proxies, bool all);
   [[nodiscard]] bool allKnown() const { return AllKnown; }
+  /// Sets since when it is known what this proxy has reported, and those that have ended; empty if it is not.
+  void setOwnKnownSince(std::optional<std::uint64_t> since) { OwnKnownSince = since; }
   /// Sets what the requests name as the server that is promoted. Each proxy is told of a change at once.
   void setSuccessor(const TargetId &server);
   [[nodiscard]] const TargetId &successor() const { return Successor; }
@@ -31,11 +38,15 @@
   /// The proxies to which the request is due, again or for the first time. It counts as sent.
   [[nodiscard]] std::vector<NodeId> takeDue(TimePoint now);
   /// \param token Of the request that is answered.
-  void onReply(const NodeId &from, std::uint64_t token, Position acknowledged, TimePoint now);
+  /// \param knownSince CommitFenceReply::KnownSince.
+  void onReply(const NodeId &from, std::uint64_t token, Position acknowledged,
+               std::optional<std::uint64_t> knownSince, TimePoint now);
   /// The connection to a proxy was lost. Its process may be another one, which has raised no fence.
   void onLost(const NodeId &node);
 
   /// Whether every proxy has raised the fence, and it holds there for a while.
+  [[nodiscard]] bool raisedByAll(TimePoint now) const;
+  /// Whether, besides, the answers cover all that any process has reported in the present term.
   [[nodiscard]] bool complete(TimePoint now) const;
   /// Whether every proxy has had it raised for this long.
   [[nodiscard]] bool completeFor(Duration time, TimePoint now) const;
@@ -46,6 +57,8 @@
   [[nodiscard]] std::vector<NodeId> members() const;
   /// The proxies whose answer does not count, or not any more.
   [[nodiscard]] std::vector<NodeId> silent(TimePoint now) const;
+  /// The proxies whose record began after the term did.
+  [[nodiscard]] std::vector<NodeId> late() const;
 
   /// Revision of the claim in the last requests.
   [[nodiscard]] std::uint64_t token() const { return Token; }
@@ -62,13 +75,20 @@
     std::optional<TimePoint> AnsweredRequestAt; ///< When the newest request was sent that has an answer.
     std::optional<TimePoint> RaisedSince;       ///< It has answered since without being lost.
     bool Lost = false;                          ///< Since the last answer.
+    std::optional<std::uint64_t> KnownSince;    ///< Of the last answer.
   };
+  /// Whether a record holds all that its node has reported in the present term.
+  [[nodiscard]] bool coversTerm(std::optional<std::uint64_t> knownSince) const {
+    return knownSince && (*knownSince == 0 || *knownSince < TermSince);
+  }
   static bool answered(const Member &it, TimePoint now) {
     return !it.Lost && it.AnsweredRequestAt && now - *it.AnsweredRequestAt < MaxAnswerAge;
   }
 
   std::optional<TimePoint> StartedAt;
   std::uint64_t ClaimedAt = 0;
+  std::uint64_t TermSince = 0;
+  std::optional<std::uint64_t> OwnKnownSince;
   std::uint64_t Token = 0;
   bool AllKnown = false;
   TargetId Successor;
--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -58,6 +58,7 @@
                     {"fence", change.Fence.complete(run.Ctx.Now) ? "complete" : "incomplete"},
                     {"fence_members", joined(change.Fence.members())},
                     {"fence_silent", joined(change.Fence.silent(run.Ctx.Now))},
+                    {"fence_late", joined(change.Fence.late())},
                     {"fence_acknowledged", detail::toString(change.Fence.acknowledged())},
                     {"claim_revision", std::to_string(storeNumber(change.Claim.token()))},
                     {"servers_revision", std::to_string(storeNumber(run.Services.Catalog.serversRevision()))},
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -84,6 +84,8 @@
   std::map<TargetId, Position> CoveredBy;
   Position Required;     ///< The highest position known to be required; outlasts the claims that told it.
   Position Acknowledged; ///< The highest one known to be acknowledged, likewise.
+  /// Revision of the store after which the present primary's term began (Claim::TermSince).
+  std::uint64_t TermSince = 0;
   /// Since when no server that could be promoted holds Required.
   std::optional<TimePoint> UncoveredSince;
 
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -181,6 +181,8 @@
                     {"server", change.Candidate.str()},
                     {"source", "this proxy"},
                     {"ms", std::to_string((run.Ctx.Now - change.StartedAt) / 1ms)}}});
+  // It was a replica under this claim.
+  change.TermSince = std::max(change.TermSince, change.ClaimedRevision);
   endFence(run, change.Candidate);
   forgetOutstandingOrder(run, "the change is complete");
   change.ForgottenCandidate = TargetId();
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -130,6 +130,8 @@
   bool awaitFence(Run &run);
   /// Finds the proxies that have to raise the fence. False while their list is awaited.
   bool findMembers(Run &run);
+  /// Since when it is known what this proxy has reported, and those that have ended.
+  [[nodiscard]] static std::optional<std::uint64_t> recordKnownSince(const Run &run);
   /// The server whose commits are reported in spite of the fence.
   [[nodiscard]] static TargetId fenceSuccessor(const Run &run);
   /// Renews the fence here, and at the proxies where that is due. Does nothing if it was not raised.
--- a/src/peers/internal/fencecodec.cpp
+++ b/src/peers/internal/fencecodec.cpp
@@ -21,7 +21,9 @@
   type = wire::Message::CommitFenceReply;
   const auto service = builder.CreateString(it.Service.str());
   const wire::Position acknowledged(it.Acknowledged.Term, it.Acknowledged.Lsn);
-  return wire::CreateCommitFenceReply(builder, service, it.Token, &acknowledged).Union();
+  const auto knownSince =
+      it.KnownSince ? flatbuffers::Optional<std::uint64_t>(*it.KnownSince) : flatbuffers::nullopt;
+  return wire::CreateCommitFenceReply(builder, service, it.Token, &acknowledged, knownSince).Union();
 }
 
 Offset<void> encodeFence(FlatBufferBuilder &builder, const CommitFenceEnd &it, wire::Message &type) {
@@ -42,8 +44,10 @@
   const auto *it = envelope.message_as_CommitFenceReply();
   if (it == nullptr || it->acknowledged() == nullptr)
     return std::nullopt;
+  const auto knownSince = it->known_since();
   return CommitFenceReply{reader.id<DatabaseId>(it->service()), it->token(),
-                          *FrameReader::position(it->acknowledged())};
+                          *FrameReader::position(it->acknowledged()),
+                          knownSince ? std::optional<std::uint64_t>(*knownSince) : std::nullopt};
 }
 
 } // namespace rosemaryhinge::detail
--- a/src/peers/tests/peercodectests.cpp
+++ b/src/peers/tests/peercodectests.cpp
@@ -263,7 +263,8 @@
       return CommitFenceRequest{DatabaseId(text()), number(),         TargetId(text()),
                                 number(),           TargetId(text()), number()};
     case 33:
-      return CommitFenceReply{DatabaseId(text()), number(), position()};
+      return CommitFenceReply{DatabaseId(text()), number(), position(),
+                              flag() ? std::optional(number()) : std::nullopt};
     case 34:
       return CommitFenceEnd{DatabaseId(text()), number(), TargetId(text())};
     default:
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -248,6 +248,9 @@
   /// The highest position that the sender has reported to callers as committed. It reports none of the terms
   /// of before the promotion any more.
   Position Acknowledged;
+  /// Since when Acknowledged is known of the sender's node (ReportedCommits::KnownSince); empty if the
+  /// process has not announced itself yet.
+  std::optional<std::uint64_t> KnownSince{};
 };
 /// The promotion of this claim, and of earlier ones, can take effect no more, or has.
 struct CommitFenceEnd {
--- a/src/reducer/tests/commitfencetests.cpp
+++ b/src/reducer/tests/commitfencetests.cpp
@@ -93,13 +93,15 @@
 struct Peers {
   std::map<NodeId, Position> Acknowledged; ///< Of the proxies that answer.
   std::map<NodeId, TimePoint> AskedAt;     ///< When each got the first request.
+  /// Since when the records of some are kept; of the others, since their first start.
+  std::map<NodeId, std::uint64_t> KnownSince;
 
   void answer(SessionHarness &proxy) {
     while (const auto request = proxy.takeMessage<CommitFenceRequest>()) {
       const auto &[node, asked] = *request;
       AskedAt.try_emplace(node, proxy.Now);
       if (const auto it = Acknowledged.find(node); it != Acknowledged.end())
-        proxy.receive(node, CommitFenceReply{Yard, asked.Token, it->second});
+        proxy.receive(node, CommitFenceReply{Yard, asked.Token, it->second, KnownSince[node]});
     }
   }
 };
@@ -318,6 +320,23 @@
   CHECK((proxy.Now - peers.AskedAt.at(Other) <= 600ms));
 }
 
+TEST_CASE("servers that are away are not passed over on the word of a proxy that was killed and is back") {
+  // Guards against lost commits: the process that had reported them was killed, and its successor knows none.
+  const auto ordered = [](std::uint64_t knownSince) {
+    SessionHarness proxy;
+    proxy.joinFleet({"n2"});
+    auto service = serviceWithLostPrimary();
+    service.Servers["a"].ReachesProxy = false;
+    service.Servers["a"].Log = {1, 30};
+    Peers peers;
+    peers.Acknowledged[Holder] = {};
+    peers.KnownSince[Holder] = knownSince;
+    return awaitOrder(service, proxy, peers, 3s).has_value();
+  };
+  CHECK_FALSE(ordered(35));
+  CHECK(ordered(0));
+}
+
 TEST_CASE("an answer to the fence of an earlier claim does not count for a later one") {
   // Guards against lost commits: the fence that was answered may have ended before the later one was raised.
   SessionHarness proxy;
--- a/src/reducer/tests/sessionharness.h
+++ b/src/reducer/tests/sessionharness.h
@@ -240,12 +240,27 @@
     }
     if (const auto call = HoldRefresh ? std::nullopt : takeRefresh())
       apply(DirectoryAnswer{*call, DirectoryChanges{{}, ClaimRevision}});
-    if (Fleet)
+    if (Fleet) {
+      answerAnnouncement();
       answerList(DirectoryKind::Proxies, *Fleet, std::max<std::uint64_t>(20, ClaimRevision));
+    }
     if (StoreEra > 0 && !HoldRefresh)
       answerServersInEra();
   }
 
+  /// The proxy is registered for the first time.
+  void answerAnnouncement() {
+    for (auto it = Out.begin(); it != Out.end(); ++it) {
+      const auto *call = std::get_if<DirectoryCall>(&*it);
+      if (!call || !std::holds_alternative<PutProxy>(call->Request))
+        continue;
+      const auto id = call->Call;
+      Out.erase(it);
+      apply(DirectoryAnswer{id, ProxyStored{AnnouncedRevision}});
+      return;
+    }
+  }
+
   /// A watch tells of a restored store at once, and the servers are listed again as they were.
   void answerServersInEra() {
     const auto revision = storeRevision(StoreEra, 20);
@@ -260,6 +275,8 @@
                revision);
   }
 
+  static constexpr std::uint64_t AnnouncedRevision = 15;
+
   std::uint64_t LastSession = 0;
   std::uint64_t ClaimRevision = 0; ///< Of the last write of the claim.
   std::optional<std::vector<DirectoryObject>> Fleet;
