--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -123,7 +123,8 @@
   WorldOptions options;
   options.BesideReplacements = {true, true, true, true, true};
   options.Restarts = RestartsBeside;
-  playSeeds(options, {2, 3, 4}, peerLinks(), FaultsBeside);
+  playSeeds(options, {2, 3, 4, 30038}, peerLinks(), FaultsBeside);
+  playSeeds(options, {30051});
 }
 
 TEST_CASE("no acknowledged commit is lost when servers are replaced beside cuts and crashes while proxies "
