Raise a commit fence through the store at proxies that no message reaches

The one that changed the primary waited 400 ms for its answer, compared the servers that it knew, and promoted. The other went on to report commits that a replica acknowledged which had joined and which nobody had listed yet.

The holder of the claim now names the proxies that have not answered within 100 ms in a notice, an object of its own kind in the store, and each of them raises the fence and answers in its own entry.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -60,6 +60,14 @@
 
 void LeadershipModule::onDirectoryAnswer(Context &ctx, LeadershipServices &services,
                                          const DirectoryAnswer &event) {
+  if (Notices.owns(event.Call)) {
+    for (const auto &notice : Notices.onAnswer(ctx, event))
+      onFenceNotice(ctx, services, notice);
+    Notices.onTimer(ctx);
+    return;
+  }
+  if (onNoticeAnswer(ctx, services, event))
+    return;
   auto *it = completeCall(event.Call);
   if (!it)
     return;
--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -37,6 +37,7 @@
   if (!change.Fence.allKnown() && !findMembers(run))
     return false;
   renewFence(run);
+  readStoredAnswers(run);
   return change.Fence.settled(change.SteppedDownAt ? SteppedDownFenceWait : FenceWait, run.Ctx.Now);
 }
 
@@ -74,8 +75,10 @@
   const auto upTo = std::max(detail::highestLogTerm(change.Servers), requiredPosition(run).Term);
   const CommitFence::Bounds bounds{fence.token(), fence.successor(), upTo};
   // Refused if another proxy has taken the claim over.
-  if (run.Services.Sessions.commitFence(run.Service).raise(bounds, run.Ctx.Now))
-    sendFence(run, bounds);
+  if (!run.Services.Sessions.commitFence(run.Service).raise(bounds, run.Ctx.Now))
+    return;
+  sendFence(run, bounds);
+  askThroughStore(run);
 }
 
 void LeadershipModule::sendFence(Run &run, const CommitFence::Bounds &bounds) {
@@ -102,6 +105,7 @@
   run.Services.Sessions.commitFence(run.Service).end(fence.token(), promoted);
   for (const auto &node : fence.members())
     run.Ctx.emit(SendToPeer{node, CommitFenceEnd{run.Service, fence.token(), promoted}});
+  endNotice(run, promoted);
   fence.reset();
 }
 
--- a/src/leadership/internal/fleetfence.cpp
+++ b/src/leadership/internal/fleetfence.cpp
@@ -57,10 +57,29 @@
     it->second.RaisedSince = now;
   it->second.AnsweredRequestAt = it->second.SentAt.value_or(*StartedAt);
   it->second.Lost = false;
+  it->second.ThroughStore = false;
   it->second.KnownSince = knownSince;
   Acknowledged = std::max(Acknowledged, acknowledged);
 }
 
+void FleetFence::onStoredAnswer(const NodeId &from, const StoredFenceAnswer &answer, std::uint64_t knownSince,
+                                TimePoint now) {
+  const auto it = Members.find(from);
+  if (it == Members.end() || answer.Token <= it->second.StoredToken)
+    return;
+  it->second.StoredToken = answer.Token;
+  onReply(from, answer.Token, answer.Acknowledged, knownSince, now);
+  it->second.ThroughStore = true;
+}
+
+std::vector<NodeId> FleetFence::unreached(TimePoint now) const {
+  std::vector<NodeId> out;
+  for (const auto &[node, it] : Members)
+    if (it.ThroughStore || !answered(it, now))
+      out.push_back(node);
+  return out;
+}
+
 void FleetFence::onLost(const NodeId &node) {
   if (const auto it = Members.find(node); it != Members.end())
     it->second.Lost = true;
--- a/src/leadership/internal/fleetfence.h
+++ b/src/leadership/internal/fleetfence.h
@@ -9,6 +9,7 @@
 #include "base/id.h"
 #include "base/position.h"
 #include "base/time.h"
+#include "protocol/directory.h"
 
 #include <cstdint>
 #include <map>
@@ -41,6 +42,9 @@
   /// \param knownSince CommitFenceReply::KnownSince.
   void onReply(const NodeId &from, std::uint64_t token, Position acknowledged,
                std::optional<std::uint64_t> knownSince, TimePoint now);
+  /// An answer that a proxy has written into its entry in the store. Counts once.
+  void onStoredAnswer(const NodeId &from, const StoredFenceAnswer &answer, std::uint64_t knownSince,
+                      TimePoint now);
   /// The connection to a proxy was lost. Its process may be another one, which has raised no fence.
   void onLost(const NodeId &node);
 
@@ -57,6 +61,12 @@
   [[nodiscard]] std::vector<NodeId> members() const;
   /// The proxies whose answer does not count, or not any more.
   [[nodiscard]] std::vector<NodeId> silent(TimePoint now) const;
+  /// The proxies that have not answered by a message: they are asked through the store.
+  [[nodiscard]] std::vector<NodeId> unreached(TimePoint now) const;
+  /// Whether the proxies have had time to answer by a message.
+  [[nodiscard]] bool askedFor(Duration time, TimePoint now) const {
+    return started() && now - *StartedAt >= time;
+  }
   /// The proxies whose record began after the term did.
   [[nodiscard]] std::vector<NodeId> late() const;
 
@@ -76,6 +86,8 @@
     std::optional<TimePoint> RaisedSince;       ///< It has answered since without being lost.
     bool Lost = false;                          ///< Since the last answer.
     std::optional<std::uint64_t> KnownSince;    ///< Of the last answer.
+    std::uint64_t StoredToken = 0;              ///< Of the last answer through the store.
+    bool ThroughStore = false;                  ///< The last answer came through the store.
   };
   /// Whether a record holds all that its node has reported in the present term.
   [[nodiscard]] bool coversTerm(std::optional<std::uint64_t> knownSince) const {
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -107,6 +107,11 @@
   /// The proxies that report no commit of the former primary any more. Outlasts the claim if an order may
   /// still be carried out.
   FleetFence Fence;
+  /// When the proxies that the holder does not reach were last asked through the store.
+  std::optional<TimePoint> NoticeAt;
+  std::optional<CallId> NoticeCall;
+  /// Token of the last notice of another holder that this proxy has answered.
+  std::uint64_t AnsweredNotice = 0;
   /// Replicas that this proxy paused and could not resume before its claim lapsed.
   std::set<TargetId> LeftPaused;
 };
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -49,6 +49,9 @@
 
 void LeadershipModule::onTimer(Context &ctx, LeadershipServices &services) {
   bool active = false;
+  // An answer is written into this proxy's entry.
+  if (services.Fleet.knownSince() && !services.Fleet.leaving())
+    Notices.onTimer(ctx);
   for (const auto &service : services.Catalog.services()) {
     auto &change = Changes[service];
     // An entry may name any service. What was begun before a service was dropped is carried to its end.
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -29,6 +29,7 @@
 #include "catalog/storeera.h"
 #include "directory/directorymodule.h"
 #include "leadership/internal/coverage.h"
+#include "leadership/internal/fencenoticewatch.h"
 #include "leadership/internal/primarychange.h"
 #include "links/linkpool.h"
 #include "positions/fleetmap.h"
@@ -39,6 +40,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace rosemaryhinge {
 
@@ -132,6 +134,17 @@
   bool findMembers(Run &run);
   /// Since when it is known what this proxy has reported, and those that have ended.
   [[nodiscard]] static std::optional<std::uint64_t> recordKnownSince(const Run &run);
+  // Fences through the store (internal/fencenotices.cpp).
+  /// Names the proxies that have not answered by a message in a notice, at intervals.
+  static void askThroughStore(Run &run);
+  static void putNotice(Run &run, std::vector<NodeId> unanswered, bool create);
+  /// \returns false if it is not the answer to the write of a notice.
+  bool onNoticeAnswer(Context &ctx, LeadershipServices &services, const DirectoryAnswer &event);
+  /// Takes the answers of proxies that were asked through the store from their entries.
+  static void readStoredAnswers(Run &run);
+  static void endNotice(Run &run, const TargetId &promoted);
+  /// Another proxy asks through the store.
+  void onFenceNotice(Context &ctx, LeadershipServices &services, const FenceNotice &notice);
   /// The server whose commits are reported in spite of the fence.
   [[nodiscard]] static TargetId fenceSuccessor(const Run &run);
   /// Renews the fence here, and at the proxies where that is due. Does nothing if it was not raised.
@@ -246,6 +259,7 @@
   void awaitPrimary(Run &run);
 
   std::map<DatabaseId, PrimaryChange> Changes;
+  detail::FenceNoticeWatch Notices;
   std::optional<TimePoint> Next;
   bool Leaving = false;
 };
--- a/src/leadership/tests/fleetfencetests.cpp
+++ b/src/leadership/tests/fleetfencetests.cpp
@@ -16,7 +16,7 @@
 const NodeId N3("n3");
 const std::vector<NodeId> Both{N2, N3};
 constexpr Duration Wait = 400ms;
-constexpr std::uint64_t Claim = 40;
+constexpr std::uint64_t ClaimedAt = 40;
 /// Revision after which the present primary's term began.
 constexpr std::uint64_t TermSince = 30;
 /// A record that has been kept since the node was first started.
@@ -24,7 +24,7 @@
 
 FleetFence started(bool all = true) {
   FleetFence out;
-  out.begin(Claim, TermSince, Start);
+  out.begin(ClaimedAt, TermSince, Start);
   out.setOwnKnownSince(FirstStart);
   out.addMembers(Both, all);
   return out;
@@ -38,21 +38,21 @@
   CHECK_FALSE(none.complete(Start));
   auto fence = started();
   CHECK_FALSE(fence.complete(Start));
-  fence.onReply(N2, Claim, {1, 5}, FirstStart, Start);
-  fence.onReply(N2, Claim, {1, 5}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
   CHECK_FALSE(fence.complete(Start));
   CHECK_FALSE(fence.settled(Wait, Start));
-  fence.onReply(N3, Claim, {1, 4}, FirstStart, Start);
+  fence.onReply(N3, ClaimedAt, {1, 4}, FirstStart, Start);
   CHECK(fence.complete(Start));
   auto partial = started(false);
-  partial.onReply(N2, Claim, {1, 5}, FirstStart, Start);
-  partial.onReply(N3, Claim, {1, 4}, FirstStart, Start);
+  partial.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
+  partial.onReply(N3, ClaimedAt, {1, 4}, FirstStart, Start);
   CHECK_FALSE(partial.complete(Start));
 }
 
 TEST_CASE("a fleet without other proxies has raised the fence at once") {
   FleetFence fence;
-  fence.begin(Claim, TermSince, Start);
+  fence.begin(ClaimedAt, TermSince, Start);
   fence.setOwnKnownSince(FirstStart);
   fence.addMembers({}, true);
   CHECK(fence.complete(Start));
@@ -62,10 +62,10 @@
 TEST_CASE("the highest position of all answers counts, whichever came last") {
   // Guards against a promotion that covers only the position of the proxy that answered last.
   auto fence = started();
-  fence.onReply(N2, Claim, {2, 1}, FirstStart, Start);
-  fence.onReply(N3, Claim, {1, 9}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {2, 1}, FirstStart, Start);
+  fence.onReply(N3, ClaimedAt, {1, 9}, FirstStart, Start);
   CHECK((fence.acknowledged() == Position{2, 1}));
-  fence.onReply(NodeId("stranger"), Claim, {7, 7}, FirstStart, Start);
+  fence.onReply(NodeId("stranger"), ClaimedAt, {7, 7}, FirstStart, Start);
   CHECK((fence.acknowledged() == Position{2, 1}));
 }
 
@@ -74,7 +74,7 @@
   auto fence = started();
   CHECK(fence.takeDue(Start) == Both);
   CHECK(fence.takeDue(Start + 99ms).empty());
-  fence.onReply(N2, Claim, {}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {}, FirstStart, Start);
   CHECK(fence.takeDue(Start + 100ms) == std::vector{N3});
   CHECK(fence.takeDue(Start + 999ms) == std::vector{N3});
   CHECK(fence.takeDue(Start + 1s) == std::vector{N2});
@@ -82,7 +82,7 @@
 
 TEST_CASE("a lost proxy holds the choice up no longer, and is asked again without waiting for the renewal") {
   auto fence = started();
-  fence.onReply(N2, Claim, {1, 5}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
   CHECK_FALSE(fence.settled(Wait, Start + 10ms));
   fence.onLost(N3);
   CHECK(fence.settled(Wait, Start + 10ms));
@@ -96,11 +96,11 @@
 TEST_CASE("a proxy that was lost after its answer has to answer again before the fence is complete") {
   // Guards against lost commits: its process may be another one, which has raised no fence.
   auto fence = started();
-  fence.onReply(N2, Claim, {1, 5}, FirstStart, Start);
-  fence.onReply(N3, Claim, {1, 4}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
+  fence.onReply(N3, ClaimedAt, {1, 4}, FirstStart, Start);
   fence.onLost(N3);
   CHECK_FALSE(fence.complete(Start));
-  fence.onReply(N3, Claim, {1, 6}, FirstStart, Start);
+  fence.onReply(N3, ClaimedAt, {1, 6}, FirstStart, Start);
   CHECK(fence.complete(Start));
   CHECK((fence.acknowledged() == Position{1, 6}));
 }
@@ -115,19 +115,19 @@
 TEST_CASE("the answers under an earlier claim do not count for a later one") {
   // Guards against lost commits: the fence that was answered may have ended since.
   auto fence = started();
-  fence.onReply(N2, Claim, {1, 5}, FirstStart, Start);
-  fence.onReply(N3, Claim, {1, 4}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
+  fence.onReply(N3, ClaimedAt, {1, 4}, FirstStart, Start);
   REQUIRE(fence.complete(Start));
-  fence.begin(Claim + 1, TermSince, Start + 1s);
+  fence.begin(ClaimedAt + 1, TermSince, Start + 1s);
   CHECK_FALSE(fence.allKnown());
   fence.addMembers(Both, true);
   CHECK_FALSE(fence.complete(Start + 1s));
   CHECK(fence.takeDue(Start + 1s) == Both);
-  fence.onReply(N2, Claim, {1, 5}, FirstStart, Start + 1s);
-  fence.onReply(N3, Claim, {1, 4}, FirstStart, Start + 1s);
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start + 1s);
+  fence.onReply(N3, ClaimedAt, {1, 4}, FirstStart, Start + 1s);
   CHECK_FALSE(fence.complete(Start + 1s));
-  fence.onReply(N2, Claim + 1, {1, 5}, FirstStart, Start + 1s);
-  fence.onReply(N3, Claim + 1, {1, 4}, FirstStart, Start + 1s);
+  fence.onReply(N2, ClaimedAt + 1, {1, 5}, FirstStart, Start + 1s);
+  fence.onReply(N3, ClaimedAt + 1, {1, 4}, FirstStart, Start + 1s);
   CHECK(fence.complete(Start + 1s));
   CHECK((fence.acknowledged() == Position{1, 5}));
 }
@@ -137,8 +137,8 @@
   static_assert(FleetFence::MaxAnswerAge < CommitFence::Lifetime);
   auto fence = started();
   REQUIRE(fence.takeDue(Start) == Both);
-  fence.onReply(N2, Claim, {}, FirstStart, Start);
-  fence.onReply(N3, Claim, {}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {}, FirstStart, Start);
+  fence.onReply(N3, ClaimedAt, {}, FirstStart, Start);
   CHECK(fence.complete(Start + FleetFence::MaxAnswerAge - 1ms));
   CHECK_FALSE(fence.complete(Start + FleetFence::MaxAnswerAge));
 }
@@ -147,7 +147,7 @@
   // Guards against writes that are refused for a second after the promoted server leads.
   auto fence = started();
   REQUIRE(fence.takeDue(Start) == Both);
-  fence.onReply(N2, Claim, {}, FirstStart, Start);
+  fence.onReply(N2, ClaimedAt, {}, FirstStart, Start);
   fence.setSuccessor(TargetId("a"));
   CHECK(fence.takeDue(Start + 1ms) == Both);
   fence.setSuccessor(TargetId("a"));
@@ -165,8 +165,8 @@
   // Guards against lost commits that a killed process had reported: its successor answers with none.
   const auto completeWith = [](std::optional<std::uint64_t> knownSince) {
     auto fence = started();
-    fence.onReply(N2, Claim, {1, 5}, FirstStart, Start);
-    fence.onReply(N3, Claim, {}, knownSince, Start);
+    fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
+    fence.onReply(N3, ClaimedAt, {}, knownSince, Start);
     CHECK(fence.raisedByAll(Start));
     return fence.complete(Start);
   };
@@ -180,7 +180,7 @@
 TEST_CASE("the proxy that changes the primary does not vouch for an earlier process of its own node either") {
   // Guards against lost commits that this node had reported before its process was killed.
   FleetFence fence;
-  fence.begin(Claim, TermSince, Start);
+  fence.begin(ClaimedAt, TermSince, Start);
   fence.addMembers({}, true);
   CHECK_FALSE(fence.complete(Start));
   fence.setOwnKnownSince(TermSince + 1);
@@ -188,3 +188,32 @@
   fence.setOwnKnownSince(TermSince - 1);
   CHECK(fence.complete(Start));
 }
+
+TEST_CASE("a proxy that cannot be reached by a message may answer through the store") {
+  // Guards against lost commits of a proxy that is cut off from the others and not from the primary.
+  auto fence = started();
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
+  CHECK(fence.unreached(Start) == std::vector{N3});
+  fence.onStoredAnswer(N3, {ClaimedAt - 1, {1, 9}}, FirstStart, Start);
+  CHECK_FALSE(fence.complete(Start));
+  fence.onStoredAnswer(N3, {ClaimedAt, {1, 9}}, FirstStart, Start);
+  CHECK(fence.complete(Start));
+  CHECK((fence.acknowledged() == Position{1, 9}));
+  // It has to be asked there again, since no message keeps its fence raised.
+  CHECK(fence.unreached(Start) == std::vector{N3});
+}
+
+TEST_CASE("an answer that stands in the store counts once") {
+  // Guards against a fence that counts as raised for as long as its old answer can be read.
+  auto fence = started();
+  const auto later = Start + FleetFence::MaxAnswerAge;
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
+  fence.onStoredAnswer(N3, {ClaimedAt, {1, 9}}, FirstStart, Start);
+  REQUIRE(fence.complete(Start));
+  (void)fence.takeDue(later);
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, later);
+  fence.onStoredAnswer(N3, {ClaimedAt, {1, 9}}, FirstStart, later);
+  CHECK_FALSE(fence.complete(later));
+  fence.onStoredAnswer(N3, {ClaimedAt + 1, {1, 9}}, FirstStart, later);
+  CHECK(fence.complete(later));
+}
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -53,7 +53,10 @@
 void FleetMap::announce(Context &ctx, std::uint64_t revision) {
   AnnounceAt.reset();
   AnnounceCall = ctx.call(Module::Positions);
-  const ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress, ctx.Incarnation};
+  AnswersUnwritten = false;
+  ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress, ctx.Incarnation};
+  entry.KnownSince = KnownSince.value_or(0);
+  entry.FenceAnswers = FenceAnswers;
   ctx.emit(DirectoryCall{*AnnounceCall, CallTimeout, PutProxy{entry, revision}});
 }
 
@@ -111,7 +114,7 @@
 
 void FleetMap::onAnnounceAnswer(Context &ctx, const DirectoryAnswer &event) {
   if (const auto *stored = std::get_if<ProxyStored>(&event.Result)) {
-    onAnnounced(stored->Revision);
+    onAnnounced(ctx, stored->Revision);
     return;
   }
   const auto *conflict = std::get_if<ProxyConflict>(&event.Result);
@@ -122,19 +125,33 @@
   }
   const auto &current = conflict->Current;
   if (current && current->Incarnation == ctx.Incarnation && !current->Final) {
-    // An earlier call without an answer was carried out.
-    onAnnounced(conflict->Revision);
+    // An earlier call without an answer was carried out, with the answers to fences of then.
+    AnswersUnwritten = !FenceAnswers.empty();
+    onAnnounced(ctx, conflict->Revision);
     return;
   }
   adoptRecord(current);
   announce(ctx, conflict->Revision);
 }
 
-void FleetMap::onAnnounced(std::uint64_t revision) {
+void FleetMap::onAnnounced(Context &ctx, std::uint64_t revision) {
   OwnRevision = revision;
-  if (KnownSince)
-    return;
-  KnownSince = EarlierKnownSince ? EarlierKnownSince->value_or(revision) : 0;
+  if (!KnownSince)
+    KnownSince = EarlierKnownSince ? EarlierKnownSince->value_or(revision) : 0;
+  if (AnswersUnwritten && !Leaving)
+    announce(ctx, revision);
+}
+
+void FleetMap::answerFence(Context &ctx, const DatabaseId &service, const StoredFenceAnswer &answer) {
+  FenceAnswers[service] = answer;
+  AnswersUnwritten = true;
+  if (OwnRevision > 0 && !AnnounceCall && !Leaving)
+    announce(ctx, OwnRevision);
+}
+
+const ProxyEntry *FleetMap::entry(const NodeId &node) const {
+  const auto it = Proxies.find(node);
+  return it == Proxies.end() ? nullptr : &it->second;
 }
 
 void FleetMap::adoptRecord(const std::optional<ProxyEntry> &entry) {
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -71,14 +71,19 @@
   /// Whether the other proxies were listed at least once, or there is no need to.
   [[nodiscard]] bool listed() const { return HasListedOnce || !Enabled; }
   [[nodiscard]] std::size_t size() const { return Proxies.size(); }
+  /// Returns null if the proxy is not listed, or has ended as planned.
+  [[nodiscard]] const ProxyEntry *entry(const NodeId &node) const;
+  /// Writes an answer to a commit fence into this proxy's entry, beside those of other services.
+  void answerFence(Context &ctx, const DatabaseId &service, const StoredFenceAnswer &answer);
   /// Number of availability zones that have at least one proxy.
   [[nodiscard]] std::size_t zones() const { return ZoneCount; }
 
 private:
+  /// Writes this proxy's entry, on condition of its revision.
   void announce(Context &ctx, std::uint64_t revision);
   void onAnnounceAnswer(Context &ctx, const DirectoryAnswer &event);
   /// This process is registered by an entry of this revision.
-  void onAnnounced(std::uint64_t revision);
+  void onAnnounced(Context &ctx, std::uint64_t revision);
   /// Takes over the record of an earlier process of this node.
   /// \param entry Absent if it cannot be read.
   void adoptRecord(const std::optional<ProxyEntry> &entry);
@@ -112,6 +117,8 @@
   std::optional<TimePoint> ListAt;
   std::uint64_t OwnRevision = 0; ///< Of this process's entry; 0 if it is not known to be registered.
   std::optional<std::uint64_t> KnownSince;
+  std::map<DatabaseId, StoredFenceAnswer> FenceAnswers;
+  bool AnswersUnwritten = false; ///< FenceAnswers has changed since the entry was last sent.
   /// An earlier process of this node was found, and its record began then; empty if its record is lost.
   std::optional<std::optional<std::uint64_t>> EarlierKnownSince;
   std::map<DatabaseId, Position> ReportedByEnded;
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -85,8 +85,18 @@
   /// Revision of the store after which the present primary's term began; 0 if none is known. Later claims
   /// never lower it.
   std::uint64_t TermSince = 0;
-  /// Proxies that have not answered the holder. Each raises the commit fence and answers in its own entry.
-  std::vector<NodeId> Unanswered{};
+};
+
+/// A commit fence for proxies that the holder of the claim does not reach. There is one object for each
+/// service. Each proxy that it names raises the fence and answers in its own entry
+/// (ProxyEntry::FenceAnswers).
+struct FenceNotice {
+  DatabaseId Service;
+  std::uint64_t Token = 0; ///< Revision of the claim.
+  Term UpTo = 0;           ///< As in CommitFenceRequest.
+  std::vector<NodeId> Unanswered;
+  bool Ended = false;
+  TargetId Promoted; ///< As in CommitFenceEnd; only once it has ended.
 };
 
 /// The right of one proxy to keep the quotas of an availability zone, until it is not renewed.
@@ -127,7 +137,14 @@
   std::uint64_t Revision = 0; ///< Of the entry in the store.
 };
 
-enum class DirectoryKind : std::uint8_t { Configuration, Servers, Claims, Proxies, QuotaLeases };
+enum class DirectoryKind : std::uint8_t {
+  Configuration,
+  Servers,
+  Claims,
+  Proxies,
+  QuotaLeases,
+  FenceNotices
+};
 
 struct ListDirectory {
   DirectoryKind Kind = DirectoryKind::Servers;
@@ -162,10 +179,17 @@
   std::uint64_t Revision = 0;
 };
 
+/// Replaces the notice of a service, whichever it is.
+struct PutFenceNotice {
+  FenceNotice Next;
+  bool Create = false; ///< There is none yet.
+};
+
 struct DirectoryCall {
   CallId Call;
   Duration Timeout{};
-  std::variant<ListDirectory, WatchDirectory, PutClaim, PutProxy, DeleteProxy, PutQuotaLease> Request;
+  std::variant<ListDirectory, WatchDirectory, PutClaim, PutProxy, DeleteProxy, PutQuotaLease, PutFenceNotice>
+      Request;
 };
 
 /// An object whose contents cannot be used, with the reason.
@@ -173,7 +197,7 @@
   std::string Why;
 };
 using DirectoryValue =
-    std::variant<Configuration, ServerEntry, Claim, ProxyEntry, QuotaLease, UnreadableObject>;
+    std::variant<Configuration, ServerEntry, Claim, ProxyEntry, QuotaLease, FenceNotice, UnreadableObject>;
 
 struct DirectoryObject {
   std::string Name; ///< Empty if it cannot be read.
@@ -221,6 +245,9 @@
   std::uint64_t Revision = 0;
   std::optional<ProxyEntry> Current{}; ///< Absent if it cannot be read.
 };
+struct FenceNoticeStored {};
+/// There is none yet, or there is one already where it was to be created.
+struct FenceNoticeConflict {};
 struct DirectoryFailure {
   std::string Message;
   bool NotApplied = false; ///< The store said that the call had no effect.
@@ -230,7 +257,8 @@
 struct DirectoryAnswer {
   CallId Call;
   std::variant<DirectoryListing, DirectoryChanges, DirectoryHistoryCompacted, ClaimStored, ClaimConflict,
-               ProxyStored, ProxyConflict, QuotaLeaseStored, QuotaLeaseConflict, DirectoryFailure>
+               ProxyStored, ProxyConflict, QuotaLeaseStored, QuotaLeaseConflict, FenceNoticeStored,
+               FenceNoticeConflict, DirectoryFailure>
       Result;
   std::uint64_t Era = 0; ///< Era of the store that has answered; 0 if none is known.
 };
--- a/src/reducer/tests/commitfencetests.cpp
+++ b/src/reducer/tests/commitfencetests.cpp
@@ -305,6 +305,49 @@
   CHECK(order->Target == TargetId("b"));
 }
 
+TEST_CASE("a proxy that a notice in the store names raises the fence and answers in its entry") {
+  // Guards against lost commits of a proxy that is cut off from the others and not from the primary.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  const auto inFlight = sendWrite(proxy, "w2");
+  REQUIRE(inFlight);
+  const auto notice = [&](const NodeId &node) {
+    return DirectoryObject{"yard", false, FenceNotice{Yard, Token, 1, {node}, false, TargetId()}};
+  };
+  proxy.HoldAnnouncement = true;
+  proxy.answerList(DirectoryKind::FenceNotices, {notice(Other)});
+  CHECK_FALSE(proxy.takePutProxy());
+  proxy.answerWatch(DirectoryKind::FenceNotices, {notice(NodeId("n1"))}, 21);
+  const auto written = proxy.takePutProxy();
+  REQUIRE(written);
+  REQUIRE(written->Entry.FenceAnswers.contains(Yard));
+  CHECK(written->Entry.FenceAnswers.at(Yard).Token == Token);
+  CHECK((written->Entry.FenceAnswers.at(Yard).Acknowledged == Position{1, 9}));
+  proxy.reply(*inFlight, SessionHarness::done(), TransactionState::Idle, Position{1, 10});
+  CHECK(rejectedAs(outcomeOf(proxy, "w2"), Rejection::InDoubt));
+}
+
+TEST_CASE("a proxy that does not answer by a message is asked through the store") {
+  // Guards against lost commits of a proxy that is cut off from the one that changes the primary.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2", "n3"});
+  auto service = serviceWithLostPrimary();
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  std::optional<FenceNotice> notice;
+  for (int n = 0; n < 300 && !notice; ++n) {
+    service.playWithCallers(proxy, 20ms);
+    peers.answer(proxy);
+    notice = proxy.takeNotice();
+  }
+  REQUIRE(notice);
+  CHECK(notice->Unanswered == std::vector{Other});
+  CHECK((proxy.Now - peers.AskedAt.at(Other) <= 200ms));
+}
+
 TEST_CASE("a proxy that does not answer the fence delays the promotion by the wait, and no longer") {
   // Guards against a service without a primary because the proxy of a lost availability zone is still listed.
   SessionHarness proxy;
--- a/src/reducer/tests/sessionharness.h
+++ b/src/reducer/tests/sessionharness.h
@@ -100,6 +100,14 @@
     return std::nullopt;
   }
 
+  /// Removes and returns the oldest pending write of the proxy's own entry, if any.
+  std::optional<PutProxy> takePutProxy() { return takeStoreCall<PutProxy>(); }
+  /// Removes and returns the oldest pending notice to proxies that do not answer, if any.
+  std::optional<FenceNotice> takeNotice() {
+    const auto put = takeStoreCall<PutFenceNotice>();
+    return put ? std::optional(put->Next) : std::nullopt;
+  }
+
   /// Removes and returns a call that asks for the changes of the servers until now, if there is one.
   std::optional<CallId> takeRefresh() {
     const auto it = std::find_if(Out.begin(), Out.end(), [](const Effect &one) {
@@ -216,13 +224,27 @@
   State Logic;
   TimePoint Now{1000s};
   std::deque<Effect> Out;
-  bool HoldAccepting = false; ///< The test itself answers StopAccepting.
-  bool HoldRefresh = false;   ///< The test itself answers requests for the changes of the servers.
+  bool HoldAccepting = false;    ///< The test itself answers StopAccepting.
+  bool HoldRefresh = false;      ///< The test itself answers requests for the changes of the servers.
+  bool HoldAnnouncement = false; ///< The registration of the proxy is not stored yet.
   // Outputs of the Context of a test that calls a module directly instead of through reduce().
   Effects Extra;
   std::vector<JournalEntry> Records;
 
 private:
+  template <typename T> std::optional<T> takeStoreCall() {
+    for (auto it = Out.begin(); it != Out.end(); ++it) {
+      const auto *call = std::get_if<DirectoryCall>(&*it);
+      const auto *request = call ? std::get_if<T>(&call->Request) : nullptr;
+      if (!request)
+        continue;
+      auto out = *request;
+      Out.erase(it);
+      return out;
+    }
+    return std::nullopt;
+  }
+
   void recordAnswer(const DirectoryAnswer &answer) {
     if (const auto *stored = std::get_if<ClaimStored>(&answer.Result))
       ClaimRevision = stored->Stored.Revision;
@@ -241,7 +263,8 @@
     if (const auto call = HoldRefresh ? std::nullopt : takeRefresh())
       apply(DirectoryAnswer{*call, DirectoryChanges{{}, ClaimRevision}});
     if (Fleet) {
-      answerAnnouncement();
+      if (!HoldAnnouncement)
+        answerAnnouncement();
       answerList(DirectoryKind::Proxies, *Fleet, std::max<std::uint64_t>(20, ClaimRevision));
     }
     if (StoreEra > 0 && !HoldRefresh)
--- a/testing/sessionworld/directorystore.cpp
+++ b/testing/sessionworld/directorystore.cpp
@@ -108,6 +108,8 @@
     claim.Revision = inThisEra(claim.Revision);
   for (auto &[node, revision] : Now.ProxyRevisions)
     revision = inThisEra(revision);
+  for (auto &[service, revision] : Now.NoticeRevisions)
+    revision = inThisEra(revision);
   for (const auto &it : std::exchange(Watches, {}))
     it.Answer({it.Call.Call, DirectoryFailure{"connection reset", false}});
   Queue.after(RewriteTime, [this] {
@@ -131,6 +133,10 @@
   if (kind == DirectoryKind::Proxies)
     for (const auto &[node, entry] : Now.Proxies)
       out.push_back({node.str(), false, entry});
+  if (kind == DirectoryKind::FenceNotices)
+    for (const auto &[service, notice] : Now.Notices)
+      if (Now.NoticeRevisions.at(service) > after)
+        out.push_back({service.str(), false, notice});
   return out;
 }
 
@@ -158,6 +164,9 @@
     out.Result = storeClaim(put->Next);
   } else if (const auto *entry = std::get_if<PutProxy>(&call.Request)) {
     out.Result = storeProxy(*entry);
+  } else if (const auto *notice = std::get_if<PutFenceNotice>(&call.Request)) {
+    out.Result = storeNotice(*notice);
+    answerWatches();
   } else if (const auto *proxy = std::get_if<DeleteProxy>(&call.Request)) {
     if (const auto it = Now.ProxyRevisions.find(proxy->Node);
         it != Now.ProxyRevisions.end() && storeNumber(it->second) == storeNumber(proxy->Revision)) {
@@ -192,6 +201,14 @@
   return ProxyStored{revision};
 }
 
+decltype(DirectoryAnswer::Result) DirectoryStore::storeNotice(const PutFenceNotice &put) {
+  if (Now.Notices.contains(put.Next.Service) == put.Create)
+    return FenceNoticeConflict{};
+  Now.Notices[put.Next.Service] = put.Next;
+  Now.NoticeRevisions[put.Next.Service] = nextRevision();
+  return FenceNoticeStored{};
+}
+
 void DirectoryStore::call(const DirectoryCall &call, const Handler &handler) {
   const auto fail = [this, call, handler] {
     Queue.after(call.Timeout, [call, handler] {
--- a/testing/sessionworld/directorystore.h
+++ b/testing/sessionworld/directorystore.h
@@ -60,6 +60,8 @@
     std::map<DatabaseId, Claim> Claims;
     std::map<NodeId, ProxyEntry> Proxies;
     std::map<NodeId, std::uint64_t> ProxyRevisions;
+    std::map<DatabaseId, FenceNotice> Notices;
+    std::map<DatabaseId, std::uint64_t> NoticeRevisions;
   };
   struct Copy {
     TimePoint TakenAt;
@@ -74,6 +76,7 @@
   DirectoryAnswer apply(const DirectoryCall &call);
   [[nodiscard]] decltype(DirectoryAnswer::Result) storeClaim(const Claim &next);
   [[nodiscard]] decltype(DirectoryAnswer::Result) storeProxy(const PutProxy &put);
+  [[nodiscard]] decltype(DirectoryAnswer::Result) storeNotice(const PutFenceNotice &put);
 
   fakes::EventQueue &Queue;
   DbCluster &Cluster;
--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -99,7 +99,7 @@
   // not reach.
   WorldOptions options;
   options.BesideReplacements = {true, true, true, true, true};
-  playSeeds(options, {1, 2, 3, 111, 146, 147, 172, 244});
+  playSeeds(options, {1, 2, 3, 111, 146, 147, 172, 244, 20165});
 }
 
 TEST_CASE("no acknowledged commit is lost when servers are replaced beside late orders") {
@@ -123,8 +123,10 @@
   WorldOptions options;
   options.BesideReplacements = {true, true, true, true, true};
   options.Restarts = RestartsBeside;
-  playSeeds(options, {2, 3, 4, 30038}, peerLinks(), FaultsBeside);
+  playSeeds(options, {2, 3, 4, 30038, 31067}, peerLinks(), FaultsBeside);
   playSeeds(options, {30051});
+  options.Restarts = 0;
+  playSeeds(options, {30016}, peerLinks(), FaultsBeside);
 }
 
 TEST_CASE("no acknowledged commit is lost when servers are replaced beside cuts and crashes while proxies "
@@ -133,7 +135,7 @@
   WorldOptions options;
   options.BesideReplacements = {true, true, true, true, false};
   options.Restarts = RestartsBeside;
-  playSeeds(options, {1, 2, 3}, peerLinks(), FaultsBeside);
+  playSeeds(options, {1, 2, 3, 30097}, peerLinks(), FaultsBeside);
 }
 
 TEST_CASE(
