Wait for silent proxies before a server that ended is passed over

Such a server now counts for up to 6 s while a listed proxy has not answered the fence. If all answer, their positions decide; without silent proxies nothing changes.

--- a/src/leadership/internal/endedservers.cpp
+++ b/src/leadership/internal/endedservers.cpp
@@ -3,6 +3,7 @@
 // Such a replica may have held the only copy of an acknowledged commit besides the primary's. A log stands in
 // for it if it reaches a position that the primary told after the replica had ended: that covers each commit
 // that the replica can have acknowledged. The log of a former primary that has stepped down does, too.
+// Without such a log, the proxies tell what they have reported.
 
 #include "leadership/leadershipmodule.h"
 
@@ -15,6 +16,9 @@
 /// Time for a primary that is away to come back and cover what a replica that ended has acknowledged. One
 /// that crashes is back, or replaced, well before.
 constexpr Duration EndedServerTimeout = 60s;
+/// Time for a proxy that does not answer to tell what it has reported, where nothing else covers what a
+/// server that ended has acknowledged. Above the length of most suspensions, restarts and cuts.
+constexpr Duration SilentProxyTimeout = 6s;
 
 } // namespace
 
@@ -43,9 +47,17 @@
   });
 }
 
+bool LeadershipModule::proxiesSilent(const Run &run) {
+  const auto &fence = run.Change.Fence;
+  const bool complete = fence.started() && fence.allKnown() && fence.silent(run.Ctx.Now).empty();
+  return run.Services.Fleet.enabled() && !complete;
+}
+
 void LeadershipModule::refreshEndedServers(Run &run) {
   auto &change = run.Change;
-  const bool coverable = primaryMayReturn(run);
+  const auto timeout = primaryMayReturn(run) ? EndedServerTimeout
+                       : proxiesSilent(run)  ? SilentProxyTimeout
+                                             : Duration{};
   for (const auto &it : run.Services.Catalog.missingServers(run.Service)) {
     const auto covered = change.CoveredBy.find(it.Target);
     std::string why;
@@ -53,7 +65,7 @@
       why = "it was the primary";
     else if (covered != change.CoveredBy.end())
       why = "covered by " + detail::toString(covered->second.At);
-    else if (!coverable || run.Ctx.Now - it.Since >= EndedServerTimeout)
+    else if (run.Ctx.Now - it.Since >= timeout)
       why = "nothing covers it any more";
     if (why.empty()) {
       change.Servers[it.Target].Missing = true;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -165,6 +165,8 @@
   static void recordCoveringPositions(Run &run);
   /// Whether the log of the last primary may still cover what a server that ended has acknowledged.
   [[nodiscard]] static bool primaryMayReturn(const Run &run);
+  /// Whether a proxy has not told yet what it has reported.
+  [[nodiscard]] static bool proxiesSilent(const Run &run);
   /// Which of them may have held commits that no log of this change covers.
   static void refreshEndedServers(Run &run);
   /// The position that covers what the servers that ended have acknowledged.
--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -100,7 +100,7 @@
   // not reach.
   WorldOptions options;
   options.BesideReplacements = {true, true, true, true, true};
-  playSeeds(options, {1, 2, 3, 111, 146, 147, 172, 244, 20165});
+  playSeeds(options, {1, 2, 3, 111, 146, 147, 172, 244, 3609, 20165});
 }
 
 TEST_CASE("no acknowledged commit is lost when servers are replaced beside late orders") {
