List the proxies as of the fence, not as of the claim

The fence was raised 1.5 s later, under the same claim. A proxy that had started in between reported commits, was not in the list and was not asked; the fence counted as complete, and two servers that held the commits and did not answer were not compared.

The list that counts is now one that was asked for once the fence was begun. Known proxies are asked at once, and those that the list adds as soon as it is read, so that a change takes no longer.

--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -18,8 +18,8 @@
 constexpr Duration FenceWait = 400ms;
 /// The same once it has stepped down: the fence then only guards against orders that are carried out late.
 constexpr Duration SteppedDownFenceWait = 100ms;
-/// Time for the list of proxies to be as new as the claim. Without it, those that are known are asked.
-constexpr Duration FleetListWait = 600ms;
+/// Time for a list of the proxies that is as new as the fence.
+constexpr Duration FleetListWait = 400ms;
 
 } // namespace
 
@@ -34,22 +34,23 @@
   auto &change = run.Change;
   change.Fence.begin(change.ClaimedRevision, change.TermSince, run.Ctx.Now);
   change.Fence.setOwnKnownSince(recordKnownSince(run));
-  if (!change.Fence.allKnown() && !findMembers(run))
-    return false;
+  const bool allFound = change.Fence.allKnown() || findMembers(run);
   renewFence(run);
   readStoredAnswers(run);
-  return change.Fence.settled(change.SteppedDownAt ? SteppedDownFenceWait : FenceWait, run.Ctx.Now);
+  return allFound &&
+         change.Fence.settled(change.SteppedDownAt ? SteppedDownFenceWait : FenceWait, run.Ctx.Now);
 }
 
 bool LeadershipModule::findMembers(Run &run) {
   auto &fleet = run.Services.Fleet;
-  const bool current = fleet.enabled() && fleet.listedRevision() >= run.Change.ClaimedRevision;
+  auto &fence = run.Change.Fence;
+  // A proxy that registers after the fence was begun finds the claim, and reports nothing.
+  const bool current = fleet.enabled() && fleet.listedRevision() >= run.Change.ClaimedRevision &&
+                       fence.begunBy(fleet.listedAt());
   if (!current)
     fleet.refresh(run.Ctx);
-  if (fleet.enabled() && !current && run.Ctx.Now - run.Change.StartedAt < FleetListWait)
-    return false;
-  run.Change.Fence.addMembers(fleet.others(run.Ctx.Self.Node), current);
-  return true;
+  fence.addMembers(fleet.others(run.Ctx.Self.Node), current);
+  return !fleet.enabled() || current || fence.askedFor(FleetListWait, run.Ctx.Now);
 }
 
 std::optional<std::uint64_t> LeadershipModule::recordKnownSince(const Run &run) {
--- a/src/leadership/internal/fleetfence.h
+++ b/src/leadership/internal/fleetfence.h
@@ -63,6 +63,8 @@
   [[nodiscard]] std::vector<NodeId> silent(TimePoint now) const;
   /// The proxies that have not answered by a message: they are asked through the store.
   [[nodiscard]] std::vector<NodeId> unreached(TimePoint now) const;
+  /// Whether the fence was begun at this time or before.
+  [[nodiscard]] bool begunBy(TimePoint time) const { return started() && *StartedAt <= time; }
   /// Whether the proxies have had time to answer by a message.
   [[nodiscard]] bool askedFor(Duration time, TimePoint now) const {
     return started() && now - *StartedAt >= time;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -130,7 +130,7 @@
   bool awaitServerList(Run &run);
   /// Raises the fence at all proxies. False while there are answers to wait for.
   bool awaitFence(Run &run);
-  /// Finds the proxies that have to raise the fence. False while their list is awaited.
+  /// Adds the known proxies to those that have to raise the fence. False while their list is awaited.
   bool findMembers(Run &run);
   /// Since when it is known what this proxy has reported, and those that have ended.
   [[nodiscard]] static std::optional<std::uint64_t> recordKnownSince(const Run &run);
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -62,6 +62,8 @@
 
 void FleetMap::list(Context &ctx) {
   ListAt.reset();
+  if (PartialListing.empty())
+    FirstPageAt = ctx.Now;
   ListCall = ctx.call(Module::Positions);
   const ListDirectory request{DirectoryKind::Proxies, lastName(PartialListing), ListMayBeStale};
   ctx.emit(DirectoryCall{*ListCall, CallTimeout, request});
@@ -200,6 +202,7 @@
   onProxiesChanged();
   // A stale list may lack proxies, whichever revision it names.
   ListedRevision = ListMayBeStale ? 0 : FirstPageRevision;
+  ListedAt = FirstPageAt;
   ListAt = ctx.Now + (first ? SecondList : forFleet(ListInterval));
   deleteEnded(ctx);
   const bool removed = !listsSelf && OwnRevision > 0 && FirstPageRevision >= OwnRevision;
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -34,6 +34,8 @@
   /// Revision of the store up to which the registrations are known; 0 if none has been listed as of a
   /// revision.
   [[nodiscard]] std::uint64_t listedRevision() const { return ListedRevision; }
+  /// When the list of that revision was asked for: it has all proxies that had registered by then.
+  [[nodiscard]] TimePoint listedAt() const { return ListedAt; }
   /// Whether proxies know of each other.
   [[nodiscard]] bool enabled() const { return Enabled; }
   /// The store has come back from an older copy, which may lack this proxy's entry and those of others.
@@ -110,6 +112,8 @@
   bool ListMayBeStale = false;         ///< Of the listing that is under way.
   std::uint64_t FirstPageRevision = 0; ///< A later registration may be missing from the pages before it.
   std::uint64_t ListedRevision = 0;
+  TimePoint FirstPageAt; ///< When the first page of the listing was asked for.
+  TimePoint ListedAt;
   TimePoint RefreshAfter; ///< No listing on request before.
   std::optional<CallId> LeaveCall;
   std::optional<TimePoint> LeftBy; ///< When this proxy counts as having left.
--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -146,4 +146,5 @@
   options.LateOrders = 0.3;
   options.Restarts = RestartsBeside;
   playSeeds(options, {1, 2, 3}, peerLinks(), FaultsBeside);
+  playSeeds(options, {30053});
 }
