Count a call as not sent only if no connection was ready for it

libcurl repeats a request by itself if a kept connection ends without an answer. If the connection for the repetition is refused, the call ends with CURLE_COULDNT_CONNECT, although the first connection may have carried the whole request. Callers took that for "not sent": an order (POST /promote) counted as rejected and was forgotten, so the replicas were resumed while it was still carried out, and a write of the store counted as not applied (DirectoryFailure::NotApplied).

HttpResult::Connected is replaced by Transmissions, which counts the connections on which some of the request may have been sent. libcurl reports each connection, new or kept, right before it sends the request on it (CURLOPT_PREREQFUNCTION). 0 also covers a connection attempt that ran into its time-out.

--- a/src/httpclient/httpclient.cpp
+++ b/src/httpclient/httpclient.cpp
@@ -95,7 +95,6 @@
   void failLater(std::unique_ptr<detail::Transfer> transfer, const char *why) {
     asio::post(Io, [this, transfer = std::shared_ptr<detail::Transfer>(std::move(transfer)), why] {
       HttpResult failed;
-      failed.Connected = false;
       failed.Error = why;
       if (!Stopped)
         finish(*transfer, std::move(failed));
--- a/src/httpclient/httpclient.h
+++ b/src/httpclient/httpclient.h
@@ -24,7 +24,10 @@
 
 struct HttpResult {
   bool Answered = false; ///< A whole response came.
-  bool Connected = true; ///< False if no connection could be made: nothing was sent.
+  /// Number of connections on which some of the request may have been sent. 0: certainly nothing was sent.
+  /// libcurl repeats a request by itself if a kept connection ends without an answer, so an answer to the
+  /// repetition says nothing of what became of the first one.
+  int Transmissions = 0;
   bool TooLarge = false; ///< The body of the response exceeds MaxBody.
   int Status = 0;
   std::string HeaderValue; ///< Of HttpClientOptions::ResponseHeader; empty if absent.
--- a/src/httpclient/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -36,6 +36,8 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Transfer::onHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::onConnectionReady);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
   curl_slist *headers = nullptr;
   if (Call.Method != "GET") {
@@ -60,7 +62,6 @@
     return std::move(Response);
   }
   if (code != CURLE_OK) {
-    Response.Connected = code != CURLE_COULDNT_CONNECT;
     Response.Error = Error[0] != '\0' ? Error.data() : curl_easy_strerror(code);
     return std::move(Response);
   }
@@ -71,6 +72,11 @@
   return std::move(Response);
 }
 
+int Transfer::onConnectionReady(void *self, char *, char *, int, int) {
+  ++static_cast<Transfer *>(self)->Response.Transmissions;
+  return CURL_PREREQFUNC_OK;
+}
+
 std::size_t Transfer::onBody(char *data, std::size_t size, std::size_t count, void *self) {
   auto *it = static_cast<Transfer *>(self);
   if (it->Response.Body.size() + size * count > it->MaxBody) {
--- a/src/httpclient/internal/transfer.h
+++ b/src/httpclient/internal/transfer.h
@@ -34,6 +34,8 @@
   void finish(HttpResult result) { Handler(std::move(result)); }
 
 private:
+  /// Called on each connection, new or kept, right before the request is sent on it.
+  static int onConnectionReady(void *self, char *remote, char *local, int remotePort, int localPort);
   static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
   static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
 
--- a/src/net/tests/scriptedserver.h
+++ b/src/net/tests/scriptedserver.h
@@ -38,6 +38,12 @@
     accept();
   }
 
+  /// Refuses connections from now on.
+  void refuse() {
+    std::error_code ec;
+    Acceptor.close(ec);
+  }
+
   [[nodiscard]] std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
   [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
   std::vector<std::shared_ptr<Connection>> Connections; ///< All that were ever accepted.
