Keep an accepted order outstanding if its server does not lead in time

The commit fence ended and the replicas were resumed, so commits were acknowledged that the ordered server lacks, while the order could still take effect.

The order stays outstanding now: the attempt ends, and the next claim orders again, the same server or, if that one is gone, another one, with a higher token.

Measured: in the new test of reducer-tests, a replica is resumed before a later order without the change and none with it. A second one shows that another server is promoted where the ordered one has ended; it passes with and without the change.

--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -92,10 +92,9 @@
     return;
   }
   keepClaim(run);
-  if (change.State == Phase::AwaitingPrimary && run.Ctx.Now - change.PhaseSince >= NewPrimaryTimeout) {
-    forgetOutstandingOrder(run, "its server does not lead in time");
+  // The order stays outstanding: a later one replaces it before anything is resumed.
+  if (change.State == Phase::AwaitingPrimary && run.Ctx.Now - change.PhaseSince >= NewPrimaryTimeout)
     giveUp(run, "the promoted server does not lead", detail::RetryDelay);
-  }
 }
 
 } // namespace rosemaryhinge
--- a/src/reducer/tests/promotionorderstests.cpp
+++ b/src/reducer/tests/promotionorderstests.cpp
@@ -215,3 +215,47 @@
     }
   }
 }
+
+TEST_CASE(
+    "an accepted order whose server does not lead in time is followed by a later one before anything is "
+    "resumed") {
+  // Guards against lost commits: the change was given up and the replicas were resumed, while the order could
+  // still take effect.
+  SessionHarness proxy;
+  auto service = serviceWithLostPrimary();
+  service.PromotionsUnanswered = false;
+  service.PromotionsDelayed = true;
+  const auto first = service.awaitOrder(proxy, 5s);
+  REQUIRE(first);
+  REQUIRE(first->Target == TargetId("b"));
+  service.Servers["p"].ReachesProxy = true;
+  const auto resumedBefore = service.Resumed;
+  for (int n = 0; n < 500 && service.Orders.back().Token == first->Token; ++n)
+    service.playWithCallers(proxy, 20ms);
+  CHECK(service.Orders.back().Token > first->Token);
+  CHECK(service.Resumed == resumedBefore);
+  CHECK_FALSE(service.Stored.Done);
+  service.PromotionsDelayed = false;
+  service.playWithCallers(proxy, 8s);
+  CHECK_FALSE(service.primary().empty());
+  CHECK(service.Stored.Done);
+  CHECK_FALSE(service.LostCommits);
+}
+
+TEST_CASE("after an accepted order whose server ends before it leads, another server is promoted") {
+  // Guards against a service without a primary.
+  SessionHarness proxy;
+  auto service = serviceWithLostPrimary();
+  service.Servers["a"].Log = {1, 20};
+  service.PromotionsUnanswered = false;
+  const auto first = service.awaitOrder(proxy, 5s);
+  REQUIRE(first);
+  service.end(proxy, first->Target.str(), false);
+  service.Servers["p"].Role = TargetRole::Replica;
+  service.Servers["p"].ReachesProxy = true;
+  service.playWithCallers(proxy, 20s);
+  CHECK_FALSE(service.primary().empty());
+  CHECK(service.Orders.back().Token > first->Token);
+  CHECK(service.Stored.Done);
+  CHECK_FALSE(service.LostCommits);
+}
--- a/src/reducer/tests/servicemodel.h
+++ b/src/reducer/tests/servicemodel.h
@@ -72,6 +72,13 @@
     Changes.push_back(entry);
   }
 
+  /// The entry of a server lapses while the server goes on.
+  void unlist(const std::string &name) {
+    auto entry = SessionHarness::server(name, Servers.at(name).Role, ++Revision);
+    entry.Deleted = true;
+    Changes.push_back(entry);
+  }
+
   /// A server starts again with its log, which ends its pause and closes the proxy's links to it.
   void restart(SessionHarness &proxy, const std::string &name) {
     Servers.at(name).Paused = false;
@@ -129,6 +136,8 @@
   std::uint64_t Revision = 40;       ///< Of the store.
   std::uint64_t Fence = 0;           ///< The highest token that the platform has seen.
   bool PromotionsUnanswered = false; ///< Orders get no answer, and are carried out only by carryOutLate().
+  bool PromotionsFenced = false;     ///< Orders are refused as fenced.
+  bool PromotionsDelayed = false;    ///< Accepted orders do not take effect yet.
   std::vector<PromotionCall> Orders; ///< All orders that the proxy sent.
   std::optional<std::uint64_t> AcceptedToken; ///< Of the newest order that was answered as accepted.
   std::map<std::string, std::vector<TimePoint>> PausedAt; ///< Pause commands carried out, by server.
@@ -277,7 +286,7 @@
       proxy.apply(PromotionAnswer{order.Call, PromotionResult::Unknown, "timeout"});
       return;
     }
-    const bool accepted = carryOut(order, proxy.Now);
+    const bool accepted = !PromotionsFenced && carryOut(order, proxy.Now);
     if (accepted)
       AcceptedToken = order.Token;
     proxy.apply(
@@ -294,6 +303,8 @@
   }
 
   void carryOutPromotions(SessionHarness &proxy) {
+    if (PromotionsDelayed)
+      return;
     for (const auto &it : Promotions)
       if (it.At <= proxy.Now && Servers.contains(it.Server) && primary() != it.Server)
         lead(it.Server);
