Keep an order outstanding while the entry of its server is gone

An outstanding order was forgotten as soon as its server was not listed. An entry also lapses while its server runs, by silent heartbeats or an outage of the store, and the platform carries out an order without an answer up to 12 s later. Replicas were resumed meanwhile, and the claim was left without a later order.

The order is kept for 15 s after it was last sent or seen in another proxy's claim (PrimaryChange::OutstandingAt), unless its server leads or a later order is accepted. A claim that only inherits this proxy's order does not prolong it.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -106,6 +106,8 @@
   // A finished claim has no outstanding order, nor have those that it took over.
   if (claim.Done && claim.Revision > change.Claim.known().Revision)
     forgetOutstandingOrder(run, "a later claim has ended");
+  else if (!claim.Done && claim.Holder != run.Ctx.Self.Node && claim.Candidate == change.Outstanding)
+    change.OutstandingAt = run.Ctx.Now;
   change.Claim.observe(claim, run.Ctx.Now);
   change.TermSince = std::max(change.TermSince, claim.TermSince);
 }
@@ -207,7 +209,10 @@
 void LeadershipModule::onClaimed(Run &run) {
   auto &change = run.Change;
   change.RenewAt.reset();
-  change.Outstanding = change.Claim.known().Candidate;
+  // The time of an order that is known already stays, so that claims without an order of their own don't
+  // prolong it.
+  if (const auto candidate = change.Claim.known().Candidate; candidate != change.Outstanding)
+    recordOutstandingOrder(run, candidate);
   if (!change.Outstanding.empty())
     logUnansweredOrder(run);
   change.Servers.clear();
@@ -249,7 +254,7 @@
   if (!change.Claim.lapsed(run.Ctx.Now))
     return false;
   if (change.State == Phase::Promoting && change.Call)
-    change.Outstanding = change.Candidate;
+    recordOutstandingOrder(run, change.Candidate);
   run.Ctx.emit(Count{"claims_lost_total"});
   giveUp(run, "the claim could not be renewed", detail::RetryDelay);
   return true;
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -99,6 +99,8 @@
   /// without an answer. Until it leads, or a later order was accepted, nothing is resumed and the change goes
   /// on, whatever has become of its reason. Empty if there is none.
   TargetId Outstanding;
+  /// When the order was last sent, or seen in another proxy's claim.
+  TimePoint OutstandingAt;
   /// The candidate of a claim that the store has forgotten, preferred among equal logs; empty once this proxy
   /// has changed the primary.
   TargetId ForgottenCandidate;
--- a/src/leadership/internal/promotion.cpp
+++ b/src/leadership/internal/promotion.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+void LeadershipModule::recordOutstandingOrder(Run &run, const TargetId &server) {
+  run.Change.Outstanding = server;
+  run.Change.OutstandingAt = run.Ctx.Now;
+}
+
 void LeadershipModule::confirmClaim(Run &run) {
   enterPhase(run, Phase::ConfirmingClaim);
   // Drops a renewal on its way: if it was accepted, this write conflicts with it and is repeated.
@@ -64,7 +69,7 @@
                 {"result", event.Message}}});
   switch (event.Result) {
   case PromotionResult::Accepted:
-    change.Outstanding = change.Candidate;
+    recordOutstandingOrder(run, change.Candidate);
     if (!change.Reason.From.empty() && change.Reason.From != change.Candidate &&
         (change.Reason.writesUnavailable() || change.SteppedDownAt))
       services.Catalog.denyPrimary(change.Reason.From);
@@ -74,7 +79,7 @@
     giveUp(run, "fenced, or the server is not running", FencedPause);
     return;
   case PromotionResult::Unknown:
-    change.Outstanding = change.Candidate;
+    recordOutstandingOrder(run, change.Candidate);
     break;
   case PromotionResult::Rejected:
     break;
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -18,6 +18,9 @@
 constexpr Duration ClaimantInterval = 30ms;
 constexpr Duration ClaimJitter = 40ms;
 constexpr Duration LateClaimJitter = 1500ms;
+/// An order to promote a server that is not listed may be carried out for this long: orders without an answer
+/// are carried out up to 12 s late, and an entry also lapses while its server runs.
+constexpr Duration OrderLifetime = 15s;
 
 Duration claimDelay(Context &ctx, std::size_t rank) {
   if (rank < detail::FirstClaimants)
@@ -109,9 +112,10 @@
 }
 
 void LeadershipModule::settleOutstandingOrder(Run &run) {
-  auto &outstanding = run.Change.Outstanding;
+  const auto &outstanding = run.Change.Outstanding;
   const bool leads = outstanding == run.Change.Primary;
-  if (!leads && run.Services.Catalog.server(outstanding))
+  const bool recent = !outstanding.empty() && run.Ctx.Now - run.Change.OutstandingAt < OrderLifetime;
+  if (!leads && (recent || run.Services.Catalog.server(outstanding)))
     return;
   endFence(run, leads ? outstanding : TargetId());
   forgetOutstandingOrder(run, leads ? "its server leads" : "its server is gone");
@@ -162,7 +166,7 @@
   for (auto &[service, change] : Changes) {
     Run run{ctx, services, service, change};
     if (change.State == Phase::Promoting && change.Call)
-      change.Outstanding = change.Candidate;
+      recordOutstandingOrder(run, change.Candidate);
     change.Call.reset();
     if (const auto &claim = change.Claim.known(); !claim.Done && !claim.Candidate.empty())
       change.ForgottenCandidate = claim.Candidate;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -93,7 +93,8 @@
   void step(Run &run);
   void startIfNeeded(Run &run);
   [[nodiscard]] std::optional<detail::ChangeReason> findReason(const Run &run) const;
-  /// Forgets an order that has been carried out, or whose server is gone.
+  /// Forgets an order that has been carried out, or whose server has been gone for as long as late orders are
+  /// carried out.
   static void settleOutstandingOrder(Run &run);
   static void enterPhase(Run &run, Phase next);
   /// Ends an attempt without a new primary.
@@ -259,6 +260,8 @@
   void confirmClaim(Run &run);
   void promote(Run &run);
   void awaitPrimary(Run &run);
+  /// An order for the server may still be carried out.
+  static void recordOutstandingOrder(Run &run, const TargetId &server);
 
   std::map<DatabaseId, PrimaryChange> Changes;
   detail::FenceNoticeWatch Notices;
--- a/src/reducer/tests/promotionorderstests.cpp
+++ b/src/reducer/tests/promotionorderstests.cpp
@@ -259,3 +259,26 @@
   CHECK(service.Stored.Done);
   CHECK_FALSE(service.LostCommits);
 }
+
+TEST_CASE("an order without an answer stays outstanding while the entry of its server is gone") {
+  // Guards against lost commits: an entry also lapses while its server runs, and the order is carried out
+  // after the replicas have been resumed.
+  SessionHarness proxy;
+  auto service = serviceWithLostPrimary();
+  const auto first = service.awaitOrder(proxy, 5s);
+  REQUIRE(first);
+  // Another proxy takes the claim over and stops.
+  service.Stored = claimOfAnother(++service.Revision);
+  service.playWithCallers(proxy, 1s);
+  REQUIRE_FALSE(proxy.Logic.Leadership.changeInProgress());
+  service.unlist("b");
+  reconnect(service, proxy);
+  service.playWithCallers(proxy, 8s);
+  carryToEnd(service, proxy);
+  CHECK_FALSE(service.ResumedBeforeAccepted);
+  CHECK_FALSE(service.EndedBeforeAccepted);
+  REQUIRE(service.AcceptedToken);
+  CHECK(*service.AcceptedToken > first->Token);
+  CHECK_FALSE(service.primary().empty());
+  CHECK_FALSE(service.LostCommits);
+}
