Test that an order without an answer outlives a fenced repetition

A repetition that is refused as fenced may only say that the server is not running. The first order may still be carried out then, and stays outstanding.

--- a/src/reducer/tests/promotionorderstests.cpp
+++ b/src/reducer/tests/promotionorderstests.cpp
@@ -282,3 +282,25 @@
   CHECK_FALSE(service.primary().empty());
   CHECK_FALSE(service.LostCommits);
 }
+
+TEST_CASE("an order without an answer stays outstanding if its repetition is refused as fenced") {
+  // Guards against lost commits: the refusal also says that the server is not running, and the first order is
+  // carried out once it is.
+  SessionHarness proxy;
+  auto service = serviceWithLostPrimary();
+  const auto first = service.awaitOrder(proxy, 5s);
+  REQUIRE(first);
+  service.PromotionsUnanswered = false;
+  service.PromotionsFenced = true;
+  const auto orders = service.Orders.size();
+  for (int n = 0; n < 100 && service.Orders.size() == orders; ++n)
+    service.playWithCallers(proxy, 20ms);
+  REQUIRE(service.Orders.size() > orders);
+  reconnect(service, proxy);
+  service.playWithCallers(proxy, 4s);
+  CHECK_FALSE(service.ResumedBeforeAccepted);
+  CHECK_FALSE(service.EndedBeforeAccepted);
+  service.PromotionsFenced = false;
+  carryToEnd(service, proxy);
+  checkCarriedToEnd(service, first->Token);
+}
