Honour revisions of deletions in the soak's store, and delay writes

The store that the soak stands in for deleted an object whatever revision the request named, so that a deletion meant for an earlier entry removed the entry of the next process. It now answers 409 with the present object and changes nothing, and 404 for an object that is not there. PUT and POST already compared revisions and answered with the object.

delayWrites() leaves a share of the proxies' writes without an answer for some seconds and carries them out 1 to 6 s later, if their condition still holds. Lists with staleRead=1 are up to 3 s old meanwhile.

--- a/testing/platformsoak/objectstore.cpp
+++ b/testing/platformsoak/objectstore.cpp
@@ -4,6 +4,9 @@
 
 #include "platformsoak/sockets.h"
 
+#include <algorithm>
+#include <thread>
+
 namespace rosemaryhinge::platformsoak {
 
 namespace {
@@ -15,10 +18,14 @@
 constexpr std::size_t MaxEvents = 5'000;
 constexpr std::string_view Root = "/-/objects/";
 constexpr int Unavailable = 503;
+constexpr double LateShare = 0.3;
+constexpr Millis LeastLateMs = 1'000;
+constexpr Millis StaleMs = 3'000;
 
 } // namespace
 
-ObjectStore::ObjectStore() : Front([this](const HttpRequest &it) { return handle(it); }) {
+ObjectStore::ObjectStore(Millis mostLateMs)
+    : MostLateMs(mostLateMs), Front([this](const HttpRequest &it) { return handle(it); }) {
   std::thread([this] { keepCopies(); }).detach();
 }
 
@@ -95,6 +102,21 @@
   SlowMs = ms;
 }
 
+void ObjectStore::delayWrites(Millis ms, std::uint64_t seed) {
+  const std::lock_guard hold(Lock);
+  WritesLateUntil = nowMs() + ms;
+  Random.seed(seed);
+}
+
+const ObjectStore::Copy *ObjectStore::staleCopy() {
+  if (WritesLateUntil <= nowMs())
+    return nullptr;
+  const auto oldest = nowMs() - std::uniform_int_distribution<Millis>(0, StaleMs)(Random);
+  const auto it =
+      std::find_if(Copies.begin(), Copies.end(), [&](const Copy &one) { return one.At >= oldest; });
+  return it == Copies.end() ? nullptr : &*it;
+}
+
 void ObjectStore::setState(StoreState state) {
   const std::lock_guard hold(Lock);
   State = state;
@@ -153,12 +175,37 @@
     const auto it = Content[kind].find(name);
     return it == Content[kind].end() ? HttpReply{404, "{}"} : HttpReply{200, it->second.dump()};
   }
-  if (request.Method == "DELETE") {
-    const std::lock_guard hold(Lock);
-    removeLocked(kind, name);
-    return {200, "{}"};
-  }
-  return put(kind, name, request);
+  return carryOut(kind, name, request);
+}
+
+HttpReply ObjectStore::carryOut(const std::string &kind, const std::string &name,
+                                const HttpRequest &request) {
+  const auto write = [this, kind, name, request] {
+    return request.Method == "DELETE" ? remove(kind, name, request) : put(kind, name, request);
+  };
+  const std::lock_guard hold(Lock);
+  if (WritesLateUntil <= nowMs() || !std::bernoulli_distribution(LateShare)(Random))
+    return write();
+  const auto delay = std::uniform_int_distribution<Millis>(LeastLateMs, MostLateMs)(Random);
+  std::thread([this, write, delay, era = Era] {
+    sleepMs(delay);
+    const std::lock_guard held(Lock);
+    if (State == StoreState::Serving && era == Era)
+      write();
+  }).detach();
+  return {0, ""};
+}
+
+HttpReply ObjectStore::remove(const std::string &kind, const std::string &name, const HttpRequest &request) {
+  const auto it = Content[kind].find(name);
+  if (it == Content[kind].end())
+    return {404, "{}"};
+  const auto wanted = request.Query.find("revision");
+  if (wanted != request.Query.end() &&
+      wanted->second != std::to_string(it->second["meta"]["revision"].get<std::uint64_t>()))
+    return {409, it->second.dump()};
+  removeLocked(kind, name);
+  return {200, "{}"};
 }
 
 HttpReply ObjectStore::list(const std::string &kind, const HttpRequest &request) {
@@ -167,7 +214,11 @@
   const auto after = from == request.Query.end() ? std::string() : from->second;
   Json items = Json::array();
   bool more = false;
-  for (const auto &[name, object] : Content[kind]) {
+  const auto *copy = request.Query.contains("staleRead") ? staleCopy() : nullptr;
+  const Objects &objects = copy ? copy->Content : Content;
+  const auto found = objects.find(kind);
+  static const std::map<std::string, Json> None;
+  for (const auto &[name, object] : found == objects.end() ? None : found->second) {
     if (name <= after && !after.empty())
       continue;
     if (items.size() == PageItems) {
@@ -176,7 +227,9 @@
     }
     items.push_back(object);
   }
-  return {200, Json{{"items", items}, {"hasMore", more}, {"storeRevision", Revision}}.dump()};
+  return {
+      200,
+      Json{{"items", items}, {"hasMore", more}, {"storeRevision", copy ? copy->Revision : Revision}}.dump()};
 }
 
 HttpReply ObjectStore::watch(const std::string &kind, const HttpRequest &request) {
@@ -205,7 +258,6 @@
   const bool create = request.Method == "POST";
   if (create)
     name = meta.at("name").get<std::string>();
-  const std::lock_guard hold(Lock);
   const auto it = Content[kind].find(name);
   if (!create && it == Content[kind].end())
     return {404, "{}"};
--- a/testing/platformsoak/objectstore.h
+++ b/testing/platformsoak/objectstore.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,7 +24,8 @@
 
 class ObjectStore {
 public:
-  ObjectStore();
+  /// Late writes are carried out after this time at most.
+  explicit ObjectStore(Millis mostLateMs = 6'000);
   [[nodiscard]] int port() const { return Front.port(); }
   /// Writes like the operator or a server, and waits for the store's usual time. False while it is down.
   bool write(const std::string &kind, const std::string &name, const Json &spec);
@@ -33,6 +35,10 @@
 
   /// Extra time for each call.
   void setSlow(Millis ms);
+  /// For this time some writes of proxies get no answer and are carried out 1 to 6 s later, if their
+  /// condition still holds then and the store serves and is of the same era. Lists with staleRead=1 are up to
+  /// 3 s old.
+  void delayWrites(Millis ms, std::uint64_t seed);
   /// Busy: 503 to each call. Silent: connections end without an answer. Waiting watches are cut off.
   void setState(StoreState state);
   /// Puts a copy of about this age in the place of the objects, in a new era.
@@ -55,8 +61,11 @@
   HttpReply dispatch(const HttpRequest &request);
   HttpReply list(const std::string &kind, const HttpRequest &request);
   HttpReply watch(const std::string &kind, const HttpRequest &request);
-  HttpReply put(const std::string &kind, std::string name, const HttpRequest &request);
+  HttpReply carryOut(const std::string &kind, const std::string &name, const HttpRequest &request);
   // The lock is held.
+  HttpReply put(const std::string &kind, std::string name, const HttpRequest &request);
+  HttpReply remove(const std::string &kind, const std::string &name, const HttpRequest &request);
+  [[nodiscard]] const Copy *staleCopy();
   const Json &writeLocked(const std::string &kind, const std::string &name, const Json &spec);
   bool removeLocked(const std::string &kind, const std::string &name);
   void changed(const std::string &kind, const Json &object, bool deleted);
@@ -73,6 +82,9 @@
   std::uint64_t Era = 1;
   StoreState State = StoreState::Serving;
   Millis SlowMs = 0;
+  const Millis MostLateMs;
+  Millis WritesLateUntil = 0;
+  std::mt19937_64 Random;
   HttpServer Front;
 };
 
