Play killed and suspended proxies and joint crashes in the soak

The soak ended proxies by SIGTERM only, crashed only primaries, one at a time, and its store carried each write out at once.

New troubles: kill (SIGKILL, started again after 0.3 to 3 s), suspend (SIGSTOP for 0.5 to 4 s), crashes (a replica, and while it is away the primary and another server; each back with its log within 7 s, beside a killed proxy with kill) and latestore (late writes to the store). Each has a random stream of its own, so that plans of the other troubles stay.

A kill by the run is no bad end, and a request that it cut, or that was under way while its proxy was suspended, is excused by a verdict of its own. A proxy counts as out of touch for the configuration check for 5 s after a suspension.

--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -20,6 +20,9 @@
 constexpr Millis StoreGapMs = 9'000;
 constexpr int ServersOfService = 3;
 constexpr Millis DuringStopMs = 1'500;
+constexpr Millis MinKilledMs = 300, MaxKilledMs = 3'000;
+/// A crashed server is back after this time at most.
+constexpr Millis MaxCrashMs = 7'000;
 constexpr std::array<Millis, 4> DelaysMs = {5, 15, 40, 120};
 
 class Planner {
@@ -64,6 +67,11 @@
       return PartitionPrimary{it, someProxies(), span(2'000, 6'000)};
     });
     everyOfService("late", 5'000, 10'000, [&](int it) { return DelayOrders{it, span(3'000, 8'000)}; });
+    every("kill", 3'000, 8'000, [&] { return KillProxy{proxy(), span(MinKilledMs, MaxKilledMs)}; });
+    every("suspend", 3'000, 8'000, [&] { return SuspendProxy{proxy(), span(500, 4'000)}; });
+    if (with("crashes"))
+      crashes();
+    every("latestore", 6'000, 10'000, [&] { return DelayWrites{span(2'000, 5'000), seed("latestore")}; });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
   }
@@ -196,6 +204,20 @@
         }
   }
 
+  /// A proxy's record of commits matters most while servers are away: with kill, one is killed at that time.
+  void crashes() {
+    random("crashes");
+    for (int service = 0; service < Options.Services; ++service)
+      for (auto at = span(1'000, 8'000); at < Options.LengthMs; at += span(12'000, 20'000)) {
+        const CrashServers crash{service, span(3'000, MaxCrashMs), span(200, 1'500), span(1'000, MaxCrashMs),
+                                 span(1'000, MaxCrashMs)};
+        const KillProxy kill{proxy(), span(MinKilledMs, MaxKilledMs)};
+        Out.push_back({at, crash});
+        if (with("kill"))
+          Out.push_back({at + crash.PrimaryAfterMs, kill});
+      }
+  }
+
   const PlanOptions &Options;
   std::vector<PlannedFault> Out;
   std::map<std::string, std::mt19937_64, std::less<>> Randoms;
@@ -208,9 +230,9 @@
 
 const std::vector<std::string> &troubleNames() {
   static const std::vector<std::string> Names = {
-      "stops",   "rolls",    "second", "hups", "drain",       "primary", "config",   "slow",
-      "down",    "restored", "delay",  "hold", "slowcallers", "burst",   "withdraw", "flood",
-      "replace", "crash",    "lost",   "cut",  "partition",   "late"};
+      "stops",    "rolls", "second",    "hups",        "drain", "primary",  "config",  "slow",     "down",
+      "restored", "delay", "hold",      "slowcallers", "burst", "withdraw", "flood",   "replace",  "crash",
+      "lost",     "cut",   "partition", "late",        "kill",  "suspend",  "crashes", "latestore"};
   return Names;
 }
 
@@ -224,6 +246,16 @@
             return "stop" + proxy(it.Proxy) + ", " + std::to_string(it.FurtherTermsAfterMs.size()) +
                    " further SIGTERM, " + std::to_string(it.HupsAfterMs.size()) + " SIGHUP";
           },
+          [&](const KillProxy &it) {
+            return "kill" + proxy(it.Proxy) + ", started after " + std::to_string(it.RestartAfterMs) + " ms";
+          },
+          [&](const SuspendProxy &it) { return "suspend" + proxy(it.Proxy) + spanText(it.ForMs); },
+          [&](const CrashServers &it) {
+            return "crash of a replica of service " + std::to_string(it.Service) +
+                   spanText(it.ReplicaDownMs) + ", then of the primary" + spanText(it.PrimaryDownMs) +
+                   " and another server" + spanText(it.OtherDownMs);
+          },
+          [&](const DelayWrites &it) { return "late writes to the store" + spanText(it.ForMs); },
           [&](const ReloadProxy &it) { return "SIGHUP" + proxy(it.Proxy); },
           [&](const DrainServer &it) {
             return (it.Primary ? "drain primary of service " : "drain replica of service ") +
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -20,6 +20,16 @@
   Millis RestartAfterMs = 0;
   std::vector<Millis> FurtherTermsAfterMs, HupsAfterMs;
 };
+/// SIGKILL to a proxy that serves, and a new process later.
+struct KillProxy {
+  int Proxy = 0;
+  Millis RestartAfterMs = 0;
+};
+/// SIGSTOP to a proxy that serves, and SIGCONT after the time.
+struct SuspendProxy {
+  int Proxy = 0;
+  Millis ForMs = 0;
+};
 struct ReloadProxy {
   int Proxy = 0;
 };
@@ -38,6 +48,11 @@
   int Service = 0;
   Millis DownMs = 0;
 };
+/// A replica crashes, and while it is away the primary and another server. All come back with their logs.
+struct CrashServers {
+  int Service = 0;
+  Millis ReplicaDownMs = 0, PrimaryAfterMs = 0, PrimaryDownMs = 0, OtherDownMs = 0;
+};
 /// Connections between these proxies and the primary stall.
 struct LosePrimary {
   int Service = 0;
@@ -68,6 +83,12 @@
 struct SlowStore {
   Millis ExtraMs = 0, ForMs = 0;
 };
+/// Some writes to the store get no answer and are carried out seconds later, if their condition still holds.
+/// Lists that may be stale are up to 3 s old.
+struct DelayWrites {
+  Millis ForMs = 0;
+  std::uint64_t Seed = 0; ///< Of the choice of writes and their delays.
+};
 struct StoreDown {
   Millis ForMs = 0;
   bool Silent = false;
@@ -104,10 +125,10 @@
   Millis ForMs = 0;
 };
 
-using Fault =
-    std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown, RestoreStore,
-                 DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood, ReplaceServer,
-                 CrashPrimary, LosePrimary, CutReplicas, PartitionPrimary, DelayOrders>;
+using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
+                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood,
+                           ReplaceServer, CrashPrimary, LosePrimary, CutReplicas, PartitionPrimary,
+                           DelayOrders, KillProxy, SuspendProxy, CrashServers, DelayWrites>;
 
 struct PlannedFault {
   Millis At = 0;
@@ -126,7 +147,7 @@
 };
 
 /// stops: single SIGTERMs. rolls: over all proxies, overlapping. second, hups: besides these stops. The rest
-/// by the names of the faults above.
+/// by the names of the faults above: crashes is CrashServers, beside a killed proxy with kill.
 [[nodiscard]] const std::vector<std::string> &troubleNames();
 /// In the order of their times.
 [[nodiscard]] std::vector<PlannedFault> makePlan(const PlanOptions &options);
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -4,6 +4,7 @@
 
 #include "base/overloaded.h"
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -69,20 +70,52 @@
     return;
   }
   RestartAfter[index] = fault.RestartAfterMs;
-  const auto number = proxy.lives().back().Number;
-  // Signals are for this process only, not for the next one.
-  const auto later = [this, &proxy, number](Millis after, int signal) {
-    at(nowMs() + after, [&proxy, number, signal] {
-      if (proxy.lives().back().Number == number)
-        proxy.signal(signal);
-    });
-  };
   proxy.signal(SIGTERM);
   for (const auto it : fault.FurtherTermsAfterMs)
-    later(it, SIGTERM);
+    signalLater(index, it, SIGTERM);
   for (const auto it : fault.HupsAfterMs)
-    later(it, SIGHUP);
-  later(GraceMs, SIGKILL);
+    signalLater(index, it, SIGHUP);
+  signalLater(index, GraceMs, SIGKILL);
+}
+
+void FaultPlayer::signalLater(std::size_t proxy, Millis after, int signal) {
+  auto &process = *World.Proxies.at(proxy);
+  at(nowMs() + after, [&process, number = process.lives().back().Number, signal] {
+    if (process.lives().back().Number == number)
+      process.signal(signal);
+  });
+}
+
+void FaultPlayer::kill(const KillProxy &fault) {
+  const auto index = static_cast<std::size_t>(fault.Proxy);
+  if (World.Proxies.at(index)->crash())
+    RestartAfter[index] = fault.RestartAfterMs;
+  else
+    World.Seen.line("left out: it is not serving");
+}
+
+void FaultPlayer::suspend(const SuspendProxy &fault) {
+  const auto index = static_cast<std::size_t>(fault.Proxy);
+  auto &proxy = *World.Proxies.at(index);
+  if (!proxy.serving()) {
+    World.Seen.line("left out: it is not serving");
+    return;
+  }
+  disrupt(fault.ForMs, "suspended", fault.Proxy);
+  proxy.signal(SIGSTOP);
+  signalLater(index, fault.ForMs, SIGCONT);
+}
+
+void FaultPlayer::crashServers(const CrashServers &fault) {
+  disruptServers(fault.PrimaryAfterMs +
+                     std::max({fault.ReplicaDownMs, fault.PrimaryDownMs, fault.OtherDownMs}),
+                 "crash of servers");
+  auto &service = serviceOf(fault.Service);
+  service.crash(service.replica(0), fault.ReplicaDownMs);
+  at(nowMs() + fault.PrimaryAfterMs, [&service, fault] {
+    service.crash(service.primary(), fault.PrimaryDownMs);
+    service.crash(service.replica(0), fault.OtherDownMs);
+  });
 }
 
 void FaultPlayer::withdraw(const WithdrawKey &fault) {
@@ -109,6 +142,10 @@
   World.Seen.line("fault: " + describe(fault));
   std::visit(Overloaded{
                  [&](const StopProxy &it) { stop(it); },
+                 [&](const KillProxy &it) { kill(it); },
+                 [&](const SuspendProxy &it) { suspend(it); },
+                 [&](const CrashServers &it) { crashServers(it); },
+                 [&](const DelayWrites &it) { World.Store.delayWrites(it.ForMs, it.Seed); },
                  [&](const ReloadProxy &it) {
                    if (auto &proxy = *World.Proxies.at(static_cast<std::size_t>(it.Proxy)); proxy.serving())
                      proxy.signal(SIGHUP);
--- a/testing/platformsoak/faultplayer.h
+++ b/testing/platformsoak/faultplayer.h
@@ -20,6 +20,11 @@
 private:
   void apply(const Fault &fault);
   void stop(const StopProxy &fault);
+  /// A signal for the process that runs now only, not for the next one.
+  void signalLater(std::size_t proxy, Millis after, int signal);
+  void kill(const KillProxy &fault);
+  void suspend(const SuspendProxy &fault);
+  void crashServers(const CrashServers &fault);
   void withdraw(const WithdrawKey &fault);
   void disrupt(Millis forMs, const char *what, std::optional<int> callersOf = std::nullopt);
   void disruptServers(Millis forMs, const char *what);
--- a/testing/platformsoak/lostrule.cpp
+++ b/testing/platformsoak/lostrule.cpp
@@ -57,6 +57,10 @@
     return "the server broke off";
   case LostVerdict::TimeReached:
     return "timeout or deadline reached";
+  case LostVerdict::Crashed:
+    return "the run killed the proxy";
+  case LostVerdict::Suspended:
+    return "the proxy was suspended";
   case LostVerdict::WorkAtTheEnd:
     return "at work in the last sixth of the grace";
   case LostVerdict::Disrupted:
@@ -84,6 +88,12 @@
     return LostVerdict::TimeReached;
   if (!runs.empty() && runs.back().ServerBroke)
     return LostVerdict::ServerBroke;
+  if (life.CrashedAt && request.EndedAt >= *life.CrashedAt)
+    return LostVerdict::Crashed;
+  if (std::any_of(life.Suspensions.begin(), life.Suspensions.end(), [&](const Suspension &it) {
+        return it.From <= request.EndedAt && (!it.Until || *it.Until >= request.SentAt);
+      }))
+    return LostVerdict::Suspended;
   if (!nearStop(request, life, bounds) && !nearReload(request, life, bounds))
     return LostVerdict::NoPlannedWork;
   if (workAtTheEnd(request, runs, life, bounds))
--- a/testing/platformsoak/lostrule.h
+++ b/testing/platformsoak/lostrule.h
@@ -25,6 +25,8 @@
   HeldUp,        ///< No server has it, and it or the end of its connection was held up on the way.
   ServerBroke,   ///< The server broke off.
   TimeReached,   ///< The route's timeout or the caller's deadline.
+  Crashed,       ///< The run killed the process before the connection ended.
+  Suspended,     ///< The process was suspended during the request.
   WorkAtTheEnd,  ///< A server was at work in the last sixth of the grace, and it was sent early enough.
   Disrupted,     ///< Unplanned disruption before or during the request.
 };
--- a/testing/platformsoak/observations.h
+++ b/testing/platformsoak/observations.h
@@ -77,6 +77,12 @@
   std::vector<MissingCommit> Missing;
 };
 
+/// A process received SIGSTOP, and SIGCONT later.
+struct Suspension {
+  Millis From = 0;
+  std::optional<Millis> Until;
+};
+
 /// One process of a proxy.
 struct ProcessLife {
   int Proxy = 0;  ///< Index.
@@ -84,6 +90,9 @@
   Millis StartedAt = 0;
   std::vector<Millis> Terms, Hups;
   std::optional<Millis> KilledAt, EndedAt;
+  /// When the run itself killed it while it served: a crash, no stop.
+  std::optional<Millis> CrashedAt;
+  std::vector<Suspension> Suspensions;
   std::string How; ///< Of its end.
   std::string LogFile;
 };
--- a/testing/platformsoak/proxyprocess.cpp
+++ b/testing/platformsoak/proxyprocess.cpp
@@ -107,11 +107,25 @@
     life.Hups.push_back(nowMs());
   if (number == SIGKILL)
     life.KilledAt = nowMs();
+  if (number == SIGSTOP)
+    life.Suspensions.push_back({nowMs(), std::nullopt});
   ::kill(Pid, number);
+  if (number == SIGCONT && !life.Suspensions.empty())
+    life.Suspensions.back().Until = nowMs();
   Seen.line("proxy " + std::to_string(Options.Index + 1) + " gets signal " + std::to_string(number));
   return true;
 }
 
+bool ProxyProcess::crash() {
+  const std::lock_guard hold(Lock);
+  if (!servingLocked())
+    return false;
+  Lives.back().CrashedAt = nowMs();
+  ::kill(Pid, SIGKILL);
+  Seen.line("proxy " + std::to_string(Options.Index + 1) + " is killed");
+  return true;
+}
+
 bool ProxyProcess::check() {
   const std::lock_guard hold(Lock);
   int status = 0;
@@ -136,7 +150,14 @@
 
 bool ProxyProcess::serving() const {
   const std::lock_guard hold(Lock);
-  return Pid > 0 && WasReady && Lives.back().Terms.empty();
+  return servingLocked();
+}
+
+bool ProxyProcess::servingLocked() const {
+  if (Pid <= 0 || !WasReady)
+    return false;
+  const auto &life = Lives.back();
+  return life.Terms.empty() && !life.CrashedAt && (life.Suspensions.empty() || life.Suspensions.back().Until);
 }
 
 bool ProxyProcess::answersReady() {
--- a/testing/platformsoak/proxyprocess.h
+++ b/testing/platformsoak/proxyprocess.h
@@ -30,6 +30,8 @@
   void start();
   /// Sends the signal, if a process runs. False if none does.
   bool signal(int number);
+  /// Sends SIGKILL, if its present process serves. False if it does not.
+  bool crash();
   /// Notices the end of the process. True if it has just ended.
   bool check();
   /// GET /readyz at its admin address.
@@ -37,7 +39,8 @@
   [[nodiscard]] bool running() const;
   /// Id of the present process; -1 without one.
   [[nodiscard]] int pid() const;
-  /// Whether its present process was ready and has not been asked to stop. Before, signals may end it: it has
+  /// Whether its present process was ready and has neither been asked to stop nor been suspended or killed.
+  /// Before, signals may end it: it has
   /// no handlers for them yet.
   [[nodiscard]] bool serving() const;
   /// Notes the times at which the process had to wait for a processor for long.
@@ -47,6 +50,7 @@
   [[nodiscard]] std::vector<ProcessLife> lives() const;
 
 private:
+  [[nodiscard]] bool servingLocked() const;
   void writeSettings(const std::string &file) const;
   ProxyOptions Options;
   Observations &Seen;
--- a/testing/platformsoak/report.cpp
+++ b/testing/platformsoak/report.cpp
@@ -37,6 +37,13 @@
       figures.LinesLeftOut += leftOut(lines);
       if (it.Terms.empty() && !it.EndedAt)
         continue;
+      if (it.CrashedAt) {
+        const bool killed = it.EndedAt && it.How == "by signal 9";
+        figures.BadEnds += killed ? 0 : 1;
+        Out << "kill: proxy " << it.Proxy + 1 << "." << it.Number << " at " << *it.CrashedAt << " ms, "
+            << (it.EndedAt ? "ended " + it.How : "still runs") << "\n";
+        continue;
+      }
       const bool orderly = endsWithEnded(lines) && it.EndedAt && !it.KilledAt && !it.Terms.empty();
       figures.Stops += it.Terms.empty() ? 0 : 1;
       figures.BadEnds += orderly ? 0 : 1;
--- a/testing/platformsoak/rulechecks.cpp
+++ b/testing/platformsoak/rulechecks.cpp
@@ -30,7 +30,12 @@
 bool inTouch(const ProcessLife &life, Millis from, Millis until) {
   if (life.StartedAt > from - StableWindowMs || (life.EndedAt && *life.EndedAt <= until))
     return false;
-  return std::none_of(life.Terms.begin(), life.Terms.end(), [&](Millis it) { return it <= until; });
+  const bool suspended =
+      std::any_of(life.Suspensions.begin(), life.Suspensions.end(), [&](const Suspension &it) {
+        return it.From <= until && (!it.Until || *it.Until >= from - StableWindowMs);
+      });
+  return !suspended &&
+         std::none_of(life.Terms.begin(), life.Terms.end(), [&](Millis it) { return it <= until; });
 }
 
 /// Whether a version that may be in force for the request answers as the proxy did.
--- a/testing/platformsoak/tests/lostruletests.cpp
+++ b/testing/platformsoak/tests/lostruletests.cpp
@@ -131,3 +131,16 @@
   ran.Disruptions = {{Term + 900, Term + 1'350, "answers held", 0}};
   CHECK(ran.judge() == LostVerdict::Lost);
 }
+
+TEST_CASE("a killed process excuses what its end broke, a suspended one what was under way meanwhile") {
+  Case it(1'000, 1'020);
+  it.Life.CrashedAt = Term + 1'010;
+  CHECK(it.judge() == LostVerdict::Crashed);
+  it.Life.CrashedAt = Term + 1'021;
+  CHECK(it.judge() == LostVerdict::Lost);
+  it.Life.CrashedAt.reset();
+  it.Life.Suspensions = {{Term + 500, Term + 1'000}};
+  CHECK(it.judge() == LostVerdict::Suspended);
+  it.Life.Suspensions = {{Term + 500, Term + 999}, {Term + 1'021, std::nullopt}};
+  CHECK(it.judge() == LostVerdict::Lost);
+}
