Send no commit before the claims are listed at the start of a proxy

Callers of a proxy that had just started lost acknowledged commits when the primary of their service was being changed: the holder of the claim had listed the proxies before this one was registered, so that it did not ask it what it had reported, and promoted a server that lacked it. The same held for commits that were reported before the registration was stored.

A proxy of a fleet now sends no commit until its registration is stored and it has then listed the claims to the end. It raises its own commit fence for each unfinished claim of another process, and lists these every 300 ms until they are done, gone, or their fence has ended. The fence is renewed only by a new revision of the claim, so that the claim of a holder that ended becomes overdue and is taken over. Reads are not affected; writes wait as behind a fence. A claim of an earlier process of the same node counts as one of another process.

The fixture of the loan tests now registers its proxy and answers its list of the claims; it only sent writes of a proxy that was never registered.

A start sends one store call more, the list of the claims (one for each page), and one each 300 ms beside an unfinished claim.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -60,6 +60,10 @@
 
 void LeadershipModule::onDirectoryAnswer(Context &ctx, LeadershipServices &services,
                                          const DirectoryAnswer &event) {
+  if (Startup.Call == event.Call) {
+    onStartupClaims(ctx, services, event);
+    return;
+  }
   if (Notices.owns(event.Call)) {
     for (const auto &notice : Notices.onAnswer(ctx, event))
       onFenceNotice(ctx, services, notice);
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -51,6 +51,7 @@
 }
 
 void LeadershipModule::onTimer(Context &ctx, LeadershipServices &services) {
+  readStartupClaims(ctx, services);
   bool active = false;
   // An answer is written into this proxy's entry.
   if (services.Fleet.knownSince() && !services.Fleet.leaving())
@@ -65,6 +66,8 @@
     active = active || run.Change.State != Phase::Idle;
   }
   Next = ctx.Now + (active ? ActiveInterval : IdleInterval);
+  if (!Startup.Call && Startup.ListAt > ctx.Now)
+    Next = std::min(*Next, Startup.ListAt);
 }
 
 void LeadershipModule::step(Run &run) {
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -71,6 +71,8 @@
                     const CommitFenceReply &reply);
   void onFenceEnd(LeadershipServices &services, const CommitFenceEnd &end);
   void onPeerLost(const NodeId &node);
+  /// Lists the claims where that is due, so that this proxy may send commits (internal/startupclaims.cpp).
+  void readStartupClaims(Context &ctx, LeadershipServices &services);
   /// Tells the proxies that would change the primaries next what this one has reported, before it ends.
   static void handOverPositions(Context &ctx, const LeadershipServices &services);
   /// Takes no new claim any more; a change that has begun is carried to its end.
@@ -263,6 +265,24 @@
   /// An order for the server may still be carried out.
   static void recordOutstandingOrder(Run &run, const TargetId &server);
 
+  // Claims that were unfinished when this proxy started (internal/startupclaims.cpp).
+  void listStartupClaims(Context &ctx);
+  void scheduleStartupList(Context &ctx);
+  void onStartupClaims(Context &ctx, LeadershipServices &services, const DirectoryAnswer &event);
+  /// Raises, renews or ends this proxy's fence for the claim. Returns whether it must be listed again.
+  /// \param raisedAt Revision of the claim at which the fence was raised last.
+  /// \param claim Null if it is gone.
+  static bool followStartupClaim(Context &ctx, LeadershipServices &services, const DatabaseId &service,
+                                 std::uint64_t &raisedAt, const Claim *claim);
+
+  struct StartupClaims {
+    std::optional<CallId> Call;
+    TimePoint ListAt;                             ///< No list before.
+    std::vector<DirectoryObject> Pages;           ///< Received so far of a list.
+    std::map<DatabaseId, std::uint64_t> RaisedAt; ///< Unfinished claims, by the revision of the last raise.
+  };
+
+  StartupClaims Startup;
   std::map<DatabaseId, PrimaryChange> Changes;
   detail::FenceNoticeWatch Notices;
   std::optional<TimePoint> Next;
--- a/src/reducer/internal/sessionevents.cpp
+++ b/src/reducer/internal/sessionevents.cpp
@@ -109,12 +109,16 @@
       S.Fleet.onAnswer(Ctx, event);
       for (const auto &[service, position] : S.Fleet.reportedByEnded())
         S.Sessions.noteAcknowledged(service, position);
+      S.Leadership.readStartupClaims(Ctx, LeadershipDeps);
       // The directory waits for the first list of proxies.
       S.Directory.onTimer(Ctx, DirectoryDeps);
     } else if (event.Call.Owner == Module::Quota) {
       S.Quota.onAnswer(Ctx, QuotaDeps, event);
     } else if (event.Call.Owner == Module::Leadership) {
+      const bool held = S.Sessions.commitsHeld(S.Fleet);
       S.Leadership.onDirectoryAnswer(Ctx, LeadershipDeps, event);
+      if (held && !S.Sessions.commitsHeld(S.Fleet))
+        S.Sessions.onCapacity(Ctx, SessionDeps);
     } else {
       S.Directory.onAnswer(Ctx, DirectoryDeps, event);
     }
--- a/src/reducer/tests/loantests.cpp
+++ b/src/reducer/tests/loantests.cpp
@@ -17,14 +17,7 @@
     // lends.
     for (int n = 0; n < 20; ++n)
       Peers.push_back("n" + std::to_string(n + 2));
-    Logic.Self.PeerAddress = "10.0.0.1:7000";
-    apply(Started{1, 7});
-    pass(400ms);
-    std::vector<DirectoryObject> proxies;
-    for (std::size_t n = 0; n < Peers.size(); ++n)
-      proxies.push_back(
-          {Peers[n], false, ProxyEntry{NodeId(Peers[n]), AvailabilityZone("z1"), "10.0.0.2:7000"}});
-    answerList(DirectoryKind::Proxies, proxies);
+    joinFleet(Peers);
     pass(100ms);
     Out.clear();
   }
--- a/src/reducer/tests/sessionharness.h
+++ b/src/reducer/tests/sessionharness.h
@@ -76,8 +76,10 @@
 
   /// Makes the proxy one of a fleet. Its lists of the proxies are as new as its claim from here on.
   /// \param others Names of the other proxies, which answer nothing by themselves.
-  void joinFleet(const std::vector<std::string> &others) {
+  /// \param claims What its first list of the claims holds.
+  void joinFleet(const std::vector<std::string> &others, std::vector<DirectoryObject> claims = {}) {
     Fleet.emplace();
+    StartupClaims = std::move(claims);
     for (const auto &it : others)
       Fleet->push_back({it, false, ProxyEntry{NodeId(it), AvailabilityZone("z1"), "10.0.0.2:7000"}});
     Logic.Self.PeerAddress = "10.0.0.1:7000";
@@ -148,16 +150,21 @@
 
   /// Answers the oldest pending list call for a kind of directory object, if any.
   void answerList(DirectoryKind kind, std::vector<DirectoryObject> objects, std::uint64_t revision = 20) {
-    for (auto it = Out.begin(); it != Out.end(); ++it) {
-      const auto *call = std::get_if<DirectoryCall>(&*it);
-      const auto *list = call ? std::get_if<ListDirectory>(&call->Request) : nullptr;
-      if (!list || list->Kind != kind)
-        continue;
-      const auto id = call->Call;
-      Out.erase(it);
-      apply(DirectoryAnswer{id, DirectoryListing{std::move(objects), false, revision}});
+    const auto it = findList(kind);
+    if (it == Out.end())
       return;
-    }
+    const auto id = std::get<DirectoryCall>(*it).Call;
+    Out.erase(it);
+    apply(DirectoryAnswer{id, DirectoryListing{std::move(objects), false, revision}});
+  }
+
+  /// The oldest pending list call for a kind of directory object.
+  std::deque<Effect>::iterator findList(DirectoryKind kind) {
+    return std::find_if(Out.begin(), Out.end(), [kind](const Effect &it) {
+      const auto *call = std::get_if<DirectoryCall>(&it);
+      const auto *list = call ? std::get_if<ListDirectory>(&call->Request) : nullptr;
+      return list && list->Kind == kind;
+    });
   }
 
   /// Answers the oldest pending watch call for a kind of directory object with changes, if any.
@@ -224,9 +231,10 @@
   State Logic;
   TimePoint Now{1000s};
   std::deque<Effect> Out;
-  bool HoldAccepting = false;    ///< The test itself answers StopAccepting.
-  bool HoldRefresh = false;      ///< The test itself answers requests for the changes of the servers.
-  bool HoldAnnouncement = false; ///< The registration of the proxy is not stored yet.
+  bool HoldAccepting = false;     ///< The test itself answers StopAccepting.
+  bool HoldRefresh = false;       ///< The test itself answers requests for the changes of the servers.
+  bool HoldAnnouncement = false;  ///< The registration of the proxy is not stored yet.
+  bool HoldStartupClaims = false; ///< The test itself answers the first list of the claims.
   // Outputs of the Context of a test that calls a module directly instead of through reduce().
   Effects Extra;
   std::vector<JournalEntry> Records;
@@ -265,6 +273,8 @@
     if (Fleet) {
       if (!HoldAnnouncement)
         answerAnnouncement();
+      if (StartupClaims && !HoldStartupClaims && findList(DirectoryKind::Claims) != Out.end())
+        answerList(DirectoryKind::Claims, *std::exchange(StartupClaims, std::nullopt));
       answerList(DirectoryKind::Proxies, *Fleet, std::max<std::uint64_t>(20, ClaimRevision));
     }
     if (StoreEra > 0 && !HoldRefresh)
@@ -303,7 +313,8 @@
   std::uint64_t LastSession = 0;
   std::uint64_t ClaimRevision = 0; ///< Of the last write of the claim.
   std::optional<std::vector<DirectoryObject>> Fleet;
-  std::uint64_t StoreEra = 0;         ///< As far as an answer has told it.
+  std::optional<std::vector<DirectoryObject>> StartupClaims; ///< Empty once they have been listed.
+  std::uint64_t StoreEra = 0;                                ///< As far as an answer has told it.
   std::uint64_t ToldEra = 0;          ///< The era that a watch of the servers has told.
   std::optional<CallId> ServersWatch; ///< The newest one without an answer.
 };
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -41,6 +41,8 @@
   }
   if (refuseLongWait(ctx, services, id, session))
     return;
+  if (isWriteCommit(session, *session.Current) && commitsHeld(services.Fleet))
+    countHeldCommit(ctx, services);
   enqueueWaiting(ctx, services, id, session);
   scheduleTimer(id, session);
 }
@@ -202,6 +204,8 @@
     // No other proxy supplied a position, so ask the primary.
     work.ExchangeTried = work.ExchangeTried || provable;
     auto out = primaryCandidates(ctx, services, work);
+    if (!read && commitsHeld(services.Fleet))
+      return {};
     if (!read)
       std::erase_if(out, [&, &fence = Services[work.Route.Service].Fence](const TargetId &it) {
         return fence.bars(it, ctx.Now);
@@ -315,6 +319,11 @@
   return work.Mode == AccessMode::Write;
 }
 
+void SessionsModule::countHeldCommit(Context &ctx, const SessionServices &services) {
+  const std::string reason = services.Fleet.knownSince() ? "claims_not_listed" : "not_registered";
+  ctx.emit(Count{"commits_held_total{reason=\"" + reason + "\"}"});
+}
+
 void SessionsModule::sendStatement(Context &ctx, SessionServices &services, SessionId id, Session &session) {
   auto &work = *session.Current;
   // The configuration may have changed since the statement arrived.
@@ -322,6 +331,13 @@
     refuseUnsent(ctx, services, id, session, detail::unknownKey());
     return;
   }
+  if (isWriteCommit(session, work) && commitsHeld(services.Fleet)) {
+    countHeldCommit(ctx, services);
+    const auto code = session.Transaction ? Rejection::Aborted : Rejection::Busy;
+    handleRejection(ctx, services, id, session, {code, "not committed: the proxy is starting"},
+                    TransactionState::Open);
+    return;
+  }
   if (isWriteCommit(session, work) && Services[work.Route.Service].Fence.bars(work.Target, ctx.Now)) {
     const auto code = session.Transaction ? Rejection::Aborted : Rejection::Busy;
     handleRejection(ctx, services, id, session, {code, "not committed: another server is promoted"},
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -83,6 +83,10 @@
   void onEvent(Context &ctx);
   /// The fence of a service, which other proxies and changes of primary raise and end.
   [[nodiscard]] CommitFence &commitFence(const DatabaseId &service) { return Services[service].Fence; }
+  /// Whether this proxy sends no commit yet: a change of primary that began before its registration in the
+  /// fleet does not ask it what it has reported.
+  [[nodiscard]] bool commitsHeld(const FleetMap &fleet) const { return fleet.enabled() && !CommitsAllowed; }
+  void allowCommits() { CommitsAllowed = true; }
   /// A position of the primary of a service that covers each commit acknowledged before the given time, also
   /// through other proxies. Empty if this proxy has none.
   [[nodiscard]] std::optional<Position> positionCovering(const DatabaseId &service,
@@ -203,6 +207,8 @@
             const TargetId &target);
   /// Whether the statement commits a write, so that its answer waits until a replica has the commit.
   [[nodiscard]] static bool isWriteCommit(const Session &session, const PendingStatement &work);
+  /// Counts a commit that waits or is refused while this proxy sends none.
+  static void countHeldCommit(Context &ctx, const SessionServices &services);
   void sendStatement(Context &ctx, SessionServices &services, SessionId id, Session &session);
   /// Opens links for waiting statements, or borrows them from the lender if there is one.
   static void requestLinks(Context &ctx, SessionServices &services, const TargetId &target,
@@ -311,6 +317,7 @@
   std::map<SessionId, PendingSession> PendingSessions; ///< Opened before the first configuration was read.
   std::map<SessionId, Session> Sessions;
   ByteBudget<SessionId> State{0}; ///< Values and prepared statements; the limit is that of the node.
+  bool CommitsAllowed = false;    ///< Never revoked.
   std::optional<TimePoint> LastEventAt;
   std::optional<TimePoint> ResumedAt; ///< After the last time for which this process was suspended.
   std::map<DatabaseId, WaitQueues> Waiting;
