Join the late writes of the soak's store when it ends

A late write ran in a detached thread, which used the store up to 6 s later, also after its end: undefined behaviour in the unit tests and at the end of a run.

--- a/testing/platformsoak/objectstore.cpp
+++ b/testing/platformsoak/objectstore.cpp
@@ -5,7 +5,6 @@
 #include "platformsoak/sockets.h"
 
 #include <algorithm>
-#include <thread>
 
 namespace rosemaryhinge::platformsoak {
 
@@ -187,12 +186,12 @@
   if (WritesLateUntil <= nowMs() || !std::bernoulli_distribution(LateShare)(Random))
     return write();
   const auto delay = std::uniform_int_distribution<Millis>(LeastLateMs, MostLateMs)(Random);
-  std::thread([this, write, delay, era = Era] {
-    sleepMs(delay);
-    const std::lock_guard held(Lock);
-    if (State == StoreState::Serving && era == Era)
+  LateWrites.emplace_back([this, write, delay, era = Era](const std::stop_token &stop) {
+    std::unique_lock held(Lock);
+    Ending.wait_for(held, stop, std::chrono::milliseconds(delay), [] { return false; });
+    if (!stop.stop_requested() && State == StoreState::Serving && era == Era)
       write();
-  }).detach();
+  });
   return {0, ""};
 }
 
--- a/testing/platformsoak/objectstore.h
+++ b/testing/platformsoak/objectstore.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 namespace rosemaryhinge::platformsoak {
@@ -85,6 +86,8 @@
   const Millis MostLateMs;
   Millis WritesLateUntil = 0;
   std::mt19937_64 Random;
+  std::condition_variable_any Ending;   ///< Wakes late writes when the store ends.
+  std::vector<std::jthread> LateWrites; ///< Each waits until it is carried out.
   HttpServer Front;
 };
 
