Ask a running proxy before a promotion although its entry is gone

A deletion of a proxy's entry is carried out late, after its next process has registered under the same name. The proxy runs and serves callers, but the store's list lacks it: a change of primary does not ask it what it has reported, the commit fence counts as complete, and two servers that have crashed are not compared.

Cause: an entry that is gone was taken for a proxy that is gone, by the others and by the proxy itself.

- A proxy that was listed and whose entry is gone without a final one stays in the fleet map for two intervals between lists, so that a fence asks it.
After that, it is not known what it has reported, and the fence is not complete for the term (FleetMap::keepUnlisted).
- A proxy that has reported commits reads its own entry once a primary does not answer, at most every 5 s, and registers again if it is gone.
- Until it is registered again and has listed the claims, it sends no commit and reports none: a claim of meanwhile may not ask it.
- On the same path, found by reading: a final entry was dropped if the entry was gone, or had another revision since a write without an answer.

--- a/src/leadership/internal/startupclaims.cpp
+++ b/src/leadership/internal/startupclaims.cpp
@@ -1,9 +1,9 @@
-// The claims that were unfinished when this proxy started.
+// The claims that were unfinished when this proxy was registered.
 //
 // The holder of such a claim may have listed the proxies before this one was registered, and does not ask it
 // for the commits that it reports. So a proxy of a fleet sends no commit until it has listed the claims after
 // its registration, and has raised its own fence for each that is unfinished. The holder of any later claim
-// lists this proxy.
+// lists this proxy. The same holds for a proxy that registers again, since its entry was lost.
 
 #include "leadership/leadershipmodule.h"
 
@@ -21,8 +21,10 @@
 
 void LeadershipModule::readStartupClaims(Context &ctx, LeadershipServices &services) {
   const bool needed = services.Sessions.commitsHeld(services.Fleet) || !Startup.RaisedAt.empty();
-  if (needed && !Startup.Call && services.Fleet.knownSince() && ctx.Now >= Startup.ListAt)
-    listStartupClaims(ctx);
+  if (!needed || Startup.Call || services.Fleet.registration() == 0 || ctx.Now < Startup.ListAt)
+    return;
+  Startup.Registration = services.Fleet.registration();
+  listStartupClaims(ctx);
 }
 
 void LeadershipModule::listStartupClaims(Context &ctx) {
@@ -66,7 +68,7 @@
     it = followStartupClaim(ctx, services, it->first, it->second, current) ? std::next(it)
                                                                            : Startup.RaisedAt.erase(it);
   }
-  services.Sessions.allowCommits();
+  services.Sessions.allowCommits(Startup.Registration);
   if (!Startup.RaisedAt.empty())
     scheduleStartupList(ctx);
 }
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -145,6 +145,9 @@
   auto &change = run.Change;
   auto reason = findReason(run);
   logSuspicion(run, reason);
+  // The proxy that changes the primary asks those that it finds in the store.
+  if (reason && run.Services.Sessions.acknowledgedUpTo(run.Service))
+    run.Services.Fleet.verifyEntry(run.Ctx);
   const auto &catalog = run.Services.Catalog;
   // A primary that is the only server left cannot be replaced.
   const std::size_t others = catalog.servers(run.Service).size() - (change.Primary ? 1 : 0);
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -265,7 +265,7 @@
   /// An order for the server may still be carried out.
   static void recordOutstandingOrder(Run &run, const TargetId &server);
 
-  // Claims that were unfinished when this proxy started (internal/startupclaims.cpp).
+  // Claims that were unfinished when this proxy was registered (internal/startupclaims.cpp).
   void listStartupClaims(Context &ctx);
   void scheduleStartupList(Context &ctx);
   void onStartupClaims(Context &ctx, LeadershipServices &services, const DirectoryAnswer &event);
@@ -278,6 +278,7 @@
   struct StartupClaims {
     std::optional<CallId> Call;
     TimePoint ListAt;                             ///< No list before.
+    std::uint64_t Registration = 0;               ///< Of this proxy when the list was begun.
     std::vector<DirectoryObject> Pages;           ///< Received so far of a list.
     std::map<DatabaseId, std::uint64_t> RaisedAt; ///< Unfinished claims, by the revision of the last raise.
   };
--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -25,6 +25,10 @@
 /// Entries of proxies that have ended are kept for this many intervals between listings, so that every proxy
 /// has read what they reported.
 constexpr int EndedIntervals = 10;
+/// A proxy whose entry is gone is kept for this many intervals. One that is running finds out within one.
+constexpr int UnlistedIntervals = 2;
+/// An entry that was there this recently is not read again.
+constexpr Duration VerifyInterval = 5s;
 /// After a restoration of the store, the proxies announce themselves again within this time.
 constexpr Duration MaxAnnounceDelay = 500ms;
 /// Above this number of proxies, the listing interval grows in proportion to the fleet size, because the cost
@@ -76,6 +80,30 @@
   list(ctx);
 }
 
+void FleetMap::verifyEntry(Context &ctx) {
+  const bool confirmed = ctx.Now - ConfirmedAt < VerifyInterval;
+  if (!Enabled || Leaving || VerifyCall || AnnounceCall || OwnRevision == 0 || confirmed)
+    return;
+  VerifyCall = ctx.call(Module::Positions);
+  ctx.emit(DirectoryCall{*VerifyCall, CallTimeout, ReadProxy{ctx.Self.Node}});
+}
+
+void FleetMap::onVerified(Context &ctx, const DirectoryAnswer &event) {
+  if (std::holds_alternative<ProxyMissing>(event.Result))
+    onEntryLost(ctx);
+  else if (std::holds_alternative<ProxyStored>(event.Result))
+    ConfirmedAt = ctx.Now;
+}
+
+void FleetMap::onEntryLost(Context &ctx) {
+  if (Leaving || AnnounceCall)
+    return;
+  ctx.emit(Count{"proxy_entries_removed_total"});
+  ctx.emit(Log{LogLevel::Warn, "the entry of this proxy is gone; registering again", {}});
+  OwnRevision = 0;
+  announce(ctx, 0);
+}
+
 void FleetMap::addProxy(Context &ctx, const ProxyEntry &entry) {
   const auto it = Proxies.find(entry.Node);
   const bool known = it != Proxies.end() && it->second.Address == entry.Address;
@@ -86,7 +114,12 @@
 
 void FleetMap::onAnswer(Context &ctx, const DirectoryAnswer &event) {
   if (LeaveCall == event.Call) {
-    LeftBy = ctx.Now;
+    onFinalAnswer(ctx, event);
+    return;
+  }
+  if (VerifyCall == event.Call) {
+    VerifyCall.reset();
+    onVerified(ctx, event);
     return;
   }
   if (AnnounceCall == event.Call) {
@@ -119,6 +152,10 @@
     onAnnounced(ctx, stored->Revision);
     return;
   }
+  if (std::holds_alternative<ProxyMissing>(event.Result)) {
+    onEntryLost(ctx);
+    return;
+  }
   const auto *conflict = std::get_if<ProxyConflict>(&event.Result);
   if (!conflict) {
     if (!Leaving)
@@ -137,7 +174,9 @@
 }
 
 void FleetMap::onAnnounced(Context &ctx, std::uint64_t revision) {
-  OwnRevision = revision;
+  if (std::exchange(OwnRevision, revision) == 0)
+    ++Registrations;
+  ConfirmedAt = ctx.Now;
   if (!KnownSince)
     KnownSince = EarlierKnownSince ? EarlierKnownSince->value_or(revision) : 0;
   if (AnswersUnwritten && !Leaving)
@@ -199,16 +238,32 @@
     if (entry->Node != ctx.Self.Node)
       addProxy(ctx, *entry);
   }
+  keepUnlisted(ctx, before);
   onProxiesChanged();
   // A stale list may lack proxies, whichever revision it names.
   ListedRevision = ListMayBeStale ? 0 : FirstPageRevision;
   ListedAt = FirstPageAt;
+  if (listsSelf && !ListMayBeStale)
+    ConfirmedAt = FirstPageAt;
   ListAt = ctx.Now + (first ? SecondList : forFleet(ListInterval));
   deleteEnded(ctx);
-  const bool removed = !listsSelf && OwnRevision > 0 && FirstPageRevision >= OwnRevision;
-  if (removed && !Leaving && !AnnounceCall) {
-    ctx.emit(Count{"proxy_entries_removed_total"});
-    announce(ctx, 0);
+  if (!listsSelf && OwnRevision > 0 && FirstPageRevision >= OwnRevision)
+    onEntryLost(ctx);
+}
+
+void FleetMap::keepUnlisted(Context &ctx, const std::map<NodeId, ProxyEntry> &before) {
+  const auto unlistedBefore = std::exchange(Unlisted, {});
+  for (const auto &[node, entry] : before) {
+    if (Proxies.contains(node) || Ended.contains(node))
+      continue;
+    const auto it = unlistedBefore.find(node);
+    const auto since = it == unlistedBefore.end() ? ctx.Now : it->second;
+    if (ctx.Now - since >= forFleet(ListInterval) * UnlistedIntervals) {
+      ForgottenAt = FirstPageRevision;
+      continue;
+    }
+    Unlisted.emplace(node, since);
+    Proxies.emplace(node, entry);
   }
 }
 
@@ -257,15 +312,33 @@
   AnnounceAt.reset();
   ListAt.reset();
   LeftBy = ctx.Now + LeaveTimeout;
-  if (OwnRevision == 0 || !KnownSince) {
+  if (!KnownSince) {
     // There is no entry of this process, or it cannot be told from that of another one.
     LeftBy = ctx.Now;
     return;
   }
+  Final = {*KnownSince, std::move(reported)};
+  writeFinal(ctx, OwnRevision);
+}
+
+void FleetMap::writeFinal(Context &ctx, std::uint64_t revision) {
   ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress, ctx.Incarnation};
-  entry.Final = ReportedCommits{*KnownSince, std::move(reported)};
+  entry.Final = Final;
   LeaveCall = ctx.call(Module::Positions);
-  ctx.emit(DirectoryCall{*LeaveCall, LeaveTimeout, PutProxy{std::move(entry), OwnRevision}});
+  ctx.emit(DirectoryCall{*LeaveCall, LeaveTimeout, PutProxy{std::move(entry), revision}});
+}
+
+void FleetMap::onFinalAnswer(Context &ctx, const DirectoryAnswer &event) {
+  const auto *conflict = std::get_if<ProxyConflict>(&event.Result);
+  // An earlier call without an answer was carried out.
+  const bool own = conflict && conflict->Current && conflict->Current->Incarnation == ctx.Incarnation &&
+                   !conflict->Current->Final;
+  if (own)
+    writeFinal(ctx, conflict->Revision);
+  else if (std::holds_alternative<ProxyMissing>(event.Result))
+    writeFinal(ctx, 0);
+  else
+    LeftBy = ctx.Now;
 }
 
 void FleetMap::onProxiesChanged() {
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -4,6 +4,10 @@
 // Entries of crashed proxies are not removed, so the map gives candidates to contact and does not show which
 // proxies are alive.
 //
+// An entry can also be lost while its proxy is running: an operator deletes it, a deletion is carried out
+// late, or the store comes back from an older copy. The others keep such a proxy for a while, so that a
+// change of primary asks it. The proxy registers again once it finds out, and sends no commit in between.
+//
 // A proxy that ends as planned leaves in its entry what it has reported to callers as committed. Its
 // successor goes on with that record. One that finds the entry of a process that was killed knows what its
 // node has reported only since its own registration.
@@ -12,6 +16,7 @@
 
 #include "protocol/context.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,6 +36,8 @@
   [[nodiscard]] std::optional<TimePoint> nextTimer() const;
   /// Lists the proxies as of now, unless a listing is under way or has just failed.
   void refresh(Context &ctx);
+  /// Reads this proxy's own entry, unless it was there a short time ago.
+  void verifyEntry(Context &ctx);
   /// Revision of the store up to which the registrations are known; 0 if none has been listed as of a
   /// revision.
   [[nodiscard]] std::uint64_t listedRevision() const { return ListedRevision; }
@@ -38,6 +45,9 @@
   [[nodiscard]] TimePoint listedAt() const { return ListedAt; }
   /// Whether proxies know of each other.
   [[nodiscard]] bool enabled() const { return Enabled; }
+  /// Number of the present registration, which differs after the entry was lost; 0 if this process is not
+  /// known to be registered.
+  [[nodiscard]] std::uint64_t registration() const { return OwnRevision > 0 ? Registrations : 0; }
   /// The store has come back from an older copy, which may lack this proxy's entry and those of others.
   void onStoreRestored(Context &ctx);
   /// Marks this proxy's entry as final. Called once it serves no callers any more: a change of primary asks
@@ -53,8 +63,8 @@
   [[nodiscard]] std::optional<std::uint64_t> knownSince() const { return KnownSince; }
   /// What proxies that have ended as planned have reported, an earlier process of this node included.
   [[nodiscard]] const std::map<DatabaseId, Position> &reportedByEnded() const { return ReportedByEnded; }
-  /// Since when that is known of all of them.
-  [[nodiscard]] std::uint64_t endedKnownSince() const { return EndedKnownSince; }
+  /// Since when it is known what the proxies have reported that are not listed any more.
+  [[nodiscard]] std::uint64_t endedKnownSince() const { return std::max(EndedKnownSince, ForgottenAt); }
 
   /// Returns the proxies of an availability zone, including this one, in rendezvous order for the key. Valid
   /// until the next call of a member function.
@@ -86,12 +96,21 @@
   void onAnnounceAnswer(Context &ctx, const DirectoryAnswer &event);
   /// This process is registered by an entry of this revision.
   void onAnnounced(Context &ctx, std::uint64_t revision);
+  /// The entry of this process is gone.
+  void onEntryLost(Context &ctx);
+  void onVerified(Context &ctx, const DirectoryAnswer &event);
+  /// Writes the final entry, on condition of its revision.
+  void writeFinal(Context &ctx, std::uint64_t revision);
+  void onFinalAnswer(Context &ctx, const DirectoryAnswer &event);
   /// Takes over the record of an earlier process of this node.
   /// \param entry Absent if it cannot be read.
   void adoptRecord(const std::optional<ProxyEntry> &entry);
   void addReported(const ReportedCommits &reported);
   void list(Context &ctx);
   void onListed(Context &ctx);
+  /// Keeps the proxies whose entry is gone although they did not end as planned.
+  /// \param before The proxies before the listing.
+  void keepUnlisted(Context &ctx, const std::map<NodeId, ProxyEntry> &before);
   /// Deletes entries of proxies that ended long ago and did not come back. Each is deleted by one proxy.
   void deleteEnded(Context &ctx);
   void addProxy(Context &ctx, const ProxyEntry &entry);
@@ -109,6 +128,8 @@
   std::vector<DirectoryObject> PartialListing; ///< Pages received so far of a paginated listing.
   std::optional<CallId> AnnounceCall;
   std::optional<CallId> ListCall;
+  std::optional<CallId> VerifyCall;
+  TimePoint ConfirmedAt;               ///< When this proxy's entry was last known to be there.
   bool ListMayBeStale = false;         ///< Of the listing that is under way.
   std::uint64_t FirstPageRevision = 0; ///< A later registration may be missing from the pages before it.
   std::uint64_t ListedRevision = 0;
@@ -117,9 +138,11 @@
   TimePoint RefreshAfter; ///< No listing on request before.
   std::optional<CallId> LeaveCall;
   std::optional<TimePoint> LeftBy; ///< When this proxy counts as having left.
+  ReportedCommits Final;           ///< For the final entry.
   std::optional<TimePoint> AnnounceAt;
   std::optional<TimePoint> ListAt;
   std::uint64_t OwnRevision = 0; ///< Of this process's entry; 0 if it is not known to be registered.
+  std::uint64_t Registrations = 0;
   std::optional<std::uint64_t> KnownSince;
   std::map<DatabaseId, StoredFenceAnswer> FenceAnswers;
   bool AnswersUnwritten = false; ///< FenceAnswers has changed since the entry was last sent.
@@ -132,6 +155,10 @@
     TimePoint SeenAt; ///< When this revision was first listed.
   };
   std::map<NodeId, EndedProxy> Ended;
+  /// Proxies of the map whose entry is gone, with the time of the first list that lacked it.
+  std::map<NodeId, TimePoint> Unlisted;
+  /// Revision at which a proxy was dropped of which it is not known what it has reported; 0 if none was.
+  std::uint64_t ForgottenAt = 0;
   bool Enabled = false; ///< Whether this proxy has an address for peer connections.
   bool Leaving = false;
   bool HasListedOnce = false;
--- a/src/positions/tests/fleetmaptests.cpp
+++ b/src/positions/tests/fleetmaptests.cpp
@@ -74,6 +74,15 @@
 
 const DatabaseId Yard("yard");
 
+DirectoryObject ownEntry() {
+  return {"n1", false, ProxyEntry{NodeId("n1"), AvailabilityZone("z"), "10.0.0.1:1", 1}};
+}
+
+/// The entry of another proxy that is running.
+DirectoryObject otherEntry() {
+  return {"n2", false, ProxyEntry{NodeId("n2"), AvailabilityZone("z"), "10.0.0.2:1", 5}};
+}
+
 /// The entry of an earlier process of the node.
 ProxyEntry earlierEntry(std::optional<ReportedCommits> final) {
   ProxyEntry out{NodeId("n1"), AvailabilityZone("z"), "10.0.0.1:1", 7};
@@ -197,3 +206,90 @@
   it.answerList(31);
   CHECK(it.takeCall<PutProxy>());
 }
+
+TEST_CASE("a proxy whose entry is gone without a final one is asked, until it can be taken as ended") {
+  // Guards against a running proxy that a change of primary does not ask, since the store has lost its entry.
+  Proxy it;
+  it.answerPut(ProxyStored{30});
+  it.Entries = {ownEntry(), otherEntry()};
+  it.pass(2s);
+  it.answerList(31);
+  it.Entries = {ownEntry()};
+  it.pass(31s);
+  it.answerList(32);
+  CHECK(it.Fleet.others(NodeId("n1")) == std::vector{NodeId("n2")});
+  CHECK(it.Fleet.endedKnownSince() == 0);
+  it.pass(31s);
+  it.answerList(33);
+  it.pass(31s);
+  it.answerList(34);
+  CHECK(it.Fleet.others(NodeId("n1")).empty());
+  CHECK(it.Fleet.endedKnownSince() == 34);
+}
+
+TEST_CASE("a proxy that has registered again after its entry was gone is not taken as ended") {
+  Proxy it;
+  it.answerPut(ProxyStored{30});
+  it.Entries = {ownEntry(), otherEntry()};
+  it.pass(2s);
+  it.answerList(31);
+  it.Entries = {ownEntry()};
+  it.pass(31s);
+  it.answerList(32);
+  it.Entries = {ownEntry(), otherEntry()};
+  for (int n = 0; n < 4; ++n) {
+    it.pass(31s);
+    it.answerList(33);
+  }
+  CHECK(it.Fleet.others(NodeId("n1")) == std::vector{NodeId("n2")});
+  CHECK(it.Fleet.endedKnownSince() == 0);
+}
+
+TEST_CASE("a proxy that finds its entry gone is not registered until it is stored again") {
+  // Guards against commits that are reported by a proxy which a change of primary does not ask.
+  Proxy it;
+  it.answerPut(ProxyStored{30});
+  const auto first = it.Fleet.registration();
+  CHECK(first > 0);
+  it.Entries = {ownEntry()};
+  it.pass(6s);
+  it.answerList(31);
+  it.Now += 6s;
+  it.Fleet.verifyEntry(it.ctx());
+  const auto read = it.takeCall<ReadProxy>();
+  REQUIRE(read);
+  it.Fleet.onAnswer(it.ctx(), {read->first, ProxyMissing{}});
+  CHECK(it.Fleet.registration() == 0);
+  it.answerPut(ProxyStored{35});
+  CHECK(it.Fleet.registration() > first);
+  CHECK(it.Fleet.knownSince() == 0U);
+}
+
+TEST_CASE("an entry that was there a short time ago is not read again") {
+  // Guards against a call to the store each time that a primary is looked at.
+  Proxy it;
+  it.answerPut(ProxyStored{30});
+  it.Fleet.verifyEntry(it.ctx());
+  CHECK_FALSE(it.takeCall<ReadProxy>());
+  it.Now += 6s;
+  it.Fleet.verifyEntry(it.ctx());
+  const auto read = it.takeCall<ReadProxy>();
+  REQUIRE(read);
+  it.Fleet.onAnswer(it.ctx(), {read->first, ProxyStored{30}});
+  it.Fleet.verifyEntry(it.ctx());
+  CHECK_FALSE(it.takeCall<ReadProxy>());
+}
+
+TEST_CASE("a proxy that ends leaves what it has reported although its entry is gone or was written since") {
+  // Guards against lost commits that only the ended process had reported.
+  Proxy it;
+  it.answerPut(ProxyStored{30});
+  it.Fleet.startLeaving(it.ctx(), {{Yard, {3, 8}}});
+  CHECK(it.answerPut(ProxyMissing{}).Final);
+  const ProxyEntry own{NodeId("n1"), AvailabilityZone("z"), "10.0.0.1:1", 1};
+  CHECK(it.answerPut(ProxyConflict{36, own}).Final);
+  const auto put = it.takeCall<PutProxy>();
+  REQUIRE(put);
+  CHECK(put->second.Revision == 36);
+  CHECK((put->second.Entry.Final->UpTo.at(Yard) == Position{3, 8}));
+}
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -173,6 +173,10 @@
   ProxyEntry Entry;
   std::uint64_t Revision = 0; ///< 0: there is no entry yet.
 };
+/// Reads the entry of a proxy.
+struct ReadProxy {
+  NodeId Node;
+};
 /// Deletes the entry of a proxy. Takes effect only if the entry has this revision.
 struct DeleteProxy {
   NodeId Node;
@@ -188,7 +192,8 @@
 struct DirectoryCall {
   CallId Call;
   Duration Timeout{};
-  std::variant<ListDirectory, WatchDirectory, PutClaim, PutProxy, DeleteProxy, PutQuotaLease, PutFenceNotice>
+  std::variant<ListDirectory, WatchDirectory, PutClaim, PutProxy, ReadProxy, DeleteProxy, PutQuotaLease,
+               PutFenceNotice>
       Request;
 };
 
@@ -237,9 +242,12 @@
 struct QuotaLeaseConflict {
   QuotaLease Current;
 };
+/// There is an entry, of this revision.
 struct ProxyStored {
   std::uint64_t Revision = 0;
 };
+/// There is no entry of this name, where one was to be read or replaced.
+struct ProxyMissing {};
 /// There is an entry of this name; it has this revision.
 struct ProxyConflict {
   std::uint64_t Revision = 0;
@@ -257,8 +265,8 @@
 struct DirectoryAnswer {
   CallId Call;
   std::variant<DirectoryListing, DirectoryChanges, DirectoryHistoryCompacted, ClaimStored, ClaimConflict,
-               ProxyStored, ProxyConflict, QuotaLeaseStored, QuotaLeaseConflict, FenceNoticeStored,
-               FenceNoticeConflict, DirectoryFailure>
+               ProxyStored, ProxyMissing, ProxyConflict, QuotaLeaseStored, QuotaLeaseConflict,
+               FenceNoticeStored, FenceNoticeConflict, DirectoryFailure>
       Result;
   std::uint64_t Era = 0; ///< Era of the store that has answered; 0 if none is known.
 };
--- a/src/reducer/tests/commitfencetests.cpp
+++ b/src/reducer/tests/commitfencetests.cpp
@@ -305,6 +305,37 @@
   CHECK(order->Target == TargetId("b"));
 }
 
+TEST_CASE("a running proxy whose entry is gone is asked before a promotion") {
+  // Guards against lost commits: a late deletion took a proxy off the list that reports commits.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2", "n3"});
+  proxy.removeEntry("n3");
+  auto service = serviceWithLostPrimary();
+  service.Acknowledged = {1, 30};
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  peers.Acknowledged[Other] = {1, 30};
+  CHECK_FALSE(awaitOrder(service, proxy, peers, 5s));
+  CHECK(peers.AskedAt.contains(Other));
+  CHECK_FALSE(service.LostCommits);
+}
+
+TEST_CASE("a proxy that has reported commits looks for its own entry once the primary does not answer") {
+  // Guards against lost commits: a proxy that nobody has listed is not asked, and does not notice in time.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  proxy.pass(10s);
+  CHECK_FALSE(proxy.takeReadProxy());
+  proxy.write(proxy.open("settle"), "w2");
+  while (const auto open = proxy.take<OpenLink>())
+    proxy.apply(LinkClosed{open->Link, LinkFailure::Refused});
+  proxy.pass(1s);
+  CHECK(proxy.takeReadProxy());
+}
+
 TEST_CASE("a proxy that a notice in the store names raises the fence and answers in its entry") {
   // Guards against lost commits of a proxy that is cut off from the others and not from the primary.
   SessionHarness proxy;
--- a/src/reducer/tests/sessionharness.h
+++ b/src/reducer/tests/sessionharness.h
@@ -83,10 +83,16 @@
     for (const auto &it : others)
       Fleet->push_back({it, false, ProxyEntry{NodeId(it), AvailabilityZone("z1"), "10.0.0.2:7000"}});
     Logic.Self.PeerAddress = "10.0.0.1:7000";
+    Fleet->push_back({"n1", false, ProxyEntry{Logic.Self.Node, AvailabilityZone("z1"), "10.0.0.1:7000", 7}});
     apply(Started{1, 7});
     pass(400ms);
   }
 
+  /// The store loses the entry of a proxy of the fleet.
+  void removeEntry(const std::string &node) {
+    std::erase_if(*Fleet, [&](const DirectoryObject &it) { return it.Name == node; });
+  }
+
   /// Receives a message of another proxy.
   void receive(const NodeId &from, PeerMessage message) { apply(PeerReceived{from, std::move(message)}); }
 
@@ -104,6 +110,8 @@
 
   /// Removes and returns the oldest pending write of the proxy's own entry, if any.
   std::optional<PutProxy> takePutProxy() { return takeStoreCall<PutProxy>(); }
+  /// Removes a pending read of the proxy's own entry. Returns whether there was one.
+  bool takeReadProxy() { return takeStoreCall<ReadProxy>().has_value(); }
   /// Removes and returns the oldest pending notice to proxies that do not answer, if any.
   std::optional<FenceNotice> takeNotice() {
     const auto put = takeStoreCall<PutFenceNotice>();
--- a/src/reducer/tests/startupclaimtests.cpp
+++ b/src/reducer/tests/startupclaimtests.cpp
@@ -194,6 +194,23 @@
   CHECK(fence.raised(proxy.Now));
 }
 
+TEST_CASE("a proxy whose entry is gone sends and reports no commit until it has listed the claims again") {
+  // Guards against lost commits: a change of primary that began meanwhile does not ask this proxy.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  proxy.write(proxy.open("settle"), "w1");
+  const auto link = linkOf(proxy, "w1");
+  REQUIRE(link);
+  proxy.removeEntry("n1");
+  proxy.pass(31s);
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  CHECK(rejectedAs(outcomeOf(proxy, "w1"), Rejection::InDoubt));
+  proxy.write(proxy.open("settle"), "w2");
+  CHECK_FALSE(linkOf(proxy, "w2"));
+  proxy.answerList(DirectoryKind::Claims, {claimOf("n2", 30, true)});
+  CHECK(linkOf(proxy, "w2"));
+}
+
 TEST_CASE("a proxy without a fleet sends writes at once") {
   // Guards against a proxy that waits for a registration which never comes.
   SessionHarness proxy;
--- a/src/sessions/internal/dispatch.cpp
+++ b/src/sessions/internal/dispatch.cpp
@@ -320,7 +320,7 @@
 }
 
 void SessionsModule::countHeldCommit(Context &ctx, const SessionServices &services) {
-  const std::string reason = services.Fleet.knownSince() ? "claims_not_listed" : "not_registered";
+  const std::string reason = services.Fleet.registration() > 0 ? "claims_not_listed" : "not_registered";
   ctx.emit(Count{"commits_held_total{reason=\"" + reason + "\"}"});
 }
 
@@ -334,7 +334,7 @@
   if (isWriteCommit(session, work) && commitsHeld(services.Fleet)) {
     countHeldCommit(ctx, services);
     const auto code = session.Transaction ? Rejection::Aborted : Rejection::Busy;
-    handleRejection(ctx, services, id, session, {code, "not committed: the proxy is starting"},
+    handleRejection(ctx, services, id, session, {code, "not committed: the proxy is being registered"},
                     TransactionState::Open);
     return;
   }
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -162,7 +162,8 @@
   const bool formerTerm = event.At && event.At->Term < service.LeaderTerm;
   if (formerTerm)
     services.Catalog.denyPrimary(reply.Target);
-  else if (!suspended && !service.Fence.withholds(reply.Target, event.At, ctx.Now))
+  else if (!suspended && !commitsHeld(services.Fleet) &&
+           !service.Fence.withholds(reply.Target, event.At, ctx.Now))
     return false;
   ctx.emit(Count{"commits_withheld_total"});
   return true;
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -83,10 +83,13 @@
   void onEvent(Context &ctx);
   /// The fence of a service, which other proxies and changes of primary raise and end.
   [[nodiscard]] CommitFence &commitFence(const DatabaseId &service) { return Services[service].Fence; }
-  /// Whether this proxy sends no commit yet: a change of primary that began before its registration in the
-  /// fleet does not ask it what it has reported.
-  [[nodiscard]] bool commitsHeld(const FleetMap &fleet) const { return fleet.enabled() && !CommitsAllowed; }
-  void allowCommits() { CommitsAllowed = true; }
+  /// Whether this proxy sends no commit, and reports none that it has sent before: a change of primary that
+  /// began before its present registration in the fleet may not ask it what it has reported.
+  [[nodiscard]] bool commitsHeld(const FleetMap &fleet) const {
+    return fleet.enabled() && (fleet.registration() == 0 || fleet.registration() != CommitsAllowedFor);
+  }
+  /// \param registration FleetMap::registration() of when the claims were listed that are known.
+  void allowCommits(std::uint64_t registration) { CommitsAllowedFor = registration; }
   /// A position of the primary of a service that covers each commit acknowledged before the given time, also
   /// through other proxies. Empty if this proxy has none.
   [[nodiscard]] std::optional<Position> positionCovering(const DatabaseId &service,
@@ -316,8 +319,8 @@
   std::map<SessionId, TimePoint> Connected; ///< No session has started yet; with the time of connecting.
   std::map<SessionId, PendingSession> PendingSessions; ///< Opened before the first configuration was read.
   std::map<SessionId, Session> Sessions;
-  ByteBudget<SessionId> State{0}; ///< Values and prepared statements; the limit is that of the node.
-  bool CommitsAllowed = false;    ///< Never revoked.
+  ByteBudget<SessionId> State{0};      ///< Values and prepared statements; the limit is that of the node.
+  std::uint64_t CommitsAllowedFor = 0; ///< Registration of this proxy; 0 before the first one.
   std::optional<TimePoint> LastEventAt;
   std::optional<TimePoint> ResumedAt; ///< After the last time for which this process was suspended.
   std::map<DatabaseId, WaitQueues> Waiting;
--- a/testing/directoryworld/store.cpp
+++ b/testing/directoryworld/store.cpp
@@ -114,6 +114,11 @@
     Proxies[put->Entry.Node.str()] = {put->Entry.Node.str(), false, put->Entry};
     return ProxyStored{Revision};
   }
+  if (const auto *read = std::get_if<ReadProxy>(&call.Request)) {
+    if (Proxies.contains(read->Node.str()))
+      return ProxyStored{Revision};
+    return ProxyMissing{};
+  }
   if (const auto *end = std::get_if<DeleteProxy>(&call.Request)) {
     ++Revision;
     Proxies.erase(end->Node.str());
--- a/testing/sessionworld/directorystore.cpp
+++ b/testing/sessionworld/directorystore.cpp
@@ -71,6 +71,13 @@
   answerWatches();
 }
 
+void DirectoryStore::deleteProxy(const NodeId &node) {
+  if (Now.ProxyRevisions.erase(node) == 0)
+    return;
+  Now.Proxies.erase(node);
+  ++Now.Number;
+}
+
 void DirectoryStore::publishConfiguration() {
   ++Published.Version;
   Published.Routes.push_back(route("route" + std::to_string(Published.Version), Consistency::Primary));
@@ -167,13 +174,15 @@
   } else if (const auto *notice = std::get_if<PutFenceNotice>(&call.Request)) {
     out.Result = storeNotice(*notice);
     answerWatches();
+  } else if (const auto *read = std::get_if<ReadProxy>(&call.Request)) {
+    if (const auto it = Now.ProxyRevisions.find(read->Node); it != Now.ProxyRevisions.end())
+      out.Result = ProxyStored{it->second};
+    else
+      out.Result = ProxyMissing{};
   } else if (const auto *proxy = std::get_if<DeleteProxy>(&call.Request)) {
     if (const auto it = Now.ProxyRevisions.find(proxy->Node);
-        it != Now.ProxyRevisions.end() && storeNumber(it->second) == storeNumber(proxy->Revision)) {
-      Now.Proxies.erase(proxy->Node);
-      Now.ProxyRevisions.erase(it);
-      ++Now.Number;
-    }
+        it != Now.ProxyRevisions.end() && storeNumber(it->second) == storeNumber(proxy->Revision))
+      deleteProxy(proxy->Node);
     out.Result = ProxyStored{};
   }
   return out;
@@ -191,7 +200,7 @@
 decltype(DirectoryAnswer::Result) DirectoryStore::storeProxy(const PutProxy &put) {
   const auto current = Now.Proxies.find(put.Entry.Node);
   if (current == Now.Proxies.end() && put.Revision != 0)
-    return DirectoryFailure{"no such object", true};
+    return ProxyMissing{};
   auto &revision = Now.ProxyRevisions[put.Entry.Node];
   if (storeNumber(revision) != storeNumber(put.Revision))
     return ProxyConflict{revision, current->second};
--- a/testing/sessionworld/directorystore.h
+++ b/testing/sessionworld/directorystore.h
@@ -27,6 +27,8 @@
   void publishServers(bool unchanged = false);
   /// Removes the entry of a server that has ended as announced.
   void withdraw(const TargetId &target);
+  /// Deletes the entry of a proxy, whoever wrote it.
+  void deleteProxy(const NodeId &node);
   /// Writes a configuration of the next version, as the operator does.
   void publishConfiguration();
   [[nodiscard]] std::uint64_t configurationVersion() const { return Published.Version; }
--- a/testing/sessionworld/replacements.cpp
+++ b/testing/sessionworld/replacements.cpp
@@ -100,6 +100,11 @@
       suspendProxy(proxy, length());
   if (faults.ProxyPartitions && PeerRandom.chance(FaultProbability))
     partitionProxy(PeerRandom.between(MinFaultLength, MaxFaultLength));
+  if (faults.EntryDeletions && PeerRandom.chance(FaultProbability)) {
+    const auto &node = Proxies[Live[PeerRandom.below(Live.size())]]->Logic.Self.Node;
+    trace("the entry of " + node.str() + " is deleted");
+    Store.deleteProxy(node);
+  }
 }
 
 void World::cutProxies(std::size_t server, Duration length) {
--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -148,3 +148,12 @@
   playSeeds(options, {1, 2, 3}, peerLinks(), FaultsBeside);
   playSeeds(options, {30053});
 }
+
+TEST_CASE("no acknowledged commit is lost when servers are replaced beside deleted entries of proxies") {
+  // Guards against a running proxy that is not asked what it has reported, since the store has lost its
+  // entry.
+  WorldOptions options;
+  options.BesideReplacements = {true, true, true, true, false, true};
+  options.Restarts = RestartsBeside;
+  playSeeds(options, {1, 2, 3, 35, 55}, peerLinks(), FaultsBeside);
+}
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -26,6 +26,7 @@
   bool ReplicationCuts = false; ///< The replicas lose the primary, except for one that joins.
   bool Suspensions = false;     ///< Of proxies.
   bool ProxyPartitions = false; ///< A proxy is cut from the others.
+  bool EntryDeletions = false;  ///< The store loses the entry of a proxy.
 };
 
 struct WorldOptions {
