Repeat an order to a server only after an interval

Cause: at the end of selectBesidePrimary the candidate is asked for its status, or paused, without regard to what it has answered, and each answer runs the step again.

A candidate that is paused is not paused again; its pause is verified every 100 ms like that of the others. Until the others have been paused long enough, its status is read at the interval of other status queries. Besides, sendRequest repeats an order that a server has carried out only after 100 ms, whichever step asks for it: the resumption of a candidate has the same form.

--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -33,7 +33,8 @@
 /// A request to a server, on a link of its own.
 struct ServerRequest {
   LinkId Link;
-  bool Sent = false; ///< An answer is outstanding.
+  bool Sent = false;       ///< An answer is outstanding.
+  bool CarriedOut = false; ///< The server has answered with its status.
   ServerOrder Order = ServerOrder::ReadStatus;
   TimePoint SentAt;
 };
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -213,8 +213,10 @@
     return;
   if (!change.OthersPausedAt)
     change.OthersPausedAt = run.Ctx.Now;
-  const bool caughtUp = run.Ctx.Now - *change.OthersPausedAt >= CatchUpTime;
-  sendRequest(run, *candidate, caughtUp ? Order::Pause : Order::ReadStatus);
+  if (run.Ctx.Now - *change.OthersPausedAt < CatchUpTime)
+    queryAgain(run, *candidate);
+  else if (!change.Servers.at(*candidate).Paused)
+    sendRequest(run, *candidate, Order::Pause);
 }
 
 void LeadershipModule::onCandidateFound(Run &run, const TargetId &candidate) {
--- a/src/leadership/internal/serverrequests.cpp
+++ b/src/leadership/internal/serverrequests.cpp
@@ -12,6 +12,8 @@
 
 /// A request to a server that has no answer is sent again on another link.
 constexpr Duration RequestTimeout = 600ms;
+/// An order that a server has carried out is not repeated within this time.
+constexpr Duration OrderInterval = 100ms;
 /// Interval at which a replica that has to receive more is queried.
 constexpr Duration QueryInterval = 20ms;
 
@@ -29,6 +31,9 @@
     it = change.Requests.end();
     forgetState(change, target);
   }
+  const bool repeated = it != change.Requests.end() && it->second.CarriedOut && it->second.Order == order;
+  if (repeated && order != Order::ReadStatus && ctx.Now - it->second.SentAt < OrderInterval)
+    return;
   if (it == change.Requests.end()) {
     const auto link = services.Links.acquire(target, {SessionId(), true}, {}, ctx.Now);
     if (!link) {
@@ -36,10 +41,11 @@
       services.Links.openLinks(ctx, services.Catalog, target, 1, LinkPurpose::Control);
       return;
     }
-    it = change.Requests.emplace(target, detail::ServerRequest{*link, false, order, {}}).first;
+    it = change.Requests.emplace(target, detail::ServerRequest{*link, false, false, order, {}}).first;
   }
   auto &request = it->second;
   request.Sent = true;
+  request.CarriedOut = false;
   request.Order = order;
   request.SentAt = ctx.Now;
   ctx.emit(Count{order == Order::ReadStatus ? "status_queries_total" : "orders_total"});
@@ -98,6 +104,7 @@
             {{"server", reply.Target.str()}, {"why", why ? std::string(toString(why->Code)) : "no status"}}});
     return;
   }
+  request.CarriedOut = true;
   recordStatus(run, reply.Target, request, *event.Status);
   if (selecting)
     selectCandidate(run);
--- a/src/reducer/tests/commitfencetests.cpp
+++ b/src/reducer/tests/commitfencetests.cpp
@@ -438,3 +438,21 @@
   service.playWithCallers(proxy, 1s);
   CHECK_FALSE(service.LostCommits);
 }
+
+TEST_CASE("a replica gets the same order again only after a while, however long the change waits for a log") {
+  // Guards against a load of orders on a server that has to recover: each answer was followed by the next
+  // one.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  auto service = serviceWithLostPrimary();
+  service.end(proxy, "a", false);
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  // Its record does not cover the term, so that the server that ended has to be compared.
+  peers.KnownSince[Holder] = 1'000;
+  CHECK_FALSE(awaitOrder(service, proxy, peers, 8s));
+  const auto &paused = service.PausedAt["b"];
+  CHECK_FALSE(paused.empty());
+  for (std::size_t n = 1; n < paused.size(); ++n)
+    CHECK(paused[n] - paused[n - 1] >= 100ms);
+}
