Record as set on a link only what its server has confirmed

A caller in a transaction at a primary that has just lost the lead sends SET and a read, and leaves. The server refuses both. The next sessions with the same value find it recorded on the link, and run without it until the link is closed.

Cause: LinkPool::prepare recorded values and names as their commands were sent, and a discard as done. A refusal was looked at only by the session or the loan that had sent the command, while it lasted.

The pool now records a value, a name or a discard when its answer has come, whoever still waits for it. A refusal makes the link unusable: it is closed at once if nobody uses it, and on its release otherwise, so that a session or a lender that has gone makes no difference. A counter and a log line tell of refusals.

Related paths: the lender (its test fails without the change), a discard that is refused, a prepared name after it, a rollback of the proxy's own, a commit of a failed transaction. An answer that is cut off ends the link already (linecodec), and a borrower keeps no record of a lent link. Two tests of the pool called prepare without sending its commands; they now send them and have them confirmed, and check the same.

The new tests fail on the code before: the reducer's ("REQUIRE( closed )"), the lender's and four of the pool.

--- a/src/lending/tests/lendertests.cpp
+++ b/src/lending/tests/lendertests.cpp
@@ -309,3 +309,23 @@
   it.accept();
   CHECK(it.told<LoanGrant>(Other).size() == 1);
 }
+
+TEST_CASE("a value that is refused after the loan has ended closes the connection") {
+  // Guards against a borrower that runs statements without the values of its session on a link that was lent
+  // to another one before.
+  Fixture it;
+  it.request(Near, 1);
+  it.accept();
+  REQUIRE(it.told<LoanGrant>(Near).size() == 1);
+  it.Lending.onCommands(
+      it.ctx(), it.Services, Near,
+      {Fixture::loan(1), {{"zone", "north"}}, std::nullopt, {RunStatement{"s", "READ 1", std::nullopt}}});
+  REQUIRE(it.sent().size() == 1);
+  const auto link = it.sent().back().Link;
+  it.end(Near, 1);
+  it.answer(link, StatementRejection{Rejection::ReadOnly, ""}, TransactionState::Failed);
+  CHECK(std::any_of(it.Out.begin(), it.Out.end(), [&](const Effect &one) {
+    const auto *close = std::get_if<CloseLink>(&one);
+    return close && close->Link == link;
+  }));
+}
--- a/src/links/internal/commands.cpp
+++ b/src/links/internal/commands.cpp
@@ -6,6 +6,7 @@
 #include "links/internal/sessionvalues.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemaryhinge {
 
@@ -50,24 +51,47 @@
     return out;
   }
   const bool tooMany = shape && link.Prepared.size() >= MaxPrepared;
-  if (!detail::setsAllNamesOf(values, link.Values) || tooMany) {
+  const bool discard = link.Uncertain || !detail::setsAllNamesOf(values, link.Values) || tooMany;
+  if (discard)
     out.emplace_back(DiscardSession{});
-    link.Values.clear();
-    link.Prepared.clear();
-  }
-  for (const auto &[name, value] : values) {
-    const auto it = link.Values.find(name);
-    if (it != link.Values.end() && it->second == value)
-      continue;
-    out.emplace_back(SetSessionValue{name, value});
-    link.Values[name] = value;
-  }
+  for (const auto &[name, value] : values)
+    if (const auto it = link.Values.find(name); discard || it == link.Values.end() || it->second != value)
+      out.emplace_back(SetSessionValue{name, value});
   if (shape)
-    if (auto name = preparedName(*shape); link.Prepared.insert(name).second)
+    if (auto name = preparedName(*shape); discard || !link.Prepared.contains(name))
       out.emplace_back(PrepareOnServer{std::move(name), shape->Mode, shape->Shape});
   return out;
 }
 
+void LinkPool::recordPreparation(Context &ctx, Link &link, const PendingReply &awaited,
+                                 const LinkReplied &event) {
+  const auto *why = std::get_if<StatementRejection>(&event.Outcome);
+  if (awaited.Preparation && why) {
+    link.Unusable = true;
+    ctx.emit(Count{"link_preparations_refused_total{reason=\"" + std::string(toString(why->Code)) + "\"}"});
+  } else if (awaited.Preparation) {
+    std::visit(Overloaded{
+                   [&](const SetSessionValue &it) { link.Values[it.Name] = it.Value; },
+                   [&](const PrepareOnServer &it) { link.Prepared.insert(it.Name); },
+                   [&](const DiscardSession &) {
+                     link.Values.clear();
+                     link.Prepared.clear();
+                     link.Uncertain = false;
+                   },
+                   [](const auto &) {},
+               },
+               *awaited.Preparation);
+    link.PreparedInTransaction = link.PreparedInTransaction || event.State != TransactionState::Idle;
+  }
+  if (event.State != TransactionState::Idle)
+    return;
+  // The only statement that ends a transaction and succeeds is a commit. That of a failed one rolls back.
+  const bool committed =
+      awaited.Step == LinkStep::Statement && !why && link.ServerState == TransactionState::Open;
+  if (std::exchange(link.PreparedInTransaction, false) && !committed)
+    link.Uncertain = true;
+}
+
 void LinkPool::send(Context &ctx, LinkId id, std::vector<LinkCommand> commands) {
   auto &link = Links.at(id);
   auto &server = Servers[link.Target];
@@ -85,7 +109,9 @@
                                                std::holds_alternative<RollbackTransaction>(commands[n + 1])));
     const bool inTransaction =
         run && link.ServerState == TransactionState::Open && link.InReadOnlyTransaction;
-    link.PendingReplies.push_back({stepOf(commands[n]), ctx.Now, single || inTransaction});
+    const auto step = stepOf(commands[n]);
+    link.PendingReplies.push_back({step, ctx.Now, single || inTransaction,
+                                   step == LinkStep::Prepare ? std::optional(commands[n]) : std::nullopt});
   }
   if (!link.Lender.empty()) {
     ctx.emit(SendToPeer{link.Lender, LoanCommands{{ctx.Incarnation, id.Value},
@@ -106,6 +132,7 @@
   auto &link = it->second;
   const auto awaited = link.PendingReplies.front();
   link.PendingReplies.pop_front();
+  recordPreparation(ctx, link, awaited, event);
   link.ServerState = event.State;
   if (link.Lender.empty()) {
     auto &server = Servers[link.Target];
@@ -116,7 +143,7 @@
       --server.LinksAwaitingReply;
   }
   Reply out{awaited.Step, link.User, link.Target, link.Service, awaited.SentAt, link.PendingReplies.empty()};
-  if (link.InUse || !link.PendingReplies.empty())
+  if (link.InUse || (!link.Unusable && !link.PendingReplies.empty()))
     return out;
   // If the transaction is still open after the rollback, the link is unusable.
   if (awaited.Step == LinkStep::End && event.State != TransactionState::Idle)
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -23,7 +23,10 @@
       continue;
     if (!user.own() && link.Workspace != user.Workspace)
       continue;
-    const int rank = link.Values == values ? 2 : detail::setsAllNamesOf(values, link.Values) ? 1 : 0;
+    const int rank = link.Uncertain                                ? 0
+                     : link.Values == values                       ? 2
+                     : detail::setsAllNamesOf(values, link.Values) ? 1
+                                                                   : 0;
     // Among equal ranks, choose the most recently used, so that surplus links reach the idle time-out.
     if (rank > bestRank || (rank == bestRank && Links.at(*best).Since < link.Since)) {
       best = id;
@@ -79,6 +82,13 @@
     removeLink(ctx, id, std::nullopt, false);
     return;
   }
+  if (link.Unusable) {
+    ctx.emit(Log{LogLevel::Warn,
+                 "server rejected session values or a prepared statement; link closed",
+                 {{"server", link.Target.str()}}});
+    close(ctx, id, false);
+    return;
+  }
   if (!link.PendingReplies.empty())
     return;
   if (link.ServerState != TransactionState::Idle)
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -162,6 +162,8 @@
     TimePoint SentAt;
     /// A read, whose duration and failure can be compared with those of reads at other servers.
     bool Comparable = false;
+    /// For LinkStep::Prepare: takes effect on the record of the link once the server has confirmed it.
+    std::optional<LinkCommand> Preparation{};
   };
   struct Link {
     TargetId Target;
@@ -172,8 +174,16 @@
     LinkUser User;
     bool InUse = false;
     TransactionState ServerState = TransactionState::Idle; ///< As of the last reply.
-    SessionValues Values;                                  ///< Session values set on this connection.
-    std::set<std::string> Prepared; ///< Names of statements prepared on this connection.
+    // What this connection carries, as far as the server has confirmed it, whoever asked for it.
+    SessionValues Values;
+    std::set<std::string> Prepared; ///< Names of prepared statements.
+    /// Some of it was set inside the transaction that is open.
+    bool PreparedInTransaction = false;
+    /// A transaction was rolled back in which some of it was set: it may be undone, and is discarded first.
+    bool Uncertain = false;
+    /// The server has refused a value, a prepared statement or a discard. The link is closed once it is
+    /// released, since commands behind the refused one may depend on it.
+    bool Unusable = false;
     std::deque<PendingReply> PendingReplies;
     bool Used = false; ///< A statement was sent on it.
     /// It was lent, and the borrower has not sent a command yet.
@@ -216,6 +226,10 @@
                   const StatementOutcome &outcome);
   /// Adjusts the pace if a link is closed because the server does not reply.
   void recordSilence(Context &ctx, const Link &link);
+  /// Records what the reply tells of the values and prepared statements that the link carries. ServerState is
+  /// that of before the reply.
+  static void recordPreparation(Context &ctx, Link &link, const PendingReply &awaited,
+                                const LinkReplied &event);
   /// Records a reply or an opened link. A server that was suspect starts again.
   void recordAnswer(Context &ctx, const TargetId &target, Server &server);
   static void reportPace(Context &ctx, const TargetId &target, const Server &server, PaceChange change);
--- a/src/links/tests/linkpooltests.cpp
+++ b/src/links/tests/linkpooltests.cpp
@@ -53,6 +53,19 @@
   std::optional<LinkId> acquire(const SessionValues &values = {}, const WorkspaceId &workspace = {}) {
     return Links.acquire(A, {SessionId{1}, false, 0, workspace}, values, Now);
   }
+  void reply(LinkId link, StatementOutcome outcome, TransactionState state = TransactionState::Idle) {
+    static_cast<void>(Links.onReply(ctx(), {link, std::move(outcome), state, {}, {}}));
+  }
+  /// Sets values and a prepared statement on a link, which the server confirms. Returns the number of
+  /// commands that this took.
+  std::size_t prepare(LinkId link, const SessionValues &values, const PreparedShape *shape = nullptr) {
+    auto commands = Links.prepare(link, values, shape);
+    const auto number = commands.size();
+    Links.send(ctx(), link, std::move(commands));
+    for (std::size_t n = 0; n < number; ++n)
+      reply(link, StatementResultRows{});
+    return number;
+  }
   template <typename T> std::size_t count() const {
     return static_cast<std::size_t>(std::count_if(
         Out.begin(), Out.end(), [](const Effect &it) { return std::holds_alternative<T>(it); }));
@@ -149,7 +162,7 @@
   REQUIRE(first);
   REQUIRE(second);
   const SessionValues north{{"zone", "north"}};
-  CHECK(pool.Links.prepare(*first, north, nullptr).size() == 1);
+  CHECK(pool.prepare(*first, north) == 1);
   pool.Links.release(pool.ctx(), *second);
   pool.Links.release(pool.ctx(), *first);
   CHECK((pool.acquire(north) == first));
@@ -166,11 +179,86 @@
   const auto link = pool.acquire();
   REQUIRE(link);
   const PreparedShape shape{AccessMode::Write, "q2"};
-  CHECK(pool.Links.prepare(*link, {}, &shape).size() == 1);
-  CHECK(pool.Links.prepare(*link, {}, &shape).empty());
+  CHECK(pool.prepare(*link, {}, &shape) == 1);
+  CHECK(pool.prepare(*link, {}, &shape) == 0);
   CHECK(pool.Links.preparedName(shape) != pool.Links.preparedName({AccessMode::Read, "q2"}));
 }
 
+TEST_CASE("a link on which the server refused a value is not used again, although its session has gone") {
+  // Guards against statements that run without the values that their sessions were told are set.
+  Pool pool;
+  pool.openLinks(1);
+  pool.accept();
+  const SessionValues north{{"zone", "north"}};
+  const auto link = pool.acquire();
+  REQUIRE(link);
+  auto commands = pool.Links.prepare(*link, north, nullptr);
+  commands.emplace_back(RunStatement{"s", "READ 1", std::nullopt});
+  pool.Links.send(pool.ctx(), *link, std::move(commands));
+  pool.Links.release(pool.ctx(), *link);
+  pool.reply(*link, StatementRejection{Rejection::ReadOnly, ""}, TransactionState::Failed);
+  pool.reply(*link, StatementRejection{Rejection::ReadOnly, ""}, TransactionState::Failed);
+  CHECK(pool.count<CloseLink>() == 1);
+  CHECK_FALSE(pool.acquire(north));
+}
+
+TEST_CASE("a link on which a discard or a prepared statement was refused is closed once it is released") {
+  // Guards against values and names of an earlier session that stay on the link.
+  const PreparedShape shape{AccessMode::Write, "q2"};
+  for (const bool discards : {true, false}) {
+    Pool pool;
+    pool.openLinks(1);
+    pool.accept();
+    const auto link = pool.acquire();
+    REQUIRE(link);
+    if (discards)
+      pool.prepare(*link, {{"zone", "north"}});
+    pool.Links.send(pool.ctx(), *link, pool.Links.prepare(*link, {}, discards ? nullptr : &shape));
+    pool.reply(*link, StatementRejection{Rejection::Busy, ""});
+    CHECK(pool.count<CloseLink>() == 0);
+    pool.Links.release(pool.ctx(), *link);
+    CHECK(pool.count<CloseLink>() == 1);
+    CHECK_FALSE(pool.acquire());
+  }
+}
+
+TEST_CASE("a value that the server has not confirmed is not recorded as set") {
+  // Guards against a value that counts as set before its answer has come.
+  Pool pool;
+  pool.openLinks(1);
+  pool.accept();
+  const SessionValues north{{"zone", "north"}};
+  const auto link = pool.acquire();
+  REQUIRE(link);
+  pool.Links.send(pool.ctx(), *link, pool.Links.prepare(*link, north, nullptr));
+  CHECK(pool.Links.prepare(*link, north, nullptr).size() == 1);
+  pool.reply(*link, StatementResultRows{});
+  CHECK(pool.Links.prepare(*link, north, nullptr).empty());
+}
+
+TEST_CASE("what was set inside a transaction is set again after its rollback, and not after its commit") {
+  // Guards against values that a rollback undoes at the server.
+  for (const bool commits : {true, false}) {
+    Pool pool;
+    pool.openLinks(1);
+    pool.accept();
+    const SessionValues north{{"zone", "north"}};
+    const auto link = pool.acquire();
+    REQUIRE(link);
+    pool.Links.send(pool.ctx(), *link, {BeginTransaction{}});
+    pool.reply(*link, StatementResultRows{}, TransactionState::Open);
+    pool.Links.send(pool.ctx(), *link, pool.Links.prepare(*link, north, nullptr));
+    pool.reply(*link, StatementResultRows{}, TransactionState::Open);
+    pool.Links.send(pool.ctx(), *link,
+                    {commits ? LinkCommand(RunStatement{"c", "COMMIT", std::nullopt})
+                             : LinkCommand(RollbackTransaction{})});
+    pool.reply(*link, StatementResultRows{});
+    const auto commands = pool.Links.prepare(*link, north, nullptr);
+    REQUIRE(commands.size() == (commits ? 0 : 2));
+    CHECK((commits || std::holds_alternative<DiscardSession>(commands.front())));
+  }
+}
+
 TEST_CASE("a link that never opens, or never answers a rollback, does not stay") {
   Pool pool;
   pool.openLinks(1);
--- a/src/reducer/tests/sessiontests.cpp
+++ b/src/reducer/tests/sessiontests.cpp
@@ -267,6 +267,38 @@
   CHECK(SessionHarness::command<DiscardSession>(*sent));
 }
 
+TEST_CASE("a value that a server refused after the caller has left is set again for the next session") {
+  // Guards against statements that run without the values that their session was told are set.
+  SessionHarness proxy;
+  const auto first = proxy.open("settle");
+  proxy.send(first, "b", BeginStatement{});
+  proxy.write(first, "w");
+  const auto [link, target] = proxy.acceptLink();
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  proxy.reply(link, SessionHarness::done(), TransactionState::Open, Position{1, 5});
+  proxy.send(first, "s", SetStatement{"lang", "nl"});
+  proxy.Out.clear();
+  proxy.read(first, "r1");
+  const auto refused = proxy.take<SendOnLink>();
+  REQUIRE(refused);
+  REQUIRE(SessionHarness::command<SetSessionValue>(*refused));
+  proxy.apply(SessionClosed{first});
+  proxy.reply(link, SessionHarness::rejected(Rejection::ReadOnly), TransactionState::Failed);
+  proxy.reply(link, SessionHarness::rejected(Rejection::ReadOnly), TransactionState::Failed);
+  const auto closed = proxy.take<CloseLink>();
+  REQUIRE(closed);
+  CHECK(closed->Link == link);
+  const auto second = proxy.open("settle");
+  proxy.send(second, "s", SetStatement{"lang", "nl"});
+  proxy.Out.clear();
+  proxy.read(second, "r2");
+  proxy.acceptLink();
+  const auto sent = proxy.take<SendOnLink>();
+  REQUIRE(sent);
+  CHECK(sent->Link != link);
+  CHECK(SessionHarness::command<SetSessionValue>(*sent));
+}
+
 TEST_CASE("statements for a database whose route was removed are rejected from the next transaction on") {
   SessionHarness proxy;
   const auto session = proxy.open("look");
