Take the record of a node without an entry as begun with its registration

The next process of the node finds no entry.

Cause: no entry was taken for a node that is started for the first time, which knows all that it has reported. The fence then counts as complete.

A node without an entry knows what it has reported only since its registration, unless the settings say that the whole fleet starts for the first time. Price: a VM that joins makes the fence incomplete until the next change of primary; servers that have ended are compared meanwhile.

--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -178,11 +178,16 @@
     ++Registrations;
   ConfirmedAt = ctx.Now;
   if (!KnownSince)
-    KnownSince = EarlierKnownSince ? EarlierKnownSince->value_or(revision) : 0;
+    KnownSince =
+        EarlierKnownSince ? EarlierKnownSince->value_or(revision) : recordWithoutEntry(ctx, revision);
   if (AnswersUnwritten && !Leaving)
     announce(ctx, revision);
 }
 
+std::uint64_t FleetMap::recordWithoutEntry(const Context &ctx, std::uint64_t revision) {
+  return ctx.Self.FirstStart ? 0 : revision;
+}
+
 void FleetMap::answerFence(Context &ctx, const DatabaseId &service, const StoredFenceAnswer &answer) {
   FenceAnswers[service] = answer;
   AnswersUnwritten = true;
--- a/src/positions/fleetmap.h
+++ b/src/positions/fleetmap.h
@@ -9,8 +9,9 @@
 // change of primary asks it. The proxy registers again once it finds out, and sends no commit in between.
 //
 // A proxy that ends as planned leaves in its entry what it has reported to callers as committed. Its
-// successor goes on with that record. One that finds the entry of a process that was killed knows what its
-// node has reported only since its own registration.
+// successor goes on with that record. One that finds the entry of a process that was killed, or none, knows
+// what its node has reported only since its own registration, unless the whole fleet starts for the first
+// time.
 
 #pragma once
 
@@ -96,6 +97,9 @@
   void onAnnounceAnswer(Context &ctx, const DirectoryAnswer &event);
   /// This process is registered by an entry of this revision.
   void onAnnounced(Context &ctx, std::uint64_t revision);
+  /// Since when the record of a node is known that had no entry. Unless the fleet starts for the first time,
+  /// an earlier process may have had one that was lost.
+  [[nodiscard]] static std::uint64_t recordWithoutEntry(const Context &ctx, std::uint64_t revision);
   /// The entry of this process is gone.
   void onEntryLost(Context &ctx);
   void onVerified(Context &ctx, const DirectoryAnswer &event);
--- a/testing/sessionworld/directorystore.cpp
+++ b/testing/sessionworld/directorystore.cpp
@@ -71,6 +71,13 @@
   answerWatches();
 }
 
+void DirectoryStore::addEndedProxy(const NodeId &node) {
+  ProxyEntry entry;
+  entry.Node = node;
+  entry.Final.emplace();
+  storeProxy({entry, 0});
+}
+
 void DirectoryStore::deleteProxy(const NodeId &node) {
   if (Now.ProxyRevisions.erase(node) == 0)
     return;
--- a/testing/sessionworld/directorystore.h
+++ b/testing/sessionworld/directorystore.h
@@ -27,6 +27,8 @@
   void publishServers(bool unchanged = false);
   /// Removes the entry of a server that has ended as announced.
   void withdraw(const TargetId &target);
+  /// Adds the final entry of a node whose record goes back to its first start.
+  void addEndedProxy(const NodeId &node);
   /// Deletes the entry of a proxy, whoever wrote it.
   void deleteProxy(const NodeId &node);
   /// Writes a configuration of the next version, as the operator does.
@@ -77,7 +79,7 @@
   void answerWatches();
   DirectoryAnswer apply(const DirectoryCall &call);
   [[nodiscard]] decltype(DirectoryAnswer::Result) storeClaim(const Claim &next);
-  [[nodiscard]] decltype(DirectoryAnswer::Result) storeProxy(const PutProxy &put);
+  decltype(DirectoryAnswer::Result) storeProxy(const PutProxy &put);
   [[nodiscard]] decltype(DirectoryAnswer::Result) storeNotice(const PutFenceNotice &put);
 
   fakes::EventQueue &Queue;
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -36,15 +36,20 @@
   Cluster.OnEntryChanged = [this] { Store.publishServers(); };
   Store.publishServers();
   Live.resize(ProxyCount);
+  // The nodes have been stopped as planned before, so that what they have reported is known of each.
+  for (std::size_t n = 0; n < ProxyCount; ++n)
+    Store.addEndedProxy(nodeOf(n));
   for (std::size_t n = 0; n < ProxyCount; ++n)
     addProxy(n);
 }
 
+NodeId World::nodeOf(std::size_t place) { return NodeId("n" + std::to_string(place)); }
+
 void World::addProxy(std::size_t place) {
   Live[place] = Proxies.size();
   Proxies.push_back(std::make_unique<Proxy>());
   auto &self = Proxies.back()->Logic.Self;
-  self.Node = NodeId("n" + std::to_string(place));
+  self.Node = nodeOf(place);
   self.AvailabilityZone = AvailabilityZone("z1");
   self.Region = Region("r1");
   if (Options.PeerLinks)
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -115,6 +115,7 @@
     std::string Statement;
   };
 
+  [[nodiscard]] static NodeId nodeOf(std::size_t place);
   void addProxy(std::size_t place);
   /// Adds a line to the log of the run.
   void trace(const std::string &line);
