Move the registration of a proxy into a file of its own

fleetmap.cpp had grown to 410 lines with two jobs: this proxy's own entry, and the list of the others. The functions of the entry move to registration.cpp as they are.

--- a/src/positions/fleetmap.cpp
+++ b/src/positions/fleetmap.cpp
@@ -1,4 +1,4 @@
-// Registration and listing of proxies in the store.
+// Listing of the proxies in the store, and their orders.
 
 #include "positions/fleetmap.h"
 
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Duration CallTimeout = 1500ms;
-constexpr Duration LeaveTimeout = 250ms;
 constexpr Duration RetryPause = 1s;
 /// Pause after a listing that failed before one on request.
 constexpr Duration RefreshPause = 150ms;
@@ -27,10 +26,6 @@
 constexpr int EndedIntervals = 10;
 /// A proxy whose entry is gone is kept for this many intervals. One that is running finds out within one.
 constexpr int UnlistedIntervals = 2;
-/// An entry that was there this recently is not read again.
-constexpr Duration VerifyInterval = 5s;
-/// After a restoration of the store, the proxies announce themselves again within this time.
-constexpr Duration MaxAnnounceDelay = 500ms;
 /// Above this number of proxies, the listing interval grows in proportion to the fleet size, because the cost
 /// of a full listing for each proxy grows with it. So does the time for announcements after a restoration,
 /// because the store limits the writes of all proxies together.
@@ -54,16 +49,6 @@
   return self.FirstStart ? FirstStartList : Duration{};
 }
 
-void FleetMap::announce(Context &ctx, std::uint64_t revision) {
-  AnnounceAt.reset();
-  AnnounceCall = ctx.call(Module::Positions);
-  AnswersUnwritten = false;
-  ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress, ctx.Incarnation};
-  entry.KnownSince = KnownSince.value_or(0);
-  entry.FenceAnswers = FenceAnswers;
-  ctx.emit(DirectoryCall{*AnnounceCall, CallTimeout, PutProxy{entry, revision}});
-}
-
 void FleetMap::list(Context &ctx) {
   ListAt.reset();
   if (PartialListing.empty())
@@ -80,30 +65,6 @@
   list(ctx);
 }
 
-void FleetMap::verifyEntry(Context &ctx) {
-  const bool confirmed = ctx.Now - ConfirmedAt < VerifyInterval;
-  if (!Enabled || Leaving || VerifyCall || AnnounceCall || OwnRevision == 0 || confirmed)
-    return;
-  VerifyCall = ctx.call(Module::Positions);
-  ctx.emit(DirectoryCall{*VerifyCall, CallTimeout, ReadProxy{ctx.Self.Node}});
-}
-
-void FleetMap::onVerified(Context &ctx, const DirectoryAnswer &event) {
-  if (std::holds_alternative<ProxyMissing>(event.Result))
-    onEntryLost(ctx);
-  else if (std::holds_alternative<ProxyStored>(event.Result))
-    ConfirmedAt = ctx.Now;
-}
-
-void FleetMap::onEntryLost(Context &ctx) {
-  if (Leaving || AnnounceCall)
-    return;
-  ctx.emit(Count{"proxy_entries_removed_total"});
-  ctx.emit(Log{LogLevel::Warn, "the entry of this proxy is gone; registering again", {}});
-  OwnRevision = 0;
-  announce(ctx, 0);
-}
-
 void FleetMap::addProxy(Context &ctx, const ProxyEntry &entry) {
   const auto it = Proxies.find(entry.Node);
   const bool known = it != Proxies.end() && it->second.Address == entry.Address;
@@ -147,74 +108,11 @@
   onListed(ctx);
 }
 
-void FleetMap::onAnnounceAnswer(Context &ctx, const DirectoryAnswer &event) {
-  if (const auto *stored = std::get_if<ProxyStored>(&event.Result)) {
-    onAnnounced(ctx, stored->Revision);
-    return;
-  }
-  if (std::holds_alternative<ProxyMissing>(event.Result)) {
-    onEntryLost(ctx);
-    return;
-  }
-  const auto *conflict = std::get_if<ProxyConflict>(&event.Result);
-  if (!conflict) {
-    if (!Leaving)
-      AnnounceAt = ctx.Now + RetryPause;
-    return;
-  }
-  const auto &current = conflict->Current;
-  if (current && current->Incarnation == ctx.Incarnation && !current->Final) {
-    // An earlier call without an answer was carried out, with the answers to fences of then.
-    AnswersUnwritten = !FenceAnswers.empty();
-    onAnnounced(ctx, conflict->Revision);
-    return;
-  }
-  adoptRecord(current);
-  announce(ctx, conflict->Revision);
-}
-
-void FleetMap::onAnnounced(Context &ctx, std::uint64_t revision) {
-  if (std::exchange(OwnRevision, revision) == 0)
-    ++Registrations;
-  ConfirmedAt = ctx.Now;
-  if (!KnownSince)
-    KnownSince =
-        EarlierKnownSince ? EarlierKnownSince->value_or(revision) : recordWithoutEntry(ctx, revision);
-  if (AnswersUnwritten && !Leaving)
-    announce(ctx, revision);
-}
-
-std::uint64_t FleetMap::recordWithoutEntry(const Context &ctx, std::uint64_t revision) {
-  return ctx.Self.FirstStart ? 0 : revision;
-}
-
-void FleetMap::answerFence(Context &ctx, const DatabaseId &service, const StoredFenceAnswer &answer) {
-  FenceAnswers[service] = answer;
-  AnswersUnwritten = true;
-  if (OwnRevision > 0 && !AnnounceCall && !Leaving)
-    announce(ctx, OwnRevision);
-}
-
 const ProxyEntry *FleetMap::entry(const NodeId &node) const {
   const auto it = Proxies.find(node);
   return it == Proxies.end() ? nullptr : &it->second;
 }
 
-void FleetMap::adoptRecord(const std::optional<ProxyEntry> &entry) {
-  EarlierKnownSince.emplace();
-  if (!entry || !entry->Final)
-    return;
-  *EarlierKnownSince = entry->Final->KnownSince;
-  addReported(*entry->Final);
-}
-
-void FleetMap::addReported(const ReportedCommits &reported) {
-  for (const auto &[service, position] : reported.UpTo) {
-    auto &known = ReportedByEnded[service];
-    known = std::max(known, position);
-  }
-}
-
 void FleetMap::onListed(Context &ctx) {
   const bool first = !std::exchange(HasListedOnce, true);
   std::map<NodeId, ProxyEntry> before;
@@ -297,55 +195,10 @@
   return AnnounceAt ? AnnounceAt : ListAt;
 }
 
-void FleetMap::onStoreRestored(Context &ctx) {
-  if (!Enabled || Leaving)
-    return;
-  const auto announced = forFleet(MaxAnnounceDelay);
-  AnnounceAt = ctx.Now + ctx.jitter(announced);
-  ListAt = ctx.Now + announced + SecondList;
-  PartialListing.clear();
-  ListCall.reset();
-}
-
 Duration FleetMap::forFleet(Duration time) const {
   return time * static_cast<std::int64_t>(std::max<std::size_t>(1, Proxies.size() / ProxiesPerListInterval));
 }
 
-void FleetMap::startLeaving(Context &ctx, std::map<DatabaseId, Position> reported) {
-  if (std::exchange(Leaving, true) || !Enabled)
-    return;
-  AnnounceAt.reset();
-  ListAt.reset();
-  LeftBy = ctx.Now + LeaveTimeout;
-  if (!KnownSince) {
-    // There is no entry of this process, or it cannot be told from that of another one.
-    LeftBy = ctx.Now;
-    return;
-  }
-  Final = {*KnownSince, std::move(reported)};
-  writeFinal(ctx, OwnRevision);
-}
-
-void FleetMap::writeFinal(Context &ctx, std::uint64_t revision) {
-  ProxyEntry entry{ctx.Self.Node, ctx.Self.AvailabilityZone, ctx.Self.PeerAddress, ctx.Incarnation};
-  entry.Final = Final;
-  LeaveCall = ctx.call(Module::Positions);
-  ctx.emit(DirectoryCall{*LeaveCall, LeaveTimeout, PutProxy{std::move(entry), revision}});
-}
-
-void FleetMap::onFinalAnswer(Context &ctx, const DirectoryAnswer &event) {
-  const auto *conflict = std::get_if<ProxyConflict>(&event.Result);
-  // An earlier call without an answer was carried out.
-  const bool own = conflict && conflict->Current && conflict->Current->Incarnation == ctx.Incarnation &&
-                   !conflict->Current->Final;
-  if (own)
-    writeFinal(ctx, conflict->Revision);
-  else if (std::holds_alternative<ProxyMissing>(event.Result))
-    writeFinal(ctx, 0);
-  else
-    LeftBy = ctx.Now;
-}
-
 void FleetMap::onProxiesChanged() {
   Orders.clear();
   std::set<AvailabilityZone> zones;
