--- a/src/links/internal/commands.cpp
+++ b/src/links/internal/commands.cpp
@@ -130,7 +130,7 @@
   if (it == Links.end() || it->second.PendingReplies.empty())
     return std::nullopt;
   auto &link = it->second;
-  const auto awaited = link.PendingReplies.front();
+  const auto awaited = std::move(link.PendingReplies.front());
   link.PendingReplies.pop_front();
   recordPreparation(ctx, link, awaited, event);
   link.ServerState = event.State;
