Play lost entries of proxies in the soak

Only the first start of a process says that the fleet starts for the first time, as the platform does: a process that follows a killed one whose entry is gone must not vouch for its node.

--- a/testing/platformsoak/deployment.cpp
+++ b/testing/platformsoak/deployment.cpp
@@ -49,7 +49,7 @@
   std::ostringstream rest;
   rest << "region: north\ninterface: sessions\nduties: http://127.0.0.1:" << Duties.port()
        << "\nshutdown_grace_s: " << options.GraceS
-       << "\npromotion_fencing: true\nfirst_start: true\npropagation_ms: 3000\nstrict_revocation: "
+       << "\npromotion_fencing: true\npropagation_ms: 3000\nstrict_revocation: "
           "true\nrevocation_ms: "
        << RevocationMs << "\nquota_window_s: " << QuotaWindowMs / 1'000
        << "\nquota_overshoot: " << QuotaOvershoot << "\nquota_slack: " << QuotaSlack << "\nregions:\n";
--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -72,6 +72,7 @@
     if (with("crashes"))
       crashes();
     every("latestore", 6'000, 10'000, [&] { return DelayWrites{span(2'000, 5'000), seed("latestore")}; });
+    every("entries", 3'000, 8'000, [&] { return DeleteEntry{proxy()}; });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
   }
@@ -230,9 +231,10 @@
 
 const std::vector<std::string> &troubleNames() {
   static const std::vector<std::string> Names = {
-      "stops",    "rolls", "second",    "hups",        "drain", "primary",  "config",  "slow",     "down",
-      "restored", "delay", "hold",      "slowcallers", "burst", "withdraw", "flood",   "replace",  "crash",
-      "lost",     "cut",   "partition", "late",        "kill",  "suspend",  "crashes", "latestore"};
+      "stops",    "rolls", "second",   "hups",    "drain",     "primary",     "config",
+      "slow",     "down",  "restored", "delay",   "hold",      "slowcallers", "burst",
+      "withdraw", "flood", "replace",  "crash",   "lost",      "cut",         "partition",
+      "late",     "kill",  "suspend",  "crashes", "latestore", "entries"};
   return Names;
 }
 
@@ -256,6 +258,7 @@
                    " and another server" + spanText(it.OtherDownMs);
           },
           [&](const DelayWrites &it) { return "late writes to the store" + spanText(it.ForMs); },
+          [&](const DeleteEntry &it) { return "delete the entry of" + proxy(it.Proxy); },
           [&](const ReloadProxy &it) { return "SIGHUP" + proxy(it.Proxy); },
           [&](const DrainServer &it) {
             return (it.Primary ? "drain primary of service " : "drain replica of service ") +
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -30,6 +30,10 @@
   int Proxy = 0;
   Millis ForMs = 0;
 };
+/// The store loses the entry of a proxy that serves.
+struct DeleteEntry {
+  int Proxy = 0;
+};
 struct ReloadProxy {
   int Proxy = 0;
 };
@@ -128,7 +132,7 @@
 using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
                            RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood,
                            ReplaceServer, CrashPrimary, LosePrimary, CutReplicas, PartitionPrimary,
-                           DelayOrders, KillProxy, SuspendProxy, CrashServers, DelayWrites>;
+                           DelayOrders, KillProxy, SuspendProxy, CrashServers, DelayWrites, DeleteEntry>;
 
 struct PlannedFault {
   Millis At = 0;
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -17,6 +17,7 @@
 constexpr Millis DefaultRestartMs = 700;
 /// From a cut to the change of the configuration.
 constexpr Millis AfterCutMs = 300;
+const std::string ProxiesKind = "rosemaryhinge-proxies";
 
 } // namespace
 
@@ -146,6 +147,10 @@
                  [&](const SuspendProxy &it) { suspend(it); },
                  [&](const CrashServers &it) { crashServers(it); },
                  [&](const DelayWrites &it) { World.Store.delayWrites(it.ForMs, it.Seed); },
+                 [&](const DeleteEntry &it) {
+                   World.Store.remove(ProxiesKind,
+                                      World.Proxies.at(static_cast<std::size_t>(it.Proxy))->node());
+                 },
                  [&](const ReloadProxy &it) {
                    if (auto &proxy = *World.Proxies.at(static_cast<std::size_t>(it.Proxy)); proxy.serving())
                      proxy.signal(SIGHUP);
--- a/testing/platformsoak/proxyprocess.cpp
+++ b/testing/platformsoak/proxyprocess.cpp
@@ -52,9 +52,13 @@
   ::waitpid(Pid, nullptr, 0);
 }
 
+std::string ProxyProcess::node() const {
+  return "edge-" + Options.Zone + "-" + std::to_string(Options.Index + 1);
+}
+
 void ProxyProcess::writeSettings(const std::string &file) const {
   const auto address = [](int port) { return "127.0.0.1:" + std::to_string(port) + "\n"; };
-  std::ofstream(file) << "node: edge-" << Options.Zone << "-" << Options.Index + 1
+  std::ofstream(file) << "node: " << node() << "\nfirst_start: " << (Lives.empty() ? "true" : "false")
                       << "\navailability_zone: " << Options.Zone
                       << "\naddresses:\n  callers: " << address(Callers) << "  peers: " << address(Peers)
                       << "  admin: " << address(Admin) << "  metrics: " << address(Metrics)
--- a/testing/platformsoak/proxyprocess.h
+++ b/testing/platformsoak/proxyprocess.h
@@ -45,6 +45,7 @@
   [[nodiscard]] bool serving() const;
   /// Notes the times at which the process had to wait for a processor for long.
   void watchProcessor();
+  [[nodiscard]] std::string node() const;
   [[nodiscard]] const std::string &zone() const { return Options.Zone; }
   [[nodiscard]] int callersPort() const { return Callers; }
   [[nodiscard]] std::vector<ProcessLife> lives() const;
--- a/testing/platformsoak/tests/checktests.cpp
+++ b/testing/platformsoak/tests/checktests.cpp
@@ -129,8 +129,8 @@
   CHECK(texts(1, {"rolls", "drain"}) == texts(1, {"rolls", "drain"}));
   CHECK(texts(1, {"rolls"}) != texts(2, {"rolls"}));
   CHECK(texts(1, {"rolls"}) == texts(1, {"rolls", "second", "hups"}));
-  for (const auto &it :
-       {"replace", "crash", "lost", "cut", "partition", "late", "kill", "suspend", "crashes", "latestore"}) {
+  for (const auto &it : {"replace", "crash", "lost", "cut", "partition", "late", "kill", "suspend", "crashes",
+                         "latestore", "entries"}) {
     CHECK(texts(1, {it}) == texts(1, {it}));
     CHECK(texts(1, {it}) != texts(2, {it}));
   }
