--- a/src/positions/tests/fleetmaptests.cpp
+++ b/src/positions/tests/fleetmaptests.cpp
@@ -84,6 +84,17 @@
   return {"n2", false, ProxyEntry{NodeId("n2"), AvailabilityZone("z"), "10.0.0.2:1", 5}};
 }
 
+/// Registers the proxy, which lists the other one twice: with its entry, and after that is gone.
+void loseEntryOfOther(Proxy &it) {
+  it.answerPut(ProxyStored{30});
+  it.Entries = {ownEntry(), otherEntry()};
+  it.pass(2s);
+  it.answerList(31);
+  it.Entries = {ownEntry()};
+  it.pass(31s);
+  it.answerList(32);
+}
+
 /// The entry of an earlier process of the node.
 ProxyEntry earlierEntry(std::optional<ReportedCommits> final) {
   ProxyEntry out{NodeId("n1"), AvailabilityZone("z"), "10.0.0.1:1", 7};
@@ -219,13 +230,7 @@
 TEST_CASE("a proxy whose entry is gone without a final one is asked, until it can be taken as ended") {
   // Guards against a running proxy that a change of primary does not ask, since the store has lost its entry.
   Proxy it;
-  it.answerPut(ProxyStored{30});
-  it.Entries = {ownEntry(), otherEntry()};
-  it.pass(2s);
-  it.answerList(31);
-  it.Entries = {ownEntry()};
-  it.pass(31s);
-  it.answerList(32);
+  loseEntryOfOther(it);
   CHECK(it.Fleet.others(NodeId("n1")) == std::vector{NodeId("n2")});
   CHECK(it.Fleet.endedKnownSince() == 0);
   it.pass(31s);
@@ -238,13 +243,7 @@
 
 TEST_CASE("a proxy that has registered again after its entry was gone is not taken as ended") {
   Proxy it;
-  it.answerPut(ProxyStored{30});
-  it.Entries = {ownEntry(), otherEntry()};
-  it.pass(2s);
-  it.answerList(31);
-  it.Entries = {ownEntry()};
-  it.pass(31s);
-  it.answerList(32);
+  loseEntryOfOther(it);
   it.Entries = {ownEntry(), otherEntry()};
   for (int n = 0; n < 4; ++n) {
     it.pass(31s);
