Check in virtual time that servers get orders at intervals

A proxy that sends a server 100 orders or status queries a second breaks the run; a change of primary queries every 20 ms at most.

--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -16,11 +16,19 @@
 constexpr Duration QuietTime = 14s;
 constexpr Duration StartTime = 2s;
 constexpr Duration MaxStaleness = 1500ms;
+/// Bound on the orders and status queries of a proxy to a server. A change of primary queries every 20 ms at
+/// most.
+constexpr std::size_t MaxOrdersPerSecond = 100;
 /// Distinguishes the draws of late orders from the others of a seed.
 constexpr std::uint64_t OrderSeed = 0x9e3779b97f4a7c15;
 /// The same of messages between proxies.
 constexpr std::uint64_t PeerSeed = 0xd1b54a32d192ed03;
 
+bool isOrder(const LinkCommand &command) {
+  return std::holds_alternative<PauseReplica>(command) || std::holds_alternative<ResumeReplica>(command) ||
+         std::holds_alternative<StepDownPrimary>(command);
+}
+
 bool isPromise(Rejection code) {
   return code == Rejection::Busy || code == Rejection::Aborted || code == Rejection::Lagging ||
          code == Rejection::ReadOnly || code == Rejection::Misrouted || code == Rejection::TooMany;
@@ -183,7 +191,24 @@
   });
 }
 
+void World::checkOrderRate(std::size_t proxy, LinkId link, std::span<const LinkCommand> commands) {
+  const auto it = Links.find({proxy, link});
+  const bool counts = std::any_of(commands.begin(), commands.end(), [this](const LinkCommand &command) {
+    return isOrder(command) || (Options.Fencing && std::holds_alternative<ReadServerStatus>(command));
+  });
+  if (it == Links.end() || !counts)
+    return;
+  auto &recent = RecentOrders[{proxy, it->second.Server}];
+  recent.push_back(Queue.now());
+  while (Queue.now() - recent.front() >= 1s)
+    recent.pop_front();
+  if (recent.size() == MaxOrdersPerSecond)
+    Result.Violations.push_back("n" + std::to_string(proxy) + " sends " + std::to_string(recent.size()) +
+                                " orders a second to " + Cluster.servers()[it->second.Server].Id.str());
+}
+
 void World::send(std::size_t proxy, const SendOnLink &effect) {
+  checkOrderRate(proxy, effect.Link, effect.Commands);
   Queue.after(Random.between(1ms, 4ms), [this, proxy, effect] {
     for (const auto &command : effect.Commands)
       runOne(proxy, effect.Link, command);
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -193,6 +194,9 @@
   void carryOut(std::size_t proxy, const Effect &effect);
   void open(std::size_t proxy, const OpenLink &effect);
   void send(std::size_t proxy, const SendOnLink &effect);
+  /// Checks that a proxy orders each server at intervals, and asks it for its status. Without fencing, reads
+  /// ask for it as well, to confirm a lease: they have no part in changes of primary.
+  void checkOrderRate(std::size_t proxy, LinkId link, std::span<const LinkCommand> commands);
   void runOne(std::size_t proxy, LinkId link, const LinkCommand &command);
   void checkRead(const RunStatement &statement, const DbServer &server);
   void onAnswer(std::size_t proxy, const AnswerStatement &answer);
@@ -234,7 +238,9 @@
   std::vector<std::string> RefusedWrites;
   std::uint64_t LastNumber = 0;
   std::uint64_t HighestToken = 0; ///< Of the orders sent.
-  TimePoint LastPlanned{};        ///< End of what is planned; orders are in time from then on.
+  /// Orders and status queries in the last second, by proxy and server.
+  std::map<std::pair<std::size_t, std::size_t>, std::deque<TimePoint>> RecentOrders;
+  TimePoint LastPlanned{}; ///< End of what is planned; orders are in time from then on.
   std::uint64_t Reborn = 0;
   std::optional<TimePoint> LastWriteAt;
   WorldResult Result;
