--- a/testing/misbehavingclients/bench.cpp
+++ b/testing/misbehavingclients/bench.cpp
@@ -31,7 +31,7 @@
 std::string settings(int store, int duties) {
   const auto url = [](int port) { return "http://127.0.0.1:" + std::to_string(port) + "\n"; };
   return "region: north\ninterface: sessions\nplatform: " + url(store) + "duties: " + url(duties) +
-         "shutdown_grace_s: 6\npromotion_fencing: true\nfirst_start: true\npropagation_ms: 3000\n"
+         "shutdown_grace_s: 6\npromotion_fencing: true\npropagation_ms: 3000\n"
          "memory_mb: " +
          std::to_string(MemoryMb) + "\nmax_descriptors: " + std::to_string(MaxDescriptors) +
          "\nregions:\n  etela-a: north\n  lansi-a: north\n  pohjoinen-a: north\n"
