Count commits that servers acknowledged in the soak and in virtual time

The checks of rule LOST counted commits whose success a caller had seen. Both measures stay apart: commits that a caller saw, as before, and commits that a server acknowledged while a server that runs and is listed holds them.

--- a/testing/platformsoak/dbservice.cpp
+++ b/testing/platformsoak/dbservice.cpp
@@ -67,6 +67,7 @@
     server.ListenFd = fd;
     server.Up = true;
     server.Leaving = false;
+    server.Listed = keepId;
     server.Draining = false;
     server.Busy = 0;
     server.HeldTerm = 0;
@@ -107,6 +108,7 @@
   {
     const std::lock_guard hold(Lock);
     id = server.Id;
+    server.Listed = true;
     spec = {{"service", Options.Name},
             {"address", "127.0.0.1:" + std::to_string(server.Port)},
             {"zone", server.Zone},
--- a/testing/platformsoak/dbservice.h
+++ b/testing/platformsoak/dbservice.h
@@ -47,6 +47,7 @@
   int Incarnation = 0;
   bool Up = false, Leads = false, Draining = false;
   bool Leaving = false; ///< Drains, or is about to.
+  bool Listed = false;  ///< It has written its entry.
   bool EndsForGood = false;
   /// Connections from these proxies stall until the time.
   std::set<std::size_t> LostBy;
--- a/testing/platformsoak/dbservicelog.cpp
+++ b/testing/platformsoak/dbservicelog.cpp
@@ -180,10 +180,15 @@
     commit->RolledBack = true;
     if (!commit->AcknowledgedAt)
       continue;
-    MissingCommit missing{commit->Statement, positionText(commit->position()), {}};
-    for (const auto &it : Servers)
-      if (it->Log.contains(*commit))
-        missing.Holders.push_back(it->Id);
+    MissingCommit missing{
+        commit->Statement, positionText(commit->position()), *commit->AcknowledgedAt, {}, {}};
+    for (const auto &it : Servers) {
+      if (!it->Log.contains(*commit))
+        continue;
+      missing.Holders.push_back(it->Id);
+      if (it->Up && it->Listed)
+        missing.RunningHolders.push_back(it->Id);
+    }
     out.Missing.push_back(std::move(missing));
   }
   return out;
--- a/testing/platformsoak/main.cpp
+++ b/testing/platformsoak/main.cpp
@@ -107,6 +107,7 @@
   report.violations(checkConfig(world.Operator.versions(), world.Operator.probes(), lives, disruptions),
                     figures);
   report.violations(checkPromotions(world.Seen.promotions(), requests), figures);
+  report.violations(checkServerAcknowledged(world.Seen.promotions()), figures);
   const auto arrivals = world.Seen.arrivals();
   const auto keys = world.Operator.keys();
   report.violations(checkUsers(requests, arrivals, keys), figures);
--- a/testing/platformsoak/observations.h
+++ b/testing/platformsoak/observations.h
@@ -62,9 +62,12 @@
 
 /// A commit that the server of a promotion does not have.
 struct MissingCommit {
-  std::string Statement; ///< Id of the request that committed it.
-  std::string Position;  ///< TERM.NUMBER.
+  std::string Statement;     ///< Id of the request that committed it.
+  std::string Position;      ///< TERM.NUMBER.
+  Millis AcknowledgedAt = 0; ///< By the server.
   std::vector<std::string> Holders;
+  /// Those of them that run and are listed.
+  std::vector<std::string> RunningHolders;
 };
 
 /// A promotion has taken effect.
--- a/testing/platformsoak/promotionrule.cpp
+++ b/testing/platformsoak/promotionrule.cpp
@@ -21,14 +21,35 @@
   return out;
 }
 
-std::string describe(const MissingCommit &commit, Millis seenAt) {
-  auto out = "; " + commit.Position + " (" + commit.Statement + "), seen at " + std::to_string(seenAt) +
-             " ms, held by";
-  for (const auto &it : commit.Holders)
+std::string listOf(std::span<const std::string> names) {
+  std::string out;
+  for (const auto &it : names)
     out += " " + it;
-  return out + (commit.Holders.empty() ? " nobody" : "");
+  return out.empty() ? " nobody" : out;
 }
 
+/// The commits that a promotion lacks, as far as they are shown.
+class MissingList {
+public:
+  void add(const MissingCommit &commit, const std::string &detail) {
+    if (++Count <= CommitsShown)
+      Shown += "; " + commit.Position + " (" + commit.Statement + "), " + detail;
+  }
+  void report(const Promotion &promotion, const std::string &rule, const std::string &kind,
+              std::vector<Violation> &out) const {
+    if (Count > 0)
+      out.push_back({rule, promotion.Server + " of " + promotion.Service + ", promoted at " +
+                               std::to_string(promotion.At) + " ms with " + promotion.Log +
+                               " by the order of " + promotion.Holder + ", token " +
+                               std::to_string(promotion.Token) + ", lacks " + std::to_string(Count) + " " +
+                               kind + Shown});
+  }
+
+private:
+  std::size_t Count = 0;
+  std::string Shown;
+};
+
 } // namespace
 
 std::vector<Violation> checkPromotions(std::span<const Promotion> promotions,
@@ -36,21 +57,26 @@
   const auto seen = successes(requests);
   std::vector<Violation> out;
   for (const auto &promotion : promotions) {
-    std::size_t lost = 0;
-    std::string commits;
-    for (const auto &it : promotion.Missing) {
-      const auto success = seen.find(it.Statement);
-      if (success == seen.end() || success->second > promotion.At)
-        continue;
-      if (++lost <= CommitsShown)
-        commits += describe(it, success->second);
-    }
-    if (lost > 0)
-      out.push_back({"LOST at promotion", promotion.Server + " of " + promotion.Service + ", promoted at " +
-                                              std::to_string(promotion.At) + " ms with " + promotion.Log +
-                                              " by the order of " + promotion.Holder + ", token " +
-                                              std::to_string(promotion.Token) + ", lacks " +
-                                              std::to_string(lost) + " acknowledged commits" + commits});
+    MissingList lost;
+    for (const auto &it : promotion.Missing)
+      if (const auto success = seen.find(it.Statement);
+          success != seen.end() && success->second <= promotion.At)
+        lost.add(it, "seen at " + std::to_string(success->second) + " ms, held by" + listOf(it.Holders));
+    lost.report(promotion, "LOST at promotion", "acknowledged commits", out);
+  }
+  return out;
+}
+
+std::vector<Violation> checkServerAcknowledged(std::span<const Promotion> promotions) {
+  std::vector<Violation> out;
+  for (const auto &promotion : promotions) {
+    MissingList lost;
+    for (const auto &it : promotion.Missing)
+      if (!it.RunningHolders.empty())
+        lost.add(it, "acknowledged at " + std::to_string(it.AcknowledgedAt) + " ms, held by" +
+                         listOf(it.RunningHolders));
+    lost.report(promotion, "LOST at promotion, as servers acknowledged",
+                "commits that a server acknowledged and that a running one holds", out);
   }
   return out;
 }
--- a/testing/sessionworld/dbcluster.cpp
+++ b/testing/sessionworld/dbcluster.cpp
@@ -183,6 +183,8 @@
     }
     if (Servers[leader()].CurrentTerm > primary->CurrentTerm)
       Violations.push_back("a former primary acknowledged " + it->Write);
+    else
+      AcknowledgedByServers.insert(it->Write);
     it->Answer({it->Link, done(), TransactionState::Idle, it->At, std::nullopt});
     it = Pending.erase(it);
   }
@@ -288,7 +290,20 @@
   return out;
 }
 
+bool DbCluster::heldByRunning(const std::string &write) const {
+  return std::any_of(Servers.begin(), Servers.end(),
+                     [&](const DbServer &it) { return it.Up && it.Listed && it.holds(write); });
+}
+
 std::vector<Position> DbCluster::checkAcknowledged(const DbServer &server) {
+  // Later promotions have nothing to decide on a write that this one rolls back.
+  std::erase_if(AcknowledgedByServers, [&](const std::string &write) {
+    if (server.holds(write))
+      return false;
+    if (heldByRunning(write))
+      LostAtServers.insert(write);
+    return true;
+  });
   std::vector<Position> out;
   for (const auto &write : Acknowledged)
     if (!server.holds(write)) {
@@ -306,7 +321,8 @@
   for (const auto &it : positions)
     lost += " " + toString(it);
   OnTrace(server.Id.str() + " is promoted, " + std::to_string(positions.size()) +
-          " acknowledged writes are lost" + lost + "; " + describe());
+          " acknowledged writes are lost" + lost + ", " + std::to_string(LostAtServers.size()) +
+          " so far that servers acknowledged; " + describe());
   Term newest = 0;
   for (auto &it : Servers) {
     newest = std::max(newest, it.CurrentTerm);
--- a/testing/sessionworld/dbcluster.h
+++ b/testing/sessionworld/dbcluster.h
@@ -89,11 +89,14 @@
   void onAcknowledged(const std::string &write) { Acknowledged.insert(write); }
   [[nodiscard]] const std::set<std::string> &acknowledged() const { return Acknowledged; }
 
-  /// Reports the acknowledged writes that the server which leads, or takes the lead, lacks.
+  /// Reports the acknowledged writes that the server which leads, or takes the lead, lacks, by both measures.
   /// \returns their positions.
   std::vector<Position> checkAcknowledged(const DbServer &server);
   /// Acknowledged writes that a promoted server lacked.
   [[nodiscard]] const std::set<std::string> &lost() const { return Lost; }
+  /// Writes that a server acknowledged, whatever their callers were told, and that a promoted server lacked
+  /// while a server that ran and was listed held them.
+  [[nodiscard]] const std::set<std::string> &lostAtServers() const { return LostAtServers; }
 
   std::function<void()> OnEntryChanged;
   /// Told of each promotion that takes effect, before it does.
@@ -118,6 +121,7 @@
   void demote(DbServer &server);
   void takeLead(DbServer &server);
   void commit(DbServer &server, LinkId link, const std::string &write, const Reply &reply);
+  [[nodiscard]] bool heldByRunning(const std::string &write) const;
   [[nodiscard]] bool reachable(const DbServer &a, const DbServer &b) const;
   [[nodiscard]] std::size_t indexOf(const DbServer &server) const {
     return static_cast<std::size_t>(&server - Servers.data());
@@ -132,6 +136,8 @@
   std::set<std::string> Acknowledged;
   std::map<std::string, Position> Positions; ///< Of all writes.
   std::set<std::string> Lost;
+  std::set<std::string> AcknowledgedByServers;
+  std::set<std::string> LostAtServers;
   std::uint64_t HighestToken = 0;
 };
 
--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -48,6 +48,8 @@
     FAIL_CHECK(result.LostWrites << " acknowledged writes are lost, " << result.Violations.size()
                                  << " violations, the first: " << result.Violations.front());
   INFO(result.Servers);
+  // Commits that servers acknowledged and whose callers were not told.
+  CHECK(result.LostAtServers == 0);
   CHECK(result.RecoveredWrites);
   CHECK(result.Replacements == Replacements);
   if (trace)
--- a/testing/sessionworld/world.cpp
+++ b/testing/sessionworld/world.cpp
@@ -401,6 +401,7 @@
       Result.Violations.push_back("write " + write + " was refused as not run, and ran");
   Result.Violations.insert(Result.Violations.begin(), Cluster.Violations.begin(), Cluster.Violations.end());
   Result.LostWrites = Cluster.lost().size();
+  Result.LostAtServers = Cluster.lostAtServers().size();
   for (const auto &it : Cluster.servers())
     Result.Servers += it.Id.str() + (it.Up ? " up" : " down") +
                       (it.Role == TargetRole::Primary ? " primary" : " replica") + " term " +
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -68,7 +68,9 @@
   bool RecoveredWrites = false;  ///< Writes were served in the last second, after all faults had ended.
   std::string Servers;           ///< State of the servers at the end.
   std::size_t LostWrites = 0;    ///< Acknowledged ones that a promoted server lacked.
-  std::vector<std::string> Log;  ///< Warnings of the proxies, and what happens to the servers.
+  /// The same for those that servers acknowledged, whatever their callers were told.
+  std::size_t LostAtServers = 0;
+  std::vector<std::string> Log; ///< Warnings of the proxies, and what happens to the servers.
 };
 
 class World {
