Tell the holder of a claim what else a proxy knows of commits

A proxy that keeps a commit fence told only the highest position that it had reported. It now tells, besides, the highest one that a server has acknowledged to it, whether commits have no answer, and how far its order to the former primary has come, and sends an update when one of these changes. What a fence at another holder's request needs moves into internal/keptfence.cpp. No decision uses the new fields yet.

--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -82,18 +82,25 @@
   askThroughStore(run);
 }
 
+Term LeadershipModule::stepDownTerm(Run &run) {
+  auto &change = run.Change;
+  if (change.OrderTerm == 0)
+    change.OrderTerm = detail::highestTerm(change.Servers) + 1;
+  // The promotion has to follow at once, and needs the store until the order is accepted.
+  const bool accepted = change.State == Phase::AwaitingPrimary;
+  const bool ordering = change.State >= Phase::SelectingCandidate && change.State <= Phase::Promoting;
+  const bool stepDown = !change.SteppedDownAt && change.Candidate != change.Reason.From &&
+                        (accepted || (ordering && change.Claim.age(run.Ctx.Now) < detail::MaxClaimAge));
+  return stepDown ? change.OrderTerm : 0;
+}
+
 void LeadershipModule::sendFence(Run &run, const CommitFence::Bounds &bounds) {
   auto &change = run.Change;
   const auto due = change.Fence.takeDue(run.Ctx.Now);
   if (due.empty())
     return;
-  if (change.OrderTerm == 0)
-    change.OrderTerm = detail::highestTerm(change.Servers) + 1;
-  // The promotion has to follow at once, and needs the store.
-  const bool stepDown = change.State >= Phase::SelectingCandidate && change.State <= Phase::Promoting &&
-                        !change.SteppedDownAt && change.Claim.age(run.Ctx.Now) < detail::MaxClaimAge;
   const CommitFenceRequest request{run.Service, bounds.Token,       bounds.Successor,
-                                   bounds.UpTo, change.Reason.From, stepDown ? change.OrderTerm : 0};
+                                   bounds.UpTo, change.Reason.From, stepDownTerm(run)};
   for (const auto &node : due)
     run.Ctx.emit(SendToPeer{node, request});
   run.Ctx.emit(Count{"commit_fence_requests_total", static_cast<double>(due.size())});
@@ -118,51 +125,22 @@
   giveUp(run, "no order is outstanding", detail::MinChangeInterval);
 }
 
-void LeadershipModule::onFenceRequest(Context &ctx, LeadershipServices &services, const NodeId &from,
-                                      const CommitFenceRequest &request) {
-  // Bounds what a peer can make this proxy keep.
-  if (!services.Catalog.limits(request.Service) && !Changes.contains(request.Service))
-    return;
-  const CommitFence::Bounds bounds{request.Token, request.Successor, request.UpTo};
-  if (!services.Sessions.commitFence(request.Service).raise(bounds, ctx.Now)) {
-    ctx.emit(Count{"commit_fences_refused_total"});
-    return;
-  }
-  ctx.emit(Count{"commit_fences_raised_total"});
-  const auto acknowledged = services.Sessions.acknowledgedUpTo(request.Service).value_or(Position());
-  ctx.emit(SendToPeer{
-      from, CommitFenceReply{request.Service, request.Token, acknowledged, services.Fleet.knownSince()}});
-  Run run{ctx, services, request.Service, Changes[request.Service]};
-  if (request.StepDownFor > 0 && run.Change.State < Phase::SelectingCandidate)
-    stepDownForPeer(run, request);
-}
-
-void LeadershipModule::stepDownForPeer(Run &run, const CommitFenceRequest &request) {
-  const auto &former = request.Former;
-  if (!run.Services.Catalog.server(former) || run.Services.Links.health(former).suspect(run.Ctx.Now))
-    return;
-  run.Change.OrderTerm = request.StepDownFor;
-  sendRequest(run, former, Order::StepDown);
-}
-
 void LeadershipModule::onFenceReply(Context &ctx, LeadershipServices &services, const NodeId &from,
                                     const CommitFenceReply &reply) {
   const auto it = Changes.find(reply.Service);
   if (it == Changes.end())
     return;
   services.Sessions.noteAcknowledged(reply.Service, reply.Acknowledged);
-  it->second.Fence.onReply(from, reply.Token, reply.Acknowledged, reply.KnownSince, ctx.Now);
+  auto &fence = it->second.Fence;
+  if (!reply.Update)
+    fence.onReply(from, reply.Token, reply.Acknowledged, reply.KnownSince, ctx.Now);
+  fence.onUnreported(from, reply.Token, reply.Unreported, reply.StepDown, ctx.Now);
   if (it->second.State != Phase::SelectingCandidate || !it->second.Fence.raisedByAll(ctx.Now))
     return;
   Run run{ctx, services, it->first, it->second};
   selectCandidate(run);
 }
 
-void LeadershipModule::onFenceEnd(LeadershipServices &services, const CommitFenceEnd &end) {
-  if (Changes.contains(end.Service))
-    services.Sessions.commitFence(end.Service).end(end.Token, end.Promoted);
-}
-
 void LeadershipModule::handOverPositions(Context &ctx, const LeadershipServices &services) {
   const auto &self = ctx.Self;
   for (const auto &service : services.Catalog.services()) {
--- a/src/leadership/internal/fencenotices.cpp
+++ b/src/leadership/internal/fencenotices.cpp
@@ -36,9 +36,8 @@
   change.NoticeCall = run.Ctx.call(Module::Leadership);
   const auto upTo = std::max(detail::highestLogTerm(change.Servers), requiredPosition(run).Term);
   run.Ctx.emit(Count{"commit_fence_notices_total"});
-  run.Ctx.emit(DirectoryCall{
-      *change.NoticeCall, CallTimeout,
-      PutFenceNotice{{run.Service, fence.token(), upTo, std::move(unanswered), false, TargetId()}, create}});
+  run.Ctx.emit(DirectoryCall{*change.NoticeCall, CallTimeout,
+                             PutFenceNotice{{run.Service, fence.token(), upTo, std::move(unanswered), false, TargetId()}, create}});
 }
 
 bool LeadershipModule::onNoticeAnswer(Context &ctx, LeadershipServices &services,
@@ -101,7 +100,9 @@
   change.AnsweredNotice = notice.Token;
   ctx.emit(Count{"commit_fences_raised_total{through=\"store\"}"});
   const auto acknowledged = services.Sessions.acknowledgedUpTo(notice.Service).value_or(Position());
-  services.Fleet.answerFence(ctx, notice.Service, {notice.Token, acknowledged});
+  services.Fleet.answerFence(
+      ctx, notice.Service,
+      {notice.Token, acknowledged, services.Sessions.unreportedCommits(notice.Service, TargetId())});
 }
 
 } // namespace rosemaryhinge
--- a/src/leadership/internal/fleetfence.cpp
+++ b/src/leadership/internal/fleetfence.cpp
@@ -15,6 +15,7 @@
   StartedAt = now;
   ClaimedAt = claimedAt;
   AllKnown = false;
+  SteppedDownAt.reset();
   for (auto &[node, it] : Members)
     it = Member();
 }
@@ -62,6 +63,32 @@
   Acknowledged = std::max(Acknowledged, acknowledged);
 }
 
+void FleetFence::onUnreported(const NodeId &from, std::uint64_t token, const UnreportedCommits &commits,
+                              StepDownState stepDown, TimePoint now) {
+  const auto it = Members.find(from);
+  if (!started() || it == Members.end() || token < ClaimedAt)
+    return;
+  ServerAcknowledged = std::max(ServerAcknowledged, commits.Acknowledged);
+  it->second.Unanswered = commits.Unanswered;
+  it->second.StepDown = stepDown;
+  if (stepDown == StepDownState::SteppedDown && !SteppedDownAt)
+    SteppedDownAt = now;
+}
+
+std::vector<NodeId> FleetFence::unanswered() const {
+  std::vector<NodeId> out;
+  for (const auto &[node, it] : Members)
+    if (it.Unanswered)
+      out.push_back(node);
+  return out;
+}
+
+bool FleetFence::awaitsStepDown() const {
+  return std::any_of(Members.begin(), Members.end(), [](const auto &it) {
+    return !it.second.Lost && it.second.StepDown == StepDownState::Ordered;
+  });
+}
+
 void FleetFence::onStoredAnswer(const NodeId &from, const StoredFenceAnswer &answer, std::uint64_t knownSince,
                                 TimePoint now) {
   const auto it = Members.find(from);
@@ -69,6 +96,7 @@
     return;
   it->second.StoredToken = answer.Token;
   onReply(from, answer.Token, answer.Acknowledged, knownSince, now);
+  onUnreported(from, answer.Token, answer.Unreported, StepDownState::NotOrdered, now);
   it->second.ThroughStore = true;
 }
 
--- a/src/leadership/internal/fleetfence.h
+++ b/src/leadership/internal/fleetfence.h
@@ -10,6 +10,7 @@
 #include "base/position.h"
 #include "base/time.h"
 #include "protocol/directory.h"
+#include "protocol/peer.h"
 
 #include <cstdint>
 #include <map>
@@ -42,6 +43,10 @@
   /// \param knownSince CommitFenceReply::KnownSince.
   void onReply(const NodeId &from, std::uint64_t token, Position acknowledged,
                std::optional<std::uint64_t> knownSince, TimePoint now);
+  /// What a proxy knows of commits that it has not reported. Comes with an answer, and once it changes.
+  /// \param token Of the last request that the proxy got.
+  void onUnreported(const NodeId &from, std::uint64_t token, const UnreportedCommits &commits,
+                    StepDownState stepDown, TimePoint now);
   /// An answer that a proxy has written into its entry in the store. Counts once.
   void onStoredAnswer(const NodeId &from, const StoredFenceAnswer &answer, std::uint64_t knownSince,
                       TimePoint now);
@@ -58,6 +63,14 @@
   [[nodiscard]] bool settled(Duration wait, TimePoint now) const;
   /// The highest position that a proxy has reported.
   [[nodiscard]] Position acknowledged() const { return Acknowledged; }
+  /// The highest position that a server has acknowledged to a proxy, reported or not.
+  [[nodiscard]] Position serverAcknowledged() const { return ServerAcknowledged; }
+  /// The proxies that have sent commits of which it is not known whether a server has acknowledged them.
+  [[nodiscard]] std::vector<NodeId> unanswered() const;
+  /// Whether a proxy has ordered the former primary to step down, without an answer yet.
+  [[nodiscard]] bool awaitsStepDown() const;
+  /// When a proxy first told that the former primary has stepped down.
+  [[nodiscard]] std::optional<TimePoint> steppedDownAt() const { return SteppedDownAt; }
   [[nodiscard]] std::vector<NodeId> members() const;
   /// The proxies whose answer does not count, or not any more.
   [[nodiscard]] std::vector<NodeId> silent(TimePoint now) const;
@@ -90,6 +103,8 @@
     std::optional<std::uint64_t> KnownSince;    ///< Of the last answer.
     std::uint64_t StoredToken = 0;              ///< Of the last answer through the store.
     bool ThroughStore = false;                  ///< The last answer came through the store.
+    bool Unanswered = false;                    ///< UnreportedCommits::Unanswered.
+    StepDownState StepDown = StepDownState::NotOrdered;
   };
   /// Whether a record holds all that its node has reported in the present term.
   [[nodiscard]] bool coversTerm(std::optional<std::uint64_t> knownSince) const {
@@ -108,6 +123,8 @@
   TargetId Successor;
   std::map<NodeId, Member> Members;
   Position Acknowledged;
+  Position ServerAcknowledged;
+  std::optional<TimePoint> SteppedDownAt;
 };
 
 } // namespace rosemaryhinge::detail
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -45,6 +45,15 @@
   Position At;
 };
 
+/// The commit fence that this proxy keeps for the holder of a claim, and what it has told that one.
+struct KeptFence {
+  NodeId Holder;
+  CommitFenceRequest Request; ///< The newest one.
+  StepDownState StepDown = StepDownState::NotOrdered;
+  TimePoint StepDownSentAt;
+  CommitFenceReply Told;
+};
+
 struct PrimaryChange {
   ChangePhase State = ChangePhase::Idle;
   TimePoint PhaseSince;
@@ -89,7 +98,7 @@
   /// For servers whose entries ended.
   std::map<TargetId, CoveringPosition> CoveredBy;
   Position Required;     ///< The highest position known to be required; outlasts the claims that told it.
-  Position Acknowledged; ///< The highest one known to be acknowledged, likewise.
+  Position Acknowledged; ///< The highest one known to be reported to callers, likewise.
   /// Revision of the store after which the present primary's term began (Claim::TermSince).
   std::uint64_t TermSince = 0;
   /// Since when no server that could be promoted holds Required.
@@ -118,6 +127,8 @@
   /// When the proxies that the holder does not reach were last asked through the store.
   std::optional<TimePoint> NoticeAt;
   std::optional<CallId> NoticeCall;
+  /// Empty unless another holder has raised a fence at this proxy.
+  std::optional<KeptFence> Kept;
   /// Token of the last notice of another holder that this proxy has answered.
   std::uint64_t AnsweredNotice = 0;
   /// Replicas that this proxy paused and could not resume before its claim lapsed.
--- a/src/leadership/internal/serverrequests.cpp
+++ b/src/leadership/internal/serverrequests.cpp
@@ -19,12 +19,12 @@
 
 } // namespace
 
-void LeadershipModule::sendRequest(Run &run, const TargetId &target, Order order) {
+bool LeadershipModule::sendRequest(Run &run, const TargetId &target, Order order) {
   auto &[ctx, services, service, change] = run;
   auto it = change.Requests.find(target);
   if (it != change.Requests.end() && it->second.Sent) {
     if (ctx.Now - it->second.SentAt < RequestTimeout)
-      return;
+      return false;
     ctx.emit(Count{"orders_unanswered_total"});
     services.Links.close(ctx, it->second.Link, true);
     change.Requests.erase(it);
@@ -33,13 +33,13 @@
   }
   const bool repeated = it != change.Requests.end() && it->second.CarriedOut && it->second.Order == order;
   if (repeated && order != Order::ReadStatus && ctx.Now - it->second.SentAt < OrderInterval)
-    return;
+    return false;
   if (it == change.Requests.end()) {
     const auto link = services.Links.acquire(target, {SessionId(), true}, {}, ctx.Now);
     if (!link) {
       services.Links.reserveForChange(target, ctx.Now);
       services.Links.openLinks(ctx, services.Catalog, target, 1, LinkPurpose::Control);
-      return;
+      return false;
     }
     it = change.Requests.emplace(target, detail::ServerRequest{*link, false, false, order, {}}).first;
   }
@@ -51,21 +51,22 @@
   ctx.emit(Count{order == Order::ReadStatus ? "status_queries_total" : "orders_total"});
   if (order == Order::ReadStatus) {
     services.Links.send(ctx, request.Link, {ReadServerStatus{}});
-    return;
+    return true;
   }
   if (order == Order::Resume) {
     services.Links.send(ctx, request.Link, {ResumeReplica{}});
-    return;
+    return true;
   }
   if (change.OrderTerm == 0)
     change.OrderTerm = detail::highestTerm(change.Servers) + 1;
   if (order == Order::StepDown) {
     change.StepDownSent = change.StepDownSent || target == change.Reason.From;
     services.Links.send(ctx, request.Link, {StepDownPrimary{change.OrderTerm}});
-    return;
+    return true;
   }
   change.PausedByThisProxy.insert(target);
   services.Links.send(ctx, request.Link, {PauseReplica{change.OrderTerm}});
+  return true;
 }
 
 void LeadershipModule::onReply(Context &ctx, LeadershipServices &services, const LinkPool::Reply &reply,
@@ -87,7 +88,10 @@
   }
   if (change.State < Phase::SelectingCandidate) {
     // The answer to an order for another proxy.
+    const bool stepDown = request.Order == Order::StepDown;
     releaseRequests(run);
+    if (stepDown && event.Status)
+      onStepDownForHolder(run, reply.Target, *event.Status);
     return;
   }
   if (change.State > Phase::AwaitingPrimary)
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -62,8 +62,9 @@
     if (!services.Catalog.limits(service) && change.State == Phase::Idle)
       continue;
     Run run{ctx, services, service, change};
+    keepFence(run);
     step(run);
-    active = active || run.Change.State != Phase::Idle;
+    active = active || change.State != Phase::Idle || change.Kept;
   }
   Next = ctx.Now + (active ? ActiveInterval : IdleInterval);
   if (!Startup.Call && Startup.ListAt > ctx.Now)
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -153,12 +153,20 @@
   /// Renews the fence here, and at the proxies where that is due. Does nothing if it was not raised.
   static void renewFence(Run &run);
   static void sendFence(Run &run, const CommitFence::Bounds &bounds);
+  /// The term for which proxies that reach the former primary order it to step down; 0 if they must not.
+  static Term stepDownTerm(Run &run);
   /// \param promoted The server that leads now; empty if the former primary may go on.
   static void endFence(Run &run, const TargetId &promoted);
   /// Ends the fence of a proxy that has gone silent and whose claim names no order.
   void endLeftFence(Run &run);
+
+  // The fence that this proxy keeps for another holder (internal/keptfence.cpp).
+  [[nodiscard]] static CommitFenceReply fenceReply(const Run &run);
+  /// Tells the holder what has changed since it was told last.
+  void keepFence(Run &run);
   /// Orders the former primary to step down for the proxy that changes it, if this proxy reaches it.
-  void stepDownForPeer(Run &run, const CommitFenceRequest &request);
+  void stepDownForHolder(Run &run);
+  void onStepDownForHolder(Run &run, const TargetId &target, const TargetStatus &status);
 
   // Selection of the candidate (internal/selection.cpp).
   void selectCandidate(Run &run);
@@ -227,7 +235,8 @@
   void queryAgain(Run &run, const TargetId &target);
   bool pauseReplicas(Run &run, const std::optional<TargetId> &except);
   void choose(Run &run, const TargetId &candidate);
-  void sendRequest(Run &run, const TargetId &target, Order order);
+  /// \returns whether the request was sent. It is not while no link is idle, or another one is unanswered.
+  bool sendRequest(Run &run, const TargetId &target, Order order);
   /// Records what a server has answered to an order or a status query.
   static void recordStatus(Run &run, const TargetId &target, const detail::ServerRequest &request,
                            const TargetStatus &status);
--- a/src/peers/internal/fencecodec.cpp
+++ b/src/peers/internal/fencecodec.cpp
@@ -23,7 +23,12 @@
   const wire::Position acknowledged(it.Acknowledged.Term, it.Acknowledged.Lsn);
   const auto knownSince =
       it.KnownSince ? flatbuffers::Optional<std::uint64_t>(*it.KnownSince) : flatbuffers::nullopt;
-  return wire::CreateCommitFenceReply(builder, service, it.Token, &acknowledged, knownSince).Union();
+  const auto &unreported = it.Unreported;
+  const wire::Position byServer(unreported.Acknowledged.Term, unreported.Acknowledged.Lsn);
+  return wire::CreateCommitFenceReply(builder, service, it.Token, &acknowledged, knownSince, &byServer,
+                                      unreported.Unanswered, static_cast<wire::StepDownState>(it.StepDown),
+                                      it.Update)
+      .Union();
 }
 
 Offset<void> encodeFence(FlatBufferBuilder &builder, const CommitFenceEnd &it, wire::Message &type) {
@@ -44,10 +49,16 @@
   const auto *it = envelope.message_as_CommitFenceReply();
   if (it == nullptr || it->acknowledged() == nullptr)
     return std::nullopt;
+  if (it->step_down() > wire::StepDownState::MAX)
+    return std::nullopt;
   const auto knownSince = it->known_since();
-  return CommitFenceReply{reader.id<DatabaseId>(it->service()), it->token(),
-                          *FrameReader::position(it->acknowledged()),
-                          knownSince ? std::optional<std::uint64_t>(*knownSince) : std::nullopt};
+  CommitFenceReply out{reader.id<DatabaseId>(it->service()), it->token(),
+                       *FrameReader::position(it->acknowledged()),
+                       knownSince ? std::optional<std::uint64_t>(*knownSince) : std::nullopt};
+  out.Unreported = {FrameReader::position(it->server_acknowledged()).value_or(Position()), it->unanswered()};
+  out.StepDown = static_cast<StepDownState>(it->step_down());
+  out.Update = it->update();
+  return out;
 }
 
 } // namespace rosemaryhinge::detail
--- a/src/peers/tests/peercodectests.cpp
+++ b/src/peers/tests/peercodectests.cpp
@@ -263,8 +263,13 @@
       return CommitFenceRequest{DatabaseId(text()), number(),         TargetId(text()),
                                 number(),           TargetId(text()), number()};
     case 33:
-      return CommitFenceReply{DatabaseId(text()), number(), position(),
-                              flag() ? std::optional(number()) : std::nullopt};
+      return CommitFenceReply{DatabaseId(text()),
+                              number(),
+                              position(),
+                              flag() ? std::optional(number()) : std::nullopt,
+                              {position(), flag()},
+                              static_cast<StepDownState>(small() % 3),
+                              flag()};
     case 34:
       return CommitFenceEnd{DatabaseId(text()), number(), TargetId(text())};
     default:
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -119,10 +119,21 @@
   std::map<DatabaseId, Position> UpTo; ///< The highest position of each service.
 };
 
+/// What a proxy knows of commits besides those that it has reported to callers.
+struct UnreportedCommits {
+  /// The highest position that a server has acknowledged to the proxy, whether or not the caller was told.
+  Position Acknowledged{};
+  /// Commits that it has sent have no answer: a server may still acknowledge them, or has already.
+  bool Unanswered = false;
+
+  bool operator==(const UnreportedCommits &) const = default;
+};
+
 /// A proxy's answer to a commit fence, for a holder of the claim that it does not reach.
 struct StoredFenceAnswer {
   std::uint64_t Token = 0; ///< Revision of the claim that asked for it.
   Position Acknowledged;   ///< As in CommitFenceReply.
+  UnreportedCommits Unreported{};
 };
 
 /// A proxy of the fleet, as it announces itself to the others.
--- a/src/protocol/peer.h
+++ b/src/protocol/peer.h
@@ -242,6 +242,14 @@
   /// Term for which a receiver that reaches the former primary orders it to step down; 0: it orders nothing.
   Term StepDownFor = 0;
 };
+
+/// How far a proxy has come with the order to the former primary to step down.
+enum class StepDownState : std::uint8_t {
+  NotOrdered, ///< It was not asked to, or it does not reach the former primary.
+  Ordered,    ///< The former primary has not confirmed it yet.
+  SteppedDown,
+};
+
 struct CommitFenceReply {
   DatabaseId Service;
   std::uint64_t Token = 0; ///< Of the request.
@@ -251,6 +259,10 @@
   /// Since when Acknowledged is known of the sender's node (ReportedCommits::KnownSince); empty if the
   /// process has not announced itself yet.
   std::optional<std::uint64_t> KnownSince{};
+  UnreportedCommits Unreported{};
+  StepDownState StepDown = StepDownState::NotOrdered;
+  /// Sent without a request, since what was told last has changed.
+  bool Update = false;
 };
 /// The promotion of this claim, and of earlier ones, can take effect no more, or has.
 struct CommitFenceEnd {
--- a/src/sessions/internal/leases.cpp
+++ b/src/sessions/internal/leases.cpp
@@ -74,6 +74,9 @@
            {"acknowledged", std::to_string(acknowledged.Term) + "." + std::to_string(acknowledged.Lsn)}}});
   service.Leader = target;
   service.LeaderTerm = term;
+  // The promotion has decided on the commits of the servers before.
+  if (service.AnswerLost && service.AnswerLost->Server != target)
+    service.AnswerLost.reset();
   applyWitness(ctx, services, id);
 }
 
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -16,6 +16,8 @@
 constexpr int MaxReadSends = 3;
 constexpr Duration BusyRetryDelay = 15ms;
 constexpr Duration PrimaryRetryDelay = 10ms;
+/// A commit whose connection was lost has reached its server by then, or does not reach it any more.
+constexpr Duration LateCommitTime = 1s;
 
 bool isNotExecuted(Rejection code) {
   switch (code) {
@@ -169,6 +171,19 @@
   return true;
 }
 
+void SessionsModule::recordServerAnswer(const Session &session, const LinkPool::Reply &reply,
+                                        const LinkReplied &event) {
+  const auto &work = *session.Current;
+  if (!isWriteCommit(session, work) || !event.At)
+    return;
+  auto &service = Services[reply.Service];
+  service.ServerAcknowledged = std::max(service.ServerAcknowledged, *event.At);
+  // The log up to this position is acknowledged, and holds the earlier commit if the server has received it.
+  if (const auto &lost = service.AnswerLost;
+      lost && lost->Server == reply.Target && work.SentAt - lost->At >= LateCommitTime)
+    service.AnswerLost.reset();
+}
+
 void SessionsModule::handleSuccess(Context &ctx, SessionServices &services, SessionId id, Session &session,
                                    const LinkPool::Reply &reply, const LinkReplied &event) {
   auto &work = *session.Current;
@@ -176,6 +191,7 @@
     const auto rtt = detail::roundTrip(ctx.Self, view->Entry.AvailabilityZone);
     services.Links.recordDuration(reply.Target, std::max(Duration{}, ctx.Now - work.SentAt - rtt), ctx.Now);
   }
+  recordServerAnswer(session, reply, event);
   const bool withheld = isWithheld(ctx, services, session, reply, event);
   if (withheld) {
     session.WrittenAtUnknownPosition.insert(reply.Service);
@@ -344,6 +360,8 @@
   auto &work = *session.Current;
   const bool sent = work.Attempt && work.Attempt->StatementSent;
   const bool linkLost = cause == detail::NoAnswer::LinkLost;
+  if (sent && isWriteCommit(session, work))
+    Services[work.Route.Service].AnswerLost = LostAnswer{work.Target, ctx.Now};
   if (work.Attempt && !linkLost) {
     const bool timedOut = cause == detail::NoAnswer::DeadlineExceeded;
     services.Links.close(ctx, work.Attempt->Link, timedOut);
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -428,6 +428,23 @@
   return it == Services.end() ? std::nullopt : it->second.Acknowledged;
 }
 
+UnreportedCommits SessionsModule::unreportedCommits(const DatabaseId &service,
+                                                    const TargetId &successor) const {
+  UnreportedCommits out;
+  if (const auto it = Services.find(service); it != Services.end()) {
+    out.Acknowledged = it->second.ServerAcknowledged;
+    out.Unanswered = it->second.AnswerLost && it->second.AnswerLost->Server != successor;
+  }
+  const auto inFlight = WritesInFlight.find(service);
+  if (out.Unanswered || inFlight == WritesInFlight.end())
+    return out;
+  out.Unanswered = std::any_of(inFlight->second.begin(), inFlight->second.end(), [&](const auto &one) {
+    const auto it = Sessions.find(one.second);
+    return it != Sessions.end() && it->second.Current && it->second.Current->Target != successor;
+  });
+  return out;
+}
+
 std::map<DatabaseId, Position> SessionsModule::acknowledged() const {
   std::map<DatabaseId, Position> out;
   for (const auto &[service, it] : Services)
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -76,6 +76,10 @@
   void noteAcknowledged(const DatabaseId &service, Position at);
   /// Log position of the last commit at a service that this proxy, or one that told it, has acknowledged.
   [[nodiscard]] std::optional<Position> acknowledgedUpTo(const DatabaseId &service) const;
+  /// What else this proxy knows of commits at a service.
+  /// \param successor The server whose commits do not count; empty if there is none.
+  [[nodiscard]] UnreportedCommits unreportedCommits(const DatabaseId &service,
+                                                    const TargetId &successor) const;
   /// The same of each service of which one is known.
   [[nodiscard]] std::map<DatabaseId, Position> acknowledged() const;
   /// Called with each event. After a time without any, during which this process may have been suspended and
@@ -129,6 +133,11 @@
     Term FollowedTerm = 0;
     TimePoint AskedAt;
   };
+  /// The last commit of which it is not known whether the server has acknowledged it, or will.
+  struct LostAnswer {
+    TargetId Server;
+    TimePoint At;
+  };
   struct Service {
     PositionHistory Positions;
     PrimaryLease Lease;
@@ -149,7 +158,9 @@
     std::map<TargetId, TimePoint> PrimaryProbedAt; ///< When a server was last tried as a possible primary.
     /// Send time of the first write that timed out since the last answered one.
     std::optional<TimePoint> WritesUnansweredSince;
-    int WritesUnanswered = 0; ///< Writes that timed out since the last answered one.
+    int WritesUnanswered = 0;    ///< Writes that timed out since the last answered one.
+    Position ServerAcknowledged; ///< The highest one that a server has acknowledged, reported or not.
+    std::optional<LostAnswer> AnswerLost;
   };
 
   // Statement handling within the proxy (internal/statements.cpp).
@@ -261,6 +272,8 @@
   void resumeAfterLease(Context &ctx, SessionServices &services, const DatabaseId &id);
 
   // Replies, retries and failures (internal/outcomes.cpp).
+  /// Records that a server has acknowledged a commit, whether or not its caller is told.
+  void recordServerAnswer(const Session &session, const LinkPool::Reply &reply, const LinkReplied &event);
   /// Whether the answer to a commit must not be reported as a success, since another server is promoted.
   [[nodiscard]] bool isWithheld(Context &ctx, SessionServices &services, const Session &session,
                                 const LinkPool::Reply &reply, const LinkReplied &event);
