Wait for proxies that reach the former primary to stop it

What callers saw: commits that were acknowledged at the former primary and are missing at the promoted one. Cause: a proxy that reaches the former primary ordered it to step down once, if a link happened to be idle, and nobody waited for it. The holder chose and ordered at once, and a replica that joined before the effect let the former primary acknowledge what waited there. Change: the order is repeated until it is confirmed, and the holder waits up to 800 ms for proxies that have ordered it, and 100 ms after the first confirmation, while commits are unanswered.

--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -18,6 +18,10 @@
 constexpr Duration FenceWait = 400ms;
 /// The same once it has stepped down: the fence then only guards against orders that are carried out late.
 constexpr Duration SteppedDownFenceWait = 100ms;
+/// Time for proxies that reach the former primary to stop it, while commits may still be acknowledged there.
+constexpr Duration StepDownWait = 800ms;
+/// Time for what the former primary had acknowledged before it stepped down for another proxy to be told.
+constexpr Duration AnswerWait = 100ms;
 /// Time for a list of the proxies that is as new as the fence.
 constexpr Duration FleetListWait = 400ms;
 
@@ -38,7 +42,21 @@
   renewFence(run);
   readStoredAnswers(run);
   return allFound &&
-         change.Fence.settled(change.SteppedDownAt ? SteppedDownFenceWait : FenceWait, run.Ctx.Now);
+         change.Fence.settled(change.SteppedDownAt ? SteppedDownFenceWait : FenceWait, run.Ctx.Now) &&
+         !awaitsOtherStepDown(run);
+}
+
+bool LeadershipModule::commitsUnanswered(const Run &run) {
+  return run.Services.Sessions.unreportedCommits(run.Service, TargetId()).Unanswered ||
+         !run.Change.Fence.unanswered().empty();
+}
+
+bool LeadershipModule::awaitsOtherStepDown(const Run &run) {
+  const auto &fence = run.Change.Fence;
+  if (run.Change.SteppedDownAt || fence.askedFor(StepDownWait, run.Ctx.Now) || !commitsUnanswered(run))
+    return false;
+  const auto since = fence.steppedDownAt();
+  return since ? run.Ctx.Now - *since < AnswerWait : fence.awaitsStepDown();
 }
 
 bool LeadershipModule::findMembers(Run &run) {
--- a/src/leadership/internal/keptfence.cpp
+++ b/src/leadership/internal/keptfence.cpp
@@ -56,6 +56,7 @@
     kept.reset();
     return;
   }
+  stepDownForHolder(run);
   auto reply = fenceReply(run);
   if (reply.Unreported == kept->Told.Unreported && reply.StepDown == kept->Told.StepDown)
     return;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -159,6 +159,10 @@
   static void endFence(Run &run, const TargetId &promoted);
   /// Ends the fence of a proxy that has gone silent and whose claim names no order.
   void endLeftFence(Run &run);
+  /// Whether a proxy has sent commits that may have been acknowledged, or still may be.
+  [[nodiscard]] static bool commitsUnanswered(const Run &run);
+  /// Whether another proxy is about to stop the former primary, which may still acknowledge commits.
+  [[nodiscard]] static bool awaitsOtherStepDown(const Run &run);
 
   // The fence that this proxy keeps for another holder (internal/keptfence.cpp).
   [[nodiscard]] static CommitFenceReply fenceReply(const Run &run);
