Require of the promoted server what servers have acknowledged

What callers saw: INDOUBT for commits that a server had acknowledged and that the promoted server lacked. Cause: an acknowledgement that a proxy withholds under the fence counted for nothing, and once the fence was complete only what had been reported was required. Change: the highest position that a server acknowledged to any proxy is required, too. If no caller was told, a log that holds it is waited for 6 s at most, in place of 10 or 60 s. Why it works: a choice that lags behind is made again before the order (choiceStands).

--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -61,7 +61,7 @@
                     {"fence_late", joined(change.Fence.late())},
                     {"fence_acknowledged", detail::toString(change.Fence.acknowledged())},
                     {"unanswered_at", joined(change.Fence.unanswered())},
-                    {"server_acknowledged", detail::toString(change.Fence.serverAcknowledged())},
+                    {"server_acknowledged", detail::toString(change.ServerAcknowledged)},
                     {"stepped_down_for_peer", change.Fence.steppedDownAt() ? "yes" : "no"},
                     {"claim_revision", std::to_string(storeNumber(change.Claim.token()))},
                     {"servers_revision", std::to_string(storeNumber(run.Services.Catalog.serversRevision()))},
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -99,6 +99,8 @@
   std::map<TargetId, CoveringPosition> CoveredBy;
   Position Required;     ///< The highest position known to be required; outlasts the claims that told it.
   Position Acknowledged; ///< The highest one known to be reported to callers, likewise.
+  /// The highest one that is known to be acknowledged by a server, reported or not.
+  Position ServerAcknowledged;
   /// Revision of the store after which the present primary's term began (Claim::TermSince).
   std::uint64_t TermSince = 0;
   /// Since when no server that could be promoted holds Required.
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -27,6 +27,8 @@
 constexpr Duration AbsentLogTimeout = 60s;
 /// The same where no server is known that may hold them.
 constexpr Duration UnknownLogTimeout = 10s;
+/// The same where only commits are missing that no caller has been told of.
+constexpr Duration UnreportedLogTimeout = 6s;
 /// Without an answer of all replicas, the former primary is asked to step down after this time.
 constexpr Duration StepDownDelay = 1500ms;
 /// Time for a replica to receive what the former primary had when it stepped down, and for one that has
@@ -320,6 +322,13 @@
   return change.Acknowledged;
 }
 
+Position LeadershipModule::serverAcknowledgedPosition(Run &run) {
+  auto &change = run.Change;
+  const auto own = run.Services.Sessions.unreportedCommits(run.Service, TargetId()).Acknowledged;
+  change.ServerAcknowledged = std::max({change.ServerAcknowledged, own, change.Fence.serverAcknowledged()});
+  return change.ServerAcknowledged;
+}
+
 Position LeadershipModule::requiredPosition(Run &run) {
   auto &change = run.Change;
   change.Required = std::max({change.Required, change.Claim.known().Required, acknowledgedPosition(run)});
@@ -332,12 +341,16 @@
   return steppedDown ? it->second.Status->Log : Position();
 }
 
-Position LeadershipModule::positionToCover(Run &run) {
+Position LeadershipModule::reportedPosition(Run &run) {
   if (run.Change.Fence.complete(run.Ctx.Now))
     return acknowledgedPosition(run);
   return std::max({requiredPosition(run), endedServersPosition(run), steppedDownPosition(run)});
 }
 
+Position LeadershipModule::positionToCover(Run &run) {
+  return std::max(reportedPosition(run), serverAcknowledgedPosition(run));
+}
+
 bool LeadershipModule::logsAbsent(const Run &run) {
   const auto &servers = run.Change.Servers;
   const auto ended = run.Services.Catalog.missingServers(run.Service);
@@ -346,12 +359,11 @@
 }
 
 detail::Coverage LeadershipModule::coverageOf(Run &run, const TargetId &candidate) {
-  return detail::coverage(
-      {run.Change.Servers, positionToCover(run), logsAbsent(run), run.Change.Fence.complete(run.Ctx.Now)},
-      candidate);
+  return detail::coverage({run.Change.Servers, positionToCover(run), logsAbsent(run), run.Change.Fence.complete(run.Ctx.Now)},
+                          candidate);
 }
 
-bool LeadershipModule::mustAwaitLog(Run &run, detail::Coverage coverage) {
+bool LeadershipModule::mustAwaitLog(Run &run, detail::Coverage coverage, Position log) {
   auto &change = run.Change;
   if (coverage == detail::Coverage::Complete) {
     change.UncoveredSince.reset();
@@ -371,7 +383,10 @@
   const bool primaryServes = run.Services.Catalog.server(from) && !change.SteppedDownAt &&
                              !health.suspect(run.Ctx.Now) && reply &&
                              run.Ctx.Now - *reply < PrimaryReplyWindow;
-  const auto limit = coverage == detail::Coverage::AwaitsLog ? AbsentLogTimeout : UnknownLogTimeout;
+  const bool reported = log < reportedPosition(run);
+  const auto limit = !reported                                 ? UnreportedLogTimeout
+                     : coverage == detail::Coverage::AwaitsLog ? AbsentLogTimeout
+                                                               : UnknownLogTimeout;
   if (!primaryServes && run.Ctx.Now - since >= limit) {
     run.Ctx.emit(Count{"promotions_uncovered_total"});
     run.Ctx.emit(Log{LogLevel::Warn,
@@ -432,9 +447,9 @@
       return;
     }
   }
-  if (mustAwaitLog(run, coverage))
-    return;
   const auto &log = change.Servers.at(candidate).Status->Log;
+  if (mustAwaitLog(run, coverage, log))
+    return;
   // The choice is made again for as long as the claim cannot be confirmed.
   const bool repeated = change.Candidate == candidate && change.CandidateLog == log;
   change.Candidate = candidate;
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -188,7 +188,9 @@
   static Position endedServersPosition(const Run &run);
   /// End of the log of a former primary that has stepped down: another proxy may have reported all of it.
   static Position steppedDownPosition(const Run &run);
-  /// The position that a server must hold to be promoted, with what covers the servers that ended.
+  /// The position that covers what callers have been told of, and the servers that ended.
+  static Position reportedPosition(Run &run);
+  /// The position that a server must hold to be promoted: besides, what only servers have acknowledged.
   static Position positionToCover(Run &run);
   [[nodiscard]] std::optional<std::string> reasonRefuted(Run &run);
   /// Another server leads: whether the change goes on and replaces that one. It does while an order for a
@@ -223,13 +225,16 @@
   [[nodiscard]] static bool stopped(const Run &run);
   /// The highest position that this proxy, or one that told it, has reported as committed.
   static Position acknowledgedPosition(Run &run);
-  /// The position that a server must hold to be promoted.
+  /// The highest position that a server has acknowledged to this proxy, or to one that told it.
+  static Position serverAcknowledgedPosition(Run &run);
+  /// The position that a server must hold to be promoted, as far as claims and reports tell.
   static Position requiredPosition(Run &run);
   /// Whether a log that is not compared may hold more than the servers that are.
   [[nodiscard]] static bool logsAbsent(const Run &run);
   [[nodiscard]] static detail::Coverage coverageOf(Run &run, const TargetId &candidate);
   /// Whether the candidate lacks what is required, and a log that holds it may still come back.
-  bool mustAwaitLog(Run &run, detail::Coverage coverage);
+  /// \param log End of the candidate's log.
+  bool mustAwaitLog(Run &run, detail::Coverage coverage, Position log);
   /// Whether only a replica that is about to leave has the longest log, and one that stays may still receive
   /// it.
   bool awaitsStayingReplica(Run &run);
