Compare the servers while commits are unanswered

Cause: a complete fence stood in for servers that could not be compared, although proxies had commits in flight, or with a lost answer, which one of these servers may hold. Change: it does so only once no commit at the former primary is unanswered, or after 2 s. Why it works: without an unanswered commit, all that a server acknowledged is known to a proxy, and required.

--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -22,6 +22,8 @@
 constexpr Duration StepDownWait = 800ms;
 /// Time for what the former primary had acknowledged before it stepped down for another proxy to be told.
 constexpr Duration AnswerWait = 100ms;
+/// Time for which commits without an answer count that only servers tell which cannot be compared.
+constexpr Duration UnansweredWait = 2s;
 /// Time for a list of the proxies that is as new as the fence.
 constexpr Duration FleetListWait = 400ms;
 
@@ -59,6 +61,16 @@
   return since ? run.Ctx.Now - *since < AnswerWait : fence.awaitsStepDown();
 }
 
+bool LeadershipModule::fenceCovers(Run &run) {
+  if (!run.Change.Fence.complete(run.Ctx.Now))
+    return false;
+  if (!commitsUnanswered(run))
+    return true;
+  auto &since = run.Change.UnansweredSince;
+  since = since.value_or(run.Ctx.Now);
+  return run.Ctx.Now - *since >= UnansweredWait;
+}
+
 bool LeadershipModule::findMembers(Run &run) {
   auto &fleet = run.Services.Fleet;
   auto &fence = run.Change.Fence;
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -103,6 +103,8 @@
   Position ServerAcknowledged;
   /// Revision of the store after which the present primary's term began (Claim::TermSince).
   std::uint64_t TermSince = 0;
+  /// Since when the fence is complete while commits are unanswered. Outlasts attempts that fail.
+  std::optional<TimePoint> UnansweredSince;
   /// Since when no server that could be promoted holds Required.
   std::optional<TimePoint> UncoveredSince;
 
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -302,7 +302,7 @@
     return;
   awaitFence(run);
   const auto waited = run.Ctx.Now - *change.SteppedDownAt;
-  const bool othersCount = !change.Fence.complete(run.Ctx.Now) || waited < ReportTime;
+  const bool othersCount = !fenceCovers(run) || waited < ReportTime;
   const auto best = detail::bestAfterStepDown(change.Servers, preferred(change), othersCount);
   const bool whole =
       best && change.Servers.at(*best).Status->Log >= former && !change.Servers.at(*best).Leaving;
@@ -359,7 +359,7 @@
 }
 
 detail::Coverage LeadershipModule::coverageOf(Run &run, const TargetId &candidate) {
-  return detail::coverage({run.Change.Servers, positionToCover(run), logsAbsent(run), run.Change.Fence.complete(run.Ctx.Now)},
+  return detail::coverage({run.Change.Servers, positionToCover(run), logsAbsent(run), fenceCovers(run)},
                           candidate);
 }
 
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -146,6 +146,8 @@
   auto &change = run.Change;
   auto reason = findReason(run);
   logSuspicion(run, reason);
+  if (!reason)
+    change.UnansweredSince.reset();
   // The proxy that changes the primary asks those that it finds in the store.
   if (reason && run.Services.Sessions.acknowledgedUpTo(run.Service))
     run.Services.Fleet.verifyEntry(run.Ctx);
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -163,6 +163,8 @@
   [[nodiscard]] static bool commitsUnanswered(const Run &run);
   /// Whether another proxy is about to stop the former primary, which may still acknowledge commits.
   [[nodiscard]] static bool awaitsOtherStepDown(const Run &run);
+  /// Whether what the proxies tell stands in for servers that cannot be compared.
+  [[nodiscard]] static bool fenceCovers(Run &run);
 
   // The fence that this proxy keeps for another holder (internal/keptfence.cpp).
   [[nodiscard]] static CommitFenceReply fenceReply(const Run &run);
