Keep a link to the primary free

Cause: commits that wait for a replica take all connections of the primary. It answers no status query then, counts as silent, and no proxy can tell it to step down. Change: the first proxies in rendezvous order keep one of three or more links free, and ask a silent primary on it.

--- /dev/null
+++ b/src/leadership/internal/primarywatch.cpp
@@ -0,0 +1,37 @@
+// Keeps a link to the primary free for this proxy's own questions and orders.
+//
+// A primary whose replicas are lost answers no commit. Once commits wait on all of its connections, it
+// answers nothing else either, although it runs, and cannot be told to step down.
+
+#include "leadership/internal/pauses.h"
+#include "leadership/leadershipmodule.h"
+
+namespace rosemaryhinge {
+
+namespace {
+
+/// The first proxies in rendezvous order keep a link: one of them may be away.
+constexpr std::size_t Watchers = 2;
+/// Open links from which on one is kept free. With fewer, callers' work needs them.
+constexpr std::size_t LinksToKeepOne = 3;
+/// Above the interval of the timer that renews the reservation.
+constexpr Duration ReservationTime = 500ms;
+/// Silence after which the primary is asked whether it still answers.
+constexpr Duration AskAfter = 300ms;
+
+} // namespace
+
+void LeadershipModule::watchPrimary(Run &run) {
+  const auto &primary = run.Change.Primary;
+  auto &links = run.Services.Links;
+  // Another proxy that changes the primary asks for it to be stopped.
+  if (!primary || !run.Services.Fleet.enabled() || run.Change.State != Phase::Idle ||
+      links.open(*primary) < LinksToKeepOne ||
+      run.Services.Fleet.rank(run.Ctx.Self.Node, run.Service.str()) >= Watchers)
+    return;
+  links.reserveForChange(*primary, run.Ctx.Now, ReservationTime);
+  if (links.health(*primary).silence(run.Ctx.Now) >= AskAfter)
+    sendRequest(run, *primary, Order::ReadStatus);
+}
+
+} // namespace rosemaryhinge
--- a/src/leadership/internal/serverrequests.cpp
+++ b/src/leadership/internal/serverrequests.cpp
@@ -87,7 +87,7 @@
     return;
   }
   if (change.State < Phase::SelectingCandidate) {
-    // The answer to an order for another proxy.
+    // The answer to an order for another proxy, or to a question whether the primary answers.
     const bool stepDown = request.Order == Order::StepDown;
     releaseRequests(run);
     if (stepDown && event.Status)
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -79,6 +79,7 @@
     change.Primary = primary;
     change.PrimarySince = run.Ctx.Now;
   }
+  watchPrimary(run);
   renewFence(run);
   switch (change.State) {
   case Phase::Idle:
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -166,6 +166,9 @@
   /// Whether what the proxies tell stands in for servers that cannot be compared.
   [[nodiscard]] static bool fenceCovers(Run &run);
 
+  // The link to the primary (internal/primarywatch.cpp).
+  void watchPrimary(Run &run);
+
   // The fence that this proxy keeps for another holder (internal/keptfence.cpp).
   [[nodiscard]] static CommitFenceReply fenceReply(const Run &run);
   /// Tells the holder what has changed since it was told last.
--- a/src/links/linkpool.cpp
+++ b/src/links/linkpool.cpp
@@ -65,8 +65,9 @@
   return best;
 }
 
-void LinkPool::reserveForChange(const TargetId &target, TimePoint now) {
-  Servers[target].ReservedUntil = now + ReservationTime;
+void LinkPool::reserveForChange(const TargetId &target, TimePoint now, Duration time) {
+  auto &until = Servers[target].ReservedUntil;
+  until = std::max(until, now + time);
 }
 
 void LinkPool::release(Context &ctx, LinkId id) {
--- a/src/links/linkpool.h
+++ b/src/links/linkpool.h
@@ -70,8 +70,8 @@
   /// favour of the new ones; without any, nothing is opened.
   void openLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
                  LinkPurpose purpose = LinkPurpose::Statements, const WorkspaceId &workspace = {});
-  /// Keeps the next link that becomes idle for a primary change, for ReservationTime.
-  void reserveForChange(const TargetId &target, TimePoint now);
+  /// Keeps the next link that becomes idle for a primary change, for some time.
+  void reserveForChange(const TargetId &target, TimePoint now, Duration time = ReservationTime);
   /// Like openLinks, but requests connections that another proxy lends for one transaction each.
   void borrowLinks(Context &ctx, const Catalog &catalog, const TargetId &target, std::size_t waiting,
                    const LoanParameters &wish);
