Order the step-down through the store, too

The only proxy that reaches the former primary is cut off from the others. It raised the fence by the notice in the store, and nobody asked it to stop the former primary. Change: the notice names the former primary and the term of the step-down.

--- a/src/leadership/internal/fencenotices.cpp
+++ b/src/leadership/internal/fencenotices.cpp
@@ -37,7 +37,9 @@
   const auto upTo = std::max(detail::highestLogTerm(change.Servers), requiredPosition(run).Term);
   run.Ctx.emit(Count{"commit_fence_notices_total"});
   run.Ctx.emit(DirectoryCall{*change.NoticeCall, CallTimeout,
-                             PutFenceNotice{{run.Service, fence.token(), upTo, std::move(unanswered), false, TargetId()}, create}});
+                             PutFenceNotice{{run.Service, fence.token(), upTo, std::move(unanswered), false,
+                                             TargetId(), change.Reason.From, stepDownTerm(run)},
+                                            create}});
 }
 
 bool LeadershipModule::onNoticeAnswer(Context &ctx, LeadershipServices &services,
@@ -98,6 +100,15 @@
       notice.Token <= change.AnsweredNotice || !fence.raise({notice.Token, TargetId(), notice.UpTo}, ctx.Now))
     return;
   change.AnsweredNotice = notice.Token;
+  // The holder is not told what becomes of the order: it does not reach this proxy.
+  change.Kept = detail::KeptFence{
+      NodeId(),
+      {notice.Service, notice.Token, TargetId(), notice.UpTo, notice.Former, notice.StepDownFor},
+      StepDownState::NotOrdered,
+      {},
+      {}};
+  Run run{ctx, services, notice.Service, change};
+  keepFence(run);
   ctx.emit(Count{"commit_fences_raised_total{through=\"store\"}"});
   const auto acknowledged = services.Sessions.acknowledgedUpTo(notice.Service).value_or(Position());
   services.Fleet.answerFence(
--- a/src/leadership/internal/keptfence.cpp
+++ b/src/leadership/internal/keptfence.cpp
@@ -57,6 +57,8 @@
     return;
   }
   stepDownForHolder(run);
+  if (kept->Holder.empty())
+    return;
   auto reply = fenceReply(run);
   if (reply.Unreported == kept->Told.Unreported && reply.StepDown == kept->Told.StepDown)
     return;
--- a/src/protocol/directory.h
+++ b/src/protocol/directory.h
@@ -96,7 +96,9 @@
   Term UpTo = 0;           ///< As in CommitFenceRequest.
   std::vector<NodeId> Unanswered;
   bool Ended = false;
-  TargetId Promoted; ///< As in CommitFenceEnd; only once it has ended.
+  TargetId Promoted;    ///< As in CommitFenceEnd; only once it has ended.
+  TargetId Former{};    ///< As in CommitFenceRequest.
+  Term StepDownFor = 0; ///< As in CommitFenceRequest.
 };
 
 /// The right of one proxy to keep the quotas of an availability zone, until it is not renewed.
