Wait for a replica that is not listed yet after a step-down

A replica had joined and received 10.1319 before the former primary stepped down, and was listed 847 ms later. After 800 ms the best of the listed replicas was promoted with 10.1318. Change: while commits are unanswered and no replica has all of the former primary's log, the wait is 1.2 s with a list of the servers at its end. If a listed server cannot be compared then, the former primary leads again. Why it works: a server registers within about a second of its start, and the former primary holds all that it has acknowledged.

--- a/src/leadership/internal/logging.cpp
+++ b/src/leadership/internal/logging.cpp
@@ -60,6 +60,7 @@
                     {"fence_silent", joined(change.Fence.silent(run.Ctx.Now))},
                     {"fence_late", joined(change.Fence.late())},
                     {"fence_acknowledged", detail::toString(change.Fence.acknowledged())},
+                    {"commits_unanswered", commitsUnanswered(run) ? "yes" : "no"},
                     {"unanswered_at", joined(change.Fence.unanswered())},
                     {"server_acknowledged", detail::toString(change.ServerAcknowledged)},
                     {"stepped_down_for_peer", change.Fence.steppedDownAt() ? "yes" : "no"},
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -47,7 +47,7 @@
 
 /// The commit fence that this proxy keeps for the holder of a claim, and what it has told that one.
 struct KeptFence {
-  NodeId Holder; ///< Empty if the fence was raised through the store.
+  NodeId Holder;              ///< Empty if the fence was raised through the store.
   CommitFenceRequest Request; ///< The newest one.
   StepDownState StepDown = StepDownState::NotOrdered;
   TimePoint StepDownSentAt;
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -35,6 +35,8 @@
 /// joined to be listed. After it, the longest log of all replicas is promoted or, without the reports of all,
 /// the former primary itself again.
 constexpr Duration ReportTime = 800ms;
+/// The same while commits are unanswered: a replica that is not listed yet may hold them.
+constexpr Duration UnlistedReportTime = 1200ms;
 /// Added to the length of a lease, for differences between the rates of clocks.
 constexpr Duration ClockMargin = 30ms;
 
@@ -308,10 +310,18 @@
       best && change.Servers.at(*best).Status->Log >= former && !change.Servers.at(*best).Leaving;
   if (awaitsOrderedServer(run, *change.SteppedDownAt) && best != change.Outstanding)
     return;
-  if (whole)
+  if (whole) {
     choose(run, *best);
-  else if (waited >= ReportTime)
-    choose(run, best.value_or(from));
+    return;
+  }
+  const bool unanswered = commitsUnanswered(run);
+  if (unanswered && waited >= ReportTime)
+    run.Services.Directory.refreshServers(run.Ctx);
+  if (waited < (unanswered ? UnlistedReportTime : ReportTime))
+    return;
+  const bool formerSafer =
+      unanswered && former >= positionToCover(run) && !detail::listedSettled(change.Servers);
+  choose(run, formerSafer ? from : best.value_or(from));
 }
 
 Position LeadershipModule::acknowledgedPosition(Run &run) {
--- a/src/leadership/internal/serverstates.cpp
+++ b/src/leadership/internal/serverstates.cpp
@@ -105,6 +105,13 @@
   return all || holdsFormerLog || !othersCount ? best : std::nullopt;
 }
 
+bool listedSettled(const ServerStates &servers) {
+  return std::all_of(servers.begin(), servers.end(), [](const auto &one) {
+    const auto &it = one.second;
+    return it.FormerPrimary || it.Missing || it.Settled;
+  });
+}
+
 bool anyReplicaAdvances(const ServerStates &servers) {
   return std::any_of(servers.begin(), servers.end(), [](const auto &one) {
     const auto &it = one.second;
--- a/src/leadership/internal/serverstates.h
+++ b/src/leadership/internal/serverstates.h
@@ -54,6 +54,9 @@
 /// \param othersCount Whether a server that cannot be compared may hold a commit that no other has.
 [[nodiscard]] std::optional<TargetId> bestAfterStepDown(const ServerStates &servers,
                                                         const TargetId &preferred, bool othersCount = true);
+/// Whether each listed server has told all that it can have received from a former primary that has stepped
+/// down.
+[[nodiscard]] bool listedSettled(const ServerStates &servers);
 /// A replica has received more since it was first asked: the primary serves on.
 [[nodiscard]] bool anyReplicaAdvances(const ServerStates &servers);
 /// A server other than the former primary that leads: it reports itself as the primary, and no log has a
