Count a commit as unanswered when its caller has left

A session that ended dropped its commit in flight, so that nothing told of it any more. Callers give up in just this fault, when commits wait for a replica. Change: the commit counts as one whose answer is lost. The test "a commit whose caller has left counts as unanswered" failed before.

--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -148,6 +148,9 @@
   if (it == Sessions.end())
     return;
   const auto &session = it->second;
+  if (const auto &work = session.Current;
+      work && work->Attempt && work->Attempt->StatementSent && isWriteCommit(session, *work))
+    Services[work->Route.Service].AnswerLost = LostAnswer{work->Target, ctx.Now};
   if (session.Transaction && session.Transaction->Link) {
     services.Links.release(ctx, *session.Transaction->Link);
   } else if (session.Current && session.Current->Attempt) {
