Count unanswered commits of the former primary only

At a proxy with few commits, a lost answer of a server two primaries ago made each later change wait. And a commit whose connection was lost counted as settled after 1 s, while a server keeps a connection that it cannot reach for 3 s. Change: the request for the fence names the former primary; only commits sent there count. The time is 4 s.

--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -49,7 +49,7 @@
 }
 
 bool LeadershipModule::commitsUnanswered(const Run &run) {
-  return run.Services.Sessions.unreportedCommits(run.Service, TargetId()).Unanswered ||
+  return run.Services.Sessions.unreportedCommits(run.Service, run.Change.Reason.From).Unanswered ||
          !run.Change.Fence.unanswered().empty();
 }
 
--- a/src/leadership/internal/fencenotices.cpp
+++ b/src/leadership/internal/fencenotices.cpp
@@ -113,7 +113,7 @@
   const auto acknowledged = services.Sessions.acknowledgedUpTo(notice.Service).value_or(Position());
   services.Fleet.answerFence(
       ctx, notice.Service,
-      {notice.Token, acknowledged, services.Sessions.unreportedCommits(notice.Service, TargetId())});
+      {notice.Token, acknowledged, services.Sessions.unreportedCommits(notice.Service, notice.Former)});
 }
 
 } // namespace rosemaryhinge
--- a/src/leadership/internal/keptfence.cpp
+++ b/src/leadership/internal/keptfence.cpp
@@ -44,7 +44,7 @@
           kept.Request.Token,
           sessions.acknowledgedUpTo(run.Service).value_or(Position()),
           run.Services.Fleet.knownSince(),
-          sessions.unreportedCommits(run.Service, kept.Request.Successor),
+          sessions.unreportedCommits(run.Service, kept.Request.Former),
           kept.StepDown};
 }
 
--- a/src/sessions/internal/outcomes.cpp
+++ b/src/sessions/internal/outcomes.cpp
@@ -16,8 +16,9 @@
 constexpr int MaxReadSends = 3;
 constexpr Duration BusyRetryDelay = 15ms;
 constexpr Duration PrimaryRetryDelay = 10ms;
-/// A commit whose connection was lost has reached its server by then, or does not reach it any more.
-constexpr Duration LateCommitTime = 1s;
+/// A commit whose connection was lost has reached its server by then, or does not reach it any more: servers
+/// drop connections whose other end cannot be reached after 3 s.
+constexpr Duration LateCommitTime = 4s;
 
 bool isNotExecuted(Rejection code) {
   switch (code) {
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -431,19 +431,19 @@
   return it == Services.end() ? std::nullopt : it->second.Acknowledged;
 }
 
-UnreportedCommits SessionsModule::unreportedCommits(const DatabaseId &service,
-                                                    const TargetId &successor) const {
+UnreportedCommits SessionsModule::unreportedCommits(const DatabaseId &service, const TargetId &former) const {
   UnreportedCommits out;
+  const auto counts = [&](const TargetId &it) { return former.empty() || it == former; };
   if (const auto it = Services.find(service); it != Services.end()) {
     out.Acknowledged = it->second.ServerAcknowledged;
-    out.Unanswered = it->second.AnswerLost && it->second.AnswerLost->Server != successor;
+    out.Unanswered = it->second.AnswerLost && counts(it->second.AnswerLost->Server);
   }
   const auto inFlight = WritesInFlight.find(service);
   if (out.Unanswered || inFlight == WritesInFlight.end())
     return out;
   out.Unanswered = std::any_of(inFlight->second.begin(), inFlight->second.end(), [&](const auto &one) {
     const auto it = Sessions.find(one.second);
-    return it != Sessions.end() && it->second.Current && it->second.Current->Target != successor;
+    return it != Sessions.end() && it->second.Current && counts(it->second.Current->Target);
   });
   return out;
 }
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -77,9 +77,8 @@
   /// Log position of the last commit at a service that this proxy, or one that told it, has acknowledged.
   [[nodiscard]] std::optional<Position> acknowledgedUpTo(const DatabaseId &service) const;
   /// What else this proxy knows of commits at a service.
-  /// \param successor The server whose commits do not count; empty if there is none.
-  [[nodiscard]] UnreportedCommits unreportedCommits(const DatabaseId &service,
-                                                    const TargetId &successor) const;
+  /// \param former The server whose unanswered commits count; empty for those of all servers.
+  [[nodiscard]] UnreportedCommits unreportedCommits(const DatabaseId &service, const TargetId &former) const;
   /// The same of each service of which one is known.
   [[nodiscard]] std::map<DatabaseId, Position> acknowledged() const;
   /// Called with each event. After a time without any, during which this process may have been suspended and
