Hand over what servers have acknowledged when a proxy ends

A proxy that ends as planned tells its positions to those that would change the primary next, but not what servers had acknowledged and it had withheld. Change: it tells both, and whoever is told by an answer to a fence keeps it for later answers of its own.

--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -161,6 +161,7 @@
   if (it == Changes.end())
     return;
   services.Sessions.noteAcknowledged(reply.Service, reply.Acknowledged);
+  services.Sessions.noteServerAcknowledged(reply.Service, reply.Unreported.Acknowledged);
   auto &fence = it->second.Fence;
   if (!reply.Update)
     fence.onReply(from, reply.Token, reply.Acknowledged, reply.KnownSince, ctx.Now);
@@ -180,7 +181,8 @@
     auto heirs = services.Fleet.others(self.Node, self.AvailabilityZone, service.str(), 0);
     heirs.resize(std::min(heirs.size(), detail::FirstClaimants));
     for (const auto &node : heirs)
-      ctx.emit(SendToPeer{node, CommitFenceReply{service, 0, *acknowledged}});
+      ctx.emit(SendToPeer{node, CommitFenceReply{service, 0, *acknowledged, std::nullopt,
+                                                 services.Sessions.unreportedCommits(service, TargetId())}});
   }
 }
 
--- a/src/sessions/sessionsmodule.cpp
+++ b/src/sessions/sessionsmodule.cpp
@@ -448,6 +448,11 @@
   return out;
 }
 
+void SessionsModule::noteServerAcknowledged(const DatabaseId &service, Position at) {
+  auto &known = Services[service].ServerAcknowledged;
+  known = std::max(known, at);
+}
+
 std::map<DatabaseId, Position> SessionsModule::acknowledged() const {
   std::map<DatabaseId, Position> out;
   for (const auto &[service, it] : Services)
--- a/src/sessions/sessionsmodule.h
+++ b/src/sessions/sessionsmodule.h
@@ -79,6 +79,8 @@
   /// What else this proxy knows of commits at a service.
   /// \param former The server whose unanswered commits count; empty for those of all servers.
   [[nodiscard]] UnreportedCommits unreportedCommits(const DatabaseId &service, const TargetId &former) const;
+  /// Records the highest position that a server has acknowledged to another proxy.
+  void noteServerAcknowledged(const DatabaseId &service, Position at);
   /// The same of each service of which one is known.
   [[nodiscard]] std::map<DatabaseId, Position> acknowledged() const;
   /// Called with each event. After a time without any, during which this process may have been suspended and
