Go on with a change once another proxy has stopped the primary

Cause: three proxies had stopped the primary for the holder, which then reached it and gave the change up, because "the primary answers again". Change: an answer refutes the change only while nobody has ordered a step-down.

--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -115,7 +115,9 @@
   if (!change.Outstanding.empty())
     return std::nullopt;
   const auto reply = run.Services.Links.health(from).lastReplyAt();
-  if (change.Reason.refutedByAnswer() && !change.StepDownSent && reply && *reply > change.StartedAt)
+  // One that has stepped down, for this proxy or another one, answers without leading.
+  const bool stopped = change.StepDownSent || change.Fence.steppedDownAt() || change.Fence.awaitsStepDown();
+  if (change.Reason.refutedByAnswer() && !stopped && reply && *reply > change.StartedAt)
     return "the primary answers again";
   return std::nullopt;
 }
