Begin the wait for a missing log anew with each incident

What callers would see: commits that they had been told of are lost without the wait of 60 s. The time since which no log held what is required was reset only by a choice that held it. Change: it is forgotten once a primary answers, or if nothing was uncovered for 60 s.

--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -107,6 +107,7 @@
   std::optional<TimePoint> UnansweredSince;
   /// Since when no server that could be promoted holds Required.
   std::optional<TimePoint> UncoveredSince;
+  TimePoint UncoveredAt; ///< When that was last found.
 
   // Promotion.
   /// Server of an order that may still be carried out: of an earlier claim, whoever held it, or of this one
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -387,8 +387,11 @@
       !run.Services.Links.health(last).suspect(run.Ctx.Now) && !change.SteppedDownAt &&
       run.Ctx.Now - change.StartedAt < StepDownDelay)
     return true;
+  if (run.Ctx.Now - change.UncoveredAt >= AbsentLogTimeout)
+    change.UncoveredSince.reset();
   const auto since = change.UncoveredSince.value_or(run.Ctx.Now);
   change.UncoveredSince = since;
+  change.UncoveredAt = run.Ctx.Now;
   const auto &from = change.Reason.From;
   const auto &health = run.Services.Links.health(from);
   const auto reply = health.lastReplyAt();
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -149,6 +149,7 @@
   logSuspicion(run, reason);
   if (!reason)
     change.UnansweredSince.reset();
+  forgetUncovered(run);
   // The proxy that changes the primary asks those that it finds in the store.
   if (reason && run.Services.Sessions.acknowledgedUpTo(run.Service))
     run.Services.Fleet.verifyEntry(run.Ctx);
@@ -164,6 +165,15 @@
   enterPhase(run, Phase::WaitingToClaim);
 }
 
+void LeadershipModule::forgetUncovered(Run &run) {
+  auto &change = run.Change;
+  if (!change.Primary)
+    return;
+  const auto reply = run.Services.Links.health(*change.Primary).lastReplyAt();
+  if (reply && change.UncoveredSince && *reply > change.UncoveredAt)
+    change.UncoveredSince.reset();
+}
+
 void LeadershipModule::giveUp(Run &run, const std::string &why, Duration pause) {
   run.Ctx.emit(Count{"changes_given_up_total"});
   run.Ctx.emit(
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -98,6 +98,8 @@
   /// Forgets an order that has been carried out, or whose server has been gone for as long as late orders are
   /// carried out.
   static void settleOutstandingOrder(Run &run);
+  /// Forgets that no log held what is required, once a primary answers again.
+  static void forgetUncovered(Run &run);
   static void enterPhase(Run &run, Phase next);
   /// Ends an attempt without a new primary.
   void giveUp(Run &run, const std::string &why, Duration pause);
