Keep the link to the primary reserved after the question

The status query used the reservation up, so that the next commit took the link. And with two proxies that keep a link, both were cut from the primary while others reached it.

--- a/src/leadership/internal/primarywatch.cpp
+++ b/src/leadership/internal/primarywatch.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// The first proxies in rendezvous order keep a link: one of them may be away.
-constexpr std::size_t Watchers = 2;
 /// Open links from which on one is kept free. With fewer, callers' work needs them.
 constexpr std::size_t LinksToKeepOne = 3;
 /// Above the interval of the timer that renews the reservation.
@@ -26,12 +24,13 @@
   auto &links = run.Services.Links;
   // Another proxy that changes the primary asks for it to be stopped.
   if (!primary || !run.Services.Fleet.enabled() || run.Change.State != Phase::Idle ||
-      links.open(*primary) < LinksToKeepOne ||
-      run.Services.Fleet.rank(run.Ctx.Self.Node, run.Service.str()) >= Watchers)
+      links.open(*primary) < LinksToKeepOne || links.needsLending(run.Services.Catalog, run.Service) ||
+      run.Services.Fleet.rank(run.Ctx.Self.Node, run.Service.str()) >= detail::FirstClaimants)
     return;
-  links.reserveForChange(*primary, run.Ctx.Now, ReservationTime);
   if (links.health(*primary).silence(run.Ctx.Now) >= AskAfter)
     sendRequest(run, *primary, Order::ReadStatus);
+  // The request has used the reservation up.
+  links.reserveForChange(*primary, run.Ctx.Now, ReservationTime);
 }
 
 } // namespace rosemaryhinge
