Act on a request to stop the former primary only while it is fresh

What callers would see: no primary for some seconds, since a healthy one is stopped. The order was repeated for up to 10 s after its holder had ended, and a notice that a killed holder had left in the store stopped the primary when the named proxy started. A confirmed step-down was never taken back. Change: a request counts for 1.5 s, and one found in a list orders nothing. The order is sent also to a suspect server, and verified each 500 ms; the holder waits for it only if the server has answered within 1 s. Later answers through the store are read, too.

--- a/src/leadership/internal/claims.cpp
+++ b/src/leadership/internal/claims.cpp
@@ -65,8 +65,13 @@
     return;
   }
   if (Notices.owns(event.Call)) {
-    for (const auto &notice : Notices.onAnswer(ctx, event))
+    const bool listed = std::holds_alternative<DirectoryListing>(event.Result);
+    for (auto &notice : Notices.onAnswer(ctx, event)) {
+      // The holder of one that is found in a list may have ended long ago.
+      if (listed)
+        notice.StepDownFor = 0;
       onFenceNotice(ctx, services, notice);
+    }
     Notices.onTimer(ctx);
     return;
   }
--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -114,8 +114,11 @@
 
 Term LeadershipModule::stepDownTerm(Run &run) {
   auto &change = run.Change;
+  const auto known = detail::highestTerm(change.Servers);
+  if (known == 0)
+    return 0;
   if (change.OrderTerm == 0)
-    change.OrderTerm = detail::highestTerm(change.Servers) + 1;
+    change.OrderTerm = known + 1;
   // The promotion has to follow at once, and needs the store until the order is accepted.
   const bool accepted = change.State == Phase::AwaitingPrimary;
   const bool ordering = change.State >= Phase::SelectingCandidate && change.State <= Phase::Promoting;
--- a/src/leadership/internal/fencenotices.cpp
+++ b/src/leadership/internal/fencenotices.cpp
@@ -63,15 +63,15 @@
   if (!change.NoticeAt)
     return;
   const auto &fleet = run.Services.Fleet;
-  const auto silent = change.Fence.silent(run.Ctx.Now);
-  for (const auto &node : silent) {
+  const auto unreached = change.Fence.unreached(run.Ctx.Now);
+  for (const auto &node : unreached) {
     const auto *entry = fleet.entry(node);
     if (!entry)
       continue;
     if (const auto it = entry->FenceAnswers.find(run.Service); it != entry->FenceAnswers.end())
       change.Fence.onStoredAnswer(node, it->second, entry->KnownSince, run.Ctx.Now);
   }
-  if (!silent.empty())
+  if (!unreached.empty())
     run.Services.Fleet.refresh(run.Ctx);
 }
 
@@ -100,15 +100,11 @@
       notice.Token <= change.AnsweredNotice || !fence.raise({notice.Token, TargetId(), notice.UpTo}, ctx.Now))
     return;
   change.AnsweredNotice = notice.Token;
-  // The holder is not told what becomes of the order: it does not reach this proxy.
-  change.Kept = detail::KeptFence{
-      NodeId(),
-      {notice.Service, notice.Token, TargetId(), notice.UpTo, notice.Former, notice.StepDownFor},
-      StepDownState::NotOrdered,
-      {},
-      {}};
   Run run{ctx, services, notice.Service, change};
-  keepFence(run);
+  // A holder that reaches this proxy is told more.
+  if (!change.Kept || change.Kept->Request.Token < notice.Token)
+    keepRequest(run, NodeId(),
+                {notice.Service, notice.Token, TargetId(), notice.UpTo, notice.Former, notice.StepDownFor});
   ctx.emit(Count{"commit_fences_raised_total{through=\"store\"}"});
   const auto acknowledged = services.Sessions.acknowledgedUpTo(notice.Service).value_or(Position());
   services.Fleet.answerFence(
--- a/src/leadership/internal/keptfence.cpp
+++ b/src/leadership/internal/keptfence.cpp
@@ -7,12 +7,20 @@
 
 #include "leadership/leadershipmodule.h"
 
+#include <algorithm>
+
 namespace rosemaryhinge {
 
 namespace {
 
 /// Interval at which the former primary is ordered to step down until it confirms that.
 constexpr Duration StepDownInterval = 100ms;
+/// The same from then on: it leads again if it has started again.
+constexpr Duration VerifyInterval = 500ms;
+/// A request is acted on for this long. The holder repeats it each second.
+constexpr Duration MaxRequestAge = 1500ms;
+/// The holder waits for an order to a server that has answered within this time.
+constexpr Duration ReplyWindow = 1s;
 
 } // namespace
 
@@ -29,14 +37,25 @@
   ctx.emit(Count{"commit_fences_raised_total"});
   Run run{ctx, services, request.Service, Changes[request.Service]};
   auto &kept = run.Change.Kept;
-  if (!kept || kept->Holder != from || kept->Request.Former != request.Former)
-    kept = detail::KeptFence{from, request, StepDownState::NotOrdered, {}, {}};
-  kept->Request = request;
+  keepRequest(run, from, request);
   stepDownForHolder(run);
   kept->Told = fenceReply(run);
   ctx.emit(SendToPeer{from, kept->Told});
 }
 
+void LeadershipModule::keepRequest(Run &run, const NodeId &from, const CommitFenceRequest &request) {
+  auto &kept = run.Change.Kept;
+  if (!kept || kept->Holder != from || kept->Request.Former != request.Former ||
+      request.StepDownFor > kept->StepDownFor) {
+    kept.emplace();
+    kept->Holder = from;
+  }
+  kept->Request = request;
+  kept->RequestedAt = run.Ctx.Now;
+  kept->StepDownFor = std::max(kept->StepDownFor, request.StepDownFor);
+  stepSoon(run.Ctx);
+}
+
 CommitFenceReply LeadershipModule::fenceReply(const Run &run) {
   const auto &kept = *run.Change.Kept;
   const auto &sessions = run.Services.Sessions;
@@ -69,28 +88,33 @@
 
 void LeadershipModule::stepDownForHolder(Run &run) {
   auto &kept = *run.Change.Kept;
-  if (kept.StepDown == StepDownState::SteppedDown)
-    return;
   const auto &former = kept.Request.Former;
-  const bool reached =
-      run.Services.Catalog.server(former) && !run.Services.Links.health(former).suspect(run.Ctx.Now);
-  if (kept.Request.StepDownFor == 0 || !reached || run.Change.State >= Phase::SelectingCandidate) {
-    kept.StepDown = StepDownState::NotOrdered;
-    return;
+  const auto now = run.Ctx.Now;
+  const bool wanted = kept.Request.StepDownFor > 0 && now - kept.RequestedAt < MaxRequestAge &&
+                      run.Services.Catalog.server(former) && run.Change.State < Phase::SelectingCandidate;
+  if (kept.StepDown != StepDownState::SteppedDown) {
+    const auto reply = run.Services.Links.health(former).lastReplyAt();
+    const bool answers = reply && now - *reply < ReplyWindow;
+    kept.StepDown = wanted && answers ? StepDownState::Ordered : StepDownState::NotOrdered;
   }
-  kept.StepDown = StepDownState::Ordered;
-  if (run.Ctx.Now - kept.StepDownSentAt < StepDownInterval)
+  const auto interval = kept.StepDown == StepDownState::SteppedDown ? VerifyInterval : StepDownInterval;
+  if (!wanted || now - kept.StepDownSentAt < interval)
     return;
   run.Change.OrderTerm = kept.Request.StepDownFor;
+  // Also if it is suspect: a primary whose commits wait for a replica answers nothing else.
   if (sendRequest(run, former, Order::StepDown))
-    kept.StepDownSentAt = run.Ctx.Now;
+    kept.StepDownSentAt = now;
 }
 
 void LeadershipModule::onStepDownForHolder(Run &run, const TargetId &target, const TargetStatus &status) {
   auto &kept = run.Change.Kept;
-  if (!kept || target != kept->Request.Former || status.Role != TargetRole::Replica)
+  if (!kept || target != kept->Request.Former)
+    return;
+  const bool replica = status.Role == TargetRole::Replica;
+  const bool known = replica == (kept->StepDown == StepDownState::SteppedDown);
+  kept->StepDown = replica ? StepDownState::SteppedDown : StepDownState::Ordered;
+  if (known || !replica)
     return;
-  kept->StepDown = StepDownState::SteppedDown;
   run.Ctx.emit(Log{LogLevel::Warn,
                    "former primary stepped down for another proxy",
                    {{"service", run.Service.str()},
--- a/src/leadership/internal/primarychange.h
+++ b/src/leadership/internal/primarychange.h
@@ -49,6 +49,8 @@
 struct KeptFence {
   NodeId Holder;              ///< Empty if the fence was raised through the store.
   CommitFenceRequest Request; ///< The newest one.
+  TimePoint RequestedAt;
+  Term StepDownFor = 0; ///< The highest one requested.
   StepDownState StepDown = StepDownState::NotOrdered;
   TimePoint StepDownSentAt;
   CommitFenceReply Told;
--- a/src/leadership/leadershipmodule.cpp
+++ b/src/leadership/leadershipmodule.cpp
@@ -174,6 +174,11 @@
     change.UncoveredSince.reset();
 }
 
+void LeadershipModule::stepSoon(const Context &ctx) {
+  const auto at = ctx.Now + ActiveInterval;
+  Next = std::min(Next.value_or(at), at);
+}
+
 void LeadershipModule::giveUp(Run &run, const std::string &why, Duration pause) {
   run.Ctx.emit(Count{"changes_given_up_total"});
   run.Ctx.emit(
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -100,6 +100,8 @@
   static void settleOutstandingOrder(Run &run);
   /// Forgets that no log held what is required, once a primary answers again.
   static void forgetUncovered(Run &run);
+  /// Does the next step shortly.
+  void stepSoon(const Context &ctx);
   static void enterPhase(Run &run, Phase next);
   /// Ends an attempt without a new primary.
   void giveUp(Run &run, const std::string &why, Duration pause);
@@ -172,6 +174,8 @@
   void watchPrimary(Run &run);
 
   // The fence that this proxy keeps for another holder (internal/keptfence.cpp).
+  /// \param from Empty if the request came through the store.
+  void keepRequest(Run &run, const NodeId &from, const CommitFenceRequest &request);
   [[nodiscard]] static CommitFenceReply fenceReply(const Run &run);
   /// Tells the holder what has changed since it was told last.
   void keepFence(Run &run);
