List the servers also after a step-down

Cause: a holder that had been suspended went on with an old claim. The server that it asked to step down had been a replica for long, and this counted as the end of all acknowledgements, so that the list of servers was not renewed. Change: the list is as new as the claim in each case. The wait for unanswered commits begins anew once they are answered.

--- a/src/leadership/internal/commitfencing.cpp
+++ b/src/leadership/internal/commitfencing.cpp
@@ -64,9 +64,11 @@
 bool LeadershipModule::fenceCovers(Run &run) {
   if (!run.Change.Fence.complete(run.Ctx.Now))
     return false;
-  if (!commitsUnanswered(run))
-    return true;
   auto &since = run.Change.UnansweredSince;
+  if (!commitsUnanswered(run)) {
+    since.reset();
+    return true;
+  }
   since = since.value_or(run.Ctx.Now);
   return run.Ctx.Now - *since >= UnansweredWait;
 }
--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -444,7 +444,8 @@
 
 void LeadershipModule::choose(Run &run, const TargetId &proposed) {
   auto &change = run.Change;
-  if ((!change.SteppedDownAt && !awaitServerList(run)) || !awaitFence(run))
+  // Also after a step-down: the server that stepped down may have led an earlier term only.
+  if (!awaitServerList(run) || !awaitFence(run))
     return;
   const auto required = positionToCover(run);
   const auto candidate = detail::unlessFormerHoldsMore(change.Servers, proposed, required);
