Do not wait for a former primary of an earlier term

Cause: where nobody leads, the claim may name a server that led an earlier term. As long as it was listed, servers that ended counted for 60 s, as if its log could still cover them. Change: it does not count once it has stepped down with a log of an earlier term than another server's.

--- a/src/leadership/internal/endedservers.cpp
+++ b/src/leadership/internal/endedservers.cpp
@@ -39,7 +39,12 @@
 bool LeadershipModule::primaryMayReturn(const Run &run) {
   const auto &catalog = run.Services.Catalog;
   const auto &from = run.Change.Reason.From;
-  if (catalog.server(from))
+  const auto &servers = run.Change.Servers;
+  const auto known = servers.find(from);
+  // One that led an earlier term only covers nothing.
+  const bool outdated = known != servers.end() && known->second.SteppedDown && known->second.Status &&
+                        known->second.Status->Log.Term < detail::highestLogTerm(servers);
+  if (catalog.server(from) && !outdated)
     return true;
   const auto ended = catalog.missingServers(run.Service);
   return std::any_of(ended.begin(), ended.end(), [&](const MissingServer &it) {
