--- a/src/leadership/tests/fleetfencetests.cpp
+++ b/src/leadership/tests/fleetfencetests.cpp
@@ -217,3 +217,87 @@
   fence.onStoredAnswer(N3, {ClaimedAt + 1, {1, 9}}, FirstStart, later);
   CHECK(fence.complete(later));
 }
+
+TEST_CASE("the highest position that a server has acknowledged to a proxy counts, whichever came last") {
+  // Guards against a promoted server that lacks a commit whose acknowledgement a proxy has withheld.
+  auto fence = started();
+  fence.onUnreported(N2, ClaimedAt, {{1, 9}, false}, StepDownState::NotOrdered, Start);
+  fence.onUnreported(N3, ClaimedAt, {{1, 4}, false}, StepDownState::NotOrdered, Start);
+  CHECK((fence.serverAcknowledged() == Position{1, 9}));
+  fence.onUnreported(NodeId("stranger"), ClaimedAt, {{7, 7}, false}, StepDownState::NotOrdered, Start);
+  fence.onUnreported(N3, ClaimedAt - 1, {{6, 6}, false}, StepDownState::NotOrdered, Start);
+  CHECK((fence.serverAcknowledged() == Position{1, 9}));
+  // It was not reported to a caller.
+  CHECK((fence.acknowledged() == Position{}));
+  // What has been acknowledged stays so under a later claim.
+  fence.begin(ClaimedAt + 1, TermSince, Start + 1s);
+  CHECK((fence.serverAcknowledged() == Position{1, 9}));
+}
+
+TEST_CASE("a proxy counts as having unanswered commits until it tells that it has none") {
+  // Guards against passing over a server that still acknowledges the commits of a proxy.
+  auto fence = started();
+  CHECK(fence.unanswered().empty());
+  fence.onUnreported(N2, ClaimedAt, {{}, true}, StepDownState::NotOrdered, Start);
+  fence.onUnreported(N3, ClaimedAt, {{}, true}, StepDownState::NotOrdered, Start);
+  CHECK(fence.unanswered() == Both);
+  fence.onUnreported(N2, ClaimedAt, {{}, false}, StepDownState::NotOrdered, Start);
+  CHECK(fence.unanswered() == std::vector{N3});
+  fence.onUnreported(N3, ClaimedAt - 1, {{}, false}, StepDownState::NotOrdered, Start);
+  CHECK(fence.unanswered() == std::vector{N3});
+}
+
+TEST_CASE("a change that a proxy tells of itself is no answer to the fence") {
+  // Guards against a fence that counts as raised although the proxy got no request, or none since.
+  auto fence = started();
+  fence.onReply(N2, ClaimedAt, {1, 5}, FirstStart, Start);
+  fence.onUnreported(N3, ClaimedAt, {{1, 9}, false}, StepDownState::SteppedDown, Start);
+  CHECK_FALSE(fence.complete(Start));
+  CHECK_FALSE(fence.settled(Wait, Start));
+  CHECK(fence.silent(Start) == std::vector{N3});
+  fence.onReply(N3, ClaimedAt, {1, 4}, FirstStart, Start);
+  REQUIRE(fence.complete(Start));
+  const auto later = Start + FleetFence::MaxAnswerAge;
+  fence.onUnreported(N2, ClaimedAt, {}, StepDownState::NotOrdered, later);
+  fence.onUnreported(N3, ClaimedAt, {}, StepDownState::NotOrdered, later);
+  CHECK_FALSE(fence.complete(later));
+}
+
+TEST_CASE("a step-down is awaited while a proxy that has ordered it can still tell its result") {
+  // Guards against an order beside a former primary that is about to be stopped, and against a wait for
+  // nobody.
+  auto fence = started();
+  CHECK_FALSE(fence.awaitsStepDown());
+  fence.onReply(N2, ClaimedAt, {}, FirstStart, Start);
+  fence.onUnreported(N2, ClaimedAt, {}, StepDownState::Ordered, Start);
+  CHECK(fence.awaitsStepDown());
+  CHECK_FALSE(fence.steppedDownAt());
+  fence.onLost(N2);
+  CHECK_FALSE(fence.awaitsStepDown());
+  fence.onReply(N2, ClaimedAt, {}, FirstStart, Start);
+  CHECK(fence.awaitsStepDown());
+  fence.onUnreported(N2, ClaimedAt, {}, StepDownState::SteppedDown, Start + 50ms);
+  CHECK_FALSE(fence.awaitsStepDown());
+  fence.onUnreported(N3, ClaimedAt, {}, StepDownState::SteppedDown, Start + 90ms);
+  REQUIRE(fence.steppedDownAt());
+  CHECK(*fence.steppedDownAt() == Start + 50ms);
+}
+
+TEST_CASE("what became of a step-down under an earlier claim does not count for a later one") {
+  // Guards against an order without a wait, since another server may lead under the later claim.
+  auto fence = started();
+  fence.onUnreported(N2, ClaimedAt, {{}, true}, StepDownState::SteppedDown, Start);
+  fence.onUnreported(N3, ClaimedAt, {{}, true}, StepDownState::Ordered, Start);
+  fence.begin(ClaimedAt + 1, TermSince, Start + 1s);
+  CHECK_FALSE(fence.steppedDownAt());
+  CHECK_FALSE(fence.awaitsStepDown());
+  CHECK(fence.unanswered().empty());
+}
+
+TEST_CASE("an answer through the store tells unreported commits, too") {
+  // Guards against a promoted server that lacks what was acknowledged to a proxy that only the store reaches.
+  auto fence = started();
+  fence.onStoredAnswer(N3, {ClaimedAt, {1, 5}, {{1, 9}, true}}, FirstStart, Start);
+  CHECK((fence.serverAcknowledged() == Position{1, 9}));
+  CHECK(fence.unanswered() == std::vector{N3});
+}
--- a/src/reducer/tests/commitfencetests.cpp
+++ b/src/reducer/tests/commitfencetests.cpp
@@ -95,15 +95,32 @@
   std::map<NodeId, TimePoint> AskedAt;     ///< When each got the first request.
   /// Since when the records of some are kept; of the others, since their first start.
   std::map<NodeId, std::uint64_t> KnownSince;
+  std::map<NodeId, UnreportedCommits> Unreported;
+  std::map<NodeId, StepDownState> StepDown;
 
   void answer(SessionHarness &proxy) {
     while (const auto request = proxy.takeMessage<CommitFenceRequest>()) {
       const auto &[node, asked] = *request;
       AskedAt.try_emplace(node, proxy.Now);
       if (const auto it = Acknowledged.find(node); it != Acknowledged.end())
-        proxy.receive(node, CommitFenceReply{Yard, asked.Token, it->second, KnownSince[node]});
+        proxy.receive(node, replyOf(node, asked.Token));
     }
   }
+
+  /// What a proxy tells of itself, without a request.
+  void update(SessionHarness &proxy, const NodeId &node) {
+    auto reply = replyOf(node, LastToken);
+    reply.Update = true;
+    proxy.receive(node, reply);
+  }
+
+private:
+  CommitFenceReply replyOf(const NodeId &node, std::uint64_t token) {
+    LastToken = token;
+    return {Yard, token, Acknowledged[node], KnownSince[node], Unreported[node], StepDown[node]};
+  }
+
+  std::uint64_t LastToken = 0;
 };
 
 /// Plays until the proxy orders a promotion, at most for a time.
@@ -126,6 +143,25 @@
   REQUIRE_FALSE(peers.AskedAt.empty());
 }
 
+/// The terms for which p is ordered to step down, with the links of the orders. Opens links that are asked
+/// for.
+std::vector<std::pair<LinkId, Term>> takeStepDowns(SessionHarness &proxy) {
+  while (const auto open = proxy.take<OpenLink>())
+    proxy.apply(LinkOpened{open->Link});
+  std::vector<std::pair<LinkId, Term>> out;
+  while (const auto sent = proxy.take<SendOnLink>())
+    if (const auto *stepDown = SessionHarness::command<StepDownPrimary>(*sent);
+        stepDown && proxy.Logic.Links.targetOf(sent->Link) == Primary)
+      out.emplace_back(sent->Link, stepDown->Term);
+  return out;
+}
+
+/// Answers a status query or an order to p.
+void answerStatus(SessionHarness &proxy, LinkId link, TargetRole role, Term raised) {
+  const TargetStatus status{role, raised, {1, 40}, {}, false, {}};
+  proxy.apply(LinkReplied{link, SessionHarness::done(), TransactionState::Idle, Position{1, 40}, status});
+}
+
 } // namespace
 
 TEST_CASE("a write that was in flight when the fence was raised is answered as in doubt") {
@@ -456,3 +492,319 @@
   for (std::size_t n = 1; n < paused.size(); ++n)
     CHECK(paused[n] - paused[n - 1] >= 100ms);
 }
+
+TEST_CASE("the reply to a fence request tells what a server acknowledged although its caller was not told") {
+  // Guards against a promoted server that lacks a commit which a server has acknowledged.
+  SessionHarness proxy;
+  const auto withheld = sendWrite(proxy, "w1");
+  REQUIRE(withheld);
+  fence(proxy);
+  const auto before = fenceReply(proxy);
+  REQUIRE(before);
+  CHECK((before->Unreported.Acknowledged == Position{}));
+  proxy.reply(*withheld, SessionHarness::done(), TransactionState::Idle, Position{1, 40});
+  REQUIRE(rejectedAs(outcomeOf(proxy, "w1"), Rejection::InDoubt));
+  fence(proxy, Token + 1);
+  const auto reply = fenceReply(proxy);
+  REQUIRE(reply);
+  CHECK((reply->Acknowledged == Position{}));
+  CHECK((reply->Unreported == UnreportedCommits{{1, 40}, false}));
+}
+
+TEST_CASE("the reply to a fence request tells of commits in flight, and of those whose answer was lost") {
+  // Guards against passing over a server that may still acknowledge them, or has done so.
+  SessionHarness proxy;
+  const auto answered = sendWrite(proxy, "w0");
+  REQUIRE(answered);
+  proxy.reply(*answered, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  fence(proxy);
+  auto reply = fenceReply(proxy);
+  REQUIRE(reply);
+  CHECK_FALSE(reply->Unreported.Unanswered);
+  endFence(proxy);
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  fence(proxy, Token + 1);
+  reply = fenceReply(proxy);
+  REQUIRE(reply);
+  CHECK(reply->Unreported.Unanswered);
+  proxy.apply(LinkClosed{*link, LinkFailure::Lost});
+  REQUIRE(rejectedAs(outcomeOf(proxy, "w1"), Rejection::InDoubt));
+  fence(proxy, Token + 2);
+  reply = fenceReply(proxy);
+  REQUIRE(reply);
+  CHECK(reply->Unreported.Unanswered);
+  // Only commits at the former primary count.
+  proxy.receive(Holder, CommitFenceRequest{Yard, Token + 3, Primary, 1, TargetId("a"), 0});
+  reply = fenceReply(proxy);
+  REQUIRE(reply);
+  CHECK_FALSE(reply->Unreported.Unanswered);
+}
+
+TEST_CASE("the holder is told without a request what became of commits in flight, once") {
+  // Guards against a choice that lacks what was acknowledged between two requests, 1 s apart.
+  SessionHarness proxy;
+  const auto link = sendWrite(proxy, "w1");
+  REQUIRE(link);
+  fence(proxy);
+  REQUIRE(fenceReply(proxy));
+  proxy.pass(300ms);
+  CHECK_FALSE(proxy.takeMessage<CommitFenceReply>());
+  proxy.reply(*link, SessionHarness::done(), TransactionState::Idle, Position{1, 40});
+  proxy.pass(20ms);
+  const auto update = fenceReply(proxy);
+  REQUIRE(update);
+  CHECK(update->Update);
+  CHECK(update->Token == Token);
+  CHECK((update->Unreported == UnreportedCommits{{1, 40}, false}));
+  proxy.pass(300ms);
+  CHECK_FALSE(proxy.takeMessage<CommitFenceReply>());
+}
+
+TEST_CASE("the step-down is ordered at intervals until the former primary confirms it, and then reported") {
+  // Guards against a former primary that serves on since one order was lost or refused.
+  SessionHarness proxy;
+  const auto write = sendWrite(proxy, "w1");
+  REQUIRE(write);
+  proxy.reply(*write, SessionHarness::done(), TransactionState::Idle, Position{1, 30});
+  fence(proxy, Token, 5);
+  const auto reply = fenceReply(proxy);
+  REQUIRE(reply);
+  CHECK(reply->StepDown == StepDownState::Ordered);
+  std::vector<TimePoint> ordered;
+  for (int n = 0; n < 100 && ordered.size() < 3; ++n) {
+    for (const auto &[link, term] : takeStepDowns(proxy)) {
+      CHECK(term == 5);
+      ordered.push_back(proxy.Now);
+      if (ordered.size() < 3)
+        answerStatus(proxy, link, TargetRole::Primary, 1);
+      else
+        answerStatus(proxy, link, TargetRole::Replica, 5);
+    }
+    if (ordered.size() < 3)
+      CHECK_FALSE(proxy.takeMessage<CommitFenceReply>());
+    proxy.pass(20ms);
+  }
+  REQUIRE(ordered.size() == 3);
+  for (std::size_t n = 1; n < ordered.size(); ++n) {
+    CHECK(ordered[n] - ordered[n - 1] >= 100ms);
+    CHECK(ordered[n] - ordered[n - 1] <= 250ms);
+  }
+  const auto update = fenceReply(proxy);
+  REQUIRE(update);
+  CHECK(update->Update);
+  CHECK(update->StepDown == StepDownState::SteppedDown);
+  for (int n = 0; n < 20; ++n) {
+    CHECK(takeStepDowns(proxy).empty());
+    proxy.pass(20ms);
+  }
+}
+
+TEST_CASE("a proxy that a notice in the store names orders the former primary to step down") {
+  // Guards against a former primary that serves on since the only proxy that reaches it gets no message.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  const auto write = sendWrite(proxy, "w1");
+  REQUIRE(write);
+  proxy.reply(*write, SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  const auto inFlight = sendWrite(proxy, "w2");
+  REQUIRE(inFlight);
+  proxy.HoldAnnouncement = true;
+  proxy.answerList(DirectoryKind::FenceNotices, {});
+  proxy.answerWatch(
+      DirectoryKind::FenceNotices,
+      {{"yard", false, FenceNotice{Yard, Token, 1, {NodeId("n1")}, false, TargetId(), Primary, 5}}}, 21);
+  const auto written = proxy.takePutProxy();
+  REQUIRE(written);
+  CHECK((written->Entry.FenceAnswers.at(Yard).Unreported == UnreportedCommits{{1, 9}, true}));
+  std::vector<std::pair<LinkId, Term>> ordered;
+  for (int n = 0; n < 25 && ordered.empty(); ++n) {
+    ordered = takeStepDowns(proxy);
+    proxy.pass(20ms);
+  }
+  REQUIRE(ordered.size() == 1);
+  CHECK(ordered.front().second == 5);
+}
+
+TEST_CASE("no server is promoted while a proxy is about to stop the former primary, for 800 ms at most") {
+  // Guards against commits that the former primary acknowledges between the choice and the promotion.
+  const auto orderedAfter = [](StepDownState stepDown, bool unanswered) {
+    SessionHarness proxy;
+    proxy.joinFleet({"n2"});
+    auto service = serviceWithLostPrimary();
+    Peers peers;
+    peers.Acknowledged[Holder] = {1, 20};
+    peers.Unreported[Holder] = {{}, unanswered};
+    peers.StepDown[Holder] = stepDown;
+    const auto order = awaitOrder(service, proxy, peers, 6s);
+    REQUIRE(order);
+    CHECK(order->Target == TargetId("b"));
+    return proxy.Now - peers.AskedAt.at(Holder);
+  };
+  const auto waited = orderedAfter(StepDownState::Ordered, true);
+  CHECK(waited >= 800ms);
+  CHECK(waited <= 1s);
+  CHECK(orderedAfter(StepDownState::NotOrdered, true) <= 400ms);
+  CHECK(orderedAfter(StepDownState::Ordered, false) <= 400ms);
+}
+
+TEST_CASE(
+    "once a proxy has stopped the former primary, the promotion is ordered without the rest of the wait") {
+  // Guards against 800 ms without a primary in each change beside a proxy that reaches the former one.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  auto service = serviceWithLostPrimary();
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  peers.Unreported[Holder] = {{}, true};
+  peers.StepDown[Holder] = StepDownState::Ordered;
+  playToFence(service, proxy, peers);
+  REQUIRE_FALSE(awaitOrder(service, proxy, peers, 200ms));
+  peers.StepDown[Holder] = StepDownState::SteppedDown;
+  peers.update(proxy, Holder);
+  const auto told = proxy.Now;
+  REQUIRE(awaitOrder(service, proxy, peers, 2s));
+  CHECK(proxy.Now - told >= 100ms);
+  CHECK(proxy.Now - told <= 200ms);
+}
+
+TEST_CASE("a change that a proxy tells of itself does not stand for its answer to the fence") {
+  // Guards against lost commits: the proxy may have ended the fence that it tells of.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  auto service = serviceWithLostPrimary();
+  Peers peers;
+  playToFence(service, proxy, peers);
+  // The claim's revision is not known here; a token above it counts as one of the present fence.
+  CommitFenceReply update{Yard, 1'000'000, {1, 20}, 0};
+  update.Update = true;
+  proxy.receive(Holder, update);
+  CHECK_FALSE(awaitOrder(service, proxy, peers, 200ms));
+  update.Update = false;
+  proxy.receive(Holder, update);
+  CHECK(awaitOrder(service, proxy, peers, 180ms));
+}
+
+TEST_CASE("the promoted server holds what a server acknowledged to another proxy, as soon as one does") {
+  // Guards against a promoted server that lacks commits which a server acknowledged and no caller was told
+  // of.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  auto service = serviceWithLostPrimary();
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  peers.Unreported[Holder] = {{1, 30}, false};
+  playToFence(service, proxy, peers);
+  CHECK_FALSE(awaitOrder(service, proxy, peers, 2s));
+  service.join("c");
+  service.Servers["c"].Log = {1, 30};
+  const auto order = awaitOrder(service, proxy, peers, 4s);
+  REQUIRE(order);
+  CHECK(order->Target == TargetId("c"));
+}
+
+TEST_CASE("commits that no caller was told of are waited for 6 s at most") {
+  // Guards against a service without a primary for a minute because of commits whose callers know no success.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  auto service = serviceWithLostPrimary();
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  peers.Unreported[Holder] = {{1, 30}, false};
+  playToFence(service, proxy, peers);
+  CHECK_FALSE(awaitOrder(service, proxy, peers, 5900ms));
+  // The last attempt begins up to 1 s after the bound and takes some 100 ms.
+  const auto order = awaitOrder(service, proxy, peers, 2s);
+  REQUIRE(order);
+  CHECK(order->Target == TargetId("b"));
+}
+
+TEST_CASE("while commits are unanswered, a replica that cannot be compared is passed over after 2 s only") {
+  // Guards against a promoted server that lacks what that replica has acknowledged and no proxy has been
+  // told.
+  const auto orderedAfter = [](bool unanswered) {
+    SessionHarness proxy;
+    proxy.joinFleet({"n2"});
+    auto service = serviceWithLostPrimary();
+    service.Servers["a"].ReachesProxy = false;
+    service.Servers["a"].Log = {1, 30};
+    Peers peers;
+    peers.Acknowledged[Holder] = {1, 20};
+    peers.Unreported[Holder] = {{}, unanswered};
+    const auto order = awaitOrder(service, proxy, peers, 10s);
+    REQUIRE(order);
+    return proxy.Now - peers.AskedAt.at(Holder);
+  };
+  CHECK(orderedAfter(false) <= 400ms);
+  const auto waited = orderedAfter(true);
+  CHECK(waited >= 2s);
+  CHECK(waited <= 3s);
+}
+
+TEST_CASE(
+    "a commit whose caller has left counts as unanswered, or as acknowledged once its server tells so") {
+  // Guards against a promoted server that lacks a commit which was acknowledged after its caller had left.
+  SessionHarness proxy;
+  const auto session = proxy.open("settle");
+  proxy.write(session, "w1");
+  const auto [link, target] = proxy.acceptLink();
+  REQUIRE(target == Primary);
+  REQUIRE(wasSent(proxy, "w1"));
+  proxy.apply(SessionClosed{session});
+  fence(proxy);
+  const auto reply = fenceReply(proxy);
+  REQUIRE(reply);
+  CHECK(reply->Unreported.Unanswered);
+  proxy.reply(link, SessionHarness::done(), TransactionState::Idle, Position{1, 40});
+  fence(proxy, Token + 1);
+  const auto renewed = fenceReply(proxy);
+  REQUIRE(renewed);
+  CHECK((renewed->Unreported.Unanswered || renewed->Unreported.Acknowledged >= Position{1, 40}));
+}
+
+TEST_CASE("a change goes on when the primary answers after another proxy has stopped it") {
+  // Guards against a service without a primary: the holder took the answer of a stopped server for a lead.
+  auto service = serviceWithLostPrimary();
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  Peers peers;
+  peers.Acknowledged[Holder] = {1, 20};
+  playToFence(service, proxy, peers);
+  CommitFenceReply stopped{Yard, service.Stored.Revision, {1, 20}, 0};
+  stopped.StepDown = StepDownState::SteppedDown;
+  proxy.receive(Holder, stopped);
+  service.Servers["p"].Role = TargetRole::Replica;
+  service.Servers["p"].ReachesProxy = true;
+  CHECK(awaitOrder(service, proxy, peers, 4s));
+  CHECK(service.Claims == 1);
+}
+
+TEST_CASE("a request to stop the former primary is not acted on once its holder has gone silent") {
+  // Guards against a step-down of a primary that was promoted again, or serves on, after the change has
+  // ended.
+  SessionHarness proxy;
+  fence(proxy, Token, 5);
+  proxy.Out.clear();
+  proxy.pass(2s);
+  while (const auto open = proxy.take<OpenLink>())
+    proxy.apply(LinkOpened{open->Link});
+  proxy.pass(1s);
+  while (const auto sent = proxy.take<SendOnLink>())
+    CHECK_FALSE(SessionHarness::command<StepDownPrimary>(*sent));
+}
+
+TEST_CASE("a notice that is found in a list makes no proxy stop the primary") {
+  // Guards against a healthy primary that is stopped, since a holder that was killed left its notice behind.
+  SessionHarness proxy;
+  proxy.joinFleet({"n2"});
+  const FenceNotice notice{Yard, Token, 1, {NodeId("n1")}, false, TargetId(), Primary, 5};
+  proxy.answerList(DirectoryKind::FenceNotices, {DirectoryObject{"yard", false, notice}});
+  REQUIRE(proxy.Logic.Sessions.commitFence(Yard).raised(proxy.Now));
+  for (int n = 0; n < 50; ++n) {
+    proxy.pass(20ms);
+    while (const auto open = proxy.take<OpenLink>())
+      proxy.apply(LinkOpened{open->Link});
+    while (const auto sent = proxy.take<SendOnLink>())
+      CHECK_FALSE(SessionHarness::command<StepDownPrimary>(*sent));
+  }
+}
--- a/src/reducer/tests/primarychangetests.cpp
+++ b/src/reducer/tests/primarychangetests.cpp
@@ -1,5 +1,6 @@
 // Tests of changes of primary by a proxy with sessions.
 
+#include "membership/rendezvous.h"
 #include "protocol/storerevision.h"
 #include "reducer/tests/sessionharness.h"
 
@@ -95,6 +96,80 @@
   return out;
 }
 
+/// Makes the proxy one of a fleet in which it has this rank for the service.
+void joinFleetAs(SessionHarness &proxy, std::size_t rank) {
+  std::vector<std::string> others;
+  for (int n = 2; others.size() < rank; ++n) {
+    const std::vector<NodeId> both{proxy.Logic.Self.Node, NodeId("n" + std::to_string(n))};
+    if (rendezvousOrder(Yard.str(), both).front() == both.back())
+      others.push_back(both.back().str());
+  }
+  proxy.joinFleet(others);
+  REQUIRE(proxy.Logic.Fleet.rank(proxy.Logic.Self.Node, Yard.str()) == rank);
+}
+
+/// Limits the connections that each server takes from all proxies together.
+void limitConnections(SessionHarness &proxy, std::uint32_t connections) {
+  auto configuration = proxy.Logic.Catalog.configuration();
+  ++configuration.Version;
+  configuration.Services = {{Yard, connections, 1}};
+  proxy.Logic.Catalog.accept(configuration);
+}
+
+/// Sends writes until they wait on this many connections to p, and returns the links.
+std::vector<LinkId> fillPrimary(SessionHarness &proxy, std::size_t connections) {
+  for (std::size_t n = 0; n < connections; ++n)
+    proxy.write(proxy.open("settle"), "fill" + std::to_string(n));
+  std::vector<LinkId> out;
+  for (int n = 0; n < 100 && out.size() < connections; ++n) {
+    while (proxy.acceptLink().first != LinkId()) {
+    }
+    while (const auto sent = proxy.take<SendOnLink>())
+      if (SessionHarness::command<RunStatement>(*sent))
+        out.push_back(sent->Link);
+    proxy.pass(1ms);
+  }
+  REQUIRE(out.size() == connections);
+  return out;
+}
+
+/// Whether the next connection to p that becomes idle is kept from callers' work, while all others wait.
+bool keepsLinkFree(SessionHarness &proxy, std::uint32_t connections) {
+  limitConnections(proxy, connections);
+  const auto links = fillPrimary(proxy, connections);
+  proxy.write(proxy.open("settle"), "next");
+  proxy.pass(250ms);
+  proxy.reply(links.front(), SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  proxy.pass(20ms);
+  bool sent = false;
+  while (const auto it = proxy.take<SendOnLink>())
+    if (const auto *run = SessionHarness::command<RunStatement>(*it))
+      sent = sent || run->StatementId == "next";
+  return !sent;
+}
+
+/// Plays until p, on whose other connections writes wait, is asked for its status on the one that is kept
+/// free, and answers. Returns that connection; another write waits for it.
+LinkId keptLinkAfterQuestion(SessionHarness &proxy) {
+  proxy.joinFleet({"n2"});
+  limitConnections(proxy, 6);
+  const auto links = fillPrimary(proxy, 6);
+  proxy.write(proxy.open("settle"), "next");
+  proxy.pass(250ms);
+  proxy.reply(links.front(), SessionHarness::done(), TransactionState::Idle, Position{1, 9});
+  std::optional<SendOnLink> question;
+  for (int n = 0; n < 25 && !question; ++n) {
+    proxy.pass(20ms);
+    while (const auto sent = proxy.take<SendOnLink>())
+      if (SessionHarness::command<ReadServerStatus>(*sent))
+        question = *sent;
+  }
+  REQUIRE(question);
+  CHECK(question->Link == links.front());
+  answerCommands(proxy, *question, {TargetRole::Primary, 1, {1, 9}, {}, false, {}});
+  return question->Link;
+}
+
 } // namespace
 
 TEST_CASE("a service that the configuration does not name gets no primary, and no claim is written for it") {
@@ -642,3 +717,56 @@
   proxy.apply(DirectoryAnswer{call->Call, DirectoryChanges{{late}, storeRevision(1, 90)}, 1});
   CHECK_FALSE(proxy.Logic.Catalog.server(TargetId("x")));
 }
+
+TEST_CASE("the first eight proxies of a fleet keep a connection to the primary free, and no others") {
+  // Guards against a primary that cannot be told to step down, since commits wait on all of its connections.
+  for (const std::size_t rank : {0, 1, 7, 8}) {
+    SessionHarness proxy;
+    joinFleetAs(proxy, rank);
+    CAPTURE(rank);
+    CHECK(keepsLinkFree(proxy, 30) == (rank < 8));
+  }
+}
+
+TEST_CASE("no connection to the primary is kept free where there are fewer than three") {
+  // Guards against callers that get half of the connections of a small service, or none.
+  for (const std::uint32_t connections : {1, 2, 3}) {
+    SessionHarness proxy;
+    proxy.joinFleet({});
+    CAPTURE(connections);
+    CHECK(keepsLinkFree(proxy, connections) == (connections == 3));
+  }
+}
+
+TEST_CASE("a proxy that knows of no fleet keeps no connection to the primary free") {
+  // Guards against a lost connection for callers where no other proxy asks for the primary to be stopped.
+  SessionHarness proxy;
+  CHECK_FALSE(keepsLinkFree(proxy, 4));
+}
+
+TEST_CASE("a silent primary is asked on the connection that is kept free") {
+  // Guards against a primary that runs and counts as lost, so that no proxy orders it to step down.
+  SessionHarness proxy;
+  const auto kept = keptLinkAfterQuestion(proxy);
+  proxy.pass(20ms);
+  CHECK_FALSE(proxy.Logic.Links.health(TargetId("p")).suspect(proxy.Now));
+  CHECK(proxy.Logic.Links.targetOf(kept) == TargetId("p"));
+}
+
+TEST_CASE("the connection to a silent primary is still kept free once the primary has answered on it") {
+  // Guards against a primary that cannot be told to step down: callers got the connection after the question.
+  SessionHarness proxy;
+  const auto kept = keptLinkAfterQuestion(proxy);
+  proxy.pass(100ms);
+  proxy.receive(NodeId("n2"), CommitFenceRequest{Yard, 41, TargetId(), 1, TargetId("p"), 5});
+  proxy.pass(250ms);
+  bool stopped = false;
+  while (const auto sent = proxy.take<SendOnLink>()) {
+    CHECK_FALSE(SessionHarness::command<RunStatement>(*sent));
+    if (SessionHarness::command<StepDownPrimary>(*sent)) {
+      CHECK(sent->Link == kept);
+      stopped = true;
+    }
+  }
+  CHECK(stopped);
+}
