Pass messages between the soak's proxies through forwarders

Each proxy now advertises the port of a forwarder. It takes the network of a connection by the process that opened it, so that each pair of proxies can be cut on its own, in each direction. The zones of the proxies move to a header.

--- a/testing/platformsoak/deployment.cpp
+++ b/testing/platformsoak/deployment.cpp
@@ -3,9 +3,9 @@
 #include "platformsoak/deployment.h"
 
 #include "platformsoak/peerprocess.h"
+#include "platformsoak/zones.h"
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <set>
 #include <sstream>
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr std::array<const char *, 3> Zones = {"etela-a", "lansi-a", "pohjoinen-a"};
-constexpr std::array<int, 6> ProxyZones = {0, 0, 0, 1, 1, 2};
 constexpr std::uint64_t SeedFactor = 10'007;
 constexpr Millis StartTimeoutMs = 20'000;
 constexpr Millis ReadyCheckMs = 100;
@@ -41,8 +39,8 @@
     ServiceOptions one;
     one.Seed = options.Seed * SeedFactor + static_cast<std::uint64_t>(n);
     one.Name = serviceNames(options.Services).at(static_cast<std::size_t>(n));
-    for (std::size_t zone = 0; zone < Zones.size(); ++zone)
-      one.Zones.emplace_back(Zones.at((zone + static_cast<std::size_t>(n)) % Zones.size()));
+    for (std::size_t zone = 0; zone < ZoneNames.size(); ++zone)
+      one.Zones.emplace_back(ZoneNames.at((zone + static_cast<std::size_t>(n)) % ZoneNames.size()));
     Services.push_back(std::make_unique<DbService>(one, Store, seen));
   }
   Operator.begin();
@@ -53,13 +51,13 @@
           "true\nrevocation_ms: "
        << RevocationMs << "\nquota_window_s: " << QuotaWindowMs / 1'000
        << "\nquota_overshoot: " << QuotaOvershoot << "\nquota_slack: " << QuotaSlack << "\nregions:\n";
-  for (const auto *it : Zones)
+  for (const auto *it : ZoneNames)
     rest << "  " << it << ": north\n";
   rest << "log:\n  format: key_value\n  level: info\n";
   for (std::size_t n = 0; n < ProxyZones.size(); ++n) {
     ProxyOptions one;
     one.Index = static_cast<int>(n);
-    one.Zone = Zones.at(static_cast<std::size_t>(ProxyZones.at(n)));
+    one.Zone = ZoneNames.at(ProxyZones.at(n));
     one.Program = options.Program;
     one.Folder = options.Folder;
     StoreNetworks.push_back(std::make_unique<Forwarder>(Store.port()));
@@ -67,6 +65,11 @@
         "platform: http://127.0.0.1:" + std::to_string(StoreNetworks.back()->port()) + "\n" + rest.str();
     Proxies.push_back(std::make_unique<ProxyProcess>(one, seen));
     Networks.push_back(std::make_unique<Forwarder>(Proxies.back()->callersPort()));
+    PeerNetworks.push_back(std::make_unique<Forwarder>(Proxies.back()->peersPort(), [this, n](int fd) {
+      const auto from = proxyOf(fd);
+      return from ? &peerLink(*from, n) : nullptr;
+    }));
+    Proxies.back()->advertisePeers(PeerNetworks.back()->port());
   }
   for (auto &it : Services)
     it->setFindProxy([this](int fd) { return proxyOf(fd); });
@@ -134,7 +137,7 @@
   int number = 0;
   for (const auto &work : workloads())
     for (int n = 0; n < work.Callers; ++n, ++number) {
-      const auto *zone = Zones.at(static_cast<std::size_t>(n) % Zones.size());
+      const auto *zone = ZoneNames.at(static_cast<std::size_t>(n) % ZoneNames.size());
       const auto seed = Options.Seed * SeedFactor + static_cast<std::uint64_t>(number);
       Threads.emplace_back(
           [this, &work, zone, number, seed] { Caller(*Callers, work, zone, number, seed).run(); });
--- a/testing/platformsoak/deployment.h
+++ b/testing/platformsoak/deployment.h
@@ -4,7 +4,9 @@
 
 #include "platformsoak/callers.h"
 #include "platformsoak/configoperator.h"
+#include "platformsoak/zones.h"
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +31,8 @@
   void startCallers();
   /// Asks the callers to end, and waits for them.
   void endCallers();
+  /// What the network does to messages from one proxy to another.
+  [[nodiscard]] Network &peerLink(std::size_t from, std::size_t to) { return PeerLinks.at(from).at(to); }
   /// Ends the processes that still run.
   void end() { Proxies.clear(); }
 
@@ -39,6 +43,7 @@
   std::vector<std::unique_ptr<ProxyProcess>> Proxies;
   std::vector<std::unique_ptr<Forwarder>> Networks;
   std::vector<std::unique_ptr<Forwarder>> StoreNetworks; ///< From each proxy to the store.
+  std::vector<std::unique_ptr<Forwarder>> PeerNetworks;  ///< To each proxy from the others.
   std::unique_ptr<Balancer> Entry;
   std::unique_ptr<CallerContext> Callers;
 
@@ -49,6 +54,7 @@
   /// Keeps the newest configuration in the store, and removes entries of servers that have gone.
   void keepStore();
   DeploymentOptions Options;
+  std::array<std::array<Network, ProxyZones.size()>, ProxyZones.size()> PeerLinks{};
   HttpServer Duties;
   std::atomic<bool> Over{false};
   std::vector<std::thread> Threads;
--- a/testing/platformsoak/forwarder.cpp
+++ b/testing/platformsoak/forwarder.cpp
@@ -106,8 +106,9 @@
 
 } // namespace
 
-Forwarder::Forwarder(int proxyPort)
-    : Target(proxyPort), Acceptor(Io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+Forwarder::Forwarder(int proxyPort, NetworkOf networkOf)
+    : Target(proxyPort), OfConnection(std::move(networkOf)),
+      Acceptor(Io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
       Port(Acceptor.local_endpoint().port()) {
   accept();
   Thread = std::thread([this] { Io.run(); });
@@ -124,14 +125,16 @@
       if (Now.HoldAnswersUntil > 0)
         proxy->set_option(asio::socket_base::receive_buffer_size(HeldReceiveBuffer), ignored);
       const tcp::endpoint at(asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(Target));
-      proxy->async_connect(at, [this, caller, proxy](std::error_code failed) {
+      auto *chosen = OfConnection ? OfConnection(caller->native_handle()) : nullptr;
+      auto &network = chosen ? *chosen : Now;
+      proxy->async_connect(at, [caller, proxy, &network](std::error_code failed) {
         if (failed)
           return;
         std::error_code none;
         caller->set_option(tcp::no_delay(true), none);
         proxy->set_option(tcp::no_delay(true), none);
-        std::make_shared<Direction>(caller, proxy, Now, false)->read();
-        std::make_shared<Direction>(proxy, caller, Now, true)->read();
+        std::make_shared<Direction>(caller, proxy, network, false)->read();
+        std::make_shared<Direction>(proxy, caller, network, true)->read();
       });
     }
     accept();
--- a/testing/platformsoak/forwarder.h
+++ b/testing/platformsoak/forwarder.h
@@ -1,5 +1,5 @@
-// The network between callers and a proxy: a listener that forwards bytes, with a delay, and pauses of
-// reading.
+// The network between callers and a proxy, or to the store or another proxy: a listener that forwards bytes,
+// with a delay, and pauses of reading.
 
 #pragma once
 
@@ -9,6 +9,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 namespace rosemaryhinge::platformsoak {
@@ -25,13 +26,16 @@
 /// Forwards until the program ends. An end of either side is passed on after the bytes before it.
 class Forwarder {
 public:
-  explicit Forwarder(int proxyPort);
+  /// The network of a connection, by its socket at the forwarder. Null for network().
+  using NetworkOf = std::function<Network *(int fd)>;
+  explicit Forwarder(int proxyPort, NetworkOf networkOf = {});
   [[nodiscard]] int port() const { return Port; }
   [[nodiscard]] Network &network() { return Now; }
 
 private:
   void accept();
   int Target;
+  NetworkOf OfConnection;
   Network Now;
   asio::io_context Io;
   asio::ip::tcp::acceptor Acceptor;
--- a/testing/platformsoak/proxyprocess.cpp
+++ b/testing/platformsoak/proxyprocess.cpp
@@ -43,7 +43,7 @@
 
 ProxyProcess::ProxyProcess(ProxyOptions options, Observations &seen)
     : Options(std::move(options)), Seen(seen), Callers(reservePort()), Admin(reservePort()),
-      Peers(reservePort()), Metrics(reservePort()) {}
+      Peers(reservePort()), Metrics(reservePort()), AdvertisedPeers(Peers) {}
 
 ProxyProcess::~ProxyProcess() {
   if (Pid <= 0)
@@ -62,7 +62,7 @@
                       << "\navailability_zone: " << Options.Zone
                       << "\naddresses:\n  callers: " << address(Callers) << "  peers: " << address(Peers)
                       << "  admin: " << address(Admin) << "  metrics: " << address(Metrics)
-                      << Options.Settings;
+                      << "  advertised: " << address(AdvertisedPeers) << Options.Settings;
 }
 
 void ProxyProcess::start() {
--- a/testing/platformsoak/proxyprocess.h
+++ b/testing/platformsoak/proxyprocess.h
@@ -27,6 +27,8 @@
   ProxyProcess(const ProxyProcess &) = delete;
   ProxyProcess &operator=(const ProxyProcess &) = delete;
 
+  /// Other proxies connect to this port of loopback. To be called before the first start.
+  void advertisePeers(int port) { AdvertisedPeers = port; }
   void start();
   /// Sends the signal, if a process runs. False if none does.
   bool signal(int number);
@@ -48,6 +50,7 @@
   [[nodiscard]] std::string node() const;
   [[nodiscard]] const std::string &zone() const { return Options.Zone; }
   [[nodiscard]] int callersPort() const { return Callers; }
+  [[nodiscard]] int peersPort() const { return Peers; }
   [[nodiscard]] std::vector<ProcessLife> lives() const;
 
 private:
@@ -56,6 +59,7 @@
   ProxyOptions Options;
   Observations &Seen;
   int Callers, Admin, Peers, Metrics;
+  int AdvertisedPeers;
   mutable std::mutex Lock;
   int Pid = -1;
   bool WasReady = false;          ///< The present process.
