Add the loss of an availability zone to the platform soak

The soak had troubles of single proxies only. With zones, all proxies of one zone are at the same time suspended, cut from the store and the other zones' proxies, or killed, for 1 to 6 s, every 7 to 13 s.

--- a/testing/platformsoak/faultplan.cpp
+++ b/testing/platformsoak/faultplan.cpp
@@ -4,6 +4,7 @@
 
 #include "base/overloaded.h"
 #include "platformsoak/workspaces.h"
+#include "platformsoak/zones.h"
 
 #include <algorithm>
 #include <array>
@@ -72,6 +73,7 @@
     if (with("crashes"))
       crashes();
     every("latestore", 6'000, 10'000, [&] { return DelayWrites{span(2'000, 5'000), seed("latestore")}; });
+    every("zones", 7'000, 13'000, [&] { return lostZone(); });
     every("entries", 3'000, 8'000, [&] { return DeleteEntry{proxy()}; });
     std::stable_sort(Out.begin(), Out.end(), [](const auto &a, const auto &b) { return a.At < b.At; });
     return std::move(Out);
@@ -136,6 +138,14 @@
     return out;
   }
 
+  LoseZone lostZone() {
+    LoseZone out;
+    out.Proxies = proxiesOfZone(static_cast<std::size_t>(number(0, static_cast<int>(ZoneNames.size()) - 1)));
+    out.Trouble = static_cast<ZoneTrouble>(number(0, static_cast<int>(ZoneTrouble::Killed)));
+    out.ForMs = span(1'000, 6'000);
+    return out;
+  }
+
   StopProxy stop(int proxy) {
     StopProxy out{proxy, span(500, 1'000), {}, {}};
     out.FurtherTermsAfterMs = during("second", 2);
@@ -234,7 +244,7 @@
       "stops",    "rolls", "second",   "hups",    "drain",     "primary",     "config",
       "slow",     "down",  "restored", "delay",   "hold",      "slowcallers", "burst",
       "withdraw", "flood", "replace",  "crash",   "lost",      "cut",         "partition",
-      "late",     "kill",  "suspend",  "crashes", "latestore", "entries"};
+      "late",     "kill",  "suspend",  "crashes", "latestore", "entries",     "zones"};
   return Names;
 }
 
@@ -252,6 +262,15 @@
             return "kill" + proxy(it.Proxy) + ", started after " + std::to_string(it.RestartAfterMs) + " ms";
           },
           [&](const SuspendProxy &it) { return "suspend" + proxy(it.Proxy) + spanText(it.ForMs); },
+          [&](const LoseZone &it) {
+            const char *what = it.Trouble == ZoneTrouble::Suspended ? "suspend"
+                               : it.Trouble == ZoneTrouble::Cut     ? "cut off"
+                                                                    : "kill";
+            std::string out = what + std::string(" a zone:");
+            for (const auto n : it.Proxies)
+              out += proxy(static_cast<int>(n));
+            return out + spanText(it.ForMs);
+          },
           [&](const CrashServers &it) {
             return "crash of a replica of service " + std::to_string(it.Service) +
                    spanText(it.ReplicaDownMs) + ", then of the primary" + spanText(it.PrimaryDownMs) +
--- a/testing/platformsoak/faultplan.h
+++ b/testing/platformsoak/faultplan.h
@@ -57,6 +57,17 @@
   int Service = 0;
   Millis ReplicaDownMs = 0, PrimaryAfterMs = 0, PrimaryDownMs = 0, OtherDownMs = 0;
 };
+enum class ZoneTrouble : std::uint8_t {
+  Suspended,
+  Cut, ///< From the store and the proxies of other zones. Callers and servers are reached.
+  Killed,
+};
+/// All proxies of an availability zone have the same trouble at the same time.
+struct LoseZone {
+  std::set<std::size_t> Proxies;
+  ZoneTrouble Trouble = ZoneTrouble::Suspended;
+  Millis ForMs = 0; ///< Of a killed zone: until its proxies are started again.
+};
 /// Connections between these proxies and the primary stall.
 struct LosePrimary {
   int Service = 0;
@@ -129,10 +140,11 @@
   Millis ForMs = 0;
 };
 
-using Fault = std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown,
-                           RestoreStore, DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood,
-                           ReplaceServer, CrashPrimary, LosePrimary, CutReplicas, PartitionPrimary,
-                           DelayOrders, KillProxy, SuspendProxy, CrashServers, DelayWrites, DeleteEntry>;
+using Fault =
+    std::variant<StopProxy, ReloadProxy, DrainServer, ChangeConfiguration, SlowStore, StoreDown, RestoreStore,
+                 DelayCallers, HoldAnswers, SlowCallers, Burst, WithdrawKey, Flood, ReplaceServer,
+                 CrashPrimary, LosePrimary, CutReplicas, PartitionPrimary, DelayOrders, KillProxy,
+                 SuspendProxy, CrashServers, DelayWrites, DeleteEntry, LoseZone>;
 
 struct PlannedFault {
   Millis At = 0;
@@ -151,7 +163,8 @@
 };
 
 /// stops: single SIGTERMs. rolls: over all proxies, overlapping. second, hups: besides these stops. The rest
-/// by the names of the faults above: crashes is CrashServers, beside a killed proxy with kill.
+/// by the names of the faults above: crashes is CrashServers, beside a killed proxy with kill; zones is
+/// LoseZone.
 [[nodiscard]] const std::vector<std::string> &troubleNames();
 /// In the order of their times.
 [[nodiscard]] std::vector<PlannedFault> makePlan(const PlanOptions &options);
--- a/testing/platformsoak/faultplayer.cpp
+++ b/testing/platformsoak/faultplayer.cpp
@@ -107,6 +107,29 @@
   signalLater(index, fault.ForMs, SIGCONT);
 }
 
+void FaultPlayer::loseZone(const LoseZone &fault) {
+  if (fault.Trouble == ZoneTrouble::Cut)
+    return cutOff(fault.Proxies, fault.ForMs);
+  for (const auto n : fault.Proxies)
+    if (fault.Trouble == ZoneTrouble::Suspended)
+      suspend({static_cast<int>(n), fault.ForMs});
+    else
+      kill({static_cast<int>(n), fault.ForMs});
+}
+
+void FaultPlayer::cutOff(const std::set<std::size_t> &proxies, Millis forMs) {
+  disrupt(forMs, "proxies cut off");
+  const auto until = nowMs() + forMs;
+  for (const auto cut : proxies) {
+    World.StoreNetworks.at(cut)->network().CutUntil = until;
+    for (std::size_t other = 0; other < World.Proxies.size(); ++other)
+      if (!proxies.contains(other)) {
+        World.peerLink(cut, other).CutUntil = until;
+        World.peerLink(other, cut).CutUntil = until;
+      }
+  }
+}
+
 void FaultPlayer::crashServers(const CrashServers &fault) {
   disruptServers(fault.PrimaryAfterMs +
                      std::max({fault.ReplicaDownMs, fault.PrimaryDownMs, fault.OtherDownMs}),
@@ -145,6 +168,7 @@
                  [&](const StopProxy &it) { stop(it); },
                  [&](const KillProxy &it) { kill(it); },
                  [&](const SuspendProxy &it) { suspend(it); },
+                 [&](const LoseZone &it) { loseZone(it); },
                  [&](const CrashServers &it) { crashServers(it); },
                  [&](const DelayWrites &it) { World.Store.delayWrites(it.ForMs, it.Seed); },
                  [&](const DeleteEntry &it) {
--- a/testing/platformsoak/faultplayer.h
+++ b/testing/platformsoak/faultplayer.h
@@ -24,6 +24,9 @@
   void signalLater(std::size_t proxy, Millis after, int signal);
   void kill(const KillProxy &fault);
   void suspend(const SuspendProxy &fault);
+  void loseZone(const LoseZone &fault);
+  /// Cuts the proxies from the store and from all others.
+  void cutOff(const std::set<std::size_t> &proxies, Millis forMs);
   void crashServers(const CrashServers &fault);
   void withdraw(const WithdrawKey &fault);
   void disrupt(Millis forMs, const char *what, std::optional<int> callersOf = std::nullopt);
--- a/testing/platformsoak/main.cpp
+++ b/testing/platformsoak/main.cpp
@@ -65,7 +65,7 @@
       poptOption{"with", 0, POPT_ARG_STRING, &with, 0,
                  "troubles, separated by commas: stops rolls second hups drain primary config slow down "
                  "restored delay hold slowcallers burst withdraw flood replace crash lost cut partition "
-                 "late kill suspend crashes latestore entries, or all",
+                 "late kill suspend crashes latestore entries zones, or all",
                  "NAMES"},
       poptOption{"plan", 0, POPT_ARG_NONE, &planOnly, 0, "print the plan only", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
