--- a/src/leadership/internal/selection.cpp
+++ b/src/leadership/internal/selection.cpp
@@ -295,13 +295,7 @@
   const auto former = change.Servers.at(from).Status->Log;
   if (formerReachable(run))
     verifyStepDown(run);
-  for (const auto &[target, it] : change.Servers)
-    if (!it.FormerPrimary && !it.Missing) {
-      if (!it.Settled)
-        sendRequest(run, target, Order::ReadStatus);
-      else if (it.Status->Log < former)
-        queryAgain(run, target);
-    }
+  querySettling(run, former);
   if (!change.SteppedDownAt)
     return;
   awaitFence(run);
@@ -312,17 +306,33 @@
       best && change.Servers.at(*best).Status->Log >= former && !change.Servers.at(*best).Leaving;
   if (awaitsOrderedServer(run, *change.SteppedDownAt) && best != change.Outstanding)
     return;
-  if (whole) {
+  if (whole)
     choose(run, *best);
-    return;
+  else
+    chooseAmongReports(run, best, waited);
+}
+
+void LeadershipModule::querySettling(Run &run, Position former) {
+  for (const auto &[target, it] : run.Change.Servers) {
+    if (it.FormerPrimary || it.Missing)
+      continue;
+    if (!it.Settled)
+      sendRequest(run, target, Order::ReadStatus);
+    else if (it.Status->Log < former)
+      queryAgain(run, target);
   }
+}
+
+void LeadershipModule::chooseAmongReports(Run &run, const std::optional<TargetId> &best, Duration waited) {
+  const auto &servers = run.Change.Servers;
+  const auto &from = run.Change.Reason.From;
   const bool unanswered = commitsUnanswered(run);
   if (unanswered && waited >= ReportTime)
     run.Services.Directory.refreshServers(run.Ctx);
   if (waited < (unanswered ? UnlistedReportTime : ReportTime))
     return;
   const bool formerSafer =
-      unanswered && former >= positionToCover(run) && !detail::listedSettled(change.Servers);
+      unanswered && servers.at(from).Status->Log >= positionToCover(run) && !detail::listedSettled(servers);
   choose(run, formerSafer ? from : best.value_or(from));
 }
 
--- a/src/leadership/leadershipmodule.h
+++ b/src/leadership/leadershipmodule.h
@@ -214,6 +214,12 @@
   void onCandidateFound(Run &run, const TargetId &candidate);
   void chooseAfterLeases(Run &run);
   void selectAfterStepDown(Run &run);
+  /// Asks the servers that have not told yet all that they received from the former primary.
+  /// \param former End of its log.
+  void querySettling(Run &run, Position former);
+  /// No replica has all of the former primary's log: chooses the best one, or the former primary itself, once
+  /// the replicas have had time to report.
+  void chooseAmongReports(Run &run, const std::optional<TargetId> &best, Duration waited);
   /// Whether the former primary is listed and answers this proxy.
   [[nodiscard]] static bool formerReachable(const Run &run);
   void stepDownFormer(Run &run);
