Check in virtual time that waiting commits do not keep a primary from being stopped

A primary whose connections all wait for a replica can neither be asked nor told to step down, and acknowledges the waiting commits through a replica that joins. The new fault cuts the replication of the primary for 6 s, lets a server join 3 to 4 s later and crashes the primary 50 to 250 ms after that, before the server is listed in most runs. The new test plays it beside replacements with 24 connections a server.

--- a/testing/sessionworld/replacements.cpp
+++ b/testing/sessionworld/replacements.cpp
@@ -22,9 +22,17 @@
 /// Interval at which a server that must not end yet is checked again.
 constexpr Duration EndInterval = 100ms;
 constexpr Duration MaxFaultDelay = 4s;
+/// From a cut of the replication to the join of a server, which is not cut. Proxies that can ask the primary
+/// have changed it by then.
+constexpr Duration MinJoinDelay = 3s;
+constexpr Duration MaxJoinDelay = 4s;
+/// From that join to the crash of the primary: the server is seldom listed by then.
+constexpr Duration MinCrashDelay = 50ms;
+constexpr Duration MaxCrashDelay = 250ms;
 constexpr Duration MinFaultLength = 500ms;
 constexpr Duration MaxFaultLength = 6s;
 constexpr double FaultProbability = 0.4;
+constexpr double LateJoinProbability = 0.7;
 constexpr double CutProbability = 0.6; ///< Of each proxy, where not all of them are cut.
 
 } // namespace
@@ -40,16 +48,22 @@
     Queue.at(at, [this] { replaceServer(); });
     Queue.at(at + PlannedRandom.between(0s, MaxFaultDelay), [this] { injectReplacementFault(); });
   }
-  return at + std::max(MaxDrainDelay + MaxDrainTime, MaxFaultDelay + MaxFaultLength);
+  const auto crash = Options.BesideReplacements.LateJoins ? MaxJoinDelay + MaxCrashDelay : Duration::zero();
+  return at + std::max(MaxDrainDelay + MaxDrainTime, MaxFaultDelay + crash + MaxFaultLength);
 }
 
-void World::replaceServer() {
-  ++Result.Replacements;
+std::size_t World::joinServer() {
   const TargetId id("t" + std::to_string(++Reborn));
   const auto joined = Cluster.join(id, PlannedRandom.between(MinReplicationLag, MaxReplicationLag));
   trace(id.str() + " joins, with a lag of " + std::to_string(Cluster.servers()[joined].ReplicationLag / 1ms) +
         " ms");
   Queue.after(PlannedRandom.between(0s, MaxListingTime), [this, joined] { listServer(joined); });
+  return joined;
+}
+
+void World::replaceServer() {
+  ++Result.Replacements;
+  const auto joined = joinServer();
   std::vector<std::size_t> staying;
   for (std::size_t n = 0; n < joined; ++n)
     if (!Cluster.servers()[n].Replaced)
@@ -95,6 +109,8 @@
     cutProxies(lead, length());
   if (occurs(faults.ReplicationCuts))
     cutReplication(lead, length());
+  if (faults.LateJoins && PlannedRandom.chance(LateJoinProbability))
+    crashAfterJoin(lead, length());
   if (occurs(faults.Suspensions))
     if (const auto proxy = Live[PlannedRandom.below(Live.size())]; !Proxies[proxy]->Paused)
       suspendProxy(proxy, length());
@@ -130,4 +146,12 @@
     }
 }
 
+void World::crashAfterJoin(std::size_t server, Duration length) {
+  cutReplication(server, MaxFaultLength);
+  const auto join = PlannedRandom.between(MinJoinDelay, MaxJoinDelay);
+  Queue.after(join, [this] { joinServer(); });
+  Queue.after(join + PlannedRandom.between(MinCrashDelay, MaxCrashDelay),
+              [this, server, length] { crashServer(server, false, length); });
+}
+
 } // namespace rosemaryhinge::sessionworld
--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -18,6 +18,8 @@
 /// Planned stops of proxies, and other faults, beside the replacements.
 constexpr std::size_t RestartsBeside = 4;
 constexpr std::size_t FaultsBeside = 4;
+/// Waiting commits take as many within a second.
+constexpr std::uint32_t FewConnections = 24;
 
 /// RH_REPLACEMENT_SEED plays this seed alone, and RH_REPLACEMENT_SEEDS those from RH_REPLACEMENT_FIRST, or 1,
 /// to that number.
@@ -48,8 +50,7 @@
   bool operator==(const KnownRed &) const = default;
 };
 
-/// Returns the number of promotions.
-std::size_t playOne(WorldOptions options, bool trace) {
+WorldResult playOne(WorldOptions options, bool trace) {
   const auto result = World(options).run();
   CAPTURE(options.Seed);
   CAPTURE(options.Fencing);
@@ -64,16 +65,22 @@
   if (trace)
     for (const auto &it : result.Log)
       MESSAGE(it);
-  return result.Promotions;
+  return result;
 }
 
+struct Played {
+  std::size_t Promotions = 0;
+  std::size_t RefusedBesideCommits = 0;
+};
+
 /// \param base Options without Faults and Replacements.
 /// \param faults Faults beside the replacements; RH_REPLACEMENT_FAULTS and RH_REPLACEMENT_RESTARTS set other
 /// numbers of them and of planned stops.
-void playSeeds(const WorldOptions &base, std::initializer_list<std::uint64_t> fixed, bool links = peerLinks(),
-               std::size_t faults = 0, std::initializer_list<KnownRed> known = {}) {
+Played playSeeds(const WorldOptions &base, std::initializer_list<std::uint64_t> fixed,
+                 bool links = peerLinks(), std::size_t faults = 0,
+                 std::initializer_list<KnownRed> known = {}) {
   const auto seeds = chosenSeeds(fixed);
-  std::size_t promotions = 0;
+  Played played;
   for (const bool fencing : {true, false})
     for (const auto seed : seeds) {
       if (seeds.size() > 1 && std::find(known.begin(), known.end(), KnownRed{seed, fencing}) != known.end())
@@ -86,9 +93,12 @@
       options.Faults = numberFrom("RH_REPLACEMENT_FAULTS", faults);
       options.Restarts = numberFrom("RH_REPLACEMENT_RESTARTS", base.Restarts);
       options.Replacements = Replacements;
-      promotions += playOne(options, seeds.size() == 1);
+      const auto result = playOne(options, seeds.size() == 1);
+      played.Promotions += result.Promotions;
+      played.RefusedBesideCommits += result.RefusedBesideCommits;
     }
-  CHECK(promotions > 0);
+  CHECK(played.Promotions > 0);
+  return played;
 }
 
 } // namespace
@@ -172,3 +182,13 @@
   options.Restarts = RestartsBeside;
   playSeeds(options, {1, 2, 3, 35, 55}, peerLinks(), FaultsBeside);
 }
+
+TEST_CASE("no acknowledged commit is lost when waiting commits take all connections of a primary") {
+  // Guards against a primary that cannot be asked or stopped, since commits that wait for a replica hold all
+  // of its connections, and that acknowledges them through a replica which joins and is not listed in time.
+  WorldOptions options;
+  options.BesideReplacements.LateJoins = true;
+  options.MaxConnections = FewConnections;
+  const auto played = playSeeds(options, {5, 7, 16, 18, 38});
+  CHECK(played.RefusedBesideCommits > 0);
+}
--- a/testing/sessionworld/world.h
+++ b/testing/sessionworld/world.h
@@ -28,6 +28,8 @@
   bool Suspensions = false;     ///< Of proxies.
   bool ProxyPartitions = false; ///< A proxy is cut from the others.
   bool EntryDeletions = false;  ///< The store loses the entry of a proxy.
+  /// The replicas lose the primary; seconds later a server joins, and the primary crashes soon after.
+  bool LateJoins = false;
 };
 
 struct WorldOptions {
@@ -145,6 +147,8 @@
   TimePoint planReplacements();
   /// Adds a server, and drains one of those that were there before.
   void replaceServer();
+  /// Adds a server, which is listed later. Returns its index.
+  std::size_t joinServer();
   /// Lists a server that has joined.
   void listServer(std::size_t server);
   void drainServer(std::size_t server);
@@ -153,6 +157,8 @@
   void injectReplacementFault();
   void cutProxies(std::size_t server, Duration length);
   void cutReplication(std::size_t server, Duration length);
+  /// Cuts the replication of a server, lets another one join, which receives all that waits, and crashes it.
+  void crashAfterJoin(std::size_t server, Duration length);
 
   // Messages between the proxies (peerlinks.cpp).
   [[nodiscard]] std::optional<std::size_t> placeOf(const NodeId &node) const;
