--- a/testing/sessionworld/tests/replacementtests.cpp
+++ b/testing/sessionworld/tests/replacementtests.cpp
@@ -51,7 +51,7 @@
 };
 
 WorldResult playOne(WorldOptions options, bool trace) {
-  const auto result = World(options).run();
+  auto result = World(options).run();
   CAPTURE(options.Seed);
   CAPTURE(options.Fencing);
   if (!result.Violations.empty())
